--- /dev/null
+++ b/programs/src/bin/coltsfootweir.rs
@@ -0,0 +1,3 @@
+//! The operator's program.
+
+fn main() {}
--- /dev/null
+++ b/programs/src/bin/coltsfootweird.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/bin/standin-platform.rs
@@ -0,0 +1,3 @@
+//! The platform stand-in as a process.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/bin/standin-upstream.rs
@@ -0,0 +1,3 @@
+//! The upstream stand-in as a process.
+
+fn main() {}
