Add the pure decisions on calls

Cause: the daemon needs one place that says what became of a call, where it may run, how often, and by when.

Ruled out: a claim row without a ticket. A daemon that forgot a finished booking could not tell its old claim from one whose answer was just lost, and would run the booking twice. Ruled out too: a key without the request's fingerprint, by which a second caller who happens to use the same key would get the first caller's answer.

All take an event and the time since start and return a decision.

Conclusion: the API is ready to be wired.

--- /dev/null
+++ b/coltsfootweir/src/answer_cache.rs
@@ -0,0 +1,122 @@
+//! First answers of bookings, bounded by count, bytes and age.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::booking_key::BookingKey;
+
+/// Bytes that an answer and its key cost besides their content.
+const ANSWER_OVERHEAD: usize = 128;
+
+/// Answer of an upstream, kept so that a repeat gets the first one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header names and values, in the upstream's order.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+    /// Whole body.
+    pub body: Arc<[u8]>,
+}
+
+/// Bounds of the cache.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheLimits {
+    /// Answers kept.
+    pub answers: usize,
+    /// Bytes kept, overhead included.
+    pub bytes: usize,
+    /// Time an answer is kept.
+    pub age: Duration,
+}
+
+impl Default for CacheLimits {
+    fn default() -> CacheLimits {
+        CacheLimits {
+            answers: 20_000,
+            bytes: 16 * 1024 * 1024,
+            age: Duration::from_secs(15 * 60),
+        }
+    }
+}
+
+/// Answers by key; the oldest is dropped first.
+#[derive(Debug)]
+pub struct AnswerCache {
+    limits: CacheLimits,
+    answers: HashMap<BookingKey, (Duration, StoredAnswer)>,
+    order: VecDeque<BookingKey>,
+    bytes: usize,
+}
+
+impl StoredAnswer {
+    /// Returns the bytes the answer costs in the cache.
+    #[must_use]
+    pub fn cost(&self) -> usize {
+        let headers = self.headers.iter();
+        let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        ANSWER_OVERHEAD + header_bytes + self.body.len()
+    }
+}
+
+impl AnswerCache {
+    /// Makes an empty cache.
+    #[must_use]
+    pub fn new(limits: CacheLimits) -> AnswerCache {
+        AnswerCache {
+            limits,
+            answers: HashMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Keeps the first answer to a key; a later one changes nothing.
+    pub fn insert(&mut self, key: &BookingKey, answer: StoredAnswer, now: Duration) {
+        if self.answers.contains_key(key) {
+            return;
+        }
+        self.bytes += answer.cost();
+        self.answers.insert(key.clone(), (now, answer));
+        self.order.push_back(key.clone());
+        self.shrink(now);
+    }
+
+    /// Returns the answer to a key while it is kept.
+    pub fn get(&mut self, key: &BookingKey, now: Duration) -> Option<&StoredAnswer> {
+        self.shrink(now);
+        self.answers.get(key).map(|(_, answer)| answer)
+    }
+
+    /// Returns the answers kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.answers.len()
+    }
+
+    /// Returns whether no answer is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.answers.is_empty()
+    }
+
+    fn shrink(&mut self, now: Duration) {
+        while let Some(oldest) = self.order.front() {
+            let Some((kept_at, _)) = self.answers.get(oldest) else {
+                self.order.pop_front();
+                continue;
+            };
+            let is_over =
+                self.answers.len() > self.limits.answers || self.bytes > self.limits.bytes;
+            if !is_over && now < *kept_at + self.limits.age {
+                break;
+            }
+            if let Some((_, answer)) = self.answers.remove(oldest) {
+                self.bytes -= answer.cost();
+            }
+            self.order.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/booking_key.rs
@@ -0,0 +1,109 @@
+//! Keys of bookings, carried in `idempotency-key`.
+
+use std::fmt;
+
+use crate::ids::Incarnation;
+use crate::ids::MemberId;
+
+/// Longest key taken, in bytes.
+pub const MAX_KEY_LENGTH: usize = 128;
+
+/// First characters of a minted key.
+const MINTED_PREFIX: &str = "cw1~";
+
+/// Separator of the parts of a minted key.
+const PART_SEPARATOR: char = '~';
+
+/// Key of a booking.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum BookingKey {
+    /// Minted by the daemon that alone may run the booking, and only in this incarnation.
+    Minted {
+        /// The daemon.
+        member: MemberId,
+        /// Run of the daemon.
+        incarnation: Incarnation,
+        /// Count of keys in that run.
+        counter: u64,
+    },
+    /// Made by the caller.
+    Caller(Box<str>),
+}
+
+/// A key that cannot be taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyError {
+    /// The key is empty.
+    Empty,
+    /// The key is longer than [`MAX_KEY_LENGTH`].
+    TooLong,
+    /// The key has a character other than letters, digits and `-_.:~@+=`.
+    BadCharacter,
+    /// The key starts like a minted one but is none.
+    NotMinted,
+}
+
+impl BookingKey {
+    /// Reads a key.
+    ///
+    /// # Errors
+    /// [`KeyError`] when the text is no key.
+    pub fn parse(text: &str) -> Result<BookingKey, KeyError> {
+        if text.is_empty() {
+            return Err(KeyError::Empty);
+        }
+        if text.len() > MAX_KEY_LENGTH {
+            return Err(KeyError::TooLong);
+        }
+        if !text.bytes().all(is_key_byte) {
+            return Err(KeyError::BadCharacter);
+        }
+        let Some(parts) = text.strip_prefix(MINTED_PREFIX) else {
+            return Ok(BookingKey::Caller(text.into()));
+        };
+        parse_minted(parts)
+            .filter(|key| key.to_string() == text)
+            .ok_or(KeyError::NotMinted)
+    }
+}
+
+fn is_key_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-_.:~@+=".contains(&byte)
+}
+
+fn parse_minted(parts: &str) -> Option<BookingKey> {
+    let mut parts = parts.split(PART_SEPARATOR);
+    let key = BookingKey::Minted {
+        member: parts.next()?.into(),
+        incarnation: parts.next()?.parse().ok()?,
+        counter: parts.next()?.parse().ok()?,
+    };
+    Some(key)
+}
+
+impl fmt::Display for BookingKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BookingKey::Minted {
+                member,
+                incarnation,
+                counter,
+            } => write!(f, "{MINTED_PREFIX}{member}~{incarnation}~{counter}"),
+            BookingKey::Caller(text) => f.write_str(text),
+        }
+    }
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            KeyError::Empty => "booking key is empty",
+            KeyError::TooLong => "booking key is too long",
+            KeyError::BadCharacter => "booking key has a character that is not allowed",
+            KeyError::NotMinted => "booking key starts like a minted one but is none",
+        };
+        f.write_str(text)
+    }
+}
+
+impl std::error::Error for KeyError {}
--- /dev/null
+++ b/coltsfootweir/src/guard.rs
@@ -0,0 +1,216 @@
+//! Admission to the own upstream: its slots and a short queue that knows deadlines.
+//!
+//! A request that could not finish before its deadline is refused on arrival, while another
+//! endpoint may still take it. Every id gets exactly one final decision: run, refuse or expire.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::load_report::LoadReport;
+use crate::member::EndpointPhase;
+use crate::outcome::RefusalReason;
+
+/// Weight of the newest run in the estimate of the run time, as a divisor.
+const ESTIMATE_WEIGHT: u32 = 16;
+
+/// Share of the estimated run time that a request started at once must have left, as a divisor.
+const QUICK_RUN_DIVISOR: u32 = 4;
+
+/// Decision on a request that arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmitDecision {
+    /// Hand it to the upstream now.
+    Run,
+    /// It waits; a [`GuardEvent`] decides.
+    Wait,
+    /// It was not run.
+    Refuse(RefusalReason),
+}
+
+/// Decision on a request that waited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GuardEvent {
+    /// Hand it to the upstream now.
+    Start(u64),
+    /// It could no longer finish before its deadline; it was not run.
+    Expire(u64),
+    /// It was not run for another reason.
+    Refuse(u64, RefusalReason),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WaitingRequest {
+    id: u64,
+    deadline: Duration,
+}
+
+/// Slots and queue of one upstream.
+#[derive(Debug)]
+pub struct GuardState {
+    slots: u16,
+    queue_limit: usize,
+    phase: EndpointPhase,
+    running: HashMap<u64, Duration>,
+    waiting: VecDeque<WaitingRequest>,
+    run_time: Option<Duration>,
+}
+
+impl GuardState {
+    /// Makes the guard of a ready upstream that runs `slots` requests at once.
+    #[must_use]
+    pub fn new(slots: u16, queue_limit: usize) -> GuardState {
+        GuardState {
+            slots,
+            queue_limit,
+            phase: EndpointPhase::Ready,
+            running: HashMap::new(),
+            waiting: VecDeque::new(),
+            run_time: None,
+        }
+    }
+
+    /// Decides on a request; `deadline` is the time since the daemon's start by which the upstream
+    /// must have answered. Ids are never used twice.
+    pub fn arrive(&mut self, id: u64, deadline: Duration, now: Duration) -> AdmitDecision {
+        if let Some(reason) = self.phase_refusal() {
+            return AdmitDecision::Refuse(reason);
+        }
+        if now >= deadline {
+            return AdmitDecision::Refuse(RefusalReason::DeadlinePassed);
+        }
+        if self.has_free_slot() && self.waiting.is_empty() {
+            return self.start_at_once(id, deadline, now);
+        }
+        if self.waiting.len() >= self.queue_limit {
+            return AdmitDecision::Refuse(RefusalReason::Overloaded);
+        }
+        if now + self.expected_wait() + self.expected_run() > deadline {
+            return AdmitDecision::Refuse(RefusalReason::Overloaded);
+        }
+        self.waiting.push_back(WaitingRequest { id, deadline });
+        AdmitDecision::Wait
+    }
+
+    /// Notes that a run ended, and decides on what waits. An unknown id frees no slot.
+    pub fn finish(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
+        if let Some(started) = self.running.remove(&id) {
+            self.learn(now.saturating_sub(started));
+        }
+        self.poll(now)
+    }
+
+    /// Notes that a caller gave up: a waiting request leaves the queue, a run ends. Returns the
+    /// decisions on what waits; there is none on `id`.
+    pub fn cancel(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
+        self.waiting.retain(|request| request.id != id);
+        self.running.remove(&id);
+        self.poll(now)
+    }
+
+    /// Decides on what waits: expires what came too late and fills free slots in order of arrival.
+    pub fn poll(&mut self, now: Duration) -> Vec<GuardEvent> {
+        let mut events = Vec::new();
+        let run_time = self.expected_run();
+        for _ in 0..self.waiting.len() {
+            let Some(request) = self.waiting.pop_front() else {
+                break;
+            };
+            if now >= request.deadline || now + run_time > request.deadline {
+                events.push(GuardEvent::Expire(request.id));
+                continue;
+            }
+            if !self.has_free_slot() {
+                self.waiting.push_back(request);
+                continue;
+            }
+            self.running.insert(request.id, now);
+            events.push(GuardEvent::Start(request.id));
+        }
+        events
+    }
+
+    /// Returns when [`GuardState::poll`] would next expire a request, if one waits.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let earliest = self.waiting.iter().map(|request| request.deadline).min()?;
+        Some(earliest.saturating_sub(self.expected_run()))
+    }
+
+    /// Changes the upstream's standing. Unless it is ready, all that waits is refused.
+    pub fn set_phase(&mut self, phase: EndpointPhase) -> Vec<GuardEvent> {
+        self.phase = phase;
+        let Some(reason) = self.phase_refusal() else {
+            return Vec::new();
+        };
+        let refused = self.waiting.drain(..);
+        refused
+            .map(|request| GuardEvent::Refuse(request.id, reason))
+            .collect()
+    }
+
+    /// Takes no new work from now on; what runs is finished.
+    pub fn drain(&mut self) -> Vec<GuardEvent> {
+        self.set_phase(EndpointPhase::Leaving)
+    }
+
+    /// Changes the number of requests run at once, as the upstream announces it.
+    pub fn set_slots(&mut self, slots: u16, now: Duration) -> Vec<GuardEvent> {
+        self.slots = slots;
+        self.poll(now)
+    }
+
+    /// Returns whether nothing runs or waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Returns the load that answers report.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
+            slots: self.slots,
+            waiting: u16::try_from(self.waiting.len()).unwrap_or(u16::MAX),
+        }
+    }
+
+    fn start_at_once(&mut self, id: u64, deadline: Duration, now: Duration) -> AdmitDecision {
+        // An idle upstream runs even what looks too long, or a wrong estimate would never mend.
+        let quick_run = self.expected_run() / QUICK_RUN_DIVISOR;
+        if !self.running.is_empty() && now + quick_run > deadline {
+            return AdmitDecision::Refuse(RefusalReason::Overloaded);
+        }
+        self.running.insert(id, now);
+        AdmitDecision::Run
+    }
+
+    fn phase_refusal(&self) -> Option<RefusalReason> {
+        match self.phase {
+            EndpointPhase::Ready => None,
+            EndpointPhase::Leaving => Some(RefusalReason::Leaving),
+            EndpointPhase::Down => Some(RefusalReason::UpstreamDown),
+        }
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < usize::from(self.slots)
+    }
+
+    fn expected_run(&self) -> Duration {
+        self.run_time.unwrap_or(Duration::ZERO)
+    }
+
+    fn expected_wait(&self) -> Duration {
+        let ahead = u32::try_from(self.waiting.len() + 1).unwrap_or(u32::MAX);
+        self.expected_run() * ahead / u32::from(self.slots.max(1))
+    }
+
+    fn learn(&mut self, run_time: Duration) {
+        self.run_time = Some(match self.run_time {
+            None => run_time,
+            Some(mean) => (mean * (ESTIMATE_WEIGHT - 1) + run_time) / ESTIMATE_WEIGHT,
+        });
+    }
+}
