Add the platform stand-in and its HTTP client

Cause: the daemon and its tests need the platform's table and object store, with its faults, behind the PlatformStore border.

Ruled out: keys in the URL path, because caller-made keys hold any text and no escape library is among the dependencies; reads carry the key as JSON instead. Also ruled out: taking minreq's status for granted. It makes a 503 of an answer without a head and passes on a short body.

Change: MemoryPlatform, PlatformServer on tiny_http, HttpPlatform on minreq with outcome unavailable or answer lost, standin-platform.

--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announce;
 pub mod evidence;
 pub mod fact;
+pub mod http_platform;
 pub mod ids;
 pub mod member;
 pub mod platform;
--- /dev/null
+++ b/standins/tests/platform_http.rs
@@ -0,0 +1,264 @@
+//! The platform stand-in over HTTP: faults as its client sees them.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use coltsfootweir::http_platform::ByteCounter;
+use coltsfootweir::http_platform::HttpPlatform;
+use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::PlatformError;
+use coltsfootweir::platform::PlatformResult;
+use coltsfootweir::platform::PlatformStore;
+use coltsfootweir::platform::RowCondition;
+use coltsfootweir::platform::RowWrite;
+use coltsfootweir::platform::WriteBatch;
+use standins::platform_faults::PlatformFaults;
+use standins::platform_server::PlatformServer;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn start() -> (PlatformServer, HttpPlatform) {
+    let server = PlatformServer::start(any_port()).unwrap();
+    let client = HttpPlatform::new(server.address(), TIMEOUT);
+    (server, client)
+}
+
+fn write(key: &str, condition: RowCondition, value: Option<&str>) -> RowWrite {
+    RowWrite {
+        key: key.into(),
+        condition,
+        value: value.map(Into::into),
+    }
+}
+
+fn batch(write_id: &str, writes: Vec<RowWrite>) -> WriteBatch {
+    WriteBatch {
+        write_id: write_id.into(),
+        writes,
+    }
+}
+
+fn failure<T>(result: PlatformResult<T>) -> Option<PlatformError> {
+    result.err().map(|report| *report.current_context())
+}
+
+#[test]
+fn rows_and_objects_come_back_as_written() {
+    let (_server, client) = start();
+    let key = "claim/stalls/ключ 1%2F?#/\"x\"";
+    let create = batch(
+        "w1",
+        vec![write(key, RowCondition::Absent, Some("{\"n\":1}"))],
+    );
+    assert_eq!(client.commit(&create).unwrap(), CommitOutcome::Committed);
+    let row = client.read_row(key).unwrap().unwrap();
+    assert_eq!((&*row.key, &*row.value, row.version), (key, "{\"n\":1}", 1));
+    assert_eq!(client.read_row("absent").unwrap(), None);
+    assert_eq!(client.list_rows("claim/stalls/").unwrap(), vec![row]);
+    assert_eq!(client.list_rows("move/").unwrap(), Vec::new());
+
+    let mut body = Vec::new();
+    for index in 0..300_000_u32 {
+        body.push(index.to_le_bytes()[0]);
+    }
+    client.put_object("snapshot/abc", &body).unwrap();
+    assert_eq!(client.get_object("snapshot/abc").unwrap(), Some(body));
+    assert_eq!(client.get_object("snapshot/none").unwrap(), None);
+}
+
+#[test]
+fn batch_takes_effect_whole_or_not_at_all() {
+    let (_server, client) = start();
+    let first = batch("w1", vec![write("a", RowCondition::Absent, Some("1"))]);
+    assert_eq!(client.commit(&first).unwrap(), CommitOutcome::Committed);
+    let second = batch(
+        "w2",
+        vec![
+            write("b", RowCondition::Absent, Some("2")),
+            write("a", RowCondition::At(7), Some("3")),
+        ],
+    );
+    assert_eq!(
+        client.commit(&second).unwrap(),
+        CommitOutcome::Conflict("a".into())
+    );
+    assert_eq!(client.read_row("b").unwrap(), None);
+}
+
+#[test]
+fn row_made_again_does_not_repeat_a_version() {
+    let (_server, client) = start();
+    for value in ["1", "2", "3"] {
+        let change = batch(value, vec![write("a", RowCondition::Any, Some(value))]);
+        client.commit(&change).unwrap();
+    }
+    let removal = batch("w4", vec![write("a", RowCondition::At(3), None)]);
+    assert_eq!(client.commit(&removal).unwrap(), CommitOutcome::Committed);
+    let again = batch("w5", vec![write("a", RowCondition::Absent, Some("5"))]);
+    client.commit(&again).unwrap();
+    assert_eq!(client.read_row("a").unwrap().unwrap().version, 4);
+}
+
+#[test]
+fn outage_is_unavailable_and_changes_nothing() {
+    let (server, client) = start();
+    server.platform().set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let create = batch("w1", vec![write("a", RowCondition::Absent, Some("1"))]);
+    assert_eq!(
+        failure(client.commit(&create)),
+        Some(PlatformError::Unavailable)
+    );
+    assert_eq!(
+        failure(client.read_row("a")),
+        Some(PlatformError::Unavailable)
+    );
+    assert_eq!(
+        failure(client.get_object("x")),
+        Some(PlatformError::Unavailable)
+    );
+    server.platform().set_faults(PlatformFaults::default());
+    assert_eq!(client.read_row("a").unwrap(), None);
+}
+
+#[test]
+fn refused_connection_is_unavailable() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = HttpPlatform::new(address, TIMEOUT);
+    assert_eq!(
+        failure(client.read_row("a")),
+        Some(PlatformError::Unavailable)
+    );
+}
+
+#[test]
+fn lost_answer_took_effect_and_lost_request_did_not() {
+    let (server, client) = start();
+    server.platform().set_faults(PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    });
+    let create = batch("w1", vec![write("a", RowCondition::Absent, Some("1"))]);
+    assert_eq!(
+        failure(client.commit(&create)),
+        Some(PlatformError::AnswerLost)
+    );
+    assert_eq!(&*client.read_row("a").unwrap().unwrap().value, "1");
+
+    server.platform().set_faults(PlatformFaults {
+        lose_requests: 1,
+        ..PlatformFaults::default()
+    });
+    let create = batch("w2", vec![write("b", RowCondition::Absent, Some("1"))]);
+    assert_eq!(
+        failure(client.commit(&create)),
+        Some(PlatformError::AnswerLost)
+    );
+    assert_eq!(client.read_row("b").unwrap(), None);
+}
+
+#[test]
+fn late_answer_is_lost_after_the_timeout() {
+    let server = PlatformServer::start(any_port()).unwrap();
+    let client = HttpPlatform::new(server.address(), Duration::from_millis(300));
+    server.platform().set_faults(PlatformFaults {
+        delay: Duration::from_millis(1500),
+        ..PlatformFaults::default()
+    });
+    let start = Instant::now();
+    assert_eq!(
+        failure(client.read_row("a")),
+        Some(PlatformError::AnswerLost)
+    );
+    assert!(
+        start.elapsed() < Duration::from_millis(1450),
+        "rounded up to one second"
+    );
+}
+
+/// Answers one connection with `answer`, then closes it.
+fn answer_once(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut bytes = [0; 4096];
+        let _ = stream.read(&mut bytes).unwrap();
+        stream.write_all(answer).unwrap();
+    });
+    address
+}
+
+#[test]
+fn cut_answers_are_lost_and_never_taken_as_whole() {
+    let cut_answers: [&[u8]; 4] = [
+        b"",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"key\":\"a\",",
+        b"HTTP/1.1 503 Service Unavail",
+    ];
+    for answer in cut_answers {
+        let client = HttpPlatform::new(answer_once(answer), TIMEOUT);
+        let result = client.get_object("x");
+        assert_eq!(
+            failure(result),
+            Some(PlatformError::AnswerLost),
+            "{answer:?}"
+        );
+    }
+}
+
+#[test]
+fn oversized_body_is_refused() {
+    let (server, _client) = start();
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let head = b"PUT /objects/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 99999999\r\n\r\n";
+    stream.write_all(head).unwrap();
+    let mut bytes = [0; 12];
+    stream.read_exact(&mut bytes).unwrap();
+    assert_eq!(&bytes, b"HTTP/1.1 413");
+}
+
+#[derive(Default)]
+struct TotalCounter {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl ByteCounter for TotalCounter {
+    fn count_exchange(&self, sent: u64, received: u64) {
+        self.sent.fetch_add(sent, Ordering::Relaxed);
+        self.received.fetch_add(received, Ordering::Relaxed);
+    }
+}
+
+#[test]
+fn byte_counter_sees_both_ways() {
+    let (server, client) = start();
+    let counter = Arc::new(TotalCounter::default());
+    let client = client.with_byte_counter(counter.clone());
+    client.put_object("x", &[7; 10_000]).unwrap();
+    client.get_object("x").unwrap();
+    let sent = counter.sent.load(Ordering::Relaxed);
+    let received = counter.received.load(Ordering::Relaxed);
+    assert!((10_000..11_000).contains(&sent), "{sent}");
+    assert!((10_000..11_000).contains(&received), "{received}");
+    assert_eq!(server.platform().stats().objects_read, 1);
+}
