--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fact;
 pub mod fingerprint;
 pub mod guard;
+pub mod http_platform;
 pub mod ids;
 pub mod load_report;
 pub mod member;
