--- /dev/null
+++ b/coltsfootweir/src/config_state.rs
@@ -0,0 +1,175 @@
+//! Which configuration is in force on a daemon.
+//!
+//! A configuration is replaced as a whole, by a closed one of a higher generation only.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::ids::Generation;
+use crate::route_table::RouteTable;
+use crate::snapshot::ConfigSnapshot;
+use crate::snapshot::HeadMark;
+use crate::snapshot::SnapshotDelta;
+use crate::snapshot::SnapshotError;
+
+/// Number of earlier snapshots kept to serve deltas to peers.
+pub const KEPT_SNAPSHOTS: usize = 8;
+
+/// What an offered configuration came to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OfferOutcome {
+    /// It is in force now.
+    Applied,
+    /// It was in force already.
+    Held,
+    /// A higher generation is in force.
+    Older,
+}
+
+/// Configuration in force, and the floor below which a daemon takes no calls.
+#[derive(Debug, Default)]
+pub struct ConfigState {
+    snapshot: Arc<ConfigSnapshot>,
+    table: Arc<RouteTable>,
+    mark: HeadMark,
+    floor: Generation,
+    floor_settled: bool,
+    earlier: VecDeque<Arc<ConfigSnapshot>>,
+}
+
+impl ConfigState {
+    /// Creates the state of a daemon that holds no configuration yet.
+    #[must_use]
+    pub fn new() -> ConfigState {
+        ConfigState::default()
+    }
+
+    /// Raises the lowest generation that the daemon may serve; a lower value changes nothing.
+    pub fn raise_floor(&mut self, generation: Generation) {
+        self.floor = self.floor.max(generation);
+    }
+
+    /// Notes that the floor is known; before that the daemon serves nothing.
+    pub fn settle_floor(&mut self) {
+        self.floor_settled = true;
+    }
+
+    /// Returns whether calls may be taken.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.floor_settled && self.mark.generation >= self.floor
+    }
+
+    /// Returns the lowest generation that the daemon may serve.
+    #[must_use]
+    pub fn floor(&self) -> Generation {
+        self.floor
+    }
+
+    /// Offers an encoded snapshot.
+    ///
+    /// # Errors
+    /// The fault of the snapshot; the configuration in force stays.
+    pub fn offer(&mut self, bytes: &[u8], mark: &HeadMark) -> Result<OfferOutcome, SnapshotError> {
+        if let Some(outcome) = self.compare(mark)? {
+            return Ok(outcome);
+        }
+        let snapshot = ConfigSnapshot::decode(bytes, mark)?;
+        self.apply(snapshot, mark)
+    }
+
+    /// Offers an encoded delta that leads to `mark`.
+    ///
+    /// # Errors
+    /// The fault of the delta, [`SnapshotError::WrongBase`] when it does not start from the
+    /// configuration in force; the configuration in force stays.
+    pub fn offer_delta(
+        &mut self,
+        bytes: &[u8],
+        mark: &HeadMark,
+    ) -> Result<OfferOutcome, SnapshotError> {
+        if let Some(outcome) = self.compare(mark)? {
+            return Ok(outcome);
+        }
+        let delta = SnapshotDelta::decode(bytes)?;
+        if delta.result.generation != mark.generation {
+            let found = delta.result.generation;
+            return Err(SnapshotError::WrongGeneration {
+                expected: mark.generation,
+                found,
+            });
+        }
+        if delta.result.digest != mark.digest {
+            let found = delta.result.digest;
+            return Err(SnapshotError::WrongDigest {
+                expected: mark.digest.clone(),
+                found,
+            });
+        }
+        let snapshot = self.snapshot.apply_delta(&delta)?;
+        self.apply(snapshot, mark)
+    }
+
+    /// Returns generation and digest of the configuration in force.
+    #[must_use]
+    pub fn mark(&self) -> HeadMark {
+        self.mark.clone()
+    }
+
+    /// Returns the snapshot in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<ConfigSnapshot> {
+        Arc::clone(&self.snapshot)
+    }
+
+    /// Returns the compiled routes in force.
+    #[must_use]
+    pub fn table(&self) -> Arc<RouteTable> {
+        Arc::clone(&self.table)
+    }
+
+    /// Returns the delta from a recent generation to the configuration in force, `None` when
+    /// the generation is not kept and the whole snapshot has to be sent.
+    #[must_use]
+    pub fn recent_delta(&self, from: Generation) -> Option<SnapshotDelta> {
+        let base = self
+            .earlier
+            .iter()
+            .find(|snapshot| snapshot.generation == from)?;
+        Some(self.snapshot.delta_from(base))
+    }
+
+    /// Returns the outcome of an offer that needs no decoding.
+    fn compare(&self, mark: &HeadMark) -> Result<Option<OfferOutcome>, SnapshotError> {
+        if mark.generation > self.mark.generation {
+            return Ok(None);
+        }
+        if mark.generation < self.mark.generation {
+            return Ok(Some(OfferOutcome::Older));
+        }
+        if mark.digest != self.mark.digest {
+            let expected = self.mark.digest.clone();
+            return Err(SnapshotError::WrongDigest {
+                expected,
+                found: mark.digest.clone(),
+            });
+        }
+        Ok(Some(OfferOutcome::Held))
+    }
+
+    fn apply(
+        &mut self,
+        snapshot: ConfigSnapshot,
+        mark: &HeadMark,
+    ) -> Result<OfferOutcome, SnapshotError> {
+        let table = RouteTable::compile(&snapshot)?;
+        self.earlier.push_back(Arc::clone(&self.snapshot));
+        if self.earlier.len() > KEPT_SNAPSHOTS {
+            self.earlier.pop_front();
+        }
+        self.snapshot = Arc::new(snapshot);
+        self.table = Arc::new(table);
+        self.mark = mark.clone();
+        Ok(OfferOutcome::Applied)
+    }
+}
--- a/coltsfootweir/src/record.rs
+++ b/coltsfootweir/src/record.rs
@@ -11,6 +11,15 @@
 use crate::ids::ServiceName;
 use crate::ids::VersionName;
 
+/// Value of `kind` in a route record.
+pub const ROUTE_KIND: &str = "route";
+
+/// Value of `kind` in an upstream version record.
+pub const VERSION_KIND: &str = "upstream-version";
+
+/// Value of `kind` in a move record.
+pub const MOVE_KIND: &str = "move";
+
 /// Whether a route's requests may be repeated.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -102,3 +111,91 @@
     /// Why the move was taken back, or how it ended; empty until then.
     pub reason: Box<str>,
 }
+
+/// One record of any kind.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigRecord {
+    /// A route.
+    Route(RouteRecord),
+    /// An upstream version.
+    Version(VersionRecord),
+    /// A move.
+    Move(MoveRecord),
+}
+
+impl ConfigRecord {
+    /// Returns kind and name as faults and conflicts give them, such as `route/stalls`.
+    #[must_use]
+    pub fn label(&self) -> Box<str> {
+        match self {
+            ConfigRecord::Route(route) => route.label(),
+            ConfigRecord::Version(version) => version.label(),
+            ConfigRecord::Move(record) => record.label(),
+        }
+    }
+}
+
+impl RouteRecord {
+    /// Returns `route/<name>`.
+    #[must_use]
+    pub fn label(&self) -> Box<str> {
+        format!("{ROUTE_KIND}/{}", self.name).into()
+    }
+
+    /// Returns the prefix without its trailing slash; the root prefix is empty.
+    #[must_use]
+    pub fn trimmed_prefix(&self) -> &str {
+        self.prefix.trim_end_matches('/')
+    }
+}
+
+impl VersionRecord {
+    /// Returns the key of the version in a snapshot, `<service>/<version>`.
+    #[must_use]
+    pub fn key(&self) -> Box<str> {
+        version_key(&self.service, &self.version)
+    }
+
+    /// Returns `upstream-version/<service>/<version>`.
+    #[must_use]
+    pub fn label(&self) -> Box<str> {
+        format!("{VERSION_KIND}/{}/{}", self.service, self.version).into()
+    }
+}
+
+impl MoveRecord {
+    /// Returns `move/<name>`.
+    #[must_use]
+    pub fn label(&self) -> Box<str> {
+        format!("{MOVE_KIND}/{}", self.name).into()
+    }
+}
+
+impl TrafficShare {
+    /// All of the traffic.
+    pub const ALL: TrafficShare = TrafficShare {
+        checks: 100,
+        bookings: 100,
+    };
+
+    /// None of the traffic.
+    pub const NONE: TrafficShare = TrafficShare {
+        checks: 0,
+        bookings: 0,
+    };
+
+    /// Returns the percent of one class of route.
+    #[must_use]
+    pub fn of(self, class: RouteClass) -> u8 {
+        match class {
+            RouteClass::Check => self.checks,
+            RouteClass::Booking => self.bookings,
+        }
+    }
+}
+
+/// Returns the key of a version in a snapshot, `<service>/<version>`.
+#[must_use]
+pub fn version_key(service: &str, version: &str) -> Box<str> {
+    format!("{service}/{version}").into()
+}
--- /dev/null
+++ b/coltsfootweir/src/snapshot_change.rs
@@ -0,0 +1,140 @@
+//! Changes of a snapshot: an operator's records and the steps of a move.
+
+use crate::record::ConfigRecord;
+use crate::record::MovePhase;
+use crate::record::MoveRecord;
+use crate::record::TrafficShare;
+use crate::record_fault::RecordFault;
+use crate::snapshot::ConfigSnapshot;
+
+impl ConfigSnapshot {
+    /// Returns the next generation with the records added, or replaced by name.
+    ///
+    /// Of a move under way only `done_by` may change; its phase, share and reason stay.
+    ///
+    /// # Errors
+    /// Every fault: a broken closure, a changed move, or the name of an ended move used again.
+    pub fn with_records(
+        &self,
+        records: impl IntoIterator<Item = ConfigRecord>,
+    ) -> Result<ConfigSnapshot, Vec<RecordFault>> {
+        let mut next = self.next_generation();
+        let mut faults = Vec::new();
+        for record in records {
+            match record {
+                ConfigRecord::Route(route) => {
+                    next.routes.insert(route.name.clone(), route);
+                }
+                ConfigRecord::Version(version) => {
+                    next.versions.insert(version.key(), version);
+                }
+                ConfigRecord::Move(record) => match self.operator_move(record) {
+                    Ok(record) => {
+                        next.moves.insert(record.name.clone(), record);
+                    }
+                    Err(fault) => faults.push(fault),
+                },
+            }
+        }
+        if let Err(found) = next.check_closure() {
+            faults.extend(found);
+        }
+        if faults.is_empty() {
+            Ok(next)
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Returns the next generation with a move in a new phase.
+    ///
+    /// At [`MovePhase::Done`] the new version gets all of the standing traffic, at
+    /// [`MovePhase::TakenBack`] the old one; `share` counts only in the other phases.
+    ///
+    /// # Errors
+    /// A fault when the move is unknown or has ended, or when the closure is broken.
+    pub fn with_move_step(
+        &self,
+        name: &str,
+        phase: MovePhase,
+        share: TrafficShare,
+        reason: &str,
+    ) -> Result<ConfigSnapshot, Vec<RecordFault>> {
+        let label = format!("move/{name}");
+        let mut next = self.next_generation();
+        let Some(record) = next.moves.get_mut(name) else {
+            return Err(vec![RecordFault::new(label, "name", "no such move")]);
+        };
+        if record.phase.is_ended() {
+            return Err(vec![RecordFault::new(label, "phase", "the move has ended")]);
+        }
+        record.phase = phase;
+        record.reason = reason.into();
+        record.share = match phase {
+            MovePhase::Done => TrafficShare::ALL,
+            MovePhase::TakenBack => TrafficShare::NONE,
+            MovePhase::Waiting | MovePhase::Climbing | MovePhase::Settling => share,
+        };
+        let record = record.clone();
+        next.set_standing_shares(&record);
+        next.check_closure()?;
+        Ok(next)
+    }
+
+    fn next_generation(&self) -> ConfigSnapshot {
+        let mut next = self.clone();
+        next.generation += 1;
+        next
+    }
+
+    /// Returns the move as an operator may set it.
+    fn operator_move(&self, record: MoveRecord) -> Result<MoveRecord, RecordFault> {
+        let Some(held) = self.moves.get(&record.name) else {
+            let phase = MovePhase::Waiting;
+            return Ok(MoveRecord {
+                phase,
+                share: TrafficShare::NONE,
+                reason: "".into(),
+                ..record
+            });
+        };
+        if held.phase.is_ended() {
+            let reason = "the move of this name has ended; use a new name";
+            return Err(RecordFault::new(record.label(), "name", reason));
+        }
+        let fields = [
+            ("service", &held.service, &record.service),
+            ("from", &held.from, &record.from),
+            ("to", &held.to, &record.to),
+        ];
+        for (field, old, new) in fields {
+            if old != new {
+                let reason = format!("the move is under way with {old:?}; only done_by may change");
+                return Err(RecordFault::new(record.label(), field, reason));
+            }
+        }
+        Ok(MoveRecord {
+            done_by: record.done_by,
+            ..held.clone()
+        })
+    }
+
+    fn set_standing_shares(&mut self, record: &MoveRecord) {
+        let serving = match record.phase {
+            MovePhase::Done => &record.to,
+            MovePhase::TakenBack => &record.from,
+            MovePhase::Waiting | MovePhase::Climbing | MovePhase::Settling => return,
+        };
+        for version in self.versions.values_mut() {
+            if version.service != record.service {
+                continue;
+            }
+            let serves = version.version == *serving;
+            version.share = if serves {
+                TrafficShare::ALL
+            } else {
+                TrafficShare::NONE
+            };
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/snapshot_closure.rs
@@ -0,0 +1,159 @@
+//! Whether every reference of a snapshot resolves and its shares add up.
+
+use std::collections::BTreeMap;
+
+use crate::ids::MoveName;
+use crate::ids::ServiceName;
+use crate::record::MoveRecord;
+use crate::record::RouteRecord;
+use crate::record::TrafficShare;
+use crate::record::version_key;
+use crate::record_fault::RecordFault;
+use crate::snapshot::ConfigSnapshot;
+
+/// Sum of the shares of a service's versions, in percent.
+const WHOLE_PERCENT: u16 = 100;
+
+impl ConfigSnapshot {
+    /// Checks that every reference resolves, that each service's shares total 100 percent for
+    /// checks and for bookings, and that no service has two unended moves.
+    ///
+    /// # Errors
+    /// Every fault found.
+    pub fn check_closure(&self) -> Result<(), Vec<RecordFault>> {
+        let mut faults = Vec::new();
+        self.check_keys(&mut faults);
+        self.check_routes(&mut faults);
+        self.check_shares(&mut faults);
+        self.check_moves(&mut faults);
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn check_keys(&self, faults: &mut Vec<RecordFault>) {
+        let routes = self
+            .routes
+            .iter()
+            .map(|(key, route)| (key, route.name.clone(), route.label()));
+        let versions = self
+            .versions
+            .iter()
+            .map(|(key, version)| (key, version.key(), version.label()));
+        let moves = self
+            .moves
+            .iter()
+            .map(|(key, record)| (key, record.name.clone(), record.label()));
+        for (key, name, label) in routes.chain(versions).chain(moves) {
+            if *key != name {
+                faults.push(RecordFault::new(
+                    label,
+                    "name",
+                    format!("kept under the key {key:?}"),
+                ));
+            }
+        }
+    }
+
+    fn check_routes(&self, faults: &mut Vec<RecordFault>) {
+        let mut prefixes: BTreeMap<&str, &RouteRecord> = BTreeMap::new();
+        for route in self.routes.values() {
+            if !self
+                .versions
+                .values()
+                .any(|version| version.service == route.service)
+            {
+                let reason = format!("service {:?} has no upstream version", route.service);
+                faults.push(RecordFault::new(route.label(), "service", reason));
+            }
+            if route.retry_percent > 100 {
+                faults.push(RecordFault::new(route.label(), "retry_percent", "over 100"));
+            }
+            if let Some(other) = prefixes.insert(route.trimmed_prefix(), route) {
+                let reason = format!("{:?} is also the prefix of {}", route.prefix, other.label());
+                faults.push(RecordFault::new(route.label(), "prefix", reason));
+            }
+        }
+    }
+
+    fn check_shares(&self, faults: &mut Vec<RecordFault>) {
+        let mut totals: BTreeMap<&ServiceName, (u16, u16)> = BTreeMap::new();
+        for version in self.versions.values() {
+            let total = totals.entry(&version.service).or_default();
+            total.0 = total.0.saturating_add(version.share.checks.into());
+            total.1 = total.1.saturating_add(version.share.bookings.into());
+        }
+        for (service, (checks, bookings)) in totals {
+            for (class, total) in [("checks", checks), ("bookings", bookings)] {
+                if total == WHOLE_PERCENT {
+                    continue;
+                }
+                let reason =
+                    format!("versions of service {service:?} total {total} percent, not 100");
+                faults.push(RecordFault::new(
+                    format!("upstream-version/{service}"),
+                    format!("shares.{class}"),
+                    reason,
+                ));
+            }
+        }
+    }
+
+    fn check_moves(&self, faults: &mut Vec<RecordFault>) {
+        let mut unended: BTreeMap<&ServiceName, &MoveName> = BTreeMap::new();
+        for record in self.moves.values() {
+            self.check_move_versions(record, faults);
+            if record.share.checks > 100 || record.share.bookings > 100 {
+                faults.push(RecordFault::new(record.label(), "share", "over 100"));
+            }
+            if record.phase.is_ended() {
+                continue;
+            }
+            if let Some(other) = unended.insert(&record.service, &record.name) {
+                let reason = format!("service {:?} is already moved by {other:?}", record.service);
+                faults.push(RecordFault::new(record.label(), "service", reason));
+            }
+            self.check_move_start(record, faults);
+        }
+    }
+
+    fn check_move_versions(&self, record: &MoveRecord, faults: &mut Vec<RecordFault>) {
+        if record.from == record.to {
+            faults.push(RecordFault::new(
+                record.label(),
+                "to",
+                "is the same version as from",
+            ));
+        }
+        for (field, version) in [("from", &record.from), ("to", &record.to)] {
+            if self
+                .versions
+                .contains_key(&version_key(&record.service, version))
+            {
+                continue;
+            }
+            let reason = format!("service {:?} has no version {version:?}", record.service);
+            faults.push(RecordFault::new(record.label(), field, reason));
+        }
+    }
+
+    /// A move shares out the whole traffic of its service between its two versions, so the old
+    /// one has to hold all of it.
+    fn check_move_start(&self, record: &MoveRecord, faults: &mut Vec<RecordFault>) {
+        let Some(from) = self
+            .versions
+            .get(&version_key(&record.service, &record.from))
+        else {
+            return;
+        };
+        if from.share != TrafficShare::ALL {
+            let reason = format!(
+                "version {:?} has standing shares of {} and {} percent; a move needs 100 and 100",
+                record.from, from.share.checks, from.share.bookings
+            );
+            faults.push(RecordFault::new(record.label(), "from", reason));
+        }
+    }
+}
