--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -3,6 +3,7 @@
 //! One daemon stands beside each upstream VM. Together the daemons route calls, guard the upstreams
 //! and carry out moves of traffic from one upstream version to another.
 
+pub mod accept;
 pub mod announce;
 pub mod answer_cache;
 pub mod balance;
@@ -14,6 +15,10 @@
 pub mod fingerprint;
 pub mod guard;
 pub mod http_platform;
+pub mod config_state;
+pub mod evidence;
+pub mod fact;
+pub mod head_row;
 pub mod ids;
 pub mod load_report;
 pub mod member;
@@ -22,4 +27,13 @@
 pub mod poison;
 pub mod record;
 pub mod retry;
+pub mod record_fault;
+pub mod record_fields;
+pub mod route_table;
+pub mod schema;
+pub mod schema_v1;
+pub mod schema_v2;
 pub mod snapshot;
+pub mod snapshot_change;
+pub mod snapshot_closure;
+pub mod snapshot_delta;
