Membership view, gossip, rank and floor decisions

The daemon needs membership, spread of heads and facts, and the floor of a restarted member as pure decisions.

--- /dev/null
+++ b/coltsfootweir/src/exchange.rs
@@ -0,0 +1,289 @@
+//! Building and taking in gossip messages.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::gossip::GossipState;
+use crate::gossip::KnownHead;
+use crate::gossip_message::FloorAnswer;
+use crate::gossip_message::GossipAction;
+use crate::gossip_message::GossipMessage;
+use crate::gossip_message::LinkCause;
+use crate::gossip_message::RegionAge;
+use crate::gossip_message::ServedBatch;
+use crate::gossip_message::StateDigest;
+use crate::ids::Generation;
+use crate::member::MemberHash;
+use crate::member::MemberState;
+use crate::member::RunHash;
+use crate::member::member_hash;
+use crate::member::run_hash;
+use crate::packed::PackedNumbers;
+use crate::spread_queue::send_limit;
+
+/// Changed entries in an urgent message.
+const URGENT_ENTRIES: usize = 4;
+
+/// Served rows in an urgent message.
+const URGENT_SERVED: usize = 8;
+
+impl GossipState {
+    /// Takes in a message that arrived at `now` and returns the answer. Pushes that became due are
+    /// left for [`GossipState::take_urgent`].
+    pub fn receive(&mut self, message: GossipMessage, now: Duration) -> GossipMessage {
+        self.advance(now);
+        self.absorb(&message);
+        if let Some(probe) = &message.probe {
+            self.probes.push(member_hash(probe));
+        }
+        let peer = member_hash(&message.from);
+        let cause = if message.repair.is_some() {
+            LinkCause::Repair
+        } else {
+            LinkCause::Periodic
+        };
+        let mut answer = self.message_to(Some(peer), cause);
+        if message.floor_wanted && !self.floor_wanted {
+            let held = self.own().served;
+            let advertised = self.view.advertised(&message.from);
+            answer.floor = Some(FloorAnswer { held, advertised });
+        }
+        if let Some(part) = message.repair {
+            self.answer_repair(part, &mut answer);
+        }
+        answer
+    }
+
+    /// Takes in the answer of `peer` that arrived at `now`; a repair may follow.
+    pub fn on_answer(
+        &mut self,
+        peer: SocketAddr,
+        message: GossipMessage,
+        now: Duration,
+    ) -> Vec<GossipAction> {
+        self.advance(now);
+        self.absorb(&message);
+        let mut actions = self.take_urgent();
+        let follow_up = match &message.repair {
+            Some(part) => self.follow_repair(part, &message),
+            None => self.start_repair(&message),
+        };
+        if let Some(message) = follow_up {
+            let cause = LinkCause::Repair;
+            let crosses = self
+                .view
+                .get(&peer.to_string())
+                .is_some_and(|e| e.region != self.region);
+            actions.push(GossipAction::Exchange {
+                to: peer,
+                message,
+                cause,
+                crosses,
+            });
+        }
+        actions
+    }
+
+    /// A message with the changes that are due; `to` is the receiver, if it is known.
+    pub(crate) fn message_to(&mut self, to: Option<MemberHash>, cause: LinkCause) -> GossipMessage {
+        let mut message = self.bare_message();
+        let (entries, served) = match cause {
+            LinkCause::Repair => (0, 0),
+            LinkCause::Urgent => (URGENT_ENTRIES, URGENT_SERVED),
+            _ => (self.limits.message_entries, self.limits.message_served),
+        };
+        self.add_entries(&mut message, entries);
+        self.add_served(&mut message, served);
+        if cause != LinkCause::Repair {
+            self.add_facts(&mut message);
+        }
+        self.add_word_of(to, &mut message);
+        message
+    }
+
+    pub(crate) fn bare_message(&self) -> GossipMessage {
+        GossipMessage {
+            from: self.id.clone(),
+            region: self.region.clone(),
+            incarnation: self.own().incarnation,
+            served: self.own().served,
+            head: self.head.mark.clone(),
+            digest: self.digest(),
+            entries: Vec::new(),
+            served_batches: Vec::new(),
+            condemned: Vec::new(),
+            crashes: Vec::new(),
+            regions: self.region_ages(),
+            probe: None,
+            floor_wanted: self.floor_wanted,
+            floor: None,
+            repair: None,
+        }
+    }
+
+    pub(crate) fn digest(&self) -> StateDigest {
+        let sum = |parts: &[u64]| parts.iter().copied().fold(0, u64::wrapping_add);
+        StateDigest {
+            table: sum(self.view.rank_digests()),
+            served: sum(self.view.served_digests()),
+            facts: self.facts.digest(),
+        }
+    }
+
+    fn region_ages(&self) -> Vec<RegionAge> {
+        let mut ages = Vec::new();
+        for (region, heard) in &self.heard {
+            let age = self.now.saturating_sub(*heard);
+            if age >= self.limits.region_timeout {
+                continue;
+            }
+            let tenths = u32::try_from(age.as_millis().div_ceil(100)).unwrap_or(u32::MAX);
+            ages.push(RegionAge {
+                region: region.clone(),
+                tenths,
+            });
+        }
+        ages
+    }
+
+    fn add_entries(&mut self, message: &mut GossipMessage, count: usize) {
+        let limit = send_limit(self.limits.entry_sends, self.peers.near.len());
+        for member in self.entry_queue.take(count, limit) {
+            let Some(record) = self.view.record(member) else {
+                continue;
+            };
+            message.entries.push(record.entry.clone());
+        }
+    }
+
+    fn add_served(&mut self, message: &mut GossipMessage, count: usize) {
+        let limit = send_limit(self.limits.served_sends, self.peers.near.len());
+        let mut runs = Vec::new();
+        for run in self.served_queue.take(count, limit) {
+            let Some(record) = self.view.by_run(run) else {
+                continue;
+            };
+            runs.push((run, record.entry.served));
+        }
+        message.served_batches = batch_served(runs);
+    }
+
+    fn add_facts(&mut self, message: &mut GossipMessage) {
+        let limit = send_limit(self.limits.entry_sends, self.peers.near.len());
+        for hash in self.fact_queue.take(self.limits.message_facts, limit) {
+            message
+                .condemned
+                .extend(self.facts.condemned_at(hash).cloned());
+            message.crashes.extend(self.facts.crash_at(hash, self.now));
+        }
+    }
+
+    /// Tells the receiver what this member holds of it, so that it can refute, and tells a receiver
+    /// that is not known about this member.
+    fn add_word_of(&self, to: Option<MemberHash>, message: &mut GossipMessage) {
+        let Some(record) = to.and_then(|to| self.view.record(to)) else {
+            if !message.entries.iter().any(|entry| entry.id == self.id) {
+                message.entries.push(self.own().clone());
+            }
+            return;
+        };
+        let listed = message
+            .entries
+            .iter()
+            .any(|entry| entry.id == record.entry.id);
+        if record.entry.state != MemberState::Alive && !listed {
+            message.entries.push(record.entry.clone());
+        }
+    }
+
+    fn absorb(&mut self, message: &GossipMessage) {
+        if message.from == self.id {
+            return;
+        }
+        self.absorb_regions(message);
+        for entry in &message.entries {
+            let outcome = self.view.merge(entry, self.now);
+            if outcome.changed {
+                self.entry_queue.push(member_hash(&entry.id));
+            }
+            self.urgent_due |= outcome.urgent;
+        }
+        let from = run_hash(&message.from, message.incarnation);
+        self.absorb_served(from, message.served);
+        for batch in &message.served_batches {
+            for run in &batch.runs.0 {
+                self.absorb_served(*run, batch.generation);
+            }
+        }
+        self.absorb_head(message);
+        self.absorb_facts(message);
+        self.refresh_peers();
+    }
+
+    fn absorb_regions(&mut self, message: &GossipMessage) {
+        if message.region != self.region {
+            self.heard.insert(message.region.clone(), self.now);
+        }
+        for age in &message.regions {
+            if age.region == self.region {
+                continue;
+            }
+            let Some(heard) = self.now.checked_sub(age.age()) else {
+                continue;
+            };
+            let latest = self.heard.entry(age.region.clone()).or_insert(heard);
+            *latest = heard.max(*latest);
+        }
+    }
+
+    fn absorb_served(&mut self, run: RunHash, generation: Generation) {
+        if self.view.note_served(run, generation) {
+            self.served_queue.push(run);
+        }
+    }
+
+    fn absorb_head(&mut self, message: &GossipMessage) {
+        if message.head.generation <= self.head.mark.generation {
+            return;
+        }
+        let serves = message.served >= message.head.generation;
+        let teller = serves.then(|| member_hash(&message.from));
+        self.head = KnownHead {
+            mark: message.head.clone(),
+            noted: self.now,
+            teller,
+        };
+    }
+
+    fn absorb_facts(&mut self, message: &GossipMessage) {
+        let mut news = Vec::new();
+        for fact in &message.condemned {
+            news.extend(self.facts.condemn(fact.clone()));
+        }
+        for crash in &message.crashes {
+            let age = Duration::from_secs(u64::from(crash.seconds));
+            news.extend(self.facts.crash(crash.fact.clone(), age, self.now));
+        }
+        self.urgent_due |= !news.is_empty();
+        for hash in news {
+            self.fact_queue.push(hash);
+        }
+    }
+}
+
+/// Groups runs by the generation they serve.
+pub(crate) fn batch_served(runs: Vec<(RunHash, Generation)>) -> Vec<ServedBatch> {
+    let mut grouped: BTreeMap<Generation, Vec<RunHash>> = BTreeMap::new();
+    for (run, generation) in runs {
+        grouped.entry(generation).or_default().push(run);
+    }
+    let mut batches = Vec::with_capacity(grouped.len());
+    for (generation, runs) in grouped {
+        batches.push(ServedBatch {
+            generation,
+            runs: PackedNumbers(runs),
+        });
+    }
+    batches
+}
--- /dev/null
+++ b/coltsfootweir/src/facts_table.rs
@@ -0,0 +1,133 @@
+//! The facts one member knows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::fact::CondemnedFact;
+use crate::fact::CrashFact;
+use crate::gossip_message::AgedCrash;
+
+/// Hash of a fact's identity.
+pub type FactHash = u64;
+
+#[derive(Clone, Debug)]
+struct NotedCrash {
+    fact: CrashFact,
+    expires: Duration,
+}
+
+/// Condemned versions, which stay, and crashes, which expire.
+#[derive(Clone, Debug)]
+pub struct FactsTable {
+    condemned: BTreeMap<FactHash, CondemnedFact>,
+    crashes: BTreeMap<FactHash, NotedCrash>,
+    retention: Duration,
+}
+
+impl FactsTable {
+    /// An empty table that keeps crashes for `crash_retention`.
+    pub fn new(crash_retention: Duration) -> FactsTable {
+        FactsTable {
+            condemned: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            retention: crash_retention,
+        }
+    }
+
+    /// Condemned versions, in no particular order.
+    pub fn condemned(&self) -> impl Iterator<Item = &CondemnedFact> {
+        self.condemned.values()
+    }
+
+    /// Crashes that did not expire, in no particular order.
+    pub fn crashes(&self) -> impl Iterator<Item = &CrashFact> {
+        self.crashes.values().map(|noted| &noted.fact)
+    }
+
+    /// Adds a condemned version; of two copies the lower one is kept. Returns its hash if the
+    /// version was not known to be condemned in this move.
+    pub fn condemn(&mut self, fact: CondemnedFact) -> Option<FactHash> {
+        let hash = condemned_hash(&fact);
+        let Some(held) = self.condemned.get_mut(&hash) else {
+            self.condemned.insert(hash, fact);
+            return Some(hash);
+        };
+        if fact < *held {
+            *held = fact;
+        }
+        None
+    }
+
+    /// Adds a crash that was reported `age` before `now`. Returns its hash if it is new.
+    pub fn crash(&mut self, fact: CrashFact, age: Duration, now: Duration) -> Option<FactHash> {
+        let hash = crash_hash(&fact);
+        if age >= self.retention || self.crashes.contains_key(&hash) {
+            return None;
+        }
+        let expires = now + self.retention - age;
+        self.crashes.insert(hash, NotedCrash { fact, expires });
+        Some(hash)
+    }
+
+    /// Drops the crashes that expired.
+    pub fn expire(&mut self, now: Duration) {
+        self.crashes.retain(|_, noted| noted.expires > now);
+    }
+
+    /// Digest of all facts held.
+    pub fn digest(&self) -> u64 {
+        self.hashes().fold(0, u64::wrapping_add)
+    }
+
+    /// Hashes of all facts held.
+    pub fn hashes(&self) -> impl Iterator<Item = FactHash> {
+        self.condemned.keys().chain(self.crashes.keys()).copied()
+    }
+
+    /// Whether the fact with this hash is held.
+    pub fn holds(&self, hash: FactHash) -> bool {
+        self.condemned.contains_key(&hash) || self.crashes.contains_key(&hash)
+    }
+
+    /// Condemned version with this hash.
+    pub fn condemned_at(&self, hash: FactHash) -> Option<&CondemnedFact> {
+        self.condemned.get(&hash)
+    }
+
+    /// Crash with this hash and its age.
+    pub fn crash_at(&self, hash: FactHash, now: Duration) -> Option<AgedCrash> {
+        let noted = self.crashes.get(&hash)?;
+        let age = (now + self.retention).saturating_sub(noted.expires);
+        // Rounded up, so that a crash passed on many times still expires.
+        let seconds = u32::try_from(age.as_millis().div_ceil(1000)).unwrap_or(u32::MAX);
+        Some(AgedCrash {
+            fact: noted.fact.clone(),
+            seconds,
+        })
+    }
+}
+
+fn condemned_hash(fact: &CondemnedFact) -> FactHash {
+    hash_texts(&[&fact.move_name, &fact.service, &fact.version], &[])
+}
+
+fn crash_hash(fact: &CrashFact) -> FactHash {
+    hash_texts(
+        &[&fact.member],
+        &[fact.fingerprint, fact.incarnation, fact.number],
+    )
+}
+
+fn hash_texts(texts: &[&str], numbers: &[u64]) -> FactHash {
+    let mut hasher = Xxh3Default::new();
+    for text in texts {
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
+    }
+    for number in numbers {
+        hasher.update(&number.to_le_bytes());
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/coltsfootweir/src/gossip.rs
@@ -0,0 +1,258 @@
+//! The gossip of one member: what it knows, and with whom it exchanges when.
+//!
+//! Pure: the driver calls [`GossipState::tick`] every [`GOSSIP_INTERVAL`], carries out the actions,
+//! and hands in messages, answers and failures.
+//!
+//! [`GOSSIP_INTERVAL`]: crate::gossip_limits::GOSSIP_INTERVAL
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::fact::CondemnedFact;
+use crate::fact::CrashFact;
+use crate::facts_table::FactsTable;
+use crate::gossip_limits::GossipLimits;
+use crate::ids::Generation;
+use crate::ids::MemberId;
+use crate::ids::RegionName;
+use crate::member::EndpointEntry;
+use crate::member::MemberEntry;
+use crate::member::MemberHash;
+use crate::member::MemberState;
+use crate::peer_lists::PeerLists;
+use crate::snapshot::HeadMark;
+use crate::spread_queue::SpreadQueue;
+use crate::view::MemberView;
+
+/// Times at which the member last did what it does at intervals; `None` before the first time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LastTimes {
+    pub(crate) tick: Option<Duration>,
+    pub(crate) table_repair: Option<Duration>,
+    pub(crate) served_repair: Option<Duration>,
+    pub(crate) facts_repair: Option<Duration>,
+    pub(crate) reconnect: Option<Duration>,
+    pub(crate) link: Option<Duration>,
+}
+
+/// Highest head a member knows.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownHead {
+    pub(crate) mark: HeadMark,
+    pub(crate) noted: Duration,
+    /// Member that serves the head and told of it.
+    pub(crate) teller: Option<MemberHash>,
+}
+
+/// The gossip of one member.
+#[derive(Clone, Debug)]
+pub struct GossipState {
+    pub(crate) id: MemberId,
+    pub(crate) region: RegionName,
+    pub(crate) limits: GossipLimits,
+    pub(crate) view: MemberView,
+    pub(crate) facts: FactsTable,
+    pub(crate) head: KnownHead,
+    pub(crate) heard: BTreeMap<RegionName, Duration>,
+    pub(crate) entry_queue: SpreadQueue,
+    pub(crate) served_queue: SpreadQueue,
+    pub(crate) fact_queue: SpreadQueue,
+    pub(crate) floor_wanted: bool,
+    pub(crate) urgent_due: bool,
+    pub(crate) probes: Vec<MemberHash>,
+    pub(crate) peers: PeerLists,
+    pub(crate) last: LastTimes,
+    pub(crate) started: Duration,
+    pub(crate) now: Duration,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) seeds: Vec<SocketAddr>,
+}
+
+impl GossipState {
+    /// Gossip of the member `own`, whose random choices follow from `seed`.
+    pub fn new(own: MemberEntry, limits: GossipLimits, seed: u64) -> GossipState {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let facts = FactsTable::new(limits.crash_retention);
+        let head = KnownHead {
+            mark: HeadMark::default(),
+            noted: Duration::ZERO,
+            teller: None,
+        };
+        let mut state = GossipState {
+            id: own.id.clone(),
+            region: own.region.clone(),
+            limits,
+            facts,
+            head,
+            heard: BTreeMap::new(),
+            entry_queue: SpreadQueue::new(rng.random()),
+            served_queue: SpreadQueue::new(rng.random()),
+            fact_queue: SpreadQueue::new(rng.random()),
+            floor_wanted: false,
+            urgent_due: false,
+            probes: Vec::new(),
+            peers: PeerLists::default(),
+            last: LastTimes::default(),
+            started: Duration::MAX,
+            now: Duration::ZERO,
+            rng,
+            seeds: Vec::new(),
+            view: MemberView::new(own),
+        };
+        state.entry_queue.push(state.view.own_hash());
+        state
+    }
+
+    /// Adds addresses that are tried while no member is known, and now and then later.
+    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        for seed in seeds {
+            if !self.seeds.contains(&seed) && *seed.to_string() != *self.id {
+                self.seeds.push(seed);
+            }
+        }
+    }
+
+    /// The member's view of all members.
+    pub fn view(&self) -> &MemberView {
+        &self.view
+    }
+
+    /// Entry of the member itself.
+    pub fn own(&self) -> &MemberEntry {
+        self.view.own()
+    }
+
+    /// Condemned versions that the member knows.
+    pub fn condemned(&self) -> impl Iterator<Item = &CondemnedFact> {
+        self.facts.condemned()
+    }
+
+    /// Crashes that the member knows and that did not expire.
+    pub fn crashes(&self) -> impl Iterator<Item = &CrashFact> {
+        self.facts.crashes()
+    }
+
+    /// Asks peers for the floor with each message, or stops asking. A member that asks answers no
+    /// other member's question.
+    pub fn set_floor_wanted(&mut self, wanted: bool) {
+        self.floor_wanted = wanted;
+    }
+
+    /// Notes the head that the member now serves; a lower one than before is ignored.
+    pub fn set_served(&mut self, mark: HeadMark) {
+        let run = self.view.own_run();
+        if self.view.note_served(run, mark.generation) {
+            self.served_queue.push(run);
+        }
+        self.note_head(mark);
+    }
+
+    /// Notes a head that the member knows but does not serve yet, such as one read from the store.
+    pub fn note_head(&mut self, mark: HeadMark) {
+        if mark.generation > self.head.mark.generation {
+            self.head = KnownHead {
+                mark,
+                noted: self.now,
+                teller: None,
+            };
+        }
+    }
+
+    /// Notes the upstream beside the member.
+    pub fn set_endpoint(&mut self, endpoint: Option<EndpointEntry>) {
+        if self.view.own().endpoint == endpoint {
+            return;
+        }
+        self.view.change_own(|entry| entry.endpoint = endpoint);
+        self.entry_queue.push(self.view.own_hash());
+    }
+
+    /// Notes that the member leaves for good.
+    pub fn leave(&mut self) {
+        self.view
+            .change_own(|entry| entry.state = MemberState::Left);
+        self.entry_queue.push(self.view.own_hash());
+    }
+
+    /// Adds a condemned version.
+    pub fn assert_condemned(&mut self, fact: CondemnedFact) {
+        if let Some(hash) = self.facts.condemn(fact) {
+            self.fact_queue.push(hash);
+        }
+    }
+
+    /// Adds a crash of the upstream beside the member.
+    pub fn report_crash(&mut self, fact: CrashFact) {
+        if let Some(hash) = self.facts.crash(fact, Duration::ZERO, self.now) {
+            self.fact_queue.push(hash);
+        }
+    }
+
+    /// Whether a member of `region` was heard of lately, by this member or by one it heard from.
+    pub fn region_reachable(&self, region: &str, now: Duration) -> bool {
+        if region == &*self.region {
+            return true;
+        }
+        let heard = self.heard.get(region);
+        heard.is_some_and(|heard| now.saturating_sub(*heard) < self.limits.region_timeout)
+    }
+
+    /// The highest head known, if it is higher than the served one, and the members to ask for it,
+    /// the first choice first.
+    ///
+    /// Members of the own region come first. Members of other regions are named only while none of
+    /// the own region serves the head, and only to a holder of the link job or after
+    /// [`GossipLimits::link_fallback`].
+    pub fn best_head(&self) -> Option<(HeadMark, Vec<SocketAddr>)> {
+        let mark = &self.head.mark;
+        if mark.generation <= self.own().served {
+            return None;
+        }
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for (member, record) in self.view.records() {
+            let entry = &record.entry;
+            if !entry.state.is_live() || entry.served < mark.generation {
+                continue;
+            }
+            let told = self.head.teller == Some(member);
+            let order = xxh3_64_with_seed(entry.id.as_bytes(), self.view.own_hash());
+            let list = if entry.region == self.region {
+                &mut near
+            } else {
+                &mut far
+            };
+            list.push((!told, order, record.address));
+        }
+        let waited = self.now.saturating_sub(self.head.noted) >= self.limits.link_fallback;
+        let allowed = self.peers.links || waited;
+        let mut holders = near;
+        if holders.is_empty() && allowed {
+            holders = far;
+        }
+        holders.sort_unstable();
+        let addresses = holders.into_iter().map(|(_, _, address)| address).collect();
+        Some((mark.clone(), addresses))
+    }
+
+    /// Highest generation that the member `id` was ever seen to serve, in any run.
+    pub fn advertised(&self, id: &str) -> Generation {
+        self.view.advertised(id)
+    }
+
+    pub(crate) fn advance(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        self.started = self.started.min(now);
+    }
+}
+
+/// Whether `interval` has passed since `last`.
+pub(crate) fn is_due(last: Option<Duration>, interval: Duration, now: Duration) -> bool {
+    last.is_none_or(|last| now.saturating_sub(last) >= interval)
+}
--- /dev/null
+++ b/coltsfootweir/src/rank.rs
@@ -0,0 +1,44 @@
+//! Choice of the few members that do a job, by rendezvous hash.
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::MemberId;
+use crate::member::MemberEntry;
+
+/// Hash by which the member `id` ranks for `job`; the lowest does the job.
+pub fn job_hash(job: &str, id: &str) -> u64 {
+    xxh3_64_with_seed(id.as_bytes(), xxh3_64(job.as_bytes()))
+}
+
+/// Members in the order in which they are to do `job`, the first choice first.
+pub fn rank_members<'a>(
+    job: &str,
+    members: impl Iterator<Item = &'a MemberEntry>,
+) -> Vec<&'a MemberEntry> {
+    let mut ranked: Vec<&MemberEntry> = members.collect();
+    ranked.sort_by_cached_key(|entry| (job_hash(job, &entry.id), &entry.id));
+    ranked
+}
+
+/// Whether the member `own` is among the first `count` of `members` for `job`.
+pub fn holds_job<'a>(
+    job: &str,
+    own: &MemberId,
+    count: usize,
+    members: impl Iterator<Item = &'a MemberEntry>,
+) -> bool {
+    let own_key = (job_hash(job, own), &**own);
+    let mut listed = false;
+    let mut lower = 0;
+    for entry in members {
+        if entry.id == *own {
+            listed = true;
+            continue;
+        }
+        if (job_hash(job, &entry.id), &*entry.id) < own_key {
+            lower += 1;
+        }
+    }
+    listed && lower < count
+}
--- /dev/null
+++ b/coltsfootweir/src/schedule.rs
@@ -0,0 +1,227 @@
+//! When a member exchanges with which peers: periodic work, urgent pushes and failures.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+
+use crate::gossip::GossipState;
+use crate::gossip::is_due;
+use crate::gossip_limits::GOSSIP_INTERVAL;
+use crate::gossip_message::GossipAction;
+use crate::gossip_message::GossipMessage;
+use crate::gossip_message::LinkCause;
+use crate::member::MemberHash;
+use crate::member::MemberState;
+use crate::member::member_hash;
+
+/// Missed ticks after which suspicions start again, as the member itself was paused.
+const PAUSE_TICKS: u32 = 3;
+
+impl GossipState {
+    /// Periodic work at `now`: expiry and the exchanges of this interval.
+    pub fn tick(&mut self, now: Duration) -> Vec<GossipAction> {
+        self.advance(now);
+        let paused = self
+            .last
+            .tick
+            .is_some_and(|last| now > last + GOSSIP_INTERVAL * PAUSE_TICKS);
+        self.last.tick = Some(now);
+        if paused {
+            self.view.renew_suspicions(now);
+        }
+        self.expire();
+        self.refresh_peers();
+        let mut actions = self.exchange_near();
+        actions.extend(self.exchange_far());
+        actions.extend(self.reconnect());
+        actions.extend(self.take_urgent());
+        actions
+    }
+
+    /// Notes that an exchange with `peer` failed, and suspects the peer if it is of the own region.
+    pub fn on_failure(&mut self, peer: SocketAddr, now: Duration) -> Vec<GossipAction> {
+        self.advance(now);
+        let id = peer.to_string();
+        let member = member_hash(&id);
+        let near = self
+            .view
+            .get(&id)
+            .is_some_and(|entry| entry.region == self.region);
+        if !near || !self.view.suspect(member, now) {
+            return Vec::new();
+        }
+        self.entry_queue.push(member);
+        self.refresh_peers();
+        let others: Vec<MemberHash> = self
+            .peers
+            .near
+            .iter()
+            .copied()
+            .filter(|near| *near != member)
+            .collect();
+        let mut actions = Vec::new();
+        for prober in self.choose(&others, self.limits.probers) {
+            let Some(address) = self.address_of(prober) else {
+                continue;
+            };
+            let mut message = self.message_to(Some(prober), LinkCause::Probe);
+            message.probe = Some(id.clone().into_boxed_str());
+            actions.push(exchange(address, message, LinkCause::Probe, false));
+        }
+        actions
+    }
+
+    /// Pushes of urgent news to a few members; called right after a change that should spread at
+    /// once.
+    pub fn urgent(&mut self, now: Duration) -> Vec<GossipAction> {
+        self.advance(now);
+        self.urgent_due = true;
+        self.take_urgent()
+    }
+
+    /// Pushes and probes that became due by received messages.
+    pub fn take_urgent(&mut self) -> Vec<GossipAction> {
+        self.refresh_peers();
+        let mut actions = Vec::new();
+        for suspect in std::mem::take(&mut self.probes) {
+            actions.extend(self.exchange_with(suspect, LinkCause::Probe));
+        }
+        if !std::mem::take(&mut self.urgent_due) {
+            return actions;
+        }
+        let near = std::mem::take(&mut self.peers.near);
+        for peer in self.choose(&near, self.limits.fan_out) {
+            actions.extend(self.exchange_with(peer, LinkCause::Urgent));
+        }
+        self.peers.near = near;
+        if !self.peers.links {
+            return actions;
+        }
+        let far_links: Vec<MemberHash> = self.peers.far_links.values().flatten().copied().collect();
+        for peer in far_links {
+            actions.extend(self.exchange_with(peer, LinkCause::Urgent));
+        }
+        actions
+    }
+
+    fn expire(&mut self) {
+        let dead = self.view.expire(
+            &self.region,
+            self.limits.suspect_timeout,
+            self.limits.entry_retention,
+            self.now,
+        );
+        for member in dead {
+            self.entry_queue.push(member);
+        }
+        self.facts.expire(self.now);
+    }
+
+    fn exchange_near(&mut self) -> Vec<GossipAction> {
+        let count = if self.floor_wanted {
+            self.limits.floor_peers
+        } else {
+            1
+        };
+        let near = std::mem::take(&mut self.peers.near);
+        let mut actions = Vec::new();
+        for peer in self.choose(&near, count) {
+            actions.extend(self.exchange_with(peer, LinkCause::Periodic));
+        }
+        self.peers.near = near;
+        if actions.is_empty() {
+            actions.extend(self.exchange_seed());
+        }
+        actions
+    }
+
+    fn exchange_far(&mut self) -> Vec<GossipAction> {
+        let mut actions = Vec::new();
+        if !self.peers.links || !is_due(self.last.link, self.limits.link_interval, self.now) {
+            return actions;
+        }
+        self.last.link = Some(self.now);
+        let far = std::mem::take(&mut self.peers.far);
+        for members in far.values() {
+            for peer in self.choose(members, 1) {
+                actions.extend(self.exchange_with(peer, LinkCause::Periodic));
+            }
+        }
+        self.peers.far = far;
+        actions
+    }
+
+    /// Tries a member held dead, or a seed that is no live member, so that a cut heals.
+    fn reconnect(&mut self) -> Option<GossipAction> {
+        if self.last.reconnect.is_none() {
+            self.last.reconnect = Some(self.now);
+        }
+        if !is_due(
+            self.last.reconnect,
+            self.limits.reconnect_interval,
+            self.now,
+        ) {
+            return None;
+        }
+        self.last.reconnect = Some(self.now);
+        let mut dead = Vec::new();
+        for (member, record) in self.view.records() {
+            if record.entry.state == MemberState::Dead && record.entry.region == self.region {
+                dead.push(member);
+            }
+        }
+        let Some(peer) = dead.choose(&mut self.rng).copied() else {
+            return self.exchange_seed();
+        };
+        self.exchange_with(peer, LinkCause::Probe)
+    }
+
+    fn exchange_seed(&mut self) -> Option<GossipAction> {
+        let mut unknown = Vec::new();
+        for seed in &self.seeds {
+            let known = self.view.get(&seed.to_string());
+            if !known.is_some_and(|entry| entry.state.is_live()) {
+                unknown.push(*seed);
+            }
+        }
+        let seed = *unknown.choose(&mut self.rng)?;
+        let message = self.message_to(None, LinkCause::Periodic);
+        Some(exchange(seed, message, LinkCause::Periodic, false))
+    }
+
+    pub(crate) fn exchange_with(
+        &mut self,
+        peer: MemberHash,
+        cause: LinkCause,
+    ) -> Option<GossipAction> {
+        let record = self.view.record(peer)?;
+        let crosses = record.entry.region != self.region;
+        let address = record.address;
+        let message = self.message_to(Some(peer), cause);
+        Some(exchange(address, message, cause, crosses))
+    }
+
+    fn address_of(&self, member: MemberHash) -> Option<SocketAddr> {
+        self.view.record(member).map(|record| record.address)
+    }
+
+    fn choose(&mut self, members: &[MemberHash], count: usize) -> Vec<MemberHash> {
+        members.sample(&mut self.rng, count).copied().collect()
+    }
+}
+
+/// The action to exchange `message` with `to`.
+fn exchange(
+    to: SocketAddr,
+    message: GossipMessage,
+    cause: LinkCause,
+    crosses: bool,
+) -> GossipAction {
+    GossipAction::Exchange {
+        to,
+        message,
+        cause,
+        crosses,
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/spread_queue.rs
@@ -0,0 +1,57 @@
+//! Changes that ride along on messages a bounded number of times.
+
+use std::collections::BTreeMap;
+
+/// Hashes of changes to send, each with the number of times it was sent.
+#[derive(Clone, Debug)]
+pub(crate) struct SpreadQueue {
+    sends: BTreeMap<u64, u32>,
+    salt: u64,
+}
+
+impl SpreadQueue {
+    /// An empty queue; `salt` differs between members, so that they send in different orders.
+    pub(crate) fn new(salt: u64) -> SpreadQueue {
+        SpreadQueue {
+            sends: BTreeMap::new(),
+            salt,
+        }
+    }
+
+    /// Adds a change, or starts its count again.
+    pub(crate) fn push(&mut self, key: u64) {
+        self.sends.insert(key, 0);
+    }
+
+    /// Takes up to `count` changes, those sent the fewest times first, and counts them as sent; a
+    /// change sent `limit` times is dropped.
+    pub(crate) fn take(&mut self, count: usize, limit: u32) -> Vec<u64> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut order: Vec<(u32, u64)> = Vec::with_capacity(self.sends.len());
+        for (key, sends) in &self.sends {
+            order.push((*sends, key ^ self.salt));
+        }
+        if order.len() > count {
+            order.select_nth_unstable(count - 1);
+            order.truncate(count);
+        }
+        let mut taken = Vec::with_capacity(order.len());
+        for (sends, salted) in order {
+            let key = salted ^ self.salt;
+            if sends + 1 >= limit {
+                self.sends.remove(&key);
+            } else {
+                self.sends.insert(key, sends + 1);
+            }
+            taken.push(key);
+        }
+        taken
+    }
+}
+
+/// Number of sends for `factor` per doubling of `members`.
+pub(crate) fn send_limit(factor: u32, members: usize) -> u32 {
+    factor * (usize::BITS - members.leading_zeros()).max(1)
+}
--- /dev/null
+++ b/coltsfootweir/src/view.rs
@@ -0,0 +1,445 @@
+//! One member's view of all members.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::Generation;
+use crate::member::EndpointPhase;
+use crate::member::EntryRank;
+use crate::member::MemberEntry;
+use crate::member::MemberHash;
+use crate::member::MemberState;
+use crate::member::RunHash;
+use crate::member::member_hash;
+use crate::member::run_hash;
+
+/// Buckets into which the view's digests are split.
+pub const VIEW_BUCKETS: usize = 64;
+
+/// Multiple of the entry retention for which the rank of a dropped entry is kept.
+const BURIED_FACTOR: u32 = 24;
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct MergeOutcome {
+    /// The entry is newer than before.
+    pub changed: bool,
+    /// The change should spread at once: a leaving or silent endpoint, or a member that left.
+    pub urgent: bool,
+}
+
+/// An entry and what the view keeps with it.
+#[derive(Clone, Debug)]
+pub(crate) struct ViewRecord {
+    pub(crate) entry: MemberEntry,
+    pub(crate) address: SocketAddr,
+    pub(crate) run: RunHash,
+    pub(crate) noted: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct BuriedRank {
+    rank: EntryRank,
+    noted: Duration,
+}
+
+/// All members that one member knows, itself among them.
+#[derive(Clone, Debug)]
+pub struct MemberView {
+    own: MemberHash,
+    records: BTreeMap<MemberHash, ViewRecord>,
+    runs: BTreeMap<RunHash, MemberHash>,
+    buried: BTreeMap<MemberHash, BuriedRank>,
+    advertised: BTreeMap<MemberHash, Generation>,
+    ranks: [u64; VIEW_BUCKETS],
+    served: [u64; VIEW_BUCKETS],
+    revision: u64,
+}
+
+impl MemberView {
+    /// A view that holds only the member itself.
+    pub fn new(own: MemberEntry) -> MemberView {
+        let mut view = MemberView {
+            own: member_hash(&own.id),
+            records: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            buried: BTreeMap::new(),
+            advertised: BTreeMap::new(),
+            ranks: [0; VIEW_BUCKETS],
+            served: [0; VIEW_BUCKETS],
+            revision: 0,
+        };
+        view.insert(own, Duration::ZERO);
+        view
+    }
+
+    /// All entries, in no particular order.
+    pub fn entries(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.records.values().map(|record| &record.entry)
+    }
+
+    /// Entries of the members that are alive or only suspected.
+    pub fn live(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries().filter(|entry| entry.state.is_live())
+    }
+
+    /// Live entries of one region.
+    pub fn live_in<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a MemberEntry> {
+        self.live().filter(move |entry| &*entry.region == region)
+    }
+
+    /// Live entries whose endpoint runs `service`, whatever its phase.
+    pub fn endpoints_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a MemberEntry> {
+        self.live().filter(move |entry| {
+            entry
+                .endpoint
+                .as_ref()
+                .is_some_and(|endpoint| &*endpoint.service == service)
+        })
+    }
+
+    /// Entry of the member `id`.
+    pub fn get(&self, id: &str) -> Option<&MemberEntry> {
+        self.record(member_hash(id)).map(|record| &record.entry)
+    }
+
+    /// Entry of the member itself.
+    pub fn own(&self) -> &MemberEntry {
+        &self.records[&self.own].entry
+    }
+
+    /// Highest generation that the member `id` was ever seen to serve, in any run; 0 if none.
+    pub fn advertised(&self, id: &str) -> Generation {
+        self.advertised.get(&member_hash(id)).copied().unwrap_or(0)
+    }
+
+    /// Merges an entry that another member sent at `now`.
+    ///
+    /// An entry of the member itself that is newer than its own is refuted, not taken.
+    pub fn merge(&mut self, entry: &MemberEntry, now: Duration) -> MergeOutcome {
+        let member = member_hash(&entry.id);
+        if member == self.own {
+            return self.refute(entry.rank());
+        }
+        self.note_advertised(member, entry.served);
+        if !self.records.contains_key(&member) {
+            return self.merge_unknown(member, entry, now);
+        }
+        let before = self.records[&member].entry.clone();
+        let mut merged = before.clone();
+        if !merged.merge(entry) {
+            return MergeOutcome::default();
+        }
+        let urgent = is_urgent(Some(&before), &merged);
+        self.replace(member, merged, now);
+        MergeOutcome {
+            changed: true,
+            urgent,
+        }
+    }
+
+    /// Applies the rank of a member that is dead or left. Returns whether anything changed.
+    pub fn merge_end(&mut self, member: MemberHash, rank: EntryRank, now: Duration) -> bool {
+        if member == self.own {
+            return self.refute(rank).changed;
+        }
+        let Some(record) = self.records.get(&member) else {
+            return false;
+        };
+        if rank.state.is_live() || rank <= record.entry.rank() {
+            return false;
+        }
+        let mut ended = record.entry.clone();
+        ended.incarnation = rank.incarnation;
+        ended.counter = rank.counter;
+        ended.state = rank.state;
+        self.replace(member, ended, now);
+        true
+    }
+
+    /// Notes that a run serves `generation`. Returns whether this is higher than was known.
+    pub fn note_served(&mut self, run: RunHash, generation: Generation) -> bool {
+        let Some(member) = self.runs.get(&run).copied() else {
+            return false;
+        };
+        if self.records[&member].entry.served >= generation {
+            return false;
+        }
+        self.note_advertised(member, generation);
+        self.adjust(member, false);
+        if let Some(record) = self.records.get_mut(&member) {
+            record.entry.served = generation;
+        }
+        self.adjust(member, true);
+        true
+    }
+
+    pub(crate) fn own_hash(&self) -> MemberHash {
+        self.own
+    }
+
+    pub(crate) fn own_run(&self) -> RunHash {
+        self.records[&self.own].run
+    }
+
+    /// Number that changes whenever a member joins, ends or returns.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(crate) fn record(&self, member: MemberHash) -> Option<&ViewRecord> {
+        self.records.get(&member)
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = (MemberHash, &ViewRecord)> {
+        self.records
+            .iter()
+            .map(|(member, record)| (*member, record))
+    }
+
+    pub(crate) fn by_run(&self, run: RunHash) -> Option<&ViewRecord> {
+        self.runs
+            .get(&run)
+            .and_then(|member| self.records.get(member))
+    }
+
+    pub(crate) fn buried(&self) -> impl Iterator<Item = (MemberHash, EntryRank)> {
+        self.buried
+            .iter()
+            .map(|(member, buried)| (*member, buried.rank))
+    }
+
+    /// Highest rank known of a member, also after its entry was dropped.
+    pub(crate) fn known_rank(&self, member: MemberHash) -> Option<EntryRank> {
+        let held = self.records.get(&member).map(|record| record.entry.rank());
+        held.max(self.buried.get(&member).map(|buried| buried.rank))
+    }
+
+    pub(crate) fn rank_digests(&self) -> &[u64; VIEW_BUCKETS] {
+        &self.ranks
+    }
+
+    pub(crate) fn served_digests(&self) -> &[u64; VIEW_BUCKETS] {
+        &self.served
+    }
+
+    /// Changes the member's own entry and counts the change.
+    pub(crate) fn change_own(&mut self, change: impl FnOnce(&mut MemberEntry)) {
+        let mut entry = self.own().clone();
+        change(&mut entry);
+        entry.counter += 1;
+        let noted = self.records[&self.own].noted;
+        self.replace(self.own, entry, noted);
+    }
+
+    /// Suspects a member that counts as alive. Returns whether it did.
+    pub(crate) fn suspect(&mut self, member: MemberHash, now: Duration) -> bool {
+        self.set_state(member, MemberState::Alive, MemberState::Suspect, now)
+    }
+
+    /// Starts the time of all suspicions again.
+    pub(crate) fn renew_suspicions(&mut self, now: Duration) {
+        for record in self.records.values_mut() {
+            if record.entry.state == MemberState::Suspect {
+                record.noted = now;
+            }
+        }
+    }
+
+    /// Declares the suspects of `region` dead whose time is up, and returns them; drops entries of
+    /// members that ended longer than `retention` ago.
+    pub(crate) fn expire(
+        &mut self,
+        region: &str,
+        suspect_timeout: Duration,
+        retention: Duration,
+        now: Duration,
+    ) -> Vec<MemberHash> {
+        let mut dead = Vec::new();
+        let mut ended = Vec::new();
+        for (member, record) in &self.records {
+            let age = now.saturating_sub(record.noted);
+            match record.entry.state {
+                MemberState::Suspect => {
+                    if &*record.entry.region == region && age >= suspect_timeout {
+                        dead.push(*member);
+                    }
+                }
+                MemberState::Dead | MemberState::Left => {
+                    if *member != self.own && age >= retention {
+                        ended.push(*member);
+                    }
+                }
+                MemberState::Alive => {}
+            }
+        }
+        for member in ended {
+            self.bury(member, now);
+        }
+        for member in &dead {
+            self.set_state(*member, MemberState::Suspect, MemberState::Dead, now);
+        }
+        let kept = retention * BURIED_FACTOR;
+        self.buried
+            .retain(|_, buried| now.saturating_sub(buried.noted) < kept);
+        dead
+    }
+
+    fn merge_unknown(
+        &mut self,
+        member: MemberHash,
+        entry: &MemberEntry,
+        now: Duration,
+    ) -> MergeOutcome {
+        let known = self.buried.get(&member).map(|buried| buried.rank);
+        if !entry.state.is_live() || known >= Some(entry.rank()) {
+            return MergeOutcome::default();
+        }
+        if !self.insert(entry.clone(), now) {
+            return MergeOutcome::default();
+        }
+        MergeOutcome {
+            changed: true,
+            urgent: is_urgent(None, entry),
+        }
+    }
+
+    /// Raises the own entry above `rank`, if another member's word outranks it.
+    fn refute(&mut self, rank: EntryRank) -> MergeOutcome {
+        let own = self.own();
+        if rank <= own.rank() {
+            return MergeOutcome::default();
+        }
+        let later_run = rank.incarnation > own.incarnation;
+        self.change_own(|entry| {
+            if later_run {
+                entry.incarnation = rank.incarnation + 1;
+            } else {
+                entry.counter = rank.counter;
+            }
+        });
+        MergeOutcome {
+            changed: true,
+            urgent: true,
+        }
+    }
+
+    fn set_state(
+        &mut self,
+        member: MemberHash,
+        from: MemberState,
+        to: MemberState,
+        now: Duration,
+    ) -> bool {
+        let Some(record) = self.records.get(&member) else {
+            return false;
+        };
+        if record.entry.state != from || member == self.own {
+            return false;
+        }
+        let mut entry = record.entry.clone();
+        entry.state = to;
+        self.replace(member, entry, now);
+        true
+    }
+
+    fn insert(&mut self, entry: MemberEntry, now: Duration) -> bool {
+        let Ok(address) = entry.id.parse() else {
+            return false;
+        };
+        let member = member_hash(&entry.id);
+        let run = run_hash(&entry.id, entry.incarnation);
+        self.note_advertised(member, entry.served);
+        self.buried.remove(&member);
+        self.runs.insert(run, member);
+        self.records.insert(
+            member,
+            ViewRecord {
+                entry,
+                address,
+                run,
+                noted: now,
+            },
+        );
+        self.adjust(member, true);
+        self.revision += 1;
+        true
+    }
+
+    fn replace(&mut self, member: MemberHash, entry: MemberEntry, now: Duration) {
+        self.adjust(member, false);
+        let Some(record) = self.records.get_mut(&member) else {
+            return;
+        };
+        if record.entry.state.is_live() != entry.state.is_live() {
+            self.revision += 1;
+        }
+        if record.entry.state != entry.state {
+            record.noted = now;
+        }
+        if record.entry.incarnation != entry.incarnation {
+            self.runs.remove(&record.run);
+            record.run = run_hash(&entry.id, entry.incarnation);
+            self.runs.insert(record.run, member);
+        }
+        record.entry = entry;
+        self.adjust(member, true);
+    }
+
+    fn bury(&mut self, member: MemberHash, now: Duration) {
+        self.adjust(member, false);
+        let Some(record) = self.records.remove(&member) else {
+            return;
+        };
+        self.runs.remove(&record.run);
+        self.buried.insert(
+            member,
+            BuriedRank {
+                rank: record.entry.rank(),
+                noted: now,
+            },
+        );
+    }
+
+    fn note_advertised(&mut self, member: MemberHash, generation: Generation) {
+        let highest = self.advertised.entry(member).or_default();
+        *highest = generation.max(*highest);
+    }
+
+    /// Adds a live record to the digests, or takes it out.
+    fn adjust(&mut self, member: MemberHash, add: bool) {
+        let record = &self.records[&member];
+        if !record.entry.state.is_live() {
+            return;
+        }
+        let rank = record.entry.rank().digest(member);
+        let served = xxh3_64_with_seed(&record.run.to_le_bytes(), record.entry.served);
+        let bucket = bucket_of(member);
+        let change = |digest: &mut u64, part: u64| {
+            *digest = if add {
+                digest.wrapping_add(part)
+            } else {
+                digest.wrapping_sub(part)
+            };
+        };
+        change(&mut self.ranks[bucket], rank);
+        change(&mut self.served[bucket], served);
+    }
+}
+
+/// Bucket of a member.
+pub(crate) fn bucket_of(member: MemberHash) -> usize {
+    (member % VIEW_BUCKETS as u64) as usize
+}
+
+fn is_urgent(before: Option<&MemberEntry>, after: &MemberEntry) -> bool {
+    if after.state == MemberState::Left {
+        return before.is_some_and(|entry| entry.state != MemberState::Left);
+    }
+    let phase_of = |entry: &MemberEntry| entry.endpoint.as_ref().map(|endpoint| endpoint.phase);
+    let phase = phase_of(after);
+    phase.is_some_and(|phase| phase != EndpointPhase::Ready) && before.and_then(phase_of) != phase
+}
