--- /dev/null
+++ b/coltsfootweir/src/pace.rs
@@ -0,0 +1,176 @@
+//! The share of a move to ask for next, paced by evidence and by the time left.
+
+use std::time::Duration;
+
+use crate::record::MovePhase;
+use crate::record::TrafficShare;
+use crate::verdict::Verdict;
+
+/// Steps of a move; bookings lag behind checks until there is evidence.
+pub const PACE_STEPS: [TrafficShare; 8] = [
+    share(1, 0),
+    share(5, 1),
+    share(10, 5),
+    share(25, 10),
+    share(50, 25),
+    share(75, 50),
+    share(100, 75),
+    share(100, 100),
+];
+
+/// Share of the bookings above which a step needs evidence or the planned time.
+const fn share(checks: u8, bookings: u8) -> TrafficShare {
+    TrafficShare { checks, bookings }
+}
+
+/// Limits of the pace.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PaceLimits {
+    /// Shortest time at a step, in which a change reaches every daemon and a fault can show.
+    pub min_dwell: Duration,
+    /// Time at the last step in which late faults are watched for.
+    pub settle: Duration,
+    /// Longest time at a step that has enough evidence.
+    pub max_clear_dwell: Duration,
+    /// Longest time for which a suspicion delays a step beyond its planned time.
+    pub max_hold: Duration,
+    /// Calls of the new version at a step that count as enough evidence.
+    pub step_calls: u64,
+}
+
+impl Default for PaceLimits {
+    fn default() -> PaceLimits {
+        PaceLimits {
+            min_dwell: Duration::from_secs(6),
+            settle: Duration::from_secs(30),
+            max_clear_dwell: Duration::from_secs(60),
+            max_hold: Duration::from_secs(60),
+            step_calls: 50,
+        }
+    }
+}
+
+impl PaceLimits {
+    /// Returns the least time allowed in which a good version is sure to be done, given a store and
+    /// a fleet that answer; it covers every step, the settle time and one change of holder.
+    #[must_use]
+    pub fn least_time(&self) -> Duration {
+        self.min_dwell * (PACE_STEPS.len() as u32 + 1) + self.settle + Duration::from_secs(20)
+    }
+}
+
+/// State of a move as its pace sees it.
+#[derive(Clone, Debug)]
+pub struct PaceInput<'a> {
+    /// Phase in force.
+    pub phase: MovePhase,
+    /// Share in force.
+    pub share: TrafficShare,
+    /// Time for which this share is in force.
+    pub dwelt: Duration,
+    /// Time left until the move is to be done; zero when it has passed.
+    pub left: Duration,
+    /// Calls of the new version at this step.
+    pub step_calls: u64,
+    /// Bookings of the new version at this step.
+    pub step_bookings: u64,
+    /// Whether endpoints of the new version send evidence.
+    pub has_endpoints: bool,
+    /// Verdict on the evidence so far.
+    pub verdict: &'a Verdict,
+}
+
+/// What a move is to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PaceAdvice {
+    /// Stay.
+    Hold,
+    /// Go on to this phase and share.
+    Step(MovePhase, TrafficShare),
+}
+
+/// Decides when a move goes on to its next share.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MovePace {
+    limits: PaceLimits,
+}
+
+impl MovePace {
+    /// Returns a pace with these limits.
+    #[must_use]
+    pub fn new(limits: PaceLimits) -> MovePace {
+        MovePace { limits }
+    }
+
+    /// Returns what the move is to do next.
+    #[must_use]
+    pub fn next(&self, input: &PaceInput<'_>) -> PaceAdvice {
+        if input.phase.is_ended() || matches!(input.verdict, Verdict::Condemn(_)) {
+            return PaceAdvice::Hold;
+        }
+        if !input.has_endpoints {
+            return PaceAdvice::Hold;
+        }
+        if input.phase == MovePhase::Waiting {
+            return PaceAdvice::Step(MovePhase::Climbing, PACE_STEPS[0]);
+        }
+        if input.dwelt < self.wait(input) {
+            return PaceAdvice::Hold;
+        }
+        let Some(next) = next_share(input.share) else {
+            return PaceAdvice::Step(MovePhase::Done, input.share);
+        };
+        let is_last = next_share(next).is_none();
+        let phase = if is_last {
+            MovePhase::Settling
+        } else {
+            MovePhase::Climbing
+        };
+        PaceAdvice::Step(phase, next)
+    }
+
+    /// Returns how long the move stays at its share.
+    fn wait(&self, input: &PaceInput<'_>) -> Duration {
+        let is_suspect = matches!(input.verdict, Verdict::Suspect(_));
+        let hold = if is_suspect {
+            self.limits.max_hold
+        } else {
+            Duration::ZERO
+        };
+        let Some(next) = next_share(input.share) else {
+            return self.limits.settle + hold;
+        };
+        let planned = self.planned(input);
+        if is_suspect {
+            return planned.max(hold);
+        }
+        let wants_bookings = next.bookings > input.share.bookings && input.share.bookings > 0;
+        let few_bookings = wants_bookings && input.step_bookings < self.limits.step_calls / 5;
+        if few_bookings || input.step_calls < self.limits.step_calls {
+            return planned;
+        }
+        let clear = (planned / 4).min(self.limits.max_clear_dwell);
+        clear.max(self.limits.min_dwell)
+    }
+
+    /// Returns an even part of the time left before the settle time.
+    fn planned(&self, input: &PaceInput<'_>) -> Duration {
+        let steps = PACE_STEPS
+            .iter()
+            .filter(|step| exceeds(**step, input.share))
+            .count() as u32;
+        // What passed at this step belongs to the time that is divided.
+        let left = (input.left + input.dwelt).saturating_sub(self.limits.settle);
+        let planned = left.saturating_sub(self.limits.min_dwell) / (steps + 1);
+        planned.max(self.limits.min_dwell)
+    }
+}
+
+/// Returns the first step above a share; `None` at the last.
+fn next_share(share: TrafficShare) -> Option<TrafficShare> {
+    PACE_STEPS.into_iter().find(|step| exceeds(*step, share))
+}
+
+fn exceeds(step: TrafficShare, share: TrafficShare) -> bool {
+    step.checks >= share.checks && step.bookings >= share.bookings && step != share
+}
--- /dev/null
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -0,0 +1,268 @@
+//! The rules that come with the library: failures, slowness and crashes.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::evidence::LATENCY_BUCKETS;
+use crate::evidence::RouteCounts;
+use crate::evidence_pool::CountKey;
+use crate::evidence_pool::PoolView;
+use crate::evidence_pool::PooledCrash;
+use crate::evidence_pool::VersionTotals;
+use crate::ids::Fingerprint;
+use crate::ids::MemberId;
+use crate::ids::RouteName;
+use crate::sequential::BadMeasure;
+use crate::sequential::ComparisonResult;
+use crate::sequential::QuietSlices;
+use crate::sequential::compare;
+use crate::verdict::CONDEMN_STRENGTH;
+use crate::verdict::SUSPECT_STRENGTH;
+use crate::verdict::VerdictFinding;
+use crate::verdict::VerdictPlugin;
+use crate::verdict::VerdictRule;
+
+/// Extra failure rate that does not matter.
+const FAILURE_TOLERANCE: f64 = 0.002;
+
+/// Extra share of slow calls that does not matter.
+const SLOW_TOLERANCE: f64 = 0.05;
+
+/// Quantile of the old version's latency that slow calls exceed clearly.
+const SLOW_QUANTILE: f64 = 0.9;
+
+/// Old calls of a route from which its quantile counts as known.
+const QUANTILE_CALLS: u64 = 50;
+
+/// Time after a crash in which failures of the endpoint belong to the crash.
+const CRASH_TIME: Duration = Duration::from_secs(4);
+
+/// Time in which an endpoint warms up after a start.
+const WARM_UP: Duration = Duration::from_secs(10);
+
+/// Crashes with a request in common that condemn all the same.
+const MANY_CRASHES: usize = 6;
+
+/// Times by which crashes per call must exceed those of the old version.
+const CRASH_RATIO: f64 = 4.0;
+
+/// Compares failure rates.
+struct FailureRule;
+
+impl VerdictRule for FailureRule {
+    fn name(&self) -> &'static str {
+        "failures"
+    }
+
+    fn judge(&self, view: &PoolView) -> Option<VerdictFinding> {
+        let mut quiet = QuietSlices::default();
+        quiet.add_crashes(view, CRASH_TIME);
+        let result = compare(view, &FailureMeasure { quiet })?;
+        let seen = figures(view, &result, |counts| (counts.calls, counts.failures));
+        Some(VerdictFinding {
+            rule: self.name(),
+            strength: result.strength,
+            seen: format!("failed calls, {seen}").into(),
+        })
+    }
+}
+
+inventory::submit! { VerdictPlugin { rule: &FailureRule } }
+
+struct FailureMeasure {
+    quiet: QuietSlices,
+}
+
+impl BadMeasure for FailureMeasure {
+    fn split(&self, _route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
+        (counts.calls, counts.failures)
+    }
+
+    fn tolerance(&self) -> f64 {
+        FAILURE_TOLERANCE
+    }
+
+    fn is_excluded(&self, key: &CountKey, slice: u64) -> bool {
+        self.quiet.contains(&key.member, slice)
+    }
+}
+
+/// Compares the shares of calls that are slow by the old version's measure.
+struct SlownessRule;
+
+impl VerdictRule for SlownessRule {
+    fn name(&self) -> &'static str {
+        "slowness"
+    }
+
+    fn judge(&self, view: &PoolView) -> Option<VerdictFinding> {
+        let mut quiet = QuietSlices::default();
+        quiet.add_crashes(view, WARM_UP);
+        quiet.add_starts(view, WARM_UP);
+        let result = compare(view, &SlowMeasure { view, quiet })?;
+        let seen = match &result.route {
+            Some(route) => figures(view, &result, |counts| slow_split(view, route, counts)),
+            None => "all routes".into(),
+        };
+        Some(VerdictFinding {
+            rule: self.name(),
+            strength: result.strength,
+            seen: format!("slow calls, {seen}").into(),
+        })
+    }
+}
+
+inventory::submit! { VerdictPlugin { rule: &SlownessRule } }
+
+struct SlowMeasure<'a> {
+    view: &'a PoolView,
+    quiet: QuietSlices,
+}
+
+impl BadMeasure for SlowMeasure<'_> {
+    fn split(&self, route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
+        slow_split(self.view, route, counts)
+    }
+
+    fn tolerance(&self) -> f64 {
+        SLOW_TOLERANCE
+    }
+
+    fn is_excluded(&self, key: &CountKey, slice: u64) -> bool {
+        self.quiet.contains(&key.member, slice)
+    }
+}
+
+/// Returns the calls that did not fail and the slow ones among them.
+fn slow_split(view: &PoolView, route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
+    let Some(first) = slow_bucket(view.old.routes.get(route)) else {
+        return (0, 0);
+    };
+    let calls = counts.latency.iter().sum();
+    (calls, counts.latency[first..].iter().sum())
+}
+
+/// Returns the first bucket that counts as slow: one past the bucket after the old quantile's, so
+/// that a small shift over an edge is not slow.
+fn slow_bucket(old: Option<&RouteCounts>) -> Option<usize> {
+    let latency = &old?.latency;
+    let calls: u64 = latency.iter().sum();
+    if calls < QUANTILE_CALLS {
+        return None;
+    }
+    let mut below = 0;
+    for (bucket, count) in latency.iter().enumerate() {
+        below += count;
+        if below as f64 >= SLOW_QUANTILE * calls as f64 {
+            return Some((bucket + 2).min(LATENCY_BUCKETS));
+        }
+    }
+    None
+}
+
+/// Describes bad and all calls of both versions.
+fn figures(
+    view: &PoolView,
+    result: &ComparisonResult,
+    split: impl Fn(&RouteCounts) -> (u64, u64),
+) -> Box<str> {
+    let sum = |totals: &VersionTotals| {
+        let mut sum = (0, 0);
+        for (route, counts) in &totals.routes {
+            if result.route.as_ref().is_some_and(|scope| scope != route) {
+                continue;
+            }
+            let (calls, bad) = split(counts);
+            sum = (sum.0 + calls, sum.1 + bad);
+        }
+        sum
+    };
+    let scope = result
+        .route
+        .as_ref()
+        .map_or("all routes".into(), |name| format!("route {name}"));
+    let ((new_calls, new_bad), (old_calls, old_bad)) = (sum(&view.new), sum(&view.old));
+    format!("{scope}: new {new_bad} of {new_calls}, old {old_bad} of {old_calls}").into()
+}
+
+/// Counts crashes that no common request explains.
+struct CrashRule;
+
+impl VerdictRule for CrashRule {
+    fn name(&self) -> &'static str {
+        "crashes"
+    }
+
+    fn judge(&self, view: &PoolView) -> Option<VerdictFinding> {
+        let old_running = fingerprints(&view.old.crashes);
+        let own: Vec<&PooledCrash> = view
+            .new
+            .crashes
+            .iter()
+            .filter(|crash| !shares(crash, &old_running))
+            .collect();
+        if own.is_empty() {
+            return None;
+        }
+        let members: BTreeSet<&MemberId> = own.iter().map(|crash| &crash.member).collect();
+        let causes = distinct_causes(&own);
+        let is_spread = members.len() >= 2 || view.new_members().count() < 2;
+        let is_more = exceeds_old(view, own.len());
+        let is_bad = is_spread && is_more && (causes >= 2 || own.len() >= MANY_CRASHES);
+        let seen = format!(
+            "crashes: new {} at {} endpoints with {causes} separate causes in {} calls, old {} in {} calls",
+            view.new.crashes.len(),
+            members.len(),
+            view.new.calls(),
+            view.old.crashes.len(),
+            view.old.calls(),
+        );
+        let strength = if is_bad {
+            CONDEMN_STRENGTH
+        } else {
+            SUSPECT_STRENGTH / 2.0
+        };
+        Some(VerdictFinding {
+            rule: self.name(),
+            strength,
+            seen: seen.into(),
+        })
+    }
+}
+
+inventory::submit! { VerdictPlugin { rule: &CrashRule } }
+
+fn fingerprints(crashes: &[PooledCrash]) -> BTreeSet<Fingerprint> {
+    crashes
+        .iter()
+        .flat_map(|crash| crash.running.iter().copied())
+        .collect()
+}
+
+fn shares(crash: &PooledCrash, running: &BTreeSet<Fingerprint>) -> bool {
+    crash
+        .running
+        .iter()
+        .any(|fingerprint| running.contains(fingerprint))
+}
+
+/// Counts crashes of which no two ran a request in common.
+fn distinct_causes(crashes: &[&PooledCrash]) -> usize {
+    let mut running = BTreeSet::new();
+    let mut causes = 0;
+    for crash in crashes {
+        if !shares(crash, &running) {
+            causes += 1;
+        }
+        running.extend(crash.running.iter().copied());
+    }
+    causes
+}
+
+/// Returns whether the new version crashes clearly more often than the old one, call for call.
+fn exceeds_old(view: &PoolView, crashes: usize) -> bool {
+    let old_crashes = view.old.crashes.len() as f64;
+    let new_calls = view.new.calls().max(1) as f64;
+    let old_calls = view.old.calls().max(1) as f64;
+    crashes as f64 / new_calls > CRASH_RATIO * old_crashes / old_calls
+}
