--- a/coltsfootweir/src/balance.rs
+++ b/coltsfootweir/src/balance.rs
@@ -7,38 +7,19 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::endpoint_state::CallEnd;
+use crate::endpoint_state::EndpointState;
 use crate::ids::MemberId;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::load_report::LoadReport;
 
-/// Failures in a row after which an endpoint is ejected.
-pub const MAX_FAILURES: u32 = 5;
-
-/// Connect errors in a row after which an endpoint is ejected.
-pub const MAX_CONNECT_ERRORS: u32 = 2;
-
-/// Time of the first ejection; each further one in a row doubles it.
-pub const EJECT_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Longest ejection.
-pub const MAX_EJECT_TIMEOUT: Duration = Duration::from_secs(80);
-
-/// Time over which an endpoint newly seen grows to its full share.
-pub const SLOW_START: Duration = Duration::from_secs(5);
-
-/// Age after which a load report no longer counts.
-pub const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time without a mention after which an endpoint is forgotten.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(600);
 
 /// Endpoints remembered before the forgotten ones are removed.
 const MAX_ENDPOINTS: usize = 256;
 
-/// Smallest weight of an endpoint newly seen.
-const MIN_WEIGHT: f64 = 0.1;
-
 /// Share of the candidates that may be ejected, as a divisor.
 const EJECT_DIVISOR: usize = 3;
 
@@ -57,33 +38,6 @@
     pub reachable: bool,
 }
 
-/// How a call to an endpoint ended, as the choice of the next one sees it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CallEnd {
-    /// The endpoint answered in order.
-    Success,
-    /// It failed, broke off or timed out.
-    Failure,
-    /// No connection came about.
-    ConnectError,
-    /// It refused, or the caller gave up: neither good nor bad.
-    Neutral,
-}
-
-#[derive(Debug)]
-struct EndpointState {
-    seen: Duration,
-    weight_from: Option<Duration>,
-    load: LoadReport,
-    load_at: Option<Duration>,
-    started: u32,
-    started_at_load: u32,
-    failures: u32,
-    connect_errors: u32,
-    ejections: u32,
-    ejected_until: Duration,
-}
-
 /// Chooses endpoints for the calls of one daemon.
 #[derive(Debug)]
 pub struct EndpointChooser {
@@ -109,7 +63,7 @@
     /// reachable outside `exclude`.
     ///
     /// The nearest endpoints with a free slot come first: zone, region, other region. When all are
-    /// full, the least loaded of the own region is taken. Ejected endpoints are a last resort.
+    /// full, a less loaded one of the own region is taken. Ejected endpoints are a last resort.
     pub fn choose(
         &mut self,
         candidates: &[Candidate<'_>],
@@ -139,41 +93,19 @@
 
     /// Takes an endpoint's load as its answer reported it.
     pub fn on_answer(&mut self, id: &MemberId, load: LoadReport, now: Duration) {
-        let Some(state) = self.states.get_mut(id) else {
-            return;
-        };
-        state.load = load;
-        state.load_at = Some(now);
-        state.started_at_load = state.started;
+        if let Some(state) = self.states.get_mut(id) {
+            state.on_load(load, now);
+        }
     }
 
     /// Counts a call sent to an endpoint.
     pub fn on_start(&mut self, id: &MemberId, now: Duration) {
-        let state = self.state(id, now);
-        state.started += 1;
+        self.state(id, now).started += 1;
     }
 
     /// Counts the end of a call, and ejects an endpoint that keeps failing.
     pub fn on_end(&mut self, id: &MemberId, end: CallEnd, now: Duration) {
-        let state = self.state(id, now);
-        state.started = state.started.saturating_sub(1);
-        state.started_at_load = state.started_at_load.min(state.started);
-        match end {
-            CallEnd::Neutral => return,
-            CallEnd::Success => {
-                state.failures = 0;
-                state.connect_errors = 0;
-                if now >= state.ejected_until + MAX_EJECT_TIMEOUT {
-                    state.ejections = 0;
-                }
-                return;
-            }
-            CallEnd::Failure => state.failures += 1,
-            CallEnd::ConnectError => state.connect_errors += 1,
-        }
-        if state.failures >= MAX_FAILURES || state.connect_errors >= MAX_CONNECT_ERRORS {
-            state.eject(now);
-        }
+        self.state(id, now).on_end(end, now);
     }
 
     /// Returns the indexes of the candidates that are ejected: never more than a third.
@@ -229,7 +161,7 @@
         for index in usable {
             let candidate = &candidates[*index];
             let is_near = *candidate.region == self.region;
-            if self.load_of(candidate, now) >= u32::from(candidate.slots) {
+            if self.is_full(candidate, now) {
                 full[usize::from(!is_near)].push(*index);
                 continue;
             }
@@ -270,66 +202,20 @@
         })
     }
 
-    fn load_of(&self, candidate: &Candidate<'_>, now: Duration) -> u32 {
-        self.states
-            .get(candidate.id)
-            .map_or(0, |state| state.load(now))
-    }
-
-    fn cost(&self, candidate: &Candidate<'_>, now: Duration) -> f64 {
-        let weight = self
-            .states
-            .get(candidate.id)
-            .map_or(1.0, |state| state.weight(now));
-        let load = f64::from(self.load_of(candidate, now) + 1);
-        load / (f64::from(candidate.slots.max(1)) * weight)
-    }
-}
-
-impl EndpointState {
-    fn new() -> EndpointState {
-        EndpointState {
-            seen: Duration::ZERO,
-            weight_from: None,
-            load: LoadReport::default(),
-            load_at: None,
-            started: 0,
-            started_at_load: 0,
-            failures: 0,
-            connect_errors: 0,
-            ejections: 0,
-            ejected_until: Duration::ZERO,
-        }
-    }
-
-    /// Reported load plus the calls sent since the report.
-    fn load(&self, now: Duration) -> u32 {
-        let Some(load_at) = self.load_at.filter(|at| now < *at + LOAD_TIMEOUT) else {
-            return self.started;
+    /// An endpoint that failed but is beyond the cap on ejection takes only what others cannot.
+    fn is_full(&self, candidate: &Candidate<'_>, now: Duration) -> bool {
+        let Some(state) = self.states.get(candidate.id) else {
+            return false;
         };
-        debug_assert!(load_at <= now);
-        let since = self.started.saturating_sub(self.started_at_load);
-        (self.load.total() + since).max(self.started)
+        now < state.ejected_until || state.load(now) >= u32::from(candidate.slots)
     }
 
-    fn weight(&self, now: Duration) -> f64 {
-        let Some(from) = self.weight_from else {
-            return 1.0;
+    fn cost(&self, candidate: &Candidate<'_>, now: Duration) -> f64 {
+        let slots = candidate.slots.max(1);
+        let Some(state) = self.states.get(candidate.id) else {
+            return 1.0 / f64::from(slots);
         };
-        let age = now.saturating_sub(from).as_secs_f64();
-        (age / SLOW_START.as_secs_f64()).clamp(MIN_WEIGHT, 1.0)
-    }
-
-    fn eject(&mut self, now: Duration) {
-        if now < self.ejected_until {
-            return;
-        }
-        let factor = 1_u32 << self.ejections.min(8);
-        let timeout = EJECT_TIMEOUT.saturating_mul(factor).min(MAX_EJECT_TIMEOUT);
-        self.ejected_until = now + timeout;
-        self.weight_from = Some(self.ejected_until);
-        self.ejections += 1;
-        self.failures = 0;
-        self.connect_errors = 0;
+        let load = state.load(now) + state.penalty(slots, now) + 1;
+        f64::from(load) / (f64::from(slots) * state.weight(now))
     }
 }
--- /dev/null
+++ b/coltsfootweir/src/endpoint_state.rs
@@ -0,0 +1,152 @@
+//! One endpoint as the daemons that call it see it: load, failures, ejection and slow start.
+
+use std::time::Duration;
+
+use crate::load_report::LoadReport;
+
+/// Failures in a row after which an endpoint is ejected.
+pub const MAX_FAILURES: u32 = 5;
+
+/// Connect errors in a row after which an endpoint is ejected.
+pub const MAX_CONNECT_ERRORS: u32 = 2;
+
+/// Time of the first ejection; each further one in a row doubles it.
+pub const EJECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest ejection.
+pub const MAX_EJECT_TIMEOUT: Duration = Duration::from_secs(80);
+
+/// Time for which a failure makes an endpoint look busier than it is; one that fails fast would
+/// otherwise look idle and draw more calls.
+pub const FAILURE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Requests that each recent failure in a row counts for.
+const FAILURE_COST: u32 = 3;
+
+/// Time over which an endpoint newly seen grows to its full share.
+pub const SLOW_START: Duration = Duration::from_secs(5);
+
+/// Age after which a load report no longer counts.
+pub const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Smallest weight of an endpoint newly seen.
+const MIN_WEIGHT: f64 = 0.1;
+
+/// How a call to an endpoint ended, as the choice of the next one sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// The endpoint answered in order.
+    Success,
+    /// It failed, broke off or timed out.
+    Failure,
+    /// No connection came about.
+    ConnectError,
+    /// It refused, or the caller gave up: neither good nor bad.
+    Neutral,
+}
+
+/// Calls to one endpoint and what they came to.
+#[derive(Debug)]
+pub(crate) struct EndpointState {
+    pub(crate) seen: Duration,
+    pub(crate) weight_from: Option<Duration>,
+    load: LoadReport,
+    load_at: Option<Duration>,
+    pub(crate) started: u32,
+    started_at_load: u32,
+    failures: u32,
+    connect_errors: u32,
+    failed_at: Duration,
+    ejections: u32,
+    pub(crate) ejected_until: Duration,
+}
+
+impl EndpointState {
+    pub(crate) fn new() -> EndpointState {
+        EndpointState {
+            seen: Duration::ZERO,
+            weight_from: None,
+            load: LoadReport::default(),
+            load_at: None,
+            started: 0,
+            started_at_load: 0,
+            failures: 0,
+            connect_errors: 0,
+            failed_at: Duration::ZERO,
+            ejections: 0,
+            ejected_until: Duration::ZERO,
+        }
+    }
+
+    /// Takes the load that an answer reported.
+    pub(crate) fn on_load(&mut self, load: LoadReport, now: Duration) {
+        self.load = load;
+        self.load_at = Some(now);
+        self.started_at_load = self.started;
+    }
+
+    /// Counts the end of a call, and ejects an endpoint that keeps failing.
+    pub(crate) fn on_end(&mut self, end: CallEnd, now: Duration) {
+        self.started = self.started.saturating_sub(1);
+        self.started_at_load = self.started_at_load.min(self.started);
+        match end {
+            CallEnd::Neutral => return,
+            CallEnd::Success => {
+                self.failures = 0;
+                self.connect_errors = 0;
+                if now >= self.ejected_until + MAX_EJECT_TIMEOUT {
+                    self.ejections = 0;
+                }
+                return;
+            }
+            CallEnd::Failure => self.failures += 1,
+            CallEnd::ConnectError => self.connect_errors += 1,
+        }
+        self.failed_at = now;
+        if self.failures >= MAX_FAILURES || self.connect_errors >= MAX_CONNECT_ERRORS {
+            self.eject(now);
+        }
+    }
+
+    /// Reported load plus the calls sent since the report.
+    pub(crate) fn load(&self, now: Duration) -> u32 {
+        if self.load_at.is_none_or(|at| now >= at + LOAD_TIMEOUT) {
+            return self.started;
+        }
+        let since = self.started.saturating_sub(self.started_at_load);
+        (self.load.total() + since).max(self.started)
+    }
+
+    /// Requests added to the load for recent failures; an endpoint beyond the cap on ejection
+    /// counts as full.
+    pub(crate) fn penalty(&self, slots: u16, now: Duration) -> u32 {
+        if now < self.ejected_until {
+            return u32::from(slots);
+        }
+        if now >= self.failed_at + FAILURE_TIMEOUT {
+            return 0;
+        }
+        FAILURE_COST * (self.failures + self.connect_errors)
+    }
+
+    pub(crate) fn weight(&self, now: Duration) -> f64 {
+        let Some(from) = self.weight_from else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(from).as_secs_f64();
+        (age / SLOW_START.as_secs_f64()).clamp(MIN_WEIGHT, 1.0)
+    }
+
+    fn eject(&mut self, now: Duration) {
+        if now < self.ejected_until {
+            return;
+        }
+        let factor = 1_u32 << self.ejections.min(8);
+        let timeout = EJECT_TIMEOUT.saturating_mul(factor).min(MAX_EJECT_TIMEOUT);
+        self.ejected_until = now + timeout;
+        self.weight_from = Some(self.ejected_until);
+        self.ejections += 1;
+        self.failures = 0;
+        self.connect_errors = 0;
+    }
+}
--- a/coltsfootweir/src/poison.rs
+++ b/coltsfootweir/src/poison.rs
@@ -1,15 +1,18 @@
 //! Requests that crash upstreams.
 //!
 //! A fingerprint that was running in two distinct crashes is refused for [`POISON_TIMEOUT`]; after
-//! one crash it is a suspect, which is never retried. "Crashes each upstream that runs it" also
-//! tells innocents: a request that ran to its end within [`POISON_TIMEOUT`] is not marked by a
-//! crash of the same upstream, so a common check is not refused for running next to a poison
-//! request.
+//! one crash it is a suspect, which is never retried. Once convicted, a single further crash has it
+//! refused again. "Crashes each upstream that runs it" also tells innocents: a request that ran to
+//! its end within [`POISON_TIMEOUT`] is not marked by a crash of the same upstream, so a common
+//! check is not refused for running next to a poison request.
 //!
-//! Bound: a poison request brings down at most two upstreams, plus one for each copy that is
-//! handed over by a daemon which does not hold two of its crash facts yet. With facts that reach
-//! every daemon within `G` and copies handed over at most every `R`, that is `2 + G / R`, and the
-//! same again each [`POISON_TIMEOUT`] after the last crash.
+//! Bound: a poison request brings down two upstreams, and one more for each copy that is handed over
+//! by a daemon which does not hold two of its crash facts yet. With facts that reach every daemon
+//! within `G` and copies handed over at most every `R`, that is at most `2 + G / R` in a first
+//! [`POISON_TIMEOUT`], and `1 + G / R` in each further one.
+//!
+//! A fact may be delivered any number of times within [`FACT_TIMEOUT`] and counts once; gossip must
+//! drop it before.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -21,19 +24,20 @@
 /// Time for which a poison request is refused and a suspect remembered.
 pub const POISON_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Distinct crashes after which a request is refused.
-pub const POISON_CRASHES: usize = 2;
-
 /// Fingerprints remembered for having crashed, and as many for having run to an end.
 pub const MAX_FINGERPRINTS: usize = 4096;
 
-/// Crashes remembered of one fingerprint.
-const MAX_CRASHES: usize = 8;
+/// Time for which a crash fact is remembered after the last crash of its fingerprint.
+pub const FACT_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Crashes remembered of one fingerprint; with so many it is refused until it is forgotten.
+pub const MAX_CRASHES: usize = 16;
 
 #[derive(Debug)]
 struct CrashMarks {
     facts: Vec<CrashFact>,
     last: Duration,
+    refused_until: Duration,
 }
 
 /// What a daemon knows of requests that ran when upstreams crashed.
@@ -57,18 +61,14 @@
         if !self.marks.contains_key(&fact.fingerprint) && self.marks.len() >= MAX_FINGERPRINTS {
             self.drop_oldest();
         }
-        let marks = self.marks.entry(fact.fingerprint).or_insert(CrashMarks {
-            facts: Vec::new(),
-            last: now,
-        });
-        if marks.facts.contains(fact) {
+        let marks = self
+            .marks
+            .entry(fact.fingerprint)
+            .or_insert_with(CrashMarks::new);
+        if marks.facts.contains(fact) || marks.facts.len() >= MAX_CRASHES {
             return false;
         }
-        if marks.facts.len() >= MAX_CRASHES {
-            marks.facts.remove(0);
-        }
-        marks.facts.push(fact.clone());
-        marks.last = now;
+        marks.add(fact, now);
         true
     }
 
@@ -107,13 +107,16 @@
     /// Returns whether a request is to be refused.
     #[must_use]
     pub fn is_refused(&self, fingerprint: Fingerprint, now: Duration) -> bool {
-        self.crashes(fingerprint, now) >= POISON_CRASHES
+        let marks = self.marks.get(&fingerprint);
+        marks.is_some_and(|marks| now < marks.refused_until)
     }
 
-    /// Returns whether a request was running in at least one crash and must not be retried.
+    /// Returns whether a request was running in a crash within [`POISON_TIMEOUT`] and must not be
+    /// retried.
     #[must_use]
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Duration) -> bool {
-        self.crashes(fingerprint, now) > 0
+        let marks = self.marks.get(&fingerprint);
+        marks.is_some_and(|marks| now < marks.refused_until.max(marks.last + POISON_TIMEOUT))
     }
 
     /// Returns the fingerprints remembered.
@@ -128,16 +131,9 @@
         self.marks.is_empty()
     }
 
-    fn crashes(&self, fingerprint: Fingerprint, now: Duration) -> usize {
-        match self.marks.get(&fingerprint) {
-            Some(marks) if now < marks.last + POISON_TIMEOUT => marks.facts.len(),
-            _ => 0,
-        }
-    }
-
     fn expire(&mut self, now: Duration) {
         self.marks
-            .retain(|_, marks| now < marks.last + POISON_TIMEOUT);
+            .retain(|_, marks| now < marks.last + FACT_TIMEOUT);
     }
 
     fn drop_oldest(&mut self) {
@@ -145,10 +141,37 @@
         let oldest = self
             .marks
             .iter()
-            .min_by_key(|(_, marks)| (marks.facts.len() >= POISON_CRASHES, marks.last))
+            .min_by_key(|(_, marks)| (marks.is_convicted(), marks.last))
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = oldest {
             self.marks.remove(&fingerprint);
         }
     }
 }
+
+impl CrashMarks {
+    fn new() -> CrashMarks {
+        CrashMarks {
+            facts: Vec::new(),
+            last: Duration::ZERO,
+            refused_until: Duration::ZERO,
+        }
+    }
+
+    fn is_convicted(&self) -> bool {
+        self.refused_until > Duration::ZERO
+    }
+
+    /// Two crashes further apart than the timeout are no evidence against a request.
+    fn add(&mut self, fact: &CrashFact, now: Duration) {
+        let is_second = !self.facts.is_empty() && now < self.last + POISON_TIMEOUT;
+        if is_second || self.is_convicted() {
+            self.refused_until = now + POISON_TIMEOUT;
+        }
+        self.facts.push(fact.clone());
+        self.last = now;
+        if self.facts.len() >= MAX_CRASHES {
+            self.refused_until = now + FACT_TIMEOUT;
+        }
+    }
+}
