The thin whole path through separate processes

Cause: the decisions existed apart; nothing served a call. Change: kernel with self-registering tasks and control handlers, call port on hyper with a connection pool that only takes back connections whose answer was read whole, control port on tiny_http and minreq, gossip, configuration, claim and mover tasks, daemon and operator programs, and a process test harness.

--- /dev/null
+++ b/coltsfootweir/src/call_server.rs
@@ -0,0 +1,223 @@
+//! The call port: takes callers' requests and those that other daemons pass on.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::debug;
+use log::warn;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::task::JoinSet;
+
+use crate::call::CallReply;
+use crate::call::CallRequest;
+use crate::call::DEADLINE;
+use crate::call::LOAD;
+use crate::call::REQUEST_ID;
+use crate::call::ReadError;
+use crate::call::TARGET;
+use crate::context::DaemonContext;
+use crate::context::lock;
+use crate::deadline::CallDeadline;
+use crate::deadline::MAX_TIMEOUT;
+use crate::guard_call::run_guarded;
+use crate::ingress::run_ingress;
+use crate::kernel::DaemonTask;
+use crate::kernel::StopSignal;
+use crate::kernel::TaskPlugin;
+use crate::kernel::TaskStage;
+use crate::logging::CALLS;
+use crate::outcome::CallOutcome;
+use crate::outcome::RefusalReason;
+
+/// Path at which a caller gets a booking key of this daemon.
+pub const MINT_PATH: &str = "/-/booking-key";
+
+/// Time to wait after the listener failed, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+struct CallPort;
+
+inventory::submit! { TaskPlugin { task: &CallPort } }
+
+impl DaemonTask for CallPort {
+    fn name(&self) -> &'static str {
+        "calls"
+    }
+
+    fn stage(&self) -> TaskStage {
+        TaskStage::Calls
+    }
+
+    fn run(&self, context: &Arc<DaemonContext>, stop: &StopSignal) {
+        let Some(listener) = context.take_call_listener() else {
+            return;
+        };
+        match Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime.block_on(serve(context, listener, stop)),
+            Err(error) => warn!(target: CALLS, "runtime not started: {error}"),
+        }
+    }
+}
+
+async fn serve(context: &Arc<DaemonContext>, listener: TcpListener, stop: &StopSignal) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!(target: CALLS, "listener not usable: {error}");
+            return;
+        }
+    };
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stop.wait_async() => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let connection = serve_connection(Arc::clone(context), stream, stop.clone());
+                    connections.spawn(connection);
+                }
+                Err(error) => {
+                    warn!(target: CALLS, "connection not accepted: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+    drop(listener);
+    let drain = async { while connections.join_next().await.is_some() {} };
+    if tokio::time::timeout(context.settings.drain_limit, drain)
+        .await
+        .is_err()
+    {
+        warn!(target: CALLS, "requests still ran at the drain limit");
+    }
+}
+
+async fn serve_connection(context: Arc<DaemonContext>, stream: TcpStream, stop: StopSignal) {
+    let _ = stream.set_nodelay(true);
+    let read_timeout = context.settings.read_timeout;
+    let service = service_fn(move |request| answer(Arc::clone(&context), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(read_timeout.max(IDLE_TIMEOUT))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = stop.wait_async() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        debug!(target: CALLS, "connection ended: {error}");
+    }
+}
+
+/// Time a kept connection may stand idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Counts a call for as long as it runs.
+struct RunningCount<'a> {
+    count: &'a AtomicU64,
+}
+
+impl<'a> RunningCount<'a> {
+    fn start(count: &'a AtomicU64) -> RunningCount<'a> {
+        count.fetch_add(1, Ordering::Relaxed);
+        RunningCount { count }
+    }
+}
+
+impl Drop for RunningCount<'_> {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn answer(
+    context: Arc<DaemonContext>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let _running = RunningCount::start(&context.calls_running);
+    if request.uri().path() == MINT_PATH {
+        return Ok(mint_key(&context, request.method()));
+    }
+    let mut response = match CallRequest::read(request, context.settings.read_timeout).await {
+        Ok(call) => run_call(&context, &call).await,
+        Err(error) => refuse_unread(error),
+    };
+    if context.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn run_call(context: &Arc<DaemonContext>, call: &CallRequest) -> Response<Full<Bytes>> {
+    let id = call.headers.get(REQUEST_ID);
+    let Some(target) = call.header(&TARGET) else {
+        return run_ingress(context, call).await.into_response(id);
+    };
+    let reply = if *target == *context.id {
+        let deadline = CallDeadline::on_arrival(call.header(&DEADLINE), MAX_TIMEOUT, context.now());
+        run_guarded(context, call, deadline).await
+    } else {
+        CallReply::told(CallOutcome::NotRun(RefusalReason::UnknownTarget))
+    };
+    let mut response = reply.into_response(id);
+    if let Ok(load) = HeaderValue::from_str(&context.upstream.load().to_string()) {
+        response.headers_mut().insert(LOAD, load);
+    }
+    response
+}
+
+fn refuse_unread(error: ReadError) -> Response<Full<Bytes>> {
+    let (status, text) = match error {
+        ReadError::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "not-run: body too long\n"),
+        ReadError::Broken => (StatusCode::BAD_REQUEST, "not-run: body broken off\n"),
+        ReadError::TooSlow => (StatusCode::REQUEST_TIMEOUT, "not-run: body too slow\n"),
+    };
+    let reply = CallReply::told(CallOutcome::NotRun(RefusalReason::Unreadable));
+    let mut response = reply.into_response(None);
+    *response.status_mut() = status;
+    *response.body_mut() = Full::from(text);
+    response
+        .headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Gives a caller a key that only the own upstream may run.
+fn mint_key(context: &DaemonContext, method: &Method) -> Response<Full<Bytes>> {
+    if method != Method::POST {
+        let mut response = Response::new(Full::from("POST gives a booking key\n"));
+        *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+        return response;
+    }
+    if context.upstream.address().is_none() || context.is_leaving() {
+        let refusal = CallOutcome::NotRun(RefusalReason::NoEndpoint);
+        return CallReply::told(refusal).into_response(None);
+    }
+    let key = lock(&context.ledger).mint();
+    Response::new(Full::from(format!("{key}\n")))
+}
--- /dev/null
+++ b/coltsfootweir/src/clock.rs
@@ -0,0 +1,46 @@
+//! Time at its border: the daemon reads it here, decisions are given it.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+/// Source of time.
+pub trait DaemonClock: Send + Sync {
+    /// Time since the clock was made; never goes back.
+    fn now(&self) -> Duration;
+
+    /// Time of day.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The operating system's clock.
+#[derive(Debug)]
+pub struct SystemClock {
+    start: Instant,
+}
+
+impl SystemClock {
+    /// Makes a clock that counts from now.
+    #[must_use]
+    pub fn new() -> Self {
+        SystemClock {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        SystemClock::new()
+    }
+}
+
+impl DaemonClock for SystemClock {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- a/coltsfootweir/src/config_state.rs
+++ b/coltsfootweir/src/config_state.rs
@@ -54,6 +54,12 @@
         self.floor_settled = true;
     }
 
+    /// Returns whether the floor is known.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.floor_settled
+    }
+
     /// Returns whether calls may be taken.
     #[must_use]
     pub fn is_serving(&self) -> bool {
--- /dev/null
+++ b/coltsfootweir/src/gossip_task.rs
@@ -0,0 +1,139 @@
+//! Drives the gossip: a tick each interval, exchanges by a few workers, and answers to peers.
+
+use std::sync::Arc;
+use std::thread;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use log::debug;
+
+use crate::context::DaemonContext;
+use crate::context::lock;
+use crate::control_client::ExchangeRoute;
+use crate::control_server::ControlAnswer;
+use crate::control_server::ControlHandler;
+use crate::control_server::HandlerPlugin;
+use crate::gossip_limits::GOSSIP_INTERVAL;
+use crate::gossip_message::GossipAction;
+use crate::gossip_message::GossipMessage;
+use crate::kernel::DaemonTask;
+use crate::kernel::StopSignal;
+use crate::kernel::TaskPlugin;
+use crate::link::LinkCause;
+use crate::logging::MEMBERS;
+
+/// Path of gossip exchanges.
+const GOSSIP_PATH: &str = "/gossip";
+
+/// Threads that make exchanges.
+const WORKER_COUNT: usize = 3;
+
+struct GossipTask;
+
+inventory::submit! { TaskPlugin { task: &GossipTask } }
+
+impl DaemonTask for GossipTask {
+    fn name(&self) -> &'static str {
+        "gossip"
+    }
+
+    fn run(&self, context: &Arc<DaemonContext>, stop: &StopSignal) {
+        let Some(exchanges) = context.take_exchange_queue() else {
+            return;
+        };
+        thread::scope(|scope| {
+            for _ in 0..WORKER_COUNT {
+                scope.spawn(|| make_exchanges(context, &exchanges, stop));
+            }
+            loop {
+                let actions = lock(&context.gossip).tick(context.now());
+                context.queue_exchanges(actions);
+                context.refresh_index();
+                if stop.wait(GOSSIP_INTERVAL) {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn make_exchanges(
+    context: &Arc<DaemonContext>,
+    exchanges: &Receiver<GossipAction>,
+    stop: &StopSignal,
+) {
+    while !stop.is_set() {
+        match exchanges.recv_timeout(GOSSIP_INTERVAL / 5) {
+            Ok(action) => make_exchange(context, action),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+fn make_exchange(context: &Arc<DaemonContext>, action: GossipAction) {
+    let GossipAction::Exchange {
+        to,
+        message,
+        crosses,
+        ..
+    } = action;
+    let route = ExchangeRoute {
+        peer: to,
+        cause: LinkCause::Gossip,
+        crosses,
+    };
+    let answer = context
+        .client
+        .exchange::<GossipMessage>(route, GOSSIP_PATH, &message);
+    let now = context.now();
+    let mut gossip = lock(&context.gossip);
+    let mut actions = match answer {
+        Ok(answer) => {
+            if let Some(floor) = answer.floor {
+                lock(&context.floor).on_peer(&answer.from, floor, now);
+            }
+            gossip.on_answer(to, answer, now)
+        }
+        Err(error) => {
+            debug!(target: MEMBERS, "exchange with {to} failed: {error}");
+            lock(&context.floor).on_peer_failure(&to.to_string().into());
+            gossip.on_failure(to, now)
+        }
+    };
+    actions.extend(gossip.take_urgent());
+    drop(gossip);
+    context.queue_exchanges(actions);
+    context.after_gossip();
+}
+
+struct GossipHandler;
+
+inventory::submit! { HandlerPlugin { handler: &GossipHandler } }
+
+impl ControlHandler for GossipHandler {
+    fn path(&self) -> &'static str {
+        GOSSIP_PATH
+    }
+
+    fn answer(&self, context: &Arc<DaemonContext>, body: &[u8]) -> ControlAnswer {
+        let message: GossipMessage = match rmp_serde::from_slice(body) {
+            Ok(message) => message,
+            Err(error) => return ControlAnswer::BadRequest(error.to_string().into()),
+        };
+        let crosses = message.region != context.settings.region;
+        let mut gossip = lock(&context.gossip);
+        let answer = gossip.receive(message, context.now());
+        let actions = gossip.take_urgent();
+        drop(gossip);
+        context.queue_exchanges(actions);
+        context.after_gossip();
+        let answer = ControlAnswer::message(&answer);
+        if let ControlAnswer::Message(answer) = &answer {
+            context
+                .meter
+                .add(LinkCause::Gossip, crosses, body.len() + answer.len());
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/ingress.rs
@@ -0,0 +1,305 @@
+//! Takes a caller's call: finds the route, picks a version and an endpoint, and retries within
+//! bounds.
+
+use std::sync::Arc;
+
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::header::HeaderMap;
+use rand::RngExt;
+
+use crate::balance::Candidate;
+use crate::booking_key::BookingKey;
+use crate::call::BOOKING_KEY;
+use crate::call::CallReply;
+use crate::call::CallRequest;
+use crate::call::DEADLINE;
+use crate::call::LOAD;
+use crate::call::OUTCOME;
+use crate::call::OWNER;
+use crate::call::REASON;
+use crate::context::DaemonContext;
+use crate::context::lock;
+use crate::deadline::CallDeadline;
+use crate::deadline::LINK_RETURN_MARGIN;
+use crate::deadline::RETURN_MARGIN;
+use crate::endpoint_index::EndpointIndex;
+use crate::endpoint_index::EndpointTarget;
+use crate::endpoint_state::CallEnd;
+use crate::guard_call::run_guarded;
+use crate::http_pool::SendError;
+use crate::ids::MemberId;
+use crate::link::LinkCause;
+use crate::load_report::LoadReport;
+use crate::outcome::CallOutcome;
+use crate::outcome::DoubtReason;
+use crate::outcome::RefusalReason;
+use crate::record::RouteClass;
+use crate::record::RouteRecord;
+use crate::retry::RETRY_BURST;
+use crate::retry::RetryBudget;
+use crate::retry::RetryCase;
+use crate::retry::RetryDecision;
+use crate::retry::RetryRule;
+use crate::route_table::RouteTable;
+
+/// A call on its way through the attempts.
+struct CallAttempts<'a> {
+    context: &'a Arc<DaemonContext>,
+    call: &'a CallRequest,
+    route: &'a RouteRecord,
+    table: &'a RouteTable,
+    deadline: CallDeadline,
+    tried: Vec<MemberId>,
+}
+
+/// Answers a caller's call.
+pub(crate) async fn run_ingress(context: &Arc<DaemonContext>, call: &CallRequest) -> CallReply {
+    if !lock(&context.config).is_serving() {
+        return refuse(RefusalReason::NotServing);
+    }
+    let table = context.table.load_full();
+    let Some(route) = table.find(call.route_path()) else {
+        return refuse(RefusalReason::NoRoute);
+    };
+    let now = context.now();
+    if lock(&context.poison).is_refused(call.fingerprint, now) {
+        return refuse(RefusalReason::Poison);
+    }
+    let deadline = CallDeadline::on_arrival(call.header(&DEADLINE), route.timeout, now);
+    let tried = Vec::new();
+    let mut attempts = CallAttempts {
+        context,
+        call,
+        route,
+        table: &table,
+        deadline,
+        tried,
+    };
+    let reply = attempts.run().await;
+    let failed = match reply.outcome {
+        CallOutcome::Ran => reply.response.status().is_server_error(),
+        CallOutcome::NotRun(reason) => reason != RefusalReason::BadKey,
+        CallOutcome::InDoubt(_) => true,
+    };
+    lock(&context.slo).on_call(&route.service, &route.name, failed, context.now());
+    reply
+}
+
+fn refuse(reason: RefusalReason) -> CallReply {
+    CallReply::told(CallOutcome::NotRun(reason))
+}
+
+fn doubt(reason: DoubtReason) -> CallReply {
+    CallReply::told(CallOutcome::InDoubt(reason))
+}
+
+impl CallAttempts<'_> {
+    async fn run(&mut self) -> CallReply {
+        self.budget(|budget| budget.on_call());
+        if self.route.class == RouteClass::Check {
+            return self.try_endpoints().await;
+        }
+        match self.call.header(&BOOKING_KEY).map(BookingKey::parse) {
+            Some(Ok(BookingKey::Minted { member, .. })) => self.try_owner(&member).await,
+            Some(Ok(BookingKey::Caller(_))) => self.try_claimed().await,
+            _ => refuse(RefusalReason::BadKey),
+        }
+    }
+
+    /// Runs a booking whose key the caller made; whoever claimed the key first runs it.
+    async fn try_claimed(&mut self) -> CallReply {
+        let reply = self.try_endpoints().await;
+        let owner = reply
+            .response
+            .headers()
+            .get(OWNER)
+            .and_then(|owner| owner.to_str().ok());
+        let Some(owner) = owner.map(MemberId::from) else {
+            return reply;
+        };
+        self.try_owner(&owner).await
+    }
+
+    /// Sends a booking to the only daemon that may run it.
+    async fn try_owner(&mut self, owner: &MemberId) -> CallReply {
+        let index = self.context.index.load_full();
+        let Some(target) = index.member(owner) else {
+            return doubt(DoubtReason::OwnerGone);
+        };
+        let reply = self.send(target).await;
+        match reply.outcome {
+            // The owner's ledger was not asked, and it alone knows of earlier attempts.
+            CallOutcome::NotRun(RefusalReason::UnknownTarget | RefusalReason::UpstreamDown)
+                if !reply.response.headers().contains_key(LOAD) =>
+            {
+                doubt(DoubtReason::OwnerGone)
+            }
+            _ => reply,
+        }
+    }
+
+    async fn try_endpoints(&mut self) -> CallReply {
+        let mut may_have_run = None;
+        loop {
+            let reply = self.try_one().await;
+            if let CallOutcome::InDoubt(reason) = reply.outcome {
+                may_have_run = Some(reason);
+            }
+            if reply.response.headers().contains_key(OWNER) || !self.wants_retry(reply.outcome) {
+                return match (reply.outcome, may_have_run) {
+                    (CallOutcome::NotRun(_), Some(reason)) => doubt(reason),
+                    _ => reply,
+                };
+            }
+        }
+    }
+
+    async fn try_one(&mut self) -> CallReply {
+        let index = self.context.index.load_full();
+        match self.choose(&index) {
+            Some(target) => self.send(target).await,
+            None => refuse(RefusalReason::NoEndpoint),
+        }
+    }
+
+    /// Picks a version by the shares and an endpoint of it.
+    fn choose<'i>(&self, index: &'i EndpointIndex) -> Option<&'i EndpointTarget> {
+        let service = &self.route.service;
+        let point = rand::rng().random_range(0..100);
+        let condemned = |split: &crate::route_table::VersionSplit| {
+            let name = split.move_name.as_ref();
+            name.is_some_and(|name| index.is_condemned(name, &split.version))
+        };
+        let version = self
+            .table
+            .pick(service, self.route.class, condemned, point)?;
+        if let Some(target) = self.choose_endpoint(index.targets(service, version)) {
+            return Some(target);
+        }
+        let fallback = self.table.fallback(service, version)?;
+        self.choose_endpoint(index.targets(service, fallback))
+    }
+
+    fn choose_endpoint<'i>(&self, targets: &'i [EndpointTarget]) -> Option<&'i EndpointTarget> {
+        let candidates: Vec<Candidate<'_>> =
+            targets.iter().map(EndpointTarget::candidate).collect();
+        let now = self.context.now();
+        let chosen = lock(&self.context.chooser).choose(&candidates, &self.tried, now)?;
+        targets.get(chosen)
+    }
+
+    async fn send(&mut self, target: &EndpointTarget) -> CallReply {
+        self.tried.push(target.id.clone());
+        if target.id == self.context.id {
+            return run_guarded(self.context, self.call, self.deadline).await;
+        }
+        let running = RunningCall::start(self.context, target);
+        let reply = self.forward(target).await;
+        running.end(&reply);
+        reply
+    }
+
+    async fn forward(&self, target: &EndpointTarget) -> CallReply {
+        let crosses = target.region != self.context.settings.region;
+        let margin = if crosses {
+            LINK_RETURN_MARGIN
+        } else {
+            RETURN_MARGIN
+        };
+        let deadline = self.deadline.shrink(margin);
+        let Some(millis) = deadline.header_ms(self.context.now()) else {
+            return refuse(RefusalReason::DeadlinePassed);
+        };
+        let request = self.call.to_forward(Some(&target.id), millis);
+        let left = self.deadline.remaining(self.context.now());
+        let sending = self.context.peers.send(target.call_address, request);
+        let reply = match tokio::time::timeout(left, sending).await {
+            Ok(Ok(response)) => read_peer_reply(response),
+            Ok(Err(SendError::NotConnected)) => refuse(RefusalReason::UpstreamDown),
+            Ok(Err(SendError::Broken | SendError::TooLong)) => doubt(DoubtReason::AnswerBroken),
+            Err(_) => doubt(DoubtReason::Timeout),
+        };
+        let bytes = self.call.body.len() + reply.response.body().len();
+        self.context.meter.add(LinkCause::Calls, crosses, bytes);
+        reply
+    }
+
+    fn wants_retry(&self, outcome: CallOutcome) -> bool {
+        let now = self.context.now();
+        let case = RetryCase {
+            outcome,
+            class: self.route.class,
+            attempt: self.tried.len() as u32,
+            hops: self.call.hops(),
+            remaining: self.deadline.remaining(now),
+            is_suspect: lock(&self.context.poison).is_suspect(self.call.fingerprint, now),
+        };
+        self.budget(|budget| RetryRule.decide(&case, budget)) == RetryDecision::Retry
+    }
+
+    fn budget<T>(&self, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let percent = self.route.retry_percent;
+        let mut budgets = lock(&self.context.budgets);
+        if let Some(budget) = budgets.get_mut(&self.route.name) {
+            budget.set_percent(percent);
+            return work(budget);
+        }
+        let budget = budgets.entry(self.route.name.clone());
+        work(budget.or_insert_with(|| RetryBudget::new(percent, RETRY_BURST)))
+    }
+}
+
+/// Reads the outcome that another daemon told in its answer's head.
+fn read_peer_reply(response: Response<Bytes>) -> CallReply {
+    let headers = response.headers();
+    let outcome = header_text(headers, OUTCOME.as_str())
+        .and_then(|outcome| CallOutcome::parse(outcome, header_text(headers, REASON.as_str())));
+    match outcome {
+        Some(CallOutcome::Ran) => CallReply::ran(response),
+        Some(outcome) => CallReply { outcome, response },
+        None => doubt(DoubtReason::AnswerBroken),
+    }
+}
+
+fn header_text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A call on its way to another daemon; the chooser learns of its end also when it is dropped.
+struct RunningCall<'a> {
+    context: &'a DaemonContext,
+    id: &'a MemberId,
+    end: CallEnd,
+}
+
+impl<'a> RunningCall<'a> {
+    fn start(context: &'a DaemonContext, target: &'a EndpointTarget) -> RunningCall<'a> {
+        lock(&context.chooser).on_start(&target.id, context.now());
+        RunningCall {
+            context,
+            id: &target.id,
+            end: CallEnd::Neutral,
+        }
+    }
+
+    fn end(mut self, reply: &CallReply) {
+        self.end = match reply.outcome {
+            CallOutcome::Ran if reply.response.status().is_server_error() => CallEnd::Failure,
+            CallOutcome::Ran => CallEnd::Success,
+            CallOutcome::NotRun(RefusalReason::UpstreamDown) => CallEnd::ConnectError,
+            CallOutcome::NotRun(_) => CallEnd::Neutral,
+            CallOutcome::InDoubt(_) => CallEnd::Failure,
+        };
+        let load = header_text(reply.response.headers(), LOAD.as_str()).and_then(LoadReport::parse);
+        if let Some(load) = load {
+            lock(&self.context.chooser).on_answer(self.id, load, self.context.now());
+        }
+    }
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        lock(&self.context.chooser).on_end(self.id, self.end, self.context.now());
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/mover_task.rs
@@ -0,0 +1,307 @@
+//! Drives the moves this daemon is a candidate for.
+//!
+//! Writes to the store are made by a thread of their own, so that a slow store never delays the
+//! evidence and the condemning of a bad version.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+use log::debug;
+use log::info;
+use log::warn;
+
+use crate::accept::AcceptError;
+use crate::accept::accept_change;
+use crate::context::DaemonContext;
+use crate::context::lock;
+use crate::control_client::ExchangeRoute;
+use crate::control_server::ControlAnswer;
+use crate::control_server::ControlHandler;
+use crate::control_server::HandlerPlugin;
+use crate::evidence::EndpointEvidence;
+use crate::fact::CondemnedFact;
+use crate::ids::Generation;
+use crate::ids::MoveName;
+use crate::kernel::DaemonTask;
+use crate::kernel::StopSignal;
+use crate::kernel::TaskPlugin;
+use crate::lease::LeaseRow;
+use crate::link::LinkCause;
+use crate::logging::MOVES;
+use crate::mover::MoveStep;
+use crate::mover::MoverAction;
+use crate::mover::MoverInput;
+use crate::mover::WriteResult;
+use crate::mover::lease_key;
+use crate::platform::CommitOutcome;
+use crate::platform::PlatformError;
+use crate::platform::RowCondition;
+use crate::platform::RowWrite;
+use crate::platform::WriteBatch;
+use crate::rank::holds_job;
+use crate::record::MoveRecord;
+use crate::record_fault::RecordFault;
+use crate::snapshot::ConfigSnapshot;
+
+/// Path at which a daemon gives its evidence.
+const EVIDENCE_PATH: &str = "/evidence";
+
+/// Time between two ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Members of a region that act on a move.
+const CANDIDATE_COUNT: usize = 2;
+
+struct EvidenceHandler;
+
+inventory::submit! { HandlerPlugin { handler: &EvidenceHandler } }
+
+impl ControlHandler for EvidenceHandler {
+    fn path(&self) -> &'static str {
+        EVIDENCE_PATH
+    }
+
+    fn answer(&self, context: &Arc<DaemonContext>, _body: &[u8]) -> ControlAnswer {
+        let reports = vec![lock(&context.recorder).report()];
+        ControlAnswer::message(&reports)
+    }
+}
+
+struct MoverTask;
+
+inventory::submit! { TaskPlugin { task: &MoverTask } }
+
+impl DaemonTask for MoverTask {
+    fn name(&self) -> &'static str {
+        "moves"
+    }
+
+    fn run(&self, context: &Arc<DaemonContext>, stop: &StopSignal) {
+        let (sender, writes) = flume::unbounded();
+        thread::scope(|scope| {
+            scope.spawn(|| make_writes(context, &writes, stop));
+            while !stop.wait(TICK_INTERVAL) {
+                for action in tick(context) {
+                    run_action(context, action, &sender);
+                }
+            }
+        });
+    }
+}
+
+fn tick(context: &DaemonContext) -> Vec<MoverAction> {
+    let snapshot = lock(&context.config).snapshot();
+    let moves: Vec<MoveRecord> = snapshot
+        .moves
+        .values()
+        .filter(|record| !record.phase.is_ended())
+        .cloned()
+        .collect();
+    let gossip = lock(&context.gossip);
+    let condemned: Vec<CondemnedFact> = gossip.condemned().cloned().collect();
+    let view = gossip.view();
+    let region = &context.settings.region;
+    let is_candidate = |record: &MoveRecord| {
+        let job = lease_key(&record.name);
+        holds_job(&job, &context.id, CANDIDATE_COUNT, view.live_in(region))
+    };
+    let live_served = |generation: Generation| view.live().all(|entry| entry.served >= generation);
+    let input = MoverInput {
+        now: context.now(),
+        wall: context.clock.wall(),
+        moves: &moves,
+        is_candidate: &is_candidate,
+        live_served: &live_served,
+        generation: snapshot.generation,
+        condemned: &condemned,
+    };
+    lock(&context.mover).tick(&input)
+}
+
+fn run_action(context: &Arc<DaemonContext>, action: MoverAction, writes: &Sender<MoverAction>) {
+    match action {
+        MoverAction::PollEvidence { service } => poll_evidence(context, &service),
+        MoverAction::AssertCondemned(fact) => assert_condemned(context, fact),
+        write => {
+            let _ = writes.send(write);
+        }
+    }
+}
+
+fn assert_condemned(context: &DaemonContext, fact: CondemnedFact) {
+    warn!(target: MOVES, "{}: {} is bad: {}", fact.move_name, fact.version, fact.reason);
+    lock(&context.gossip).assert_condemned(fact);
+    context.refresh_index();
+    context.push_urgent();
+}
+
+/// An endpoint that is asked for its evidence.
+struct EvidenceSource {
+    address: SocketAddr,
+    crosses: bool,
+}
+
+/// Asks every endpoint of a service at once, so that one that is frozen delays no other.
+fn poll_evidence(context: &Arc<DaemonContext>, service: &str) {
+    let own = vec![lock(&context.recorder).report()];
+    take_evidence(context, service, own);
+    let sources = find_sources(context, service);
+    thread::scope(|scope| {
+        for source in sources {
+            scope.spawn(move || {
+                let route = ExchangeRoute {
+                    peer: source.address,
+                    cause: LinkCause::Evidence,
+                    crosses: source.crosses,
+                };
+                let reports: Result<Vec<EndpointEvidence>, _> =
+                    context.client.exchange(route, EVIDENCE_PATH, &());
+                match reports {
+                    Ok(reports) => take_evidence(context, service, reports),
+                    Err(error) => debug!(target: MOVES, "no evidence: {error}"),
+                }
+            });
+        }
+    });
+}
+
+fn find_sources(context: &DaemonContext, service: &str) -> Vec<EvidenceSource> {
+    let gossip = lock(&context.gossip);
+    let mut sources = Vec::new();
+    for entry in gossip.view().endpoints_of(service) {
+        let crosses = entry.region != context.settings.region;
+        if entry.id == context.id || !gossip.region_reachable(&entry.region, context.now()) {
+            continue;
+        }
+        if let Ok(address) = entry.id.parse() {
+            sources.push(EvidenceSource { address, crosses });
+        }
+    }
+    sources
+}
+
+fn take_evidence(context: &DaemonContext, service: &str, reports: Vec<EndpointEvidence>) {
+    let now = context.now();
+    let mut mover = lock(&context.mover);
+    for report in reports {
+        if *report.service == *service {
+            mover.on_evidence(&report, now);
+        }
+    }
+}
+
+fn make_writes(context: &DaemonContext, writes: &Receiver<MoverAction>, stop: &StopSignal) {
+    while !stop.is_set() {
+        match writes.recv_timeout(TICK_INTERVAL) {
+            Ok(action) => make_write(context, action),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+fn make_write(context: &DaemonContext, action: MoverAction) {
+    match action {
+        MoverAction::ReadLease { move_name } => read_lease(context, &move_name),
+        MoverAction::WriteLease {
+            move_name,
+            condition,
+            row,
+        } => {
+            let result = write_lease(context, &move_name, condition, &row);
+            lock(&context.mover).on_lease_written(&move_name, result, context.now());
+        }
+        MoverAction::StepMove {
+            step,
+            lease_condition,
+            lease_row,
+        } => {
+            let result = write_step(context, &step, lease_condition, &lease_row);
+            lock(&context.mover).on_step(&step.move_name, result, context.now());
+        }
+        MoverAction::PollEvidence { .. } | MoverAction::AssertCondemned(_) => {}
+    }
+}
+
+fn read_lease(context: &DaemonContext, move_name: &MoveName) {
+    let row = context.platform.read_row(&lease_key(move_name));
+    let mut mover = lock(&context.mover);
+    match row {
+        Ok(row) => mover.on_lease_row(move_name, row.as_ref(), context.now()),
+        Err(_) => mover.on_lease_unread(move_name),
+    }
+}
+
+fn write_lease(
+    context: &DaemonContext,
+    move_name: &MoveName,
+    condition: RowCondition,
+    row: &LeaseRow,
+) -> WriteResult {
+    let batch = WriteBatch {
+        write_id: context.make_write_id(),
+        writes: vec![lease_write(move_name, condition, row)],
+    };
+    match context.platform.commit(&batch) {
+        Ok(CommitOutcome::Committed) => WriteResult::Committed,
+        Ok(CommitOutcome::Conflict(_)) => WriteResult::Refused,
+        Err(error) if *error.current_context() == PlatformError::Unavailable => {
+            WriteResult::Unavailable
+        }
+        Err(_) => WriteResult::AnswerLost,
+    }
+}
+
+fn lease_write(move_name: &MoveName, condition: RowCondition, row: &LeaseRow) -> RowWrite {
+    let value = serde_json::to_string(row).unwrap_or_default();
+    RowWrite {
+        key: lease_key(move_name),
+        condition,
+        value: Some(value.into()),
+    }
+}
+
+fn write_step(
+    context: &DaemonContext,
+    step: &MoveStep,
+    condition: RowCondition,
+    row: &LeaseRow,
+) -> WriteResult {
+    let guard = lease_write(&step.move_name, condition, row);
+    let change = |base: &ConfigSnapshot| apply_step(base, step);
+    let write_ids = || context.make_write_id();
+    match accept_change(context.platform.as_ref(), &write_ids, &change, &[guard]) {
+        Ok(next) => {
+            info!(target: MOVES, "{} is {:?} in generation {}", step.move_name, step.phase, next.generation);
+            lock(&context.gossip).note_head(next.mark());
+            let _ = context.config_wake.try_send(());
+            WriteResult::Committed
+        }
+        Err(error) => {
+            info!(target: MOVES, "step of {} not accepted: {error}", step.move_name);
+            match error.current_context() {
+                AcceptError::Refused(_) | AcceptError::Conflict(_) => WriteResult::Refused,
+                AcceptError::Unavailable => WriteResult::Unavailable,
+                AcceptError::InDoubt(_) => WriteResult::AnswerLost,
+            }
+        }
+    }
+}
+
+fn apply_step(base: &ConfigSnapshot, step: &MoveStep) -> Result<ConfigSnapshot, Vec<RecordFault>> {
+    let newest = base.moves.get(&step.move_name);
+    let Some(record) = newest.and_then(|newest| step.apply(newest)) else {
+        let reason = "no longer allows this step";
+        return Err(vec![RecordFault::new(
+            step.move_name.clone(),
+            "phase",
+            reason,
+        )]);
+    };
+    base.with_move_step(&record.name, record.phase, record.share, &record.reason)
+}
--- a/coltsfootweir/src/outcome.rs
+++ b/coltsfootweir/src/outcome.rs
@@ -42,6 +42,8 @@
     KeyReused,
     /// The caller gave up before the hand-over.
     Cancelled,
+    /// The request could not be read whole.
+    Unreadable,
 }
 
 /// Why it is not known whether a request ran.
@@ -62,7 +64,7 @@
 }
 
 /// Every refusal reason, for parsing and for reports.
-pub const REFUSAL_REASONS: [RefusalReason; 13] = [
+pub const REFUSAL_REASONS: [RefusalReason; 14] = [
     RefusalReason::NoRoute,
     RefusalReason::NoEndpoint,
     RefusalReason::Overloaded,
@@ -76,6 +78,7 @@
     RefusalReason::BadKey,
     RefusalReason::KeyReused,
     RefusalReason::Cancelled,
+    RefusalReason::Unreadable,
 ];
 
 /// Every doubt reason, for parsing and for reports.
@@ -139,6 +142,7 @@
             RefusalReason::BadKey => "bad-key",
             RefusalReason::KeyReused => "key-reused",
             RefusalReason::Cancelled => "cancelled",
+            RefusalReason::Unreadable => "unreadable",
         }
     }
 
--- /dev/null
+++ b/coltsfootweir/src/upstream.rs
@@ -0,0 +1,279 @@
+//! The upstream beside the daemon: its announcements, its slots and the requests it runs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::announce::ANNOUNCE_TIMEOUT;
+use crate::announce::UpstreamAnnouncement;
+use crate::clock::DaemonClock;
+use crate::context::lock;
+use crate::deadline::CallDeadline;
+use crate::guard::AdmitDecision;
+use crate::guard::GuardEvent;
+use crate::guard::GuardState;
+use crate::http_pool::ConnectionPool;
+use crate::ids::Fingerprint;
+use crate::load_report::LoadReport;
+use crate::member::EndpointEntry;
+use crate::member::EndpointPhase;
+use crate::outcome::RefusalReason;
+
+type Admission = Result<(), RefusalReason>;
+
+/// What is known of the upstream now.
+struct UpstreamState {
+    announced: Option<UpstreamAnnouncement>,
+    heard: Duration,
+    is_down: bool,
+    guard: GuardState,
+    waiters: HashMap<u64, oneshot::Sender<Admission>>,
+    calls: HashMap<u64, Fingerprint>,
+    next_id: u64,
+    crash_count: u64,
+}
+
+/// The upstream beside the daemon.
+pub(crate) struct OwnUpstream {
+    state: Mutex<UpstreamState>,
+    queue_limit: usize,
+    clock: Arc<dyn DaemonClock>,
+    pub(crate) pool: ConnectionPool,
+}
+
+/// A crash seen by the calls that were running.
+pub(crate) struct SeenCrash {
+    pub(crate) number: u64,
+    pub(crate) running: Vec<Fingerprint>,
+}
+
+impl OwnUpstream {
+    pub(crate) fn new(queue_limit: usize, clock: Arc<dyn DaemonClock>) -> OwnUpstream {
+        let state = UpstreamState {
+            announced: None,
+            heard: Duration::ZERO,
+            is_down: true,
+            guard: GuardState::new(0, queue_limit),
+            waiters: HashMap::new(),
+            calls: HashMap::new(),
+            next_id: 0,
+            crash_count: 0,
+        };
+        let pool = ConnectionPool::default();
+        OwnUpstream {
+            state: Mutex::new(state),
+            queue_limit,
+            clock,
+            pool,
+        }
+    }
+
+    /// Takes an announcement; returns the entry to publish when it changed.
+    pub(crate) fn announce(
+        &self,
+        announcement: UpstreamAnnouncement,
+        now: Duration,
+    ) -> Option<EndpointEntry> {
+        let mut state = lock(&self.state);
+        state.heard = now;
+        let is_same = state.announced.as_ref() == Some(&announcement);
+        if is_same && !state.is_down {
+            return None;
+        }
+        let is_new = state.announced.as_ref().map(|old| old.address) != Some(announcement.address);
+        if is_new && state.calls.is_empty() {
+            state.guard = GuardState::new(announcement.slots, self.queue_limit);
+        }
+        state.is_down = false;
+        state.announced = Some(announcement);
+        state.publish(now)
+    }
+
+    /// Holds the upstream down when it was silent too long; returns the entry to publish.
+    pub(crate) fn check_silence(&self, now: Duration) -> Option<EndpointEntry> {
+        let mut state = lock(&self.state);
+        if state.is_down || now.saturating_sub(state.heard) < ANNOUNCE_TIMEOUT {
+            return None;
+        }
+        state.is_down = true;
+        state.publish(now)
+    }
+
+    /// Notes a crash; the first of the broken calls gets it, and the entry to publish.
+    pub(crate) fn note_crash(&self, now: Duration) -> Option<(SeenCrash, Option<EndpointEntry>)> {
+        let mut state = lock(&self.state);
+        if state.is_down {
+            return None;
+        }
+        state.is_down = true;
+        state.crash_count += 1;
+        let number = state.crash_count;
+        let running = state.running_fingerprints();
+        let entry = state.publish(now);
+        Some((SeenCrash { number, running }, entry))
+    }
+
+    /// Takes no new work from now on; returns the entry to publish.
+    pub(crate) fn drain(&self, now: Duration) -> Option<EndpointEntry> {
+        let mut state = lock(&self.state);
+        let announcement = state.announced.as_mut()?;
+        announcement.leaving = true;
+        state.publish(now)
+    }
+
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        let state = lock(&self.state);
+        if state.is_down {
+            return None;
+        }
+        Some(state.announced.as_ref()?.address)
+    }
+
+    /// Service and version of the upstream, also while it is down.
+    pub(crate) fn identity(&self) -> Option<UpstreamAnnouncement> {
+        lock(&self.state).announced.clone()
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        lock(&self.state).guard.load()
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        lock(&self.state).guard.is_idle()
+    }
+
+    /// Waits for a slot; dropping the permit gives it back.
+    pub(crate) async fn admit(
+        &self,
+        fingerprint: Fingerprint,
+        deadline: CallDeadline,
+    ) -> Result<SlotPermit<'_>, RefusalReason> {
+        let now = self.clock.now();
+        let (id, waiter) = self.arrive(fingerprint, deadline, now)?;
+        let permit = SlotPermit {
+            upstream: self,
+            id,
+            is_done: false,
+        };
+        let Some(waiter) = waiter else {
+            return Ok(permit);
+        };
+        match tokio::time::timeout(deadline.remaining(now), waiter).await {
+            Ok(Ok(Ok(()))) => Ok(permit),
+            Ok(Ok(Err(reason))) => Err(reason),
+            Ok(Err(_)) => Err(RefusalReason::Cancelled),
+            Err(_) => Err(RefusalReason::DeadlinePassed),
+        }
+    }
+
+    fn arrive(
+        &self,
+        fingerprint: Fingerprint,
+        deadline: CallDeadline,
+        now: Duration,
+    ) -> Result<(u64, Option<oneshot::Receiver<Admission>>), RefusalReason> {
+        let mut state = lock(&self.state);
+        let id = state.next_id;
+        state.next_id += 1;
+        match state.guard.arrive(id, deadline.as_time(), now) {
+            AdmitDecision::Run => {
+                state.calls.insert(id, fingerprint);
+                Ok((id, None))
+            }
+            AdmitDecision::Wait => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiters.insert(id, sender);
+                state.calls.insert(id, fingerprint);
+                Ok((id, Some(receiver)))
+            }
+            AdmitDecision::Refuse(reason) => Err(reason),
+        }
+    }
+}
+
+impl UpstreamState {
+    fn running_fingerprints(&self) -> Vec<Fingerprint> {
+        let is_running = |id: &u64| !self.waiters.contains_key(id);
+        let running = self.calls.iter().filter(|(id, _)| is_running(id));
+        running.map(|(_, fingerprint)| *fingerprint).collect()
+    }
+
+    fn phase(&self) -> EndpointPhase {
+        match &self.announced {
+            _ if self.is_down => EndpointPhase::Down,
+            Some(announcement) if announcement.leaving => EndpointPhase::Leaving,
+            Some(_) => EndpointPhase::Ready,
+            None => EndpointPhase::Down,
+        }
+    }
+
+    /// Brings the guard in line and makes the entry to publish.
+    fn publish(&mut self, now: Duration) -> Option<EndpointEntry> {
+        let phase = self.phase();
+        let slots = self.announced.as_ref()?.slots;
+        let refused = self.guard.set_phase(phase);
+        self.deliver(refused, now);
+        let started = self.guard.set_slots(slots, now);
+        self.deliver(started, now);
+        let announcement = self.announced.as_ref()?;
+        Some(EndpointEntry {
+            service: announcement.service.clone(),
+            version: announcement.version.clone(),
+            slots,
+            phase,
+        })
+    }
+
+    /// Tells waiting calls what was decided; a call that is gone gives its slot to the next.
+    fn deliver(&mut self, events: Vec<GuardEvent>, now: Duration) {
+        let mut pending = events;
+        while let Some(event) = pending.pop() {
+            let (id, admission) = match event {
+                GuardEvent::Start(id) => (id, Ok(())),
+                GuardEvent::Expire(id) => (id, Err(RefusalReason::DeadlinePassed)),
+                GuardEvent::Refuse(id, reason) => (id, Err(reason)),
+            };
+            let told = self
+                .waiters
+                .remove(&id)
+                .map(|waiter| waiter.send(admission));
+            if admission.is_ok() && !matches!(told, Some(Ok(()))) {
+                self.calls.remove(&id);
+                pending.extend(self.guard.cancel(id, now));
+            }
+        }
+    }
+}
+
+/// A slot of the upstream, held for one request.
+pub(crate) struct SlotPermit<'a> {
+    upstream: &'a OwnUpstream,
+    id: u64,
+    is_done: bool,
+}
+
+impl SlotPermit<'_> {
+    /// Notes that the request ran to an end.
+    pub(crate) fn finish(&mut self) {
+        self.is_done = true;
+    }
+}
+
+impl Drop for SlotPermit<'_> {
+    fn drop(&mut self) {
+        let now = self.upstream.clock.now();
+        let mut state = lock(&self.upstream.state);
+        state.calls.remove(&self.id);
+        state.waiters.remove(&self.id);
+        let events = if self.is_done {
+            state.guard.finish(self.id, now)
+        } else {
+            state.guard.cancel(self.id, now)
+        };
+        state.deliver(events, now);
+    }
+}
--- /dev/null
+++ b/programs/tests/common/mod.rs
@@ -0,0 +1,235 @@
+//! Starts real processes for tests and talks to them; each is killed when its handle is dropped.
+
+#![allow(dead_code)]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use coltsfootweir::reports::DaemonStatus;
+
+/// Longest time any condition of a test may take.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A child process, killed on drop.
+pub struct TestProcess {
+    pub child: Child,
+    pub first_line: String,
+}
+
+impl TestProcess {
+    pub fn start(program: &str, arguments: &[String]) -> TestProcess {
+        let mut child = Command::new(program_path(program))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("program starts");
+        let mut first_line = String::new();
+        let out = child.stdout.take().expect("standard output is piped");
+        BufReader::new(out)
+            .read_line(&mut first_line)
+            .expect("first line");
+        TestProcess { child, first_line }
+    }
+
+    /// Addresses on the first line, in order.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.first_line
+            .split_whitespace()
+            .filter_map(|word| word.parse().ok())
+            .collect()
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "signal {name} not sent");
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Path of a program of the workspace, built beside the daemon.
+pub fn program_path(program: &str) -> PathBuf {
+    let daemon = PathBuf::from(env!("CARGO_BIN_EXE_coltsfootweird"));
+    daemon.with_file_name(program)
+}
+
+/// A daemon process.
+pub struct DaemonProcess {
+    pub process: TestProcess,
+    pub control: SocketAddr,
+    pub calls: SocketAddr,
+}
+
+/// An upstream process.
+pub struct UpstreamProcess {
+    pub process: TestProcess,
+    pub address: SocketAddr,
+}
+
+/// A platform process.
+pub struct PlatformProcess {
+    pub process: TestProcess,
+    pub address: SocketAddr,
+}
+
+pub fn start_platform() -> PlatformProcess {
+    let process = TestProcess::start("standin-platform", &[]);
+    let address = process.addresses()[0];
+    PlatformProcess { process, address }
+}
+
+/// Where a daemon stands and whom it joins.
+#[derive(Clone, Debug)]
+pub struct DaemonSpec {
+    pub control: String,
+    pub region: String,
+    pub zone: String,
+    pub platform: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl DaemonSpec {
+    pub fn new(platform: SocketAddr, region: &str, zone: &str) -> DaemonSpec {
+        DaemonSpec {
+            control: "127.0.0.1:0".into(),
+            region: region.into(),
+            zone: zone.into(),
+            platform,
+            seeds: Vec::new(),
+        }
+    }
+}
+
+pub fn start_daemon(spec: &DaemonSpec) -> DaemonProcess {
+    let seeds: Vec<String> = spec.seeds.iter().map(SocketAddr::to_string).collect();
+    let arguments = [
+        format!("--control={}", spec.control),
+        format!("--region={}", spec.region),
+        format!("--zone={}", spec.zone),
+        format!("--platform={}", spec.platform),
+        "--store-region=north".into(),
+        format!("--seeds={}", seeds.join(",")),
+    ];
+    let process = TestProcess::start("coltsfootweird", &arguments);
+    let addresses = process.addresses();
+    DaemonProcess {
+        process,
+        control: addresses[0],
+        calls: addresses[1],
+    }
+}
+
+pub fn start_upstream(daemon: SocketAddr, service: &str, version: &str) -> UpstreamProcess {
+    let arguments = [
+        format!("--daemon={daemon}"),
+        format!("--service={service}"),
+        format!("--version={version}"),
+    ];
+    let process = TestProcess::start("standin-upstream", &arguments);
+    let address = process.addresses()[0];
+    UpstreamProcess { process, address }
+}
+
+/// Runs the operator's program to its end.
+pub fn run_operator(arguments: &[&str], input: &str) -> Output {
+    use std::io::Write;
+    let mut child = Command::new(program_path("coltsfootweir"))
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("operator's program starts");
+    let mut pipe = child.stdin.take().expect("standard input is piped");
+    pipe.write_all(input.as_bytes()).expect("input is written");
+    drop(pipe);
+    child.wait_with_output().expect("operator's program ends")
+}
+
+/// Accepts records, which must succeed.
+pub fn apply(platform: SocketAddr, records: &str) {
+    let output = run_operator(
+        &["apply", "--platform", &platform.to_string(), "-"],
+        records,
+    );
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+}
+
+pub fn read_status(control: SocketAddr) -> Option<DaemonStatus> {
+    let response = minreq::get(format!("http://{control}/status"))
+        .with_timeout(2)
+        .send()
+        .ok()?;
+    serde_json::from_slice(response.as_bytes()).ok()
+}
+
+/// Looks at a condition until it holds; fails the test after `limit`.
+pub fn wait_for(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) -> Duration {
+    let start = Instant::now();
+    let (_pace, ticks) = std::sync::mpsc::channel::<()>();
+    while !condition() {
+        assert!(start.elapsed() < limit, "{what}: not within {limit:?}");
+        let _ = ticks.recv_timeout(POLL);
+    }
+    start.elapsed()
+}
+
+/// Answer to a call, as the caller sees it.
+#[derive(Debug)]
+pub struct CallAnswer {
+    pub status: u16,
+    pub outcome: String,
+    pub request_id: String,
+    pub body: String,
+}
+
+/// Sends a call; `None` when no answer came.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Option<CallAnswer> {
+    let method = minreq::Method::Custom(method.into());
+    let mut request = minreq::Request::new(method, format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.with_header(*name, *value);
+    }
+    let response = request.with_timeout(10).send().ok()?;
+    let header = |name: &str| response.header(name).unwrap_or("").to_string();
+    Some(CallAnswer {
+        status: response.status_code,
+        outcome: header("x-coltsfootweir-outcome"),
+        request_id: header("x-request-id"),
+        body: response.as_str().unwrap_or("").to_string(),
+    })
+}
