--- a/coltsfootweir/src/record_fields.rs
+++ b/coltsfootweir/src/record_fields.rs
@@ -21,6 +21,9 @@
 /// Longest relative time of a move, in seconds.
 pub const MAX_DONE_IN_SECONDS: u64 = 366 * 24 * 3600;
 
+/// Length of the offset at the end of an RFC 3339 time, such as `+02:00`.
+const OFFSET_BYTES: usize = 6;
+
 /// Fields that every record has.
 const COMMON_FIELDS: [&str; 2] = ["kind", "schema"];
 
@@ -145,22 +148,17 @@
         Duration::from_secs(self.number(field, 1, most))
     }
 
-    /// Reads a time, RFC 3339 text.
+    /// Reads a time, RFC 3339 text in UTC or with an offset.
     pub fn time(&mut self, field: &'static str) -> SystemTime {
         let text = self.text(field, MAX_NAME_BYTES);
         if text.is_empty() {
             return SystemTime::UNIX_EPOCH;
         }
-        match humantime::parse_rfc3339(&text) {
-            Ok(time) => time,
-            Err(error) => {
-                self.refuse(
-                    field,
-                    format!("not an RFC 3339 time such as 2031-05-01T05:30:00Z: {error}"),
-                );
-                SystemTime::UNIX_EPOCH
-            }
-        }
+        parse_time(&text).unwrap_or_else(|| {
+            let reason = format!("{text:?} is not an RFC 3339 time such as 2031-05-01T05:30:00Z");
+            self.refuse(field, reason);
+            SystemTime::UNIX_EPOCH
+        })
     }
 
     /// Reads a nested object with a reader of its own.
@@ -274,3 +272,33 @@
         }
     }
 }
+
+/// Parses RFC 3339 text from 1970 on; the library reads UTC only, so the offset is read here.
+fn parse_time(text: &str) -> Option<SystemTime> {
+    let Some((local, offset)) = text.split_at_checked(text.len().saturating_sub(OFFSET_BYTES))
+    else {
+        return humantime::parse_rfc3339(text).ok();
+    };
+    let (sign, clock) = offset.split_at_checked(1)?;
+    if !matches!(sign, "+" | "-") {
+        return humantime::parse_rfc3339(text).ok();
+    }
+    let (hours, minutes) = clock.split_once(':')?;
+    let hours = parse_two_digits(hours, 23)?;
+    let minutes = parse_two_digits(minutes, 59)?;
+    let offset = Duration::from_secs(hours * 3600 + minutes * 60);
+    let time = humantime::parse_rfc3339(&format!("{local}Z")).ok()?;
+    let time = if sign == "+" {
+        time.checked_sub(offset)?
+    } else {
+        time.checked_add(offset)?
+    };
+    (time >= SystemTime::UNIX_EPOCH).then_some(time)
+}
+
+fn parse_two_digits(text: &str, most: u64) -> Option<u64> {
+    if text.len() != 2 || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    text.parse().ok().filter(|number| *number <= most)
+}
