--- a/standins/src/run_log.rs
+++ b/standins/src/run_log.rs
@@ -50,7 +50,7 @@
     /// The request.
     #[serde(flatten)]
     pub request: RunRequest,
-    /// Start of the run, since the upstream was made; whole milliseconds in JSON.
+    /// Start of the run, since the upstream was made; whole milliseconds.
     #[serde(with = "millis", rename = "started_ms")]
     pub started: Duration,
     /// Whether the upstream had said that it was leaving when the run started.
@@ -79,10 +79,11 @@
             self.dropped += 1;
         }
         let run = self.total() + 1;
+        let started_ms = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         self.entries.push_back(RunEntry {
             run,
             request,
-            started,
+            started: Duration::from_millis(started_ms),
             after_leave,
             outcome: RunOutcome::Running,
         });
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -6,7 +6,6 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -15,6 +14,7 @@
 use error_stack::ResultExt;
 
 use crate::announcer::spawn_announcer;
+use crate::port_holder::PortHolder;
 use crate::run_log::RunEntry;
 use crate::upstream_faults::UpstreamFaults;
 use crate::upstream_life::run_life;
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub struct UpstreamServer {
     state: Arc<UpstreamState>,
-    address: SocketAddr,
+    holder: Arc<PortHolder>,
     life_task: Option<JoinHandle<()>>,
 }
 
@@ -51,23 +51,20 @@
     /// # Errors
     /// [`UpstreamError::Listen`] when the address cannot be listened on.
     pub fn start(settings: UpstreamSettings) -> Result<UpstreamServer, Report<UpstreamError>> {
-        let listener = listen(settings.listen)?;
-        let address = listener
-            .local_addr()
-            .change_context(UpstreamError::Listen)?;
+        let holder = PortHolder::bind(settings.listen).change_context(UpstreamError::Listen)?;
         let mut server = UpstreamServer {
             state: Arc::new(UpstreamState::new(settings)),
-            address,
+            holder: Arc::new(holder),
             life_task: None,
         };
-        server.begin_life(listener);
+        server.begin_life()?;
         Ok(server)
     }
 
     /// Address on which it takes requests.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.holder.address()
     }
 
     /// Every run so far, in start order, over all restarts.
@@ -104,9 +101,7 @@
     /// [`UpstreamError::Listen`] when the address cannot be listened on.
     pub fn restart(&mut self) -> Result<(), Report<UpstreamError>> {
         self.crash();
-        let listener = listen(self.address)?;
-        self.begin_life(listener);
-        Ok(())
+        self.begin_life()
     }
 
     /// Waits until it has crashed.
@@ -116,20 +111,22 @@
         }
     }
 
-    fn begin_life(&mut self, listener: TcpListener) {
+    fn begin_life(&mut self) -> Result<(), Report<UpstreamError>> {
         let (life_sender, life) = flume::bounded(1);
         let (nudge_sender, nudges) = flume::bounded(1);
+        let (ready_sender, ready) = flume::bounded(1);
         self.state.begin_life(life_sender, nudge_sender);
+        let state = Arc::clone(&self.state);
+        let holder = Arc::clone(&self.holder);
+        self.life_task = Some(thread::spawn(move || {
+            run_life(state, &holder, life, ready_sender);
+        }));
+        let listening = ready.recv().change_context(UpstreamError::Listen)?;
+        listening.change_context(UpstreamError::Listen)?;
         if let Some(daemon) = self.state.settings.daemon {
-            spawn_announcer(Arc::clone(&self.state), self.address, daemon, nudges);
+            spawn_announcer(Arc::clone(&self.state), self.address(), daemon, nudges);
         }
-        let state = Arc::clone(&self.state);
-        let life_task = thread::spawn(move || {
-            if let Err(error) = run_life(state, listener, life) {
-                log::error!("standin: upstream cannot serve: {error}");
-            }
-        });
-        self.life_task = Some(life_task);
+        Ok(())
     }
 }
 
@@ -138,7 +135,3 @@
         self.crash();
     }
 }
-
-fn listen(address: SocketAddr) -> Result<TcpListener, Report<UpstreamError>> {
-    TcpListener::bind(address).change_context(UpstreamError::Listen)
-}
--- a/standins/src/upstream_life.rs
+++ b/standins/src/upstream_life.rs
@@ -3,23 +3,25 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::TcpListener;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use flume::Sender;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime;
 use tokio::select;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::port_holder::PortHolder;
 use crate::upstream_call::UpstreamResponse;
 use crate::upstream_state::UpstreamState;
 use crate::upstream_switch::answer_request;
@@ -35,31 +37,33 @@
 
 type ResponseFuture = Pin<Box<dyn Future<Output = Result<UpstreamResponse, Infallible>> + Send>>;
 
-/// Serves until `life` is closed, then resets every connection.
-///
-/// # Errors
-/// Those of the runtime and of the listener.
+/// Listens, says so on `ready`, serves until `life` is closed, then resets every connection.
 pub fn run_life(
     state: Arc<UpstreamState>,
-    listener: TcpListener,
+    holder: &PortHolder,
     life: LifeReceiver,
-) -> io::Result<()> {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    listener.set_nonblocking(true)?;
+    ready: Sender<io::Result<()>>,
+) {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return drop(ready.send(Err(error))),
+    };
     runtime.block_on(async move {
-        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let listener = match holder.listen() {
+            Ok(listener) => listener,
+            Err(error) => return drop(ready.send(Err(error))),
+        };
+        let _ = ready.send(Ok(()));
         let mut connections = JoinSet::new();
         accept_connections(&state, listener, &life, &mut connections).await;
         while connections.join_next().await.is_some() {}
-        Ok(())
-    })
+    });
 }
 
 async fn accept_connections(
     state: &Arc<UpstreamState>,
-    listener: tokio::net::TcpListener,
+    listener: TcpListener,
     life: &LifeReceiver,
     connections: &mut JoinSet<()>,
 ) {
