--- a/coltsfootweir/src/upstream.rs
+++ b/coltsfootweir/src/upstream.rs
@@ -215,7 +215,7 @@
     fn publish(&mut self, now: Duration) -> Option<EndpointEntry> {
         let phase = self.phase();
         let slots = self.announced.as_ref()?.slots;
-        let refused = self.guard.set_phase(phase);
+        let refused = self.guard.set_phase(phase, now);
         self.deliver(refused, now);
         let started = self.guard.set_slots(slots, now);
         self.deliver(started, now);
