--- a/coltsfootweir/src/call.rs
+++ b/coltsfootweir/src/call.rs
@@ -27,6 +27,12 @@
 /// Longest request body, in bytes.
 pub const BODY_LIMIT: usize = 1024 * 1024;
 
+/// Path at which a caller gets a booking key; `path` in the query names the booking's path.
+pub const MINT_PATH: &str = "/-/booking-key";
+
+/// Query parameter that names the path of the booking.
+const MINT_QUERY: &str = "path=";
+
 /// Identity of a request.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -127,10 +133,24 @@
         })
     }
 
-    /// Path without the query.
+    /// Returns whether the caller asks for a booking key.
+    #[must_use]
+    pub fn is_mint(&self) -> bool {
+        self.path.split('?').next() == Some(MINT_PATH)
+    }
+
+    /// Path by which the route is found: that of the request without its query, or that of the
+    /// booking for which a key is asked.
     #[must_use]
     pub fn route_path(&self) -> &str {
-        self.path.split('?').next().unwrap_or(&self.path)
+        let (path, query) = self.path.split_once('?').unwrap_or((&self.path, ""));
+        if path != MINT_PATH {
+            return path;
+        }
+        let mut parameters = query.split('&');
+        parameters
+            .find_map(|parameter| parameter.strip_prefix(MINT_QUERY))
+            .unwrap_or("")
     }
 
     /// Text of a header, when there is one.
--- a/coltsfootweir/src/call_server.rs
+++ b/coltsfootweir/src/call_server.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use http_body_util::Full;
-use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -34,7 +33,6 @@
 use crate::call::ReadError;
 use crate::call::TARGET;
 use crate::context::DaemonContext;
-use crate::context::lock;
 use crate::deadline::CallDeadline;
 use crate::deadline::MAX_TIMEOUT;
 use crate::guard_call::run_guarded;
@@ -47,9 +45,6 @@
 use crate::outcome::CallOutcome;
 use crate::outcome::RefusalReason;
 
-/// Path at which a caller gets a booking key of this daemon.
-pub const MINT_PATH: &str = "/-/booking-key";
-
 /// Time to wait after the listener failed, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -159,9 +154,6 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let _running = RunningCount::start(&context.calls_running);
-    if request.uri().path() == MINT_PATH {
-        return Ok(mint_key(&context, request.method()));
-    }
     let mut response = match CallRequest::read(request, context.settings.read_timeout).await {
         Ok(call) => run_call(&context, &call).await,
         Err(error) => refuse_unread(error),
@@ -206,18 +198,3 @@
         .insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
-
-/// Gives a caller a key that only the own upstream may run.
-fn mint_key(context: &DaemonContext, method: &Method) -> Response<Full<Bytes>> {
-    if method != Method::POST {
-        let mut response = Response::new(Full::from("POST gives a booking key\n"));
-        *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
-        return response;
-    }
-    if context.upstream.address().is_none() || context.is_leaving() {
-        let refusal = CallOutcome::NotRun(RefusalReason::NoEndpoint);
-        return CallReply::told(refusal).into_response(None);
-    }
-    let key = lock(&context.ledger).mint();
-    Response::new(Full::from(format!("{key}\n")))
-}
--- a/coltsfootweir/src/claim.rs
+++ b/coltsfootweir/src/claim.rs
@@ -27,7 +27,7 @@
 const BATCH_LIMIT: usize = 64;
 
 /// Time between two looks at the stop signal.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What became of a claim.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -35,6 +35,7 @@
 use crate::ids::RouteName;
 use crate::ids::WriteId;
 use crate::link::LinkMeter;
+use crate::metrics_task::CallTally;
 use crate::mover::MoverState;
 use crate::platform::PlatformStore;
 use crate::poison::PoisonTable;
@@ -72,6 +73,7 @@
     pub leaving: AtomicBool,
     /// Calls of callers now in progress.
     pub calls_running: AtomicU64,
+    pub(crate) tally: CallTally,
     pub(crate) write_count: AtomicU64,
     pub(crate) handoff: Mutex<TaskHandoff>,
     pub(crate) config_wake: Sender<()>,
--- a/coltsfootweir/src/control_server.rs
+++ b/coltsfootweir/src/control_server.rs
@@ -26,8 +26,11 @@
 /// Threads that answer.
 const WORKER_COUNT: usize = 3;
 
-/// Time between two looks at the stop signal.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for a request; the end of the task interrupts it.
+const WAIT_TIME: Duration = Duration::from_secs(10);
+
+/// Time to wait after the port failed, such as for want of file descriptors.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answer of a handler.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -92,18 +95,22 @@
             for _ in 0..WORKER_COUNT {
                 scope.spawn(|| serve(&server, context, stop));
             }
+            while !stop.wait(WAIT_TIME) {}
+            for _ in 0..WORKER_COUNT {
+                server.unblock();
+            }
         });
     }
 }
 
 fn serve(server: &Server, context: &Arc<DaemonContext>, stop: &StopSignal) {
     while !stop.is_set() {
-        match server.recv_timeout(POLL_INTERVAL) {
+        match server.recv_timeout(WAIT_TIME) {
             Ok(Some(request)) => answer_request(context, request),
             Ok(None) => {}
             Err(error) => {
                 warn!(target: DAEMON, "control port failed: {error}");
-                if stop.wait(POLL_INTERVAL) {
+                if stop.wait(FAILURE_PAUSE) {
                     return;
                 }
             }
--- a/coltsfootweir/src/daemon.rs
+++ b/coltsfootweir/src/daemon.rs
@@ -49,8 +49,10 @@
 use crate::member::MemberEntry;
 use crate::member::MemberState;
 use crate::metrics::open_metrics;
+use crate::metrics_task::CallTally;
 use crate::mover::MoverLimits;
 use crate::mover::MoverState;
+use crate::pace::PaceLimits;
 use crate::platform::PlatformStore;
 use crate::poison::POISON_TIMEOUT;
 use crate::poison::PoisonTable;
@@ -239,7 +241,7 @@
         upstream: OwnUpstream::new(settings.queue_limit, Arc::clone(&clock)),
         ledger: Mutex::new(BookingLedger::new(id.clone(), incarnation)),
         recorder: Mutex::new(EvidenceRecorder::new(id.clone(), incarnation)),
-        mover: Mutex::new(MoverState::new(id.clone(), MoverLimits::default())),
+        mover: Mutex::new(MoverState::new(id.clone(), make_mover_limits(&settings))),
         id,
         incarnation,
         call_address,
@@ -249,6 +251,7 @@
         claims,
         leaving: AtomicBool::new(false),
         calls_running: AtomicU64::new(0),
+        tally: CallTally::default(),
         write_count: AtomicU64::new(0),
         handoff: Mutex::new(handoff),
         config_wake,
@@ -294,6 +297,15 @@
     gossip
 }
 
+fn make_mover_limits(settings: &DaemonSettings) -> MoverLimits {
+    let pace = PaceLimits {
+        min_dwell: settings.move_dwell,
+        settle: settings.move_settle,
+        ..PaceLimits::default()
+    };
+    MoverLimits { pace }
+}
+
 fn open_platform(settings: &DaemonSettings, meter: &Arc<LinkMeter>) -> Arc<dyn PlatformStore> {
     let crosses = settings.region != settings.store_region;
     let counter = StoreCounter {
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -63,7 +63,7 @@
     stop: &StopSignal,
 ) {
     while !stop.is_set() {
-        match exchanges.recv_timeout(GOSSIP_INTERVAL / 5) {
+        match exchanges.recv_timeout(GOSSIP_INTERVAL / 2) {
             Ok(action) => make_exchange(context, action),
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -14,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
+use crate::announce::UpstreamAnnouncement;
 use crate::answer_cache::StoredAnswer;
 use crate::booking_decision::BookingDecision;
 use crate::booking_decision::ClaimRow;
@@ -37,6 +39,8 @@
 use crate::outcome::RefusalReason;
 use crate::record::RouteClass;
 use crate::record::RouteRecord;
+use crate::record::TrafficShare;
+use crate::route_table::RouteTable;
 
 /// Time a connection attempt to an upstream that broke a connection may take.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -57,9 +61,18 @@
     let Some(route) = table.find(call.route_path()) else {
         return refuse(RefusalReason::NoRoute);
     };
-    let known = context.upstream.identity();
-    if known.is_none_or(|announcement| announcement.service != route.service) {
+    let Some(known) = context
+        .upstream
+        .identity()
+        .filter(|own| own.service == route.service)
+    else {
         return refuse(RefusalReason::UnknownTarget);
+    };
+    if is_version_off(context, &table, &known) {
+        return refuse(RefusalReason::VersionOff);
+    }
+    if call.is_mint() {
+        return mint_key(context, call, route);
     }
     match route.class {
         RouteClass::Check => hand_over(context, call, route, deadline, None).await,
@@ -67,6 +80,33 @@
     }
 }
 
+/// Returns whether the own version gets no traffic: it was found bad, or has no share and no move.
+fn is_version_off(context: &DaemonContext, table: &RouteTable, own: &UpstreamAnnouncement) -> bool {
+    let mut splits = table.splits(&own.service).iter();
+    let Some(split) = splits.find(|split| split.version == own.version) else {
+        return true;
+    };
+    match &split.move_name {
+        Some(name) => context.index.load().is_condemned(name, &split.version),
+        None => split.share == TrafficShare::NONE,
+    }
+}
+
+/// Gives a caller a key with which only the own upstream may run a booking.
+fn mint_key(context: &DaemonContext, call: &CallRequest, route: &RouteRecord) -> CallReply {
+    if call.method != Method::POST || route.class != RouteClass::Booking {
+        return refuse(RefusalReason::BadKey);
+    }
+    if context.is_leaving() {
+        return refuse(RefusalReason::Leaving);
+    }
+    if context.upstream.address().is_none() {
+        return refuse(RefusalReason::UpstreamDown);
+    }
+    let key = lock(&context.ledger).mint();
+    CallReply::ran(Response::new(Bytes::from(format!("{key}\n"))))
+}
+
 fn refuse(reason: RefusalReason) -> CallReply {
     CallReply::told(CallOutcome::NotRun(reason))
 }
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -55,6 +55,12 @@
 
 /// Answers a caller's call.
 pub(crate) async fn run_ingress(context: &Arc<DaemonContext>, call: &CallRequest) -> CallReply {
+    let reply = find_answer(context, call).await;
+    context.tally.add(reply.outcome);
+    reply
+}
+
+async fn find_answer(context: &Arc<DaemonContext>, call: &CallRequest) -> CallReply {
     if !lock(&context.config).is_serving() {
         return refuse(RefusalReason::NotServing);
     }
@@ -97,7 +103,7 @@
 impl CallAttempts<'_> {
     async fn run(&mut self) -> CallReply {
         self.budget(|budget| budget.on_call());
-        if self.route.class == RouteClass::Check {
+        if self.route.class == RouteClass::Check || self.call.is_mint() {
             return self.try_endpoints().await;
         }
         match self.call.header(&BOOKING_KEY).map(BookingKey::parse) {
--- a/coltsfootweir/src/outcome.rs
+++ b/coltsfootweir/src/outcome.rs
@@ -44,6 +44,8 @@
     Cancelled,
     /// The request could not be read whole.
     Unreadable,
+    /// The version at the endpoint gets no traffic.
+    VersionOff,
 }
 
 /// Why it is not known whether a request ran.
@@ -64,7 +66,7 @@
 }
 
 /// Every refusal reason, for parsing and for reports.
-pub const REFUSAL_REASONS: [RefusalReason; 14] = [
+pub const REFUSAL_REASONS: [RefusalReason; 15] = [
     RefusalReason::NoRoute,
     RefusalReason::NoEndpoint,
     RefusalReason::Overloaded,
@@ -79,6 +81,7 @@
     RefusalReason::KeyReused,
     RefusalReason::Cancelled,
     RefusalReason::Unreadable,
+    RefusalReason::VersionOff,
 ];
 
 /// Every doubt reason, for parsing and for reports.
@@ -143,6 +146,7 @@
             RefusalReason::KeyReused => "key-reused",
             RefusalReason::Cancelled => "cancelled",
             RefusalReason::Unreadable => "unreadable",
+            RefusalReason::VersionOff => "version-off",
         }
     }
 
@@ -164,6 +168,7 @@
                 | RefusalReason::NotServing
                 | RefusalReason::UnknownTarget
                 | RefusalReason::UpstreamDown
+                | RefusalReason::VersionOff
         )
     }
 }
--- a/coltsfootweir/src/settings.rs
+++ b/coltsfootweir/src/settings.rs
@@ -53,6 +53,12 @@
     /// Longest time between the bytes of a request's head or body, such as 5s
     #[arg(long, env = "COLTSFOOTWEIR_READ_TIMEOUT", default_value = "5s")]
     pub read_timeout: String,
+    /// Shortest time at a step of a move, such as 6s
+    #[arg(long, env = "COLTSFOOTWEIR_MOVE_DWELL", default_value = "6s")]
+    pub move_dwell: String,
+    /// Time after the last step of a move in which late faults are watched for, such as 30s
+    #[arg(long, env = "COLTSFOOTWEIR_MOVE_SETTLE", default_value = "30s")]
+    pub move_settle: String,
 }
 
 /// A setting that cannot be used.
@@ -122,6 +128,10 @@
     pub queue_limit: usize,
     /// Longest time between the bytes of a request.
     pub read_timeout: Duration,
+    /// Shortest time at a step of a move.
+    pub move_dwell: Duration,
+    /// Time after the last step of a move in which late faults are watched for.
+    pub move_settle: Duration,
 }
 
 impl DaemonArgs {
@@ -144,6 +154,8 @@
             drain_limit: checker.duration("drain-limit", &self.drain_limit),
             queue_limit: checker.parse("queue-limit", &self.queue_limit, "a whole number", 0),
             read_timeout: checker.duration("read-timeout", &self.read_timeout),
+            move_dwell: checker.duration("move-dwell", &self.move_dwell),
+            move_settle: checker.duration("move-settle", &self.move_settle),
         };
         if !checker.faults.is_empty() {
             return Err(SettingsError {
--- a/programs/src/apply.rs
+++ b/programs/src/apply.rs
@@ -83,12 +83,18 @@
     platform: SocketAddr,
     records: &[ConfigRecord],
 ) -> Result<ConfigSnapshot, CommandFailure> {
-    let store = HttpPlatform::new(platform, PLATFORM_TIMEOUT);
+    let store = open_store(platform);
     let change = |base: &ConfigSnapshot| base.with_records(records.iter().cloned());
     accept_change(&store, &make_write_id, &change, &[])
         .map_err(|report| to_failure(report.current_context()))
 }
 
+/// Names the platform at an address.
+#[must_use]
+pub fn open_store(platform: SocketAddr) -> HttpPlatform {
+    HttpPlatform::new(platform, PLATFORM_TIMEOUT)
+}
+
 fn make_write_id() -> WriteId {
     let id: u128 = rand::rng().random();
     format!("operator-{id:032x}").into()
--- a/programs/src/arguments.rs
+++ b/programs/src/arguments.rs
@@ -30,6 +30,8 @@
 /// A command of the operator's program.
 #[derive(Debug, Subcommand)]
 pub enum OperatorCommand {
+    /// Run a whole system in this process: a good move and a bad one
+    Demo,
     /// Check record files without accepting them
     Validate {
         /// Files of records, JSON; - is standard input
--- a/programs/src/command.rs
+++ b/programs/src/command.rs
@@ -4,6 +4,7 @@
 use crate::apply::validate_files;
 use crate::arguments::OperatorArgs;
 use crate::arguments::OperatorCommand;
+use crate::demo::run_demo;
 use crate::failure::CommandResult;
 
 /// Runs the command and returns the text to print.
@@ -12,6 +13,7 @@
 /// [`CommandFailure`](crate::failure::CommandFailure), which has the exit code.
 pub fn run_command(arguments: &OperatorArgs) -> CommandResult {
     match &arguments.command {
+        OperatorCommand::Demo => run_demo(),
         OperatorCommand::Validate { files } => validate_files(files),
         OperatorCommand::Apply {
             platform, files, ..
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -3,4 +3,7 @@
 pub mod apply;
 pub mod arguments;
 pub mod command;
+pub mod demo;
+mod demo_fleet;
+mod demo_traffic;
 pub mod failure;
