Let a daemon ask before it claims a key; mend two estimates

Cause: reading the wired call path showed that a booking with a caller's key is claimed before it is admitted, so a full endpoint binds the key to itself and no other can take it; that the first call of each further service started all its endpoints slowly; and that a permit dropped before the hand-over counted as a run of no length.

Ruled out: claiming after admission, which would hold a slot while the platform answers.

Change: GuardState::refusal tells what arrive would refuse; BookingLedger::knows tells whether a refusal may come before the claim. Slow start applies only beside endpoints already known; a run cut short counts only when it was longer than the mean.

Conclusion: the callers of the two questions are still to be wired.

--- a/coltsfootweir/src/balance.rs
+++ b/coltsfootweir/src/balance.rs
@@ -126,8 +126,9 @@
     }
 
     fn note_seen(&mut self, candidates: &[Candidate<'_>], now: Duration) {
-        // The endpoints known when the first call comes are not new, only unknown.
-        let is_first = self.states.is_empty();
+        // When none of a service's endpoints is known, they are not new, only unknown to this daemon.
+        let is_known = |candidate: &Candidate<'_>| self.states.contains_key(candidate.id);
+        let is_first = !candidates.iter().any(is_known);
         for candidate in candidates {
             let is_new = !self.states.contains_key(candidate.id);
             let state = self.state(candidate.id, now);
--- a/coltsfootweir/src/booking.rs
+++ b/coltsfootweir/src/booking.rs
@@ -227,6 +227,13 @@
         }
     }
 
+    /// Returns whether the ledger remembers the key. Of a caller's key it does not, an attempt may
+    /// be refused before the key is claimed, so that a different daemon can take it.
+    #[must_use]
+    pub fn knows(&self, key: &BookingKey) -> bool {
+        self.check_owner(key).is_none() && self.entry(key).is_some()
+    }
+
     /// Returns the keys remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -83,26 +83,36 @@
     /// Decides on a request; `deadline` is the time since the daemon's start by which the upstream
     /// must have answered. Ids are never used twice.
     pub fn arrive(&mut self, id: u64, deadline: Duration, now: Duration) -> AdmitDecision {
-        if let Some(reason) = self.phase_refusal() {
+        if let Some(reason) = self.refusal(deadline, now) {
             return AdmitDecision::Refuse(reason);
         }
-        if now >= deadline {
-            return AdmitDecision::Refuse(RefusalReason::DeadlinePassed);
-        }
-        if self.has_free_slot() && self.waiting.is_empty() {
-            return self.start_at_once(id, deadline, now);
-        }
-        if self.waiting.len() >= self.queue_limit {
-            return AdmitDecision::Refuse(RefusalReason::Overloaded);
-        }
-        let reserve = self.deviation * WAIT_DEVIATIONS;
-        if now + self.expected_wait() + self.expected_run() + reserve > deadline {
-            return AdmitDecision::Refuse(RefusalReason::Overloaded);
+        if self.can_start() {
+            self.running.insert(id, now);
+            return AdmitDecision::Run;
         }
         self.waiting.push_back(WaitingRequest { id, deadline });
         AdmitDecision::Wait
     }
 
+    /// Returns why a request would be refused if it arrived now; `None` when it would run or wait.
+    #[must_use]
+    pub fn refusal(&self, deadline: Duration, now: Duration) -> Option<RefusalReason> {
+        if let Some(reason) = self.phase_refusal() {
+            return Some(reason);
+        }
+        if now >= deadline {
+            return Some(RefusalReason::DeadlinePassed);
+        }
+        let is_hopeless = if self.can_start() {
+            self.is_too_long(deadline, now)
+        } else {
+            let reserve = self.deviation * WAIT_DEVIATIONS;
+            self.waiting.len() >= self.queue_limit
+                || now + self.expected_wait() + self.expected_run() + reserve > deadline
+        };
+        is_hopeless.then_some(RefusalReason::Overloaded)
+    }
+
     /// Notes that a run ended, and decides on what waits. An unknown id frees no slot.
     pub fn finish(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
         if let Some(started) = self.running.remove(&id) {
@@ -118,7 +128,9 @@
         if let Some(started) = self.running.remove(&id) {
             // A run cut short tells only that it would have taken longer.
             let run_time = now.saturating_sub(started);
-            self.learn(run_time.max(self.expected_run()));
+            if run_time > self.expected_run() {
+                self.learn(run_time);
+            }
         }
         self.poll(now)
     }
@@ -200,14 +212,14 @@
         }
     }
 
-    fn start_at_once(&mut self, id: u64, deadline: Duration, now: Duration) -> AdmitDecision {
-        // An idle upstream runs even what looks too long, or a wrong estimate would never mend.
+    fn can_start(&self) -> bool {
+        self.has_free_slot() && self.waiting.is_empty()
+    }
+
+    /// An idle upstream runs even what looks too long, or a wrong estimate would never mend.
+    fn is_too_long(&self, deadline: Duration, now: Duration) -> bool {
         let quick_run = self.expected_run() / QUICK_RUN_DIVISOR;
-        if !self.running.is_empty() && now + quick_run > deadline {
-            return AdmitDecision::Refuse(RefusalReason::Overloaded);
-        }
-        self.running.insert(id, now);
-        AdmitDecision::Run
+        !self.running.is_empty() && now + quick_run > deadline
     }
 
     fn phase_refusal(&self) -> Option<RefusalReason> {
--- a/coltsfootweir/tests/bookings.rs
+++ b/coltsfootweir/tests/bookings.rs
@@ -467,11 +467,13 @@
 fn claim_with_a_lost_answer_runs_on_repeat() {
     let mut ledger = BookingLedger::new(member(0), 1);
     let key = BookingKey::parse("order-7").unwrap();
+    assert!(!ledger.knows(&key));
     let BookingDecision::Claim(row) = ledger.begin(&key, 1, Duration::ZERO) else {
         panic!("no claim");
     };
     let refusal = BookingDecision::NotRun(RefusalReason::StoreUnavailable);
     assert_eq!(ledger.claim_unknown(&key), refusal);
+    assert!(ledger.knows(&key));
     let repeat = ledger.begin(&key, 1, Duration::ZERO);
     assert!(matches!(repeat, BookingDecision::Claim(_)));
     assert_eq!(ledger.claim_lost(&key, &row), BookingDecision::Run);
