--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -20,6 +20,9 @@
 /// Time for which requests that wait already may start at an upstream that is leaving.
 pub const LEAVE_GRACE: Duration = Duration::from_secs(2);
 
+/// Mean deviations of the run time that a request must have left when it starts to wait.
+const WAIT_DEVIATIONS: u32 = 2;
+
 /// Decision on a request that arrives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmitDecision {
@@ -58,6 +61,7 @@
     running: HashMap<u64, Duration>,
     waiting: VecDeque<WaitingRequest>,
     run_time: Option<Duration>,
+    deviation: Duration,
 }
 
 impl GuardState {
@@ -72,31 +76,43 @@
             running: HashMap::new(),
             waiting: VecDeque::new(),
             run_time: None,
+            deviation: Duration::ZERO,
         }
     }
 
     /// Decides on a request; `deadline` is the time since the daemon's start by which the upstream
     /// must have answered. Ids are never used twice.
     pub fn arrive(&mut self, id: u64, deadline: Duration, now: Duration) -> AdmitDecision {
-        if let Some(reason) = self.phase_refusal() {
+        if let Some(reason) = self.refusal(deadline, now) {
             return AdmitDecision::Refuse(reason);
         }
-        if now >= deadline {
-            return AdmitDecision::Refuse(RefusalReason::DeadlinePassed);
-        }
-        if self.has_free_slot() && self.waiting.is_empty() {
-            return self.start_at_once(id, deadline, now);
-        }
-        if self.waiting.len() >= self.queue_limit {
-            return AdmitDecision::Refuse(RefusalReason::Overloaded);
-        }
-        if now + self.expected_wait() + self.expected_run() > deadline {
-            return AdmitDecision::Refuse(RefusalReason::Overloaded);
+        if self.can_start() {
+            self.running.insert(id, now);
+            return AdmitDecision::Run;
         }
         self.waiting.push_back(WaitingRequest { id, deadline });
         AdmitDecision::Wait
     }
 
+    /// Returns why a request would be refused if it arrived now; `None` when it would run or wait.
+    #[must_use]
+    pub fn refusal(&self, deadline: Duration, now: Duration) -> Option<RefusalReason> {
+        if let Some(reason) = self.phase_refusal() {
+            return Some(reason);
+        }
+        if now >= deadline {
+            return Some(RefusalReason::DeadlinePassed);
+        }
+        let is_hopeless = if self.can_start() {
+            self.is_too_long(deadline, now)
+        } else {
+            let reserve = self.deviation * WAIT_DEVIATIONS;
+            self.waiting.len() >= self.queue_limit
+                || now + self.expected_wait() + self.expected_run() + reserve > deadline
+        };
+        is_hopeless.then_some(RefusalReason::Overloaded)
+    }
+
     /// Notes that a run ended, and decides on what waits. An unknown id frees no slot.
     pub fn finish(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
         if let Some(started) = self.running.remove(&id) {
@@ -105,11 +121,17 @@
         self.poll(now)
     }
 
-    /// Notes that a caller gave up: a waiting request leaves the queue, a run ends. Returns the
-    /// decisions on what waits; there is none on `id`.
+    /// Notes that a caller gave up or its deadline passed: a waiting request leaves the queue, a run
+    /// ends. Returns the decisions on what waits; there is none on `id`.
     pub fn cancel(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
         self.waiting.retain(|request| request.id != id);
-        self.running.remove(&id);
+        if let Some(started) = self.running.remove(&id) {
+            // A run cut short tells only that it would have taken longer.
+            let run_time = now.saturating_sub(started);
+            if run_time > self.expected_run() {
+                self.learn(run_time);
+            }
+        }
         self.poll(now)
     }
 
@@ -190,14 +212,14 @@
         }
     }
 
-    fn start_at_once(&mut self, id: u64, deadline: Duration, now: Duration) -> AdmitDecision {
-        // An idle upstream runs even what looks too long, or a wrong estimate would never mend.
+    fn can_start(&self) -> bool {
+        self.has_free_slot() && self.waiting.is_empty()
+    }
+
+    /// An idle upstream runs even what looks too long, or a wrong estimate would never mend.
+    fn is_too_long(&self, deadline: Duration, now: Duration) -> bool {
         let quick_run = self.expected_run() / QUICK_RUN_DIVISOR;
-        if !self.running.is_empty() && now + quick_run > deadline {
-            return AdmitDecision::Refuse(RefusalReason::Overloaded);
-        }
-        self.running.insert(id, now);
-        AdmitDecision::Run
+        !self.running.is_empty() && now + quick_run > deadline
     }
 
     fn phase_refusal(&self) -> Option<RefusalReason> {
@@ -227,9 +249,15 @@
     }
 
     fn learn(&mut self, run_time: Duration) {
-        self.run_time = Some(match self.run_time {
-            None => run_time,
-            Some(mean) => (mean * (ESTIMATE_WEIGHT - 1) + run_time) / ESTIMATE_WEIGHT,
-        });
+        let Some(mean) = self.run_time else {
+            self.run_time = Some(run_time);
+            return;
+        };
+        self.deviation = smoothed(self.deviation, mean.abs_diff(run_time));
+        self.run_time = Some(smoothed(mean, run_time));
     }
 }
+
+fn smoothed(mean: Duration, newest: Duration) -> Duration {
+    (mean * (ESTIMATE_WEIGHT - 1) + newest) / ESTIMATE_WEIGHT
+}
