--- a/coltsfootweir/src/booking.rs
+++ b/coltsfootweir/src/booking.rs
@@ -227,6 +227,33 @@
         }
     }
 
+    /// Returns what is known of an earlier attempt that ran or may have run; starts none.
+    pub fn look_up(
+        &mut self,
+        key: &BookingKey,
+        fingerprint: Fingerprint,
+        now: Duration,
+    ) -> Option<BookingDecision> {
+        if let Some(decision) = self.check_owner(key) {
+            return matches!(decision, BookingDecision::InDoubt(_)).then_some(decision);
+        }
+        let Some(entry) = self.entry(key) else {
+            let is_used =
+                matches!(key, BookingKey::Minted { counter, .. } if *counter < self.low_water);
+            return is_used.then_some(BookingDecision::InDoubt(DoubtReason::AnswerDropped));
+        };
+        match entry.state {
+            EntryState::Running
+            | EntryState::Done
+            | EntryState::Doubtful(_)
+            | EntryState::Lost(_) => {
+                let is_same = entry.fingerprint == fingerprint;
+                Some(self.resume(key, fingerprint, is_same, now))
+            }
+            _ => None,
+        }
+    }
+
     /// Returns whether the ledger remembers the key. Of a caller's key it does not, an attempt may
     /// be refused before the key is claimed, so that a different daemon can take it.
     #[must_use]
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -51,6 +51,9 @@
     call: &CallRequest,
     deadline: CallDeadline,
 ) -> CallReply {
+    if let Some(reply) = ask_ledger(context, call) {
+        return reply;
+    }
     if !lock(&context.config).is_serving() {
         return refuse(RefusalReason::NotServing);
     }
@@ -80,6 +83,18 @@
     }
 }
 
+/// Answers a repeat of a booking that the ledger knows to have run or to be in doubt, whatever else
+/// would refuse it now.
+fn ask_ledger(context: &DaemonContext, call: &CallRequest) -> Option<CallReply> {
+    let key = BookingKey::parse(call.header(&BOOKING_KEY)?).ok()?;
+    let decision = lock(&context.ledger).look_up(&key, call.fingerprint, context.now())?;
+    match decision {
+        BookingDecision::Replay(answer) => Some(replay(&answer)),
+        BookingDecision::InDoubt(reason) => Some(doubt(reason)),
+        _ => None,
+    }
+}
+
 /// Returns whether the own version gets no traffic: it was found bad, or has no share and no move.
 fn is_version_off(context: &DaemonContext, table: &RouteTable, own: &UpstreamAnnouncement) -> bool {
     let mut splits = table.splits(&own.service).iter();
@@ -125,6 +140,12 @@
     let Some(Ok(key)) = call.header(&BOOKING_KEY).map(BookingKey::parse) else {
         return refuse(RefusalReason::BadKey);
     };
+    // A key is not bound to an upstream that would refuse it, so that another one can claim it.
+    if !lock(&context.ledger).knows(&key)
+        && let Some(reason) = context.upstream.refusal(deadline.shrink(RETURN_MARGIN))
+    {
+        return refuse(reason);
+    }
     let context = Arc::clone(context);
     let call = call.clone();
     let route = route.clone();
@@ -262,7 +283,9 @@
     }
     let request = call.to_forward(None, millis);
     let reply = send_to_upstream(context, call, route, deadline, address, request).await;
-    permit.finish();
+    if reply.outcome == CallOutcome::Ran {
+        permit.finish();
+    }
     reply
 }
 
@@ -290,8 +313,14 @@
             refuse(RefusalReason::UpstreamDown)
         }
         Ok(Err(SendError::Broken | SendError::TooLong)) => {
+            let suspects = lock(&context.poison).crash_suspects(&[call.fingerprint], start);
             if note_if_crashed(context, address).await {
-                return doubt(DoubtReason::UpstreamCrashed);
+                let is_suspect = !suspects.is_empty();
+                return doubt(if is_suspect {
+                    DoubtReason::UpstreamCrashed
+                } else {
+                    DoubtReason::AnswerBroken
+                });
             }
             record_call(context, route, true, latency);
             doubt(DoubtReason::AnswerBroken)
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -197,12 +197,15 @@
 
     async fn send(&mut self, target: &EndpointTarget) -> CallReply {
         self.tried.push(target.id.clone());
+        let running = RunningCall::start(self.context, target);
         if target.id == self.context.id {
-            return run_guarded(self.context, self.call, self.deadline).await;
+            let reply = run_guarded(self.context, self.call, self.deadline).await;
+            running.end(&reply, Some(self.context.upstream.load()));
+            return reply;
         }
-        let running = RunningCall::start(self.context, target);
         let reply = self.forward(target).await;
-        running.end(&reply);
+        let load = header_text(reply.response.headers(), LOAD.as_str()).and_then(LoadReport::parse);
+        running.end(&reply, load);
         reply
     }
 
@@ -289,7 +292,7 @@
         }
     }
 
-    fn end(mut self, reply: &CallReply) {
+    fn end(mut self, reply: &CallReply, load: Option<LoadReport>) {
         self.end = match reply.outcome {
             CallOutcome::Ran if reply.response.status().is_server_error() => CallEnd::Failure,
             CallOutcome::Ran => CallEnd::Success,
@@ -297,7 +300,6 @@
             CallOutcome::NotRun(_) => CallEnd::Neutral,
             CallOutcome::InDoubt(_) => CallEnd::Failure,
         };
-        let load = header_text(reply.response.headers(), LOAD.as_str()).and_then(LoadReport::parse);
         if let Some(load) = load {
             lock(&self.context.chooser).on_answer(self.id, load, self.context.now());
         }
--- a/coltsfootweir/src/seed_row.rs
+++ b/coltsfootweir/src/seed_row.rs
@@ -83,7 +83,7 @@
 
     /// Returns the row to write when the one read is another.
     pub fn wants_write<'a>(
-        &mut self,
+        &self,
         own: &MemberId,
         held: &SeedRow,
         live: impl Iterator<Item = &'a MemberEntry>,
@@ -97,11 +97,17 @@
             return None;
         }
         let row = SeedRow::of(live.into_iter());
-        if row == *held {
-            return None;
-        }
+        (row != *held).then_some(row)
+    }
+
+    /// Notes that the row was written.
+    pub fn note_written(&mut self, now: Duration) {
         self.written = Some(now);
-        Some(row)
+    }
+
+    /// Notes that the row was changed by another member, so that it is read again soon.
+    pub fn note_conflict(&mut self) {
+        self.read = None;
     }
 }
 
--- a/coltsfootweir/src/seed_task.rs
+++ b/coltsfootweir/src/seed_task.rs
@@ -12,6 +12,7 @@
 use crate::kernel::StopSignal;
 use crate::kernel::TaskPlugin;
 use crate::logging::MEMBERS;
+use crate::platform::CommitOutcome;
 use crate::platform::RowCondition;
 use crate::platform::RowWrite;
 use crate::platform::TableRow;
@@ -79,11 +80,21 @@
     let wanted = schedule.wants_write(&context.id, &held, gossip.view().live_in(region), now);
     drop(gossip);
     if let Some(seeds) = wanted {
-        write_seeds(context, &key, own_row.map(|(row, _)| row), &seeds);
+        let written = write_seeds(context, &key, own_row.map(|(row, _)| row), &seeds);
+        match written {
+            Some(CommitOutcome::Committed) => schedule.note_written(now),
+            Some(CommitOutcome::Conflict(_)) => schedule.note_conflict(),
+            None => {}
+        }
     }
 }
 
-fn write_seeds(context: &DaemonContext, key: &str, held: Option<&TableRow>, seeds: &SeedRow) {
+fn write_seeds(
+    context: &DaemonContext,
+    key: &str,
+    held: Option<&TableRow>,
+    seeds: &SeedRow,
+) -> Option<CommitOutcome> {
     let condition = held.map_or(RowCondition::Absent, |row| RowCondition::At(row.version));
     let value = serde_json::to_string(seeds).unwrap_or_default();
     let batch = WriteBatch {
@@ -95,7 +106,13 @@
         }],
     };
     match context.platform.commit(&batch) {
-        Ok(outcome) => info!(target: MEMBERS, "seeds of the region: {outcome:?}"),
-        Err(error) => debug!(target: MEMBERS, "seeds not written: {error}"),
+        Ok(outcome) => {
+            info!(target: MEMBERS, "seeds of the region: {outcome:?}");
+            Some(outcome)
+        }
+        Err(error) => {
+            debug!(target: MEMBERS, "seeds not written: {error}");
+            None
+        }
     }
 }
--- a/coltsfootweir/src/upstream.rs
+++ b/coltsfootweir/src/upstream.rs
@@ -146,6 +146,13 @@
         lock(&self.state).guard.is_idle()
     }
 
+    /// Returns why a request with this deadline would be refused now.
+    pub(crate) fn refusal(&self, deadline: CallDeadline) -> Option<RefusalReason> {
+        lock(&self.state)
+            .guard
+            .refusal(deadline.as_time(), self.clock.now())
+    }
+
     /// Waits for a slot; dropping the permit gives it back.
     pub(crate) async fn admit(
         &self,
