--- a/coltsfootweir/src/accept.rs
+++ b/coltsfootweir/src/accept.rs
@@ -36,6 +36,9 @@
     /// The platform is down or its data is broken; nothing took effect.
     Unavailable,
     /// The platform gave no answer; the write with this id may have taken effect.
+    ///
+    /// It is safe to make the same change again: if the write took effect, nothing is left to
+    /// change, and otherwise only one of the two can take effect.
     InDoubt(WriteId),
 }
 
@@ -143,11 +146,6 @@
     for _ in 0..MAX_REBASES {
         let head = HeadRow::read(store).change_context(AcceptError::Unavailable)?;
         let base = fetch_snapshot(store, head.mark())?;
-        if let Some((first, first_next)) = &touched
-            && let Some(name) = find_overlap(first, first_next, &base)
-        {
-            return Err(Report::new(AcceptError::Conflict(name)));
-        }
         let next = match apply_change(change, &base) {
             Ok(next) => next,
             Err(faults) => return Err(Report::new(refusal(faults, touched.is_some()))),
@@ -155,6 +153,11 @@
         if guards.is_empty() && next.records() == base.records() {
             return Ok(base);
         }
+        if let Some((first, first_next)) = &touched
+            && let Some(name) = find_overlap(first, first_next, &base)
+        {
+            return Err(Report::new(AcceptError::Conflict(name)));
+        }
         let mark = put_objects(store, &base, &next)?;
         let write_id = write_ids();
         let mut writes = vec![head.advance(&mark, &write_id)];
--- a/coltsfootweir/src/config_state.rs
+++ b/coltsfootweir/src/config_state.rs
@@ -45,6 +45,9 @@
     }
 
     /// Raises the lowest generation that the daemon may serve; a lower value changes nothing.
+    ///
+    /// A daemon below the floor stops taking calls, so the floor is for generations that its
+    /// address has served, not for those that are merely accepted.
     pub fn raise_floor(&mut self, generation: Generation) {
         self.floor = self.floor.max(generation);
     }
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config_state;
 pub mod evidence;
 pub mod fact;
+pub mod head_mark;
 pub mod head_row;
 pub mod ids;
 pub mod member;
--- a/coltsfootweir/src/record_fields.rs
+++ b/coltsfootweir/src/record_fields.rs
@@ -24,6 +24,9 @@
 /// Length of the offset at the end of an RFC 3339 time, such as `+02:00`.
 const OFFSET_BYTES: usize = 6;
 
+/// First second of the year 10000, which RFC 3339 text cannot give.
+const END_OF_TIMES_SECONDS: u64 = 253_402_300_800;
+
 /// Fields that every record has.
 const COMMON_FIELDS: [&str; 2] = ["kind", "schema"];
 
@@ -293,7 +296,8 @@
     } else {
         time.checked_add(offset)?
     };
-    (time >= SystemTime::UNIX_EPOCH).then_some(time)
+    let seconds = time.duration_since(SystemTime::UNIX_EPOCH).ok()?.as_secs();
+    (seconds < END_OF_TIMES_SECONDS).then_some(time)
 }
 
 fn parse_two_digits(text: &str, most: u64) -> Option<u64> {
--- a/coltsfootweir/src/snapshot.rs
+++ b/coltsfootweir/src/snapshot.rs
@@ -11,6 +11,8 @@
 use sha2::Digest as _;
 use sha2::Sha256;
 
+pub use crate::head_mark::HeadMark;
+use crate::head_mark::hex_digest;
 use crate::ids::Digest;
 use crate::ids::Generation;
 use crate::ids::MoveName;
@@ -23,15 +25,6 @@
 use crate::record_fault::write_faults;
 pub use crate::snapshot_delta::SnapshotDelta;
 
-/// Identity of an accepted configuration.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HeadMark {
-    /// Number of the configuration; 0 before the first acceptance.
-    pub generation: Generation,
-    /// Digest of the encoded snapshot; empty at generation 0.
-    pub digest: Digest,
-}
-
 /// Every record of one generation.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigSnapshot {
@@ -122,7 +115,7 @@
         }
         HeadMark {
             generation: self.generation,
-            digest: digest_bytes(&self.encode()),
+            digest: digest_of(&self.encode()),
         }
     }
 
@@ -131,7 +124,7 @@
     /// # Errors
     /// Any [`SnapshotError`] but [`SnapshotError::WrongBase`].
     pub fn decode(bytes: &[u8], mark: &HeadMark) -> Result<ConfigSnapshot, SnapshotError> {
-        let found = digest_bytes(bytes);
+        let found = digest_of(bytes);
         let decoded: Result<ConfigSnapshot, SnapshotError> = decode_value(bytes);
         if found != mark.digest {
             return match decoded {
@@ -195,10 +188,6 @@
     }
 }
 
-fn digest_bytes(bytes: &[u8]) -> Digest {
-    let mut text = String::new();
-    for byte in Sha256::digest(bytes) {
-        text.push_str(&format!("{byte:02x}"));
-    }
-    text.into()
+fn digest_of(bytes: &[u8]) -> Digest {
+    hex_digest(&Sha256::digest(bytes))
 }
--- a/coltsfootweir/src/snapshot_closure.rs
+++ b/coltsfootweir/src/snapshot_closure.rs
@@ -1,6 +1,7 @@
 //! Whether every reference of a snapshot resolves and its shares add up.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::ids::MoveName;
 use crate::ids::ServiceName;
@@ -58,13 +59,11 @@
     }
 
     fn check_routes(&self, faults: &mut Vec<RecordFault>) {
+        let versions = self.versions.values();
+        let services: BTreeSet<&ServiceName> = versions.map(|version| &version.service).collect();
         let mut prefixes: BTreeMap<&str, &RouteRecord> = BTreeMap::new();
         for route in self.routes.values() {
-            if !self
-                .versions
-                .values()
-                .any(|version| version.service == route.service)
-            {
+            if !services.contains(&route.service) {
                 let reason = format!("service {:?} has no upstream version", route.service);
                 faults.push(RecordFault::new(route.label(), "service", reason));
             }
--- a/coltsfootweir/tests/config_accept.rs
+++ b/coltsfootweir/tests/config_accept.rs
@@ -18,7 +18,6 @@
 use coltsfootweir::accept::fetch_snapshot;
 use coltsfootweir::accept::find_write;
 use coltsfootweir::accept::read_head;
-use coltsfootweir::head_row::KEPT_WRITES;
 use coltsfootweir::ids::WriteId;
 use coltsfootweir::platform::PlatformStore;
 use coltsfootweir::platform::RowCondition;
@@ -33,6 +32,9 @@
 use common::fixed_config;
 use common::route;
 
+/// Acceptances after which the head row may have forgotten a write.
+const REMEMBERED_WRITES: u8 = 16;
+
 const GUARD_KEY: &str = "move/guard";
 
 /// What an operator changes.
@@ -270,7 +272,7 @@
         journal.run(&store, kind, || store.load(&script, Some(hook)));
         {
             let results = journal.results.lock().unwrap();
-            let forgotten = usize::from(rivals) >= KEPT_WRITES;
+            let forgotten = rivals >= REMEMBERED_WRITES;
             let settled = lost.len() < MAX_SETTLE_TRIES && !forgotten;
             match &results[0].1 {
                 Ok(_) => {}
--- a/coltsfootweir/tests/config_records.rs
+++ b/coltsfootweir/tests/config_records.rs
@@ -52,15 +52,20 @@
     ]
 }
 
+/// Texts, among them times that are nearly right.
+fn any_text() -> impl Strategy<Value = Value> {
+    let time =
+        "(1970|2031|9999)-[01][0-9]-[0-3][0-9]T[0-2][0-9]:00:00(Z|[+-][0-2][0-9]:[0-5][0-9])";
+    prop_oneof!["\\PC{0,12}", time].prop_map(Value::from)
+}
+
 fn any_json() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
         any::<bool>().prop_map(Value::from),
         any::<i64>().prop_map(Value::from),
         any::<f64>().prop_map(Value::from),
-        "\\PC{0,12}".prop_map(Value::from),
-        "20[0-9]{2}-[01][0-9]-[0-3][0-9]T[0-2][0-9]:00:00(Z|[+-][0-2][0-9]:[0-5][0-9])"
-            .prop_map(Value::from),
+        any_text(),
     ];
     let keys = prop_oneof![
         Just("kind"),
@@ -93,7 +98,7 @@
     fn a_changed_field_is_named_or_read_back(
         sample in 0usize..6,
         field in any::<prop::sample::Index>(),
-        value in prop::option::of(any_json()),
+        value in prop::option::of(prop_oneof![any_json(), any_text()]),
     ) {
         let mut record = samples().swap_remove(sample);
         let fields = record.as_object_mut().unwrap();
@@ -198,6 +203,22 @@
     assert_eq!(faults(&records.into()), expected);
 }
 
+#[test]
+fn times_that_cannot_be_kept_or_written_are_refused() {
+    let times = [
+        "1970-01-01T00:30:00+01:00",
+        "9999-12-31T23:30:00-01:00",
+        "2031-02-30T00:00:00Z",
+    ];
+    for time in times {
+        let mut record = samples().swap_remove(4);
+        record["done_by"] = time.into();
+        let reason = format!("{time:?} is not an RFC 3339 time such as 2031-05-01T05:30:00Z");
+        let expected = format!("record move/m: field done_by: {reason}");
+        assert_eq!(faults(&record), [expected]);
+    }
+}
+
 #[test]
 fn a_body_is_refused_as_a_whole_for_length_json_and_doubles() {
     let long = format!("\"{}\"", "x".repeat(MAX_BODY_BYTES));
