--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -37,6 +37,7 @@
 mod gossip_task;
 pub mod guard;
 mod guard_call;
+pub mod head_mark;
 pub mod head_row;
 pub mod http_platform;
 pub mod http_pool;
