Gossip: separate queues for the link, served rows apart from entries

A fleet of 560 members left a fifth of the served generations unknown until the periodic repair. Two causes: the peer list was empty while requests were built, so each change was sent once only; and rows for the other region were used up on the own region's messages. An entry whose served generation alone rose was also queued whole. Peers are now chosen before messages are built, the link has its own queues, and a risen generation spreads as a row.

--- a/coltsfootweir/src/exchange.rs
+++ b/coltsfootweir/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::facts_table::FactHash;
 use crate::gossip::GossipState;
 use crate::gossip::KnownHead;
 use crate::gossip_message::FloorAnswer;
@@ -14,6 +15,7 @@
 use crate::gossip_message::ServedBatch;
 use crate::gossip_message::StateDigest;
 use crate::ids::Generation;
+use crate::ids::RegionName;
 use crate::member::MemberHash;
 use crate::member::MemberState;
 use crate::member::RunHash;
@@ -88,20 +90,60 @@
     /// A message with the changes that are due; `to` is the receiver, if it is known.
     pub(crate) fn message_to(&mut self, to: Option<MemberHash>, cause: LinkCause) -> GossipMessage {
         let mut message = self.bare_message();
-        let (entries, served) = match cause {
-            LinkCause::Repair => (0, 0),
-            LinkCause::Urgent => (URGENT_ENTRIES, URGENT_SERVED),
-            _ => (self.limits.message_entries, self.limits.message_served),
-        };
-        self.add_entries(&mut message, entries);
-        self.add_served(&mut message, served);
         if cause != LinkCause::Repair {
-            self.add_facts(&mut message);
+            let far = self.far_region_of(to);
+            match far.filter(|_| self.peers.links) {
+                None => self.add_near_changes(&mut message, cause),
+                Some(region) if self.region_reachable(&region, self.now) => {
+                    self.add_far_changes(&mut message);
+                }
+                // Changes sent into a cut would be lost.
+                Some(_) => {}
+            }
         }
         self.add_word_of(to, &mut message);
         message
     }
 
+    fn far_region_of(&self, to: Option<MemberHash>) -> Option<RegionName> {
+        let record = to.and_then(|to| self.view.record(to))?;
+        (record.entry.region != self.region).then(|| record.entry.region.clone())
+    }
+
+    fn add_near_changes(&mut self, message: &mut GossipMessage, cause: LinkCause) {
+        let (entries, served) = match cause {
+            LinkCause::Urgent => (URGENT_ENTRIES, URGENT_SERVED),
+            _ => (self.limits.message_entries, self.limits.message_served),
+        };
+        let members = self.peers.near.len();
+        let sends = send_limit(self.limits.entry_sends, members);
+        let served_sends = send_limit(self.limits.served_sends, members);
+        let changes = self.entry_queue.near.take(entries, sends);
+        self.add_entries(message, changes);
+        let runs = self.served_queue.near.take(served, served_sends);
+        self.add_served(message, runs);
+        let facts = self.fact_queue.near.take(self.limits.message_facts, sends);
+        self.add_facts(message, facts);
+    }
+
+    fn add_far_changes(&mut self, message: &mut GossipMessage) {
+        let changes = self
+            .entry_queue
+            .far
+            .take(self.limits.far_entries, self.limits.far_sends);
+        self.add_entries(message, changes);
+        let runs = self
+            .served_queue
+            .far
+            .take(self.limits.far_served, self.limits.far_sends);
+        self.add_served(message, runs);
+        let facts = self
+            .fact_queue
+            .far
+            .take(self.limits.message_facts, self.limits.far_sends);
+        self.add_facts(message, facts);
+    }
+
     pub(crate) fn bare_message(&self) -> GossipMessage {
         GossipMessage {
             from: self.id.clone(),
@@ -147,31 +189,26 @@
         ages
     }
 
-    fn add_entries(&mut self, message: &mut GossipMessage, count: usize) {
-        let limit = send_limit(self.limits.entry_sends, self.peers.near.len());
-        for member in self.entry_queue.take(count, limit) {
-            let Some(record) = self.view.record(member) else {
-                continue;
-            };
-            message.entries.push(record.entry.clone());
+    fn add_entries(&self, message: &mut GossipMessage, members: Vec<MemberHash>) {
+        for member in members {
+            let record = self.view.record(member);
+            message
+                .entries
+                .extend(record.map(|record| record.entry.clone()));
         }
     }
 
-    fn add_served(&mut self, message: &mut GossipMessage, count: usize) {
-        let limit = send_limit(self.limits.served_sends, self.peers.near.len());
-        let mut runs = Vec::new();
-        for run in self.served_queue.take(count, limit) {
-            let Some(record) = self.view.by_run(run) else {
-                continue;
-            };
-            runs.push((run, record.entry.served));
+    fn add_served(&self, message: &mut GossipMessage, runs: Vec<RunHash>) {
+        let mut served = Vec::with_capacity(runs.len());
+        for run in runs {
+            let record = self.view.by_run(run);
+            served.extend(record.map(|record| (run, record.entry.served)));
         }
-        message.served_batches = batch_served(runs);
+        message.served_batches = batch_served(served);
     }
 
-    fn add_facts(&mut self, message: &mut GossipMessage) {
-        let limit = send_limit(self.limits.entry_sends, self.peers.near.len());
-        for hash in self.fact_queue.take(self.limits.message_facts, limit) {
+    fn add_facts(&self, message: &mut GossipMessage, facts: Vec<FactHash>) {
+        for hash in facts {
             message
                 .condemned
                 .extend(self.facts.condemned_at(hash).cloned());
@@ -202,10 +239,15 @@
             return;
         }
         self.absorb_regions(message);
+        // A joining member learns what the others know already.
+        let spreads = message.repair.is_none() || !self.is_joining();
         for entry in &message.entries {
             let outcome = self.view.merge(entry, self.now);
-            if outcome.changed {
-                self.entry_queue.push(member_hash(&entry.id));
+            if outcome.changed && spreads {
+                self.spread_entry(member_hash(&entry.id));
+            }
+            if outcome.served {
+                self.spread_served(run_hash(&entry.id, entry.incarnation));
             }
             self.urgent_due |= outcome.urgent;
         }
@@ -239,10 +281,16 @@
 
     fn absorb_served(&mut self, run: RunHash, generation: Generation) {
         if self.view.note_served(run, generation) {
-            self.served_queue.push(run);
+            self.spread_served(run);
         }
     }
 
+    fn spread_served(&mut self, run: RunHash) {
+        let record = self.view.by_run(run);
+        let own = record.is_some_and(|record| record.entry.region == self.region);
+        self.served_queue.push(run, own);
+    }
+
     fn absorb_head(&mut self, message: &GossipMessage) {
         if message.head.generation <= self.head.mark.generation {
             return;
@@ -267,7 +315,7 @@
         }
         self.urgent_due |= !news.is_empty();
         for hash in news {
-            self.fact_queue.push(hash);
+            self.fact_queue.push(hash, true);
         }
     }
 }
--- a/coltsfootweir/src/gossip.rs
+++ b/coltsfootweir/src/gossip.rs
@@ -27,7 +27,7 @@
 use crate::member::MemberState;
 use crate::peer_lists::PeerLists;
 use crate::snapshot::HeadMark;
-use crate::spread_queue::SpreadQueue;
+use crate::spread_queue::SpreadQueues;
 use crate::view::MemberView;
 
 /// Times at which the member last did what it does at intervals; `None` before the first time.
@@ -60,9 +60,9 @@
     pub(crate) facts: FactsTable,
     pub(crate) head: KnownHead,
     pub(crate) heard: BTreeMap<RegionName, Duration>,
-    pub(crate) entry_queue: SpreadQueue,
-    pub(crate) served_queue: SpreadQueue,
-    pub(crate) fact_queue: SpreadQueue,
+    pub(crate) entry_queue: SpreadQueues,
+    pub(crate) served_queue: SpreadQueues,
+    pub(crate) fact_queue: SpreadQueues,
     pub(crate) floor_wanted: bool,
     pub(crate) urgent_due: bool,
     pub(crate) probes: Vec<MemberHash>,
@@ -91,9 +91,9 @@
             facts,
             head,
             heard: BTreeMap::new(),
-            entry_queue: SpreadQueue::new(rng.random()),
-            served_queue: SpreadQueue::new(rng.random()),
-            fact_queue: SpreadQueue::new(rng.random()),
+            entry_queue: SpreadQueues::new(rng.random()),
+            served_queue: SpreadQueues::new(rng.random()),
+            fact_queue: SpreadQueues::new(rng.random()),
             floor_wanted: false,
             urgent_due: false,
             probes: Vec::new(),
@@ -105,7 +105,7 @@
             seeds: Vec::new(),
             view: MemberView::new(own),
         };
-        state.entry_queue.push(state.view.own_hash());
+        state.spread_entry(state.view.own_hash());
         state
     }
 
@@ -148,7 +148,7 @@
     pub fn set_served(&mut self, mark: HeadMark) {
         let run = self.view.own_run();
         if self.view.note_served(run, mark.generation) {
-            self.served_queue.push(run);
+            self.served_queue.push(run, true);
         }
         self.note_head(mark);
     }
@@ -170,27 +170,27 @@
             return;
         }
         self.view.change_own(|entry| entry.endpoint = endpoint);
-        self.entry_queue.push(self.view.own_hash());
+        self.spread_entry(self.view.own_hash());
     }
 
     /// Notes that the member leaves for good.
     pub fn leave(&mut self) {
         self.view
             .change_own(|entry| entry.state = MemberState::Left);
-        self.entry_queue.push(self.view.own_hash());
+        self.spread_entry(self.view.own_hash());
     }
 
     /// Adds a condemned version.
     pub fn assert_condemned(&mut self, fact: CondemnedFact) {
         if let Some(hash) = self.facts.condemn(fact) {
-            self.fact_queue.push(hash);
+            self.fact_queue.push(hash, true);
         }
     }
 
     /// Adds a crash of the upstream beside the member.
     pub fn report_crash(&mut self, fact: CrashFact) {
         if let Some(hash) = self.facts.crash(fact, Duration::ZERO, self.now) {
-            self.fact_queue.push(hash);
+            self.fact_queue.push(hash, true);
         }
     }
 
@@ -246,6 +246,17 @@
         self.view.advertised(id)
     }
 
+    /// Lets the entry of `member` ride along on messages; over the link only the own region's.
+    pub(crate) fn spread_entry(&mut self, member: MemberHash) {
+        let record = self.view.record(member);
+        let own = record.is_some_and(|record| record.entry.region == self.region);
+        self.entry_queue.push(member, own);
+    }
+
+    pub(crate) fn is_joining(&self) -> bool {
+        self.now.saturating_sub(self.started) < self.limits.join_time
+    }
+
     pub(crate) fn advance(&mut self, now: Duration) {
         self.now = self.now.max(now);
         self.started = self.started.min(now);
--- a/coltsfootweir/src/gossip_limits.rs
+++ b/coltsfootweir/src/gossip_limits.rs
@@ -45,7 +45,13 @@
     pub message_entries: usize,
     /// Served rows in one message.
     pub message_served: usize,
-    /// Facts of one kind in one message.
+    /// Changed entries in one message over the link.
+    pub far_entries: usize,
+    /// Served rows in one message over the link.
+    pub far_served: usize,
+    /// Times a holder of the link job sends a change over the link.
+    pub far_sends: u32,
+    /// Facts in one message.
     pub message_facts: usize,
     /// Buckets of the table that one repair covers.
     pub repair_buckets: usize,
@@ -75,7 +81,10 @@
             probers: 2,
             floor_peers: 3,
             message_entries: 10,
-            message_served: 96,
+            message_served: 160,
+            far_entries: 40,
+            far_served: 320,
+            far_sends: 1,
             message_facts: 16,
             repair_buckets: 16,
             entry_sends: 3,
--- a/coltsfootweir/src/member.rs
+++ b/coltsfootweir/src/member.rs
@@ -156,6 +156,11 @@
         changed
     }
 
+    /// Whether the entries differ in nothing but the served generation.
+    pub(crate) fn same_but_served(&self, other: &MemberEntry) -> bool {
+        self.id == other.id && self.compare(other) == Ordering::Equal
+    }
+
     fn compare(&self, other: &MemberEntry) -> Ordering {
         self.rank()
             .cmp(&other.rank())
--- a/coltsfootweir/src/repair.rs
+++ b/coltsfootweir/src/repair.rs
@@ -186,7 +186,7 @@
         if !self.view.merge_end(row.member, row.rank, self.now) {
             return;
         }
-        self.entry_queue.push(row.member);
+        self.spread_entry(row.member);
         self.refresh_peers();
     }
 
--- a/coltsfootweir/src/schedule.rs
+++ b/coltsfootweir/src/schedule.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
 
 use crate::gossip::GossipState;
 use crate::gossip::is_due;
@@ -51,7 +52,7 @@
         if !near || !self.view.suspect(member, now) {
             return Vec::new();
         }
-        self.entry_queue.push(member);
+        self.spread_entry(member);
         self.refresh_peers();
         let others: Vec<MemberHash> = self
             .peers
@@ -61,7 +62,7 @@
             .filter(|near| *near != member)
             .collect();
         let mut actions = Vec::new();
-        for prober in self.choose(&others, self.limits.probers) {
+        for prober in choose(&mut self.rng, &others, self.limits.probers) {
             let Some(address) = self.address_of(prober) else {
                 continue;
             };
@@ -90,11 +91,9 @@
         if !std::mem::take(&mut self.urgent_due) {
             return actions;
         }
-        let near = std::mem::take(&mut self.peers.near);
-        for peer in self.choose(&near, self.limits.fan_out) {
+        for peer in choose(&mut self.rng, &self.peers.near, self.limits.fan_out) {
             actions.extend(self.exchange_with(peer, LinkCause::Urgent));
         }
-        self.peers.near = near;
         if !self.peers.links {
             return actions;
         }
@@ -113,7 +112,7 @@
             self.now,
         );
         for member in dead {
-            self.entry_queue.push(member);
+            self.spread_entry(member);
         }
         self.facts.expire(self.now);
     }
@@ -124,12 +123,10 @@
         } else {
             1
         };
-        let near = std::mem::take(&mut self.peers.near);
         let mut actions = Vec::new();
-        for peer in self.choose(&near, count) {
+        for peer in choose(&mut self.rng, &self.peers.near, count) {
             actions.extend(self.exchange_with(peer, LinkCause::Periodic));
         }
-        self.peers.near = near;
         if actions.is_empty() {
             actions.extend(self.exchange_seed());
         }
@@ -142,13 +139,13 @@
             return actions;
         }
         self.last.link = Some(self.now);
-        let far = std::mem::take(&mut self.peers.far);
-        for members in far.values() {
-            for peer in self.choose(members, 1) {
-                actions.extend(self.exchange_with(peer, LinkCause::Periodic));
-            }
+        let mut chosen = Vec::new();
+        for members in self.peers.far.values() {
+            chosen.extend(members.choose(&mut self.rng).copied());
+        }
+        for peer in chosen {
+            actions.extend(self.exchange_with(peer, LinkCause::Periodic));
         }
-        self.peers.far = far;
         actions
     }
 
@@ -205,10 +202,10 @@
     fn address_of(&self, member: MemberHash) -> Option<SocketAddr> {
         self.view.record(member).map(|record| record.address)
     }
+}
 
-    fn choose(&mut self, members: &[MemberHash], count: usize) -> Vec<MemberHash> {
-        members.sample(&mut self.rng, count).copied().collect()
-    }
+fn choose(rng: &mut ChaCha8Rng, members: &[MemberHash], count: usize) -> Vec<MemberHash> {
+    members.sample(rng, count).copied().collect()
 }
 
 /// The action to exchange `message` with `to`.
--- a/coltsfootweir/src/spread_queue.rs
+++ b/coltsfootweir/src/spread_queue.rs
@@ -51,6 +51,31 @@
     }
 }
 
+/// Changes of one kind, to send within the region and over the link.
+#[derive(Clone, Debug)]
+pub(crate) struct SpreadQueues {
+    pub(crate) near: SpreadQueue,
+    pub(crate) far: SpreadQueue,
+}
+
+impl SpreadQueues {
+    /// Empty queues.
+    pub(crate) fn new(salt: u64) -> SpreadQueues {
+        SpreadQueues {
+            near: SpreadQueue::new(salt),
+            far: SpreadQueue::new(salt),
+        }
+    }
+
+    /// Adds a change that is to cross the link as well if `crosses`.
+    pub(crate) fn push(&mut self, key: u64, crosses: bool) {
+        self.near.push(key);
+        if crosses {
+            self.far.push(key);
+        }
+    }
+}
+
 /// Number of sends for `factor` per doubling of `members`.
 pub(crate) fn send_limit(factor: u32, members: usize) -> u32 {
     factor * (usize::BITS - members.leading_zeros()).max(1)
--- a/coltsfootweir/src/view.rs
+++ b/coltsfootweir/src/view.rs
@@ -25,8 +25,10 @@
 /// What a merge changed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct MergeOutcome {
-    /// The entry is newer than before.
+    /// The entry is newer than before, not only its served generation.
     pub changed: bool,
+    /// Only the served generation is higher than before.
+    pub served: bool,
     /// The change should spread at once: a leaving or silent endpoint, or a member that left.
     pub urgent: bool,
 }
@@ -134,9 +136,12 @@
             return MergeOutcome::default();
         }
         let urgent = is_urgent(Some(&before), &merged);
+        let changed = !before.same_but_served(&merged);
+        let served = !changed && before.served != merged.served;
         self.replace(member, merged, now);
         MergeOutcome {
-            changed: true,
+            changed,
+            served,
             urgent,
         }
     }
@@ -303,6 +308,7 @@
         }
         MergeOutcome {
             changed: true,
+            served: false,
             urgent: is_urgent(None, entry),
         }
     }
@@ -323,6 +329,7 @@
         });
         MergeOutcome {
             changed: true,
+            served: false,
             urgent: true,
         }
     }
