Proofs of the membership, spread and floor decisions

State machine over eight members in two regions, merge order, ranks, floor after restarts, and traffic and convergence of 560 members.

--- a/coltsfootweir/src/exchange.rs
+++ b/coltsfootweir/src/exchange.rs
@@ -66,6 +66,7 @@
     ) -> Vec<GossipAction> {
         self.advance(now);
         self.absorb(&message);
+        self.floor_heard |= message.floor.is_some() && message.region == self.region;
         let mut actions = self.take_urgent();
         let follow_up = match &message.repair {
             Some(part) => self.follow_repair(part, &message),
--- a/coltsfootweir/src/gossip.rs
+++ b/coltsfootweir/src/gossip.rs
@@ -64,6 +64,8 @@
     pub(crate) served_queue: SpreadQueues,
     pub(crate) fact_queue: SpreadQueues,
     pub(crate) floor_wanted: bool,
+    /// Whether a member of the own region answered the question for the floor.
+    pub(crate) floor_heard: bool,
     pub(crate) urgent_due: bool,
     pub(crate) probes: Vec<MemberHash>,
     pub(crate) peers: PeerLists,
@@ -95,6 +97,7 @@
             served_queue: SpreadQueues::new(rng.random()),
             fact_queue: SpreadQueues::new(rng.random()),
             floor_wanted: false,
+            floor_heard: false,
             urgent_due: false,
             probes: Vec::new(),
             peers: PeerLists::default(),
@@ -138,8 +141,10 @@
         self.facts.crashes()
     }
 
-    /// Asks peers for the floor with each message, or stops asking. A member that asks answers no
-    /// other member's question.
+    /// Asks peers for the floor with each message, or stops asking.
+    ///
+    /// A member that asks answers no other member's question, so it asks until it serves a
+    /// generation at or above its floor.
     pub fn set_floor_wanted(&mut self, wanted: bool) {
         self.floor_wanted = wanted;
     }
--- a/coltsfootweir/src/view.rs
+++ b/coltsfootweir/src/view.rs
@@ -152,6 +152,7 @@
             return self.refute(rank).changed;
         }
         let Some(record) = self.records.get(&member) else {
+            self.bury_rank(member, rank, now);
             return false;
         };
         if rank.state.is_live() || rank <= record.entry.rank() {
@@ -299,8 +300,12 @@
         entry: &MemberEntry,
         now: Duration,
     ) -> MergeOutcome {
+        if !entry.state.is_live() {
+            self.bury_rank(member, entry.rank(), now);
+            return MergeOutcome::default();
+        }
         let known = self.buried.get(&member).map(|buried| buried.rank);
-        if !entry.state.is_live() || known >= Some(entry.rank()) {
+        if known >= Some(entry.rank()) {
             return MergeOutcome::default();
         }
         if !self.insert(entry.clone(), now) {
@@ -411,6 +416,15 @@
         );
     }
 
+    /// Keeps the rank of a member that ended, so that older entries do not bring it back.
+    fn bury_rank(&mut self, member: MemberHash, rank: EntryRank, now: Duration) {
+        let known = self.buried.get(&member).map(|buried| buried.rank);
+        if rank.state.is_live() || known >= Some(rank) {
+            return;
+        }
+        self.buried.insert(member, BuriedRank { rank, noted: now });
+    }
+
     fn note_advertised(&mut self, member: MemberHash, generation: Generation) {
         let highest = self.advertised.entry(member).or_default();
         *highest = generation.max(*highest);
--- a/coltsfootweir/tests/gossip_fleet.rs
+++ b/coltsfootweir/tests/gossip_fleet.rs
@@ -13,37 +13,52 @@
 /// Bytes a second a member may send and receive.
 const BYTES_PER_SECOND: u64 = 5_000;
 
+/// Bytes a second that may cross the link, both ways together.
+const LINK_BYTES_PER_SECOND: u64 = 4_000;
+
+/// Seconds between two generations.
+const GENERATION_SECONDS: u64 = 100;
+
+/// Rounds in which idle traffic is counted.
+const IDLE_ROUNDS: u64 = 6;
+
+/// Rounds in which the traffic of a generation is counted.
+const SPREAD_ROUNDS: u64 = 40;
+
 #[test]
 fn traffic_stays_in_the_budget() {
     let mut fleet = GossipFleet::new(MEMBERS);
-    for _ in 0..5 {
-        fleet.drive_round();
-    }
+    drive_rounds(&mut fleet, 4);
     fleet.counting = true;
-    let rounds = 104;
-    for round in 0..rounds {
-        if round == 2 {
-            fleet.publish(17, 1);
-        }
-        if round == 20 {
-            fleet.stopped[40] = true;
-        }
-        if round == 50 {
-            fleet.restart(40);
-        }
-        fleet.drive_round();
-    }
-    let per_member = fleet.counts.bytes / rounds / MEMBERS as u64;
+    drive_rounds(&mut fleet, IDLE_ROUNDS);
+    let idle = fleet.counts.bytes / IDLE_ROUNDS;
+    let idle_link = fleet.counts.link / IDLE_ROUNDS;
+    // One member is killed as the head spreads, and restarts: far more churn than in any 40 s.
+    fleet.publish(17, 1);
+    drive_rounds(&mut fleet, 4);
+    fleet.stopped[40] = true;
+    drive_rounds(&mut fleet, SPREAD_ROUNDS / 2);
+    fleet.restart(40);
+    drive_rounds(&mut fleet, SPREAD_ROUNDS / 2 - 4);
+    let spread = fleet.counts.bytes - idle * IDLE_ROUNDS;
+    let spread_link = fleet.counts.link - idle_link * IDLE_ROUNDS;
+    let quiet = GENERATION_SECONDS - SPREAD_ROUNDS;
+    let sent = (spread + idle * quiet) / GENERATION_SECONDS / MEMBERS as u64;
+    let link = (spread_link + idle_link * quiet) / GENERATION_SECONDS;
     println!(
-        "{per_member} B/s sent a member, {} B/s over the link, {} messages",
-        fleet.counts.link / rounds,
-        fleet.counts.messages
+        "sent by a member: {sent} B/s, idle {} B/s; over the link, both ways: {link} B/s",
+        idle / MEMBERS as u64
     );
     assert_eq!(fleet.behind(1), 0);
+    for (member, state) in fleet.states.iter().enumerate() {
+        let unknown = state.view().live().filter(|entry| entry.served < 1).count();
+        assert_eq!(unknown, 0, "member {member} does not know what all serve");
+    }
     assert!(
-        per_member * 2 < BYTES_PER_SECOND,
-        "{per_member} B/s sent and as many received"
+        2 * sent < BYTES_PER_SECOND,
+        "{sent} B/s sent and as many received"
     );
+    assert!(link < LINK_BYTES_PER_SECOND, "{link} B/s over the link");
 }
 
 #[test]
@@ -73,9 +88,7 @@
     fleet.drive_round();
     fleet.cut = true;
     fleet.publish(3, 1);
-    for _ in 0..40 {
-        fleet.drive_round();
-    }
+    drive_rounds(&mut fleet, 40);
     assert_eq!(fleet.behind(1), MEMBERS / 2, "only the other region waits");
     let now = fleet.now();
     let other = support::REGIONS[0];
@@ -83,9 +96,7 @@
     fleet.cut = false;
     let rounds = rounds_until_served(&mut fleet, 1);
     assert!(rounds <= CONVERGENCE_ROUNDS, "took {rounds} rounds");
-    for _ in 0..CONVERGENCE_ROUNDS {
-        fleet.drive_round();
-    }
+    drive_rounds(&mut fleet, CONVERGENCE_ROUNDS);
     let now = fleet.now();
     for (member, state) in fleet.states.iter().enumerate() {
         assert!(
@@ -95,11 +106,16 @@
     }
 }
 
+fn drive_rounds(fleet: &mut GossipFleet, rounds: u64) {
+    for _ in 0..rounds {
+        fleet.drive_round();
+    }
+}
+
 fn rounds_until_served(fleet: &mut GossipFleet, generation: u64) -> u64 {
     let start = fleet.round;
     while fleet.behind(generation) > 0 && fleet.round < start + 3 * CONVERGENCE_ROUNDS {
         fleet.drive_round();
     }
-    println!("{} rounds", fleet.round - start);
     fleet.round - start
 }
--- /dev/null
+++ b/coltsfootweir/tests/restart_floor.rs
@@ -0,0 +1,133 @@
+//! A restarted member learns a floor that is not below what its address served.
+
+mod support;
+
+use std::time::Duration;
+
+use coltsfootweir::floor::FLOOR_SETTLE;
+use coltsfootweir::floor::FloorState;
+use coltsfootweir::gossip_message::FloorAnswer;
+use coltsfootweir::ids::MemberId;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use support::address_of;
+use support::machine::GossipMachine;
+use support::machine::MEMBERS;
+use support::machine::MemberPhase;
+
+fn peer(index: usize) -> MemberId {
+    address_of(index).to_string().into_boxed_str()
+}
+
+fn answer(held: u64, advertised: u64) -> FloorAnswer {
+    FloorAnswer { held, advertised }
+}
+
+/// Longest time in which a restarted member must learn its floor from peers, in rounds.
+const FLOOR_ROUNDS: usize = 45;
+
+fn pass_rounds(machine: &mut GossipMachine, rounds: usize) {
+    for _ in 0..rounds {
+        machine.pass_round();
+        machine.deliver_all();
+    }
+}
+
+#[test]
+fn without_store_and_peers_there_is_no_floor() {
+    let mut floor = FloorState::new(Duration::ZERO);
+    floor.on_store_head(None);
+    floor.on_peer_failure(&peer(1));
+    floor.on_peer_asking(&peer(2));
+    assert_eq!(floor.floor(Duration::from_secs(10_000)), None);
+    floor.on_store_head(Some(0));
+    assert_eq!(
+        floor.floor(Duration::ZERO),
+        Some(0),
+        "an empty store says generation 0"
+    );
+}
+
+#[test]
+fn answers_count_only_after_the_settle_time() {
+    let mut floor = FloorState::new(Duration::ZERO);
+    for index in 0..8 {
+        floor.on_peer(&peer(index), answer(3, 4), Duration::from_secs(1));
+    }
+    assert_eq!(floor.floor(FLOOR_SETTLE), None);
+    for index in 0..4 {
+        floor.on_peer(&peer(index), answer(3, 1), FLOOR_SETTLE);
+    }
+    assert_eq!(floor.floor(FLOOR_SETTLE), None, "four of eight answered");
+    floor.on_peer(&peer(4), answer(2, 2), FLOOR_SETTLE);
+    assert_eq!(floor.floor(FLOOR_SETTLE), Some(4));
+}
+
+#[test]
+fn a_region_that_restarts_as_a_whole_asks_the_other_region() {
+    let mut machine = GossipMachine::new();
+    pass_rounds(&mut machine, 10);
+    machine.publish(0);
+    pass_rounds(&mut machine, 10);
+    machine.store_up = false;
+    machine.cut = true;
+    let region: Vec<usize> = (0..MEMBERS).step_by(2).collect();
+    for member in &region {
+        machine.set_phase(*member, MemberPhase::Stopped);
+        machine.set_phase(*member, MemberPhase::Running);
+    }
+    pass_rounds(&mut machine, FLOOR_ROUNDS);
+    for member in &region {
+        assert_eq!(
+            machine.members[*member].known_floor, None,
+            "{member} reaches no one"
+        );
+    }
+    machine.cut = false;
+    pass_rounds(&mut machine, FLOOR_ROUNDS);
+    for member in &region {
+        assert_eq!(
+            machine.members[*member].known_floor,
+            Some(1),
+            "{member} has no floor"
+        );
+        assert_eq!(
+            machine.members[*member].gossip.own().served,
+            1,
+            "{member} does not serve"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 60,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn one_delivered_push_is_enough_without_the_store(
+        member in 0..MEMBERS,
+        generations in 1..4u64,
+        delivered in any::<usize>(),
+        down_rounds in 0..30usize,
+    ) {
+        let mut machine = GossipMachine::new();
+        pass_rounds(&mut machine, 10);
+        for _ in 1..generations {
+            machine.publish(member);
+            pass_rounds(&mut machine, 10);
+        }
+        machine.publish(member);
+        machine.deliver(delivered, false);
+        machine.store_up = false;
+        machine.set_phase(member, MemberPhase::Stopped);
+        pass_rounds(&mut machine, down_rounds);
+        machine.set_phase(member, MemberPhase::Running);
+        pass_rounds(&mut machine, FLOOR_ROUNDS);
+        prop_assert_eq!(machine.members[member].known_floor, Some(generations));
+    }
+}
--- a/coltsfootweir/tests/support/mod.rs
+++ b/coltsfootweir/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Members that exchange messages without a network.
 #![allow(dead_code)]
 
+pub mod machine;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -193,7 +195,8 @@
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
-        !self.stopped[to] && !(self.cut && region_of(from) != region_of(to))
+        let cut = self.cut && region_of(from) != region_of(to);
+        !cut && !self.stopped[to]
     }
 
     /// Carries out an exchange and those that follow from its answer.
