--- a/coltsfootweir/src/exchange.rs
+++ b/coltsfootweir/src/exchange.rs
@@ -283,7 +283,10 @@
     fn absorb_served(&mut self, run: RunHash, generation: Generation) {
         if self.view.note_served(run, generation) {
             self.spread_served(run);
+            return;
         }
+        let sends = send_limit(self.limits.served_sends, self.peers.near.len());
+        self.served_queue.near.note_heard(run, sends);
     }
 
     fn spread_served(&mut self, run: RunHash) {
--- a/coltsfootweir/src/repair.rs
+++ b/coltsfootweir/src/repair.rs
@@ -38,7 +38,10 @@
         let table_interval = join_or(self.limits.repair_interval);
         let table = own.table != answer.digest.table
             && is_due(self.last.table_repair, table_interval, self.now);
-        let served = own.served != answer.digest.served
+        // While rows are on their way, a difference is expected.
+        let quiet = self.served_queue.near.len() <= self.limits.message_served / 4;
+        let served = quiet
+            && own.served != answer.digest.served
             && own.table == answer.digest.table
             && is_due(
                 self.last.served_repair,
--- a/coltsfootweir/src/spread_queue.rs
+++ b/coltsfootweir/src/spread_queue.rs
@@ -23,6 +23,22 @@
         self.sends.insert(key, 0);
     }
 
+    /// Number of changes that are still to be sent.
+    pub(crate) fn len(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Counts a change as sent because another member sent it; see [`SpreadQueue::take`].
+    pub(crate) fn note_heard(&mut self, key: u64, limit: u32) {
+        let Some(sends) = self.sends.get_mut(&key) else {
+            return;
+        };
+        *sends += 1;
+        if *sends >= limit {
+            self.sends.remove(&key);
+        }
+    }
+
     /// Takes up to `count` changes, those sent the fewest times first, and counts them as sent; a
     /// change sent `limit` times is dropped.
     pub(crate) fn take(&mut self, count: usize, limit: u32) -> Vec<u64> {
