--- a/coltsfootweir/src/repair.rs
+++ b/coltsfootweir/src/repair.rs
@@ -38,7 +38,10 @@
         let table_interval = join_or(self.limits.repair_interval);
         let table = own.table != answer.digest.table
             && is_due(self.last.table_repair, table_interval, self.now);
-        let served = own.served != answer.digest.served
+        // While rows are on their way, a difference is expected.
+        let quiet = self.served_queue.near.len() <= self.limits.message_served / 4;
+        let served = quiet
+            && own.served != answer.digest.served
             && own.table == answer.digest.table
             && is_due(
                 self.last.served_repair,
@@ -186,7 +189,7 @@
         if !self.view.merge_end(row.member, row.rank, self.now) {
             return;
         }
-        self.entry_queue.push(row.member);
+        self.spread_entry(row.member);
         self.refresh_peers();
     }
 
--- a/coltsfootweir/src/view.rs
+++ b/coltsfootweir/src/view.rs
@@ -25,8 +25,10 @@
 /// What a merge changed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct MergeOutcome {
-    /// The entry is newer than before.
+    /// The entry is newer than before, not only its served generation.
     pub changed: bool,
+    /// Only the served generation is higher than before.
+    pub served: bool,
     /// The change should spread at once: a leaving or silent endpoint, or a member that left.
     pub urgent: bool,
 }
@@ -134,9 +136,12 @@
             return MergeOutcome::default();
         }
         let urgent = is_urgent(Some(&before), &merged);
+        let changed = !before.same_but_served(&merged);
+        let served = !changed && before.served != merged.served;
         self.replace(member, merged, now);
         MergeOutcome {
-            changed: true,
+            changed,
+            served,
             urgent,
         }
     }
@@ -147,6 +152,7 @@
             return self.refute(rank).changed;
         }
         let Some(record) = self.records.get(&member) else {
+            self.bury_rank(member, rank, now);
             return false;
         };
         if rank.state.is_live() || rank <= record.entry.rank() {
@@ -294,8 +300,12 @@
         entry: &MemberEntry,
         now: Duration,
     ) -> MergeOutcome {
+        if !entry.state.is_live() {
+            self.bury_rank(member, entry.rank(), now);
+            return MergeOutcome::default();
+        }
         let known = self.buried.get(&member).map(|buried| buried.rank);
-        if !entry.state.is_live() || known >= Some(entry.rank()) {
+        if known >= Some(entry.rank()) {
             return MergeOutcome::default();
         }
         if !self.insert(entry.clone(), now) {
@@ -303,6 +313,7 @@
         }
         MergeOutcome {
             changed: true,
+            served: false,
             urgent: is_urgent(None, entry),
         }
     }
@@ -323,6 +334,7 @@
         });
         MergeOutcome {
             changed: true,
+            served: false,
             urgent: true,
         }
     }
@@ -404,6 +416,15 @@
         );
     }
 
+    /// Keeps the rank of a member that ended, so that older entries do not bring it back.
+    fn bury_rank(&mut self, member: MemberHash, rank: EntryRank, now: Duration) {
+        let known = self.buried.get(&member).map(|buried| buried.rank);
+        if rank.state.is_live() || known >= Some(rank) {
+            return;
+        }
+        self.buried.insert(member, BuriedRank { rank, noted: now });
+    }
+
     fn note_advertised(&mut self, member: MemberHash, generation: Generation) {
         let highest = self.advertised.entry(member).or_default();
         *highest = generation.max(*highest);
