--- a/standins/tests/platform_http.rs
+++ b/standins/tests/platform_http.rs
@@ -262,3 +262,35 @@
     assert!((10_000..11_000).contains(&received), "{received}");
     assert_eq!(server.platform().stats().objects_read, 1);
 }
+
+#[test]
+#[ignore = "prints figures; nothing is built on it"]
+fn platform_rate_over_http() {
+    const CLIENTS: usize = 16;
+    const REQUESTS_EACH: usize = 500;
+    let (_server, client) = start();
+    let client = Arc::new(client);
+    for is_write in [false, true] {
+        let start = Instant::now();
+        let mut tasks = Vec::new();
+        for task in 0..CLIENTS {
+            let client = Arc::clone(&client);
+            tasks.push(std::thread::spawn(move || {
+                let key = format!("move/{task}");
+                for _ in 0..REQUESTS_EACH {
+                    if is_write {
+                        let change = batch("w", vec![write(&key, RowCondition::Any, Some("1"))]);
+                        client.commit(&change).unwrap();
+                    } else {
+                        client.read_row(&key).unwrap();
+                    }
+                }
+            }));
+        }
+        for task in tasks {
+            task.join().unwrap();
+        }
+        let rate = (CLIENTS * REQUESTS_EACH) as f64 / start.elapsed().as_secs_f64();
+        println!("platform stand-in, {CLIENTS} clients, writes {is_write}: {rate:.0} a second");
+    }
+}
