Charge connections and probes without a timer tick for each

Cause: each connection slept a millisecond in the accept loop, and a timer tick rounds that up, so a burst paid about twice the stated cost.

Change: the time at which each piece of serial work is done is kept, and every connection sleeps until its own. The test of the limit no longer looks at time; one as strict for the cost stands beside it (30 new connections at 10 ms take 300 ms or more, kept ones nothing).

--- a/standins/src/upstream_life.rs
+++ b/standins/src/upstream_life.rs
@@ -20,6 +20,7 @@
 use tokio::select;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::port_holder::PortHolder;
 use crate::upstream_call::UpstreamResponse;
@@ -78,7 +79,6 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        take_connection_cost(state).await;
         if !state.open_connection() {
             let _ = stream.set_zero_linger();
             continue;
@@ -90,15 +90,6 @@
     }
 }
 
-async fn take_connection_cost(state: &UpstreamState) {
-    let connection_cost = state.settings.connection_cost;
-    if connection_cost.is_zero() {
-        return;
-    }
-    let _core = state.core.lock().await;
-    sleep(connection_cost).await;
-}
-
 /// Counts the end of a connection.
 struct ConnectionGuard {
     state: Arc<UpstreamState>,
@@ -112,6 +103,11 @@
 
 async fn serve_connection(guard: ConnectionGuard, stream: TcpStream, life: LifeReceiver) {
     let _ = stream.set_nodelay(true);
+    let connection_cost = guard.state.settings.connection_cost;
+    if !connection_cost.is_zero() {
+        let set_up = guard.state.charge_core(connection_cost);
+        sleep_until(set_up.into()).await;
+    }
     let state = Arc::clone(&guard.state);
     let service = service_fn(move |request: Request<Incoming>| -> ResponseFuture {
         let state = Arc::clone(&state);
--- a/standins/src/upstream_state.rs
+++ b/standins/src/upstream_state.rs
@@ -37,8 +37,6 @@
 pub struct UpstreamState {
     /// Settings it was started with.
     pub settings: UpstreamSettings,
-    /// Held while a connection is set up or a probe is answered.
-    pub core: tokio::sync::Mutex<()>,
     made: Instant,
     inner: Mutex<StateInner>,
 }
@@ -52,6 +50,8 @@
     faults: UpstreamFaults,
     faults_set: Instant,
     rng: ChaCha8Rng,
+    /// When what was charged for connections and probes so far is done.
+    core_free: Instant,
     log: RunLog,
     load: LoadHistory,
     stats: UpstreamStats,
@@ -84,13 +84,13 @@
             faults: settings.faults.clone(),
             faults_set: now,
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            core_free: now,
             log: RunLog::default(),
             load: LoadHistory::default(),
             stats: UpstreamStats::default(),
         };
         UpstreamState {
             settings,
-            core: tokio::sync::Mutex::new(()),
             made: now,
             inner: Mutex::new(inner),
         }
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Charges work that is done one piece after another; returns when this piece is done.
+    pub fn charge_core(&self, cost: Duration) -> Instant {
+        let mut inner = self.lock();
+        inner.core_free = inner.core_free.max(Instant::now()) + cost;
+        inner.core_free
+    }
+
     /// Counts a new connection; `false` when the limit is reached and it must be reset.
     pub fn open_connection(&self) -> bool {
         let mut inner = self.lock();
--- a/standins/src/upstream_switch.rs
+++ b/standins/src/upstream_switch.rs
@@ -7,7 +7,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::run_log::RunNumber;
 use crate::upstream_call::UpstreamResponse;
@@ -56,8 +56,8 @@
 }
 
 async fn take_probe_cost(state: &UpstreamState) {
-    let _core = state.core.lock().await;
-    sleep(state.settings.probe_cost).await;
+    let done = state.charge_core(state.settings.probe_cost);
+    sleep_until(done.into()).await;
 }
 
 async fn answer_switch(
--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -322,23 +322,50 @@
 }
 
 #[test]
-fn connections_cost_time_and_are_limited() {
+fn connections_over_the_limit_are_reset() {
     let mut settings = settings();
     settings.connection_limit = 20;
     let server = start(settings);
-    let start = Instant::now();
     let mut streams = Vec::new();
     for _ in 0..25 {
         streams.push(TcpStream::connect(server.address()).unwrap());
     }
     assert!(wait_until(SOON, || server.stats().connections_refused == 5));
-    assert!(start.elapsed() >= Duration::from_millis(25));
     assert_eq!(server.stats().connections, 20);
     drop(streams);
     assert!(wait_until(SOON, || server.stats().connections == 0));
     assert_eq!(server.stats().connections_total, 20);
 }
 
+#[test]
+fn connections_cost_time_one_after_another() {
+    let mut settings = settings();
+    settings.connection_cost = Duration::from_millis(10);
+    settings.work = Duration::ZERO;
+    let server = start(settings);
+    let start = Instant::now();
+    let mut streams = Vec::new();
+    for _ in 0..30 {
+        streams.push(send_get(server.address(), "/x"));
+    }
+    for stream in &mut streams {
+        stream.read_exact(&mut [0; 12]).unwrap();
+    }
+    let elapsed = start.elapsed();
+    assert!(elapsed >= Duration::from_millis(300), "{elapsed:?}");
+    for stream in &mut streams {
+        let start = Instant::now();
+        stream
+            .write_all(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+            .unwrap();
+        stream.read_exact(&mut [0; 12]).unwrap();
+        assert!(
+            start.elapsed() < Duration::from_millis(300),
+            "a kept connection costs nothing"
+        );
+    }
+}
+
 #[test]
 fn slow_sender_is_ended_and_does_not_hold_up_others() {
     let server = start(settings());
