--- a/standins/tests/platform_http.rs
+++ b/standins/tests/platform_http.rs
@@ -236,6 +236,21 @@
     assert_eq!(&bytes, b"HTTP/1.1 413");
 }
 
+#[test]
+fn slow_senders_do_not_hold_up_others() {
+    let (server, client) = start();
+    let mut slow_head = TcpStream::connect(server.address()).unwrap();
+    slow_head.write_all(b"GET /stats HT").unwrap();
+    let mut slow_body = TcpStream::connect(server.address()).unwrap();
+    let head = b"PUT /objects/x HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\nhalf";
+    slow_body.write_all(head).unwrap();
+    for _ in 0..20 {
+        let start = Instant::now();
+        assert_eq!(client.get_object("x").unwrap(), None);
+        assert!(start.elapsed() < Duration::from_secs(1));
+    }
+}
+
 #[derive(Default)]
 struct TotalCounter {
     sent: AtomicU64,
@@ -262,3 +277,35 @@
     assert!((10_000..11_000).contains(&received), "{received}");
     assert_eq!(server.platform().stats().objects_read, 1);
 }
+
+#[test]
+#[ignore = "prints figures; nothing is built on it"]
+fn platform_rate_over_http() {
+    const CLIENTS: usize = 16;
+    const REQUESTS_EACH: usize = 500;
+    let (_server, client) = start();
+    let client = Arc::new(client);
+    for is_write in [false, true] {
+        let start = Instant::now();
+        let mut tasks = Vec::new();
+        for task in 0..CLIENTS {
+            let client = Arc::clone(&client);
+            tasks.push(std::thread::spawn(move || {
+                let key = format!("move/{task}");
+                for _ in 0..REQUESTS_EACH {
+                    if is_write {
+                        let change = batch("w", vec![write(&key, RowCondition::Any, Some("1"))]);
+                        client.commit(&change).unwrap();
+                    } else {
+                        client.read_row(&key).unwrap();
+                    }
+                }
+            }));
+        }
+        for task in tasks {
+            task.join().unwrap();
+        }
+        let rate = (CLIENTS * REQUESTS_EACH) as f64 / start.elapsed().as_secs_f64();
+        println!("platform stand-in, {CLIENTS} clients, writes {is_write}: {rate:.0} a second");
+    }
+}
