--- a/coltsfootweir/src/config_task.rs
+++ b/coltsfootweir/src/config_task.rs
@@ -20,7 +20,6 @@
 use crate::control_server::ControlAnswer;
 use crate::control_server::ControlHandler;
 use crate::control_server::HandlerPlugin;
-use crate::floor::FLOOR_PEERS;
 use crate::ids::Generation;
 use crate::kernel::DaemonTask;
 use crate::kernel::StopSignal;
@@ -168,19 +167,9 @@
     }
     let now = context.now();
     let gossip = lock(&context.gossip);
-    let peers: Vec<_> = gossip.view().live().map(|entry| entry.id.clone()).collect();
-    drop(gossip);
     let mut state = lock(&context.floor);
-    for peer in peers
-        .iter()
-        .filter(|peer| **peer != context.id)
-        .take(FLOOR_PEERS)
-    {
-        state.on_peer_known(peer);
-    }
-    if peers.len() <= 1 {
-        state.on_no_peers();
-    }
+    state.on_view(gossip.view());
+    drop(gossip);
     let Some(floor) = state.floor(now) else {
         return;
     };
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -90,9 +90,7 @@
     let mut gossip = lock(&context.gossip);
     let mut actions = match answer {
         Ok(answer) => {
-            if let Some(floor) = answer.floor {
-                lock(&context.floor).on_peer(&answer.from, floor, now);
-            }
+            lock(&context.floor).on_answer(&answer, now);
             gossip.on_answer(to, answer, now)
         }
         Err(error) => {
