A dialer at the border between daemons

Cause: a cut between regions cannot be made on one loopback interface, and the design wants peers behind a trait object. Change: PeerDialer finds the address for a peer; DaemonParts hands platform, dialer, clock and meter to a daemon.

--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -24,6 +24,7 @@
 use crate::clock::DaemonClock;
 use crate::config_state::ConfigState;
 use crate::control_client::ControlClient;
+use crate::dialer::PeerDialer;
 use crate::endpoint_index::EndpointIndex;
 use crate::evidence::EvidenceRecorder;
 use crate::floor::FloorState;
@@ -77,6 +78,7 @@
     pub(crate) write_count: AtomicU64,
     pub(crate) handoff: Mutex<TaskHandoff>,
     pub(crate) config_wake: Sender<()>,
+    pub(crate) dialer: Arc<dyn PeerDialer>,
     pub(crate) peers: ConnectionPool,
     pub(crate) gossip: Mutex<GossipState>,
     pub(crate) config: Mutex<ConfigState>,
--- a/coltsfootweir/src/control_client.rs
+++ b/coltsfootweir/src/control_client.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::dialer::PeerDialer;
 use crate::link::LinkCause;
 use crate::link::LinkMeter;
 
@@ -58,13 +59,14 @@
 #[derive(Clone, Debug)]
 pub struct ControlClient {
     meter: Arc<LinkMeter>,
+    dialer: Arc<dyn PeerDialer>,
 }
 
 impl ControlClient {
     /// Makes a client that counts its bytes on `meter`.
     #[must_use]
-    pub fn new(meter: Arc<LinkMeter>) -> Self {
-        ControlClient { meter }
+    pub fn new(meter: Arc<LinkMeter>, dialer: Arc<dyn PeerDialer>) -> Self {
+        ControlClient { meter, dialer }
     }
 
     /// Sends `message` to `path` at a peer and decodes the answer.
@@ -77,9 +79,12 @@
         path: &str,
         message: &impl Serialize,
     ) -> Result<T, Report<ControlError>> {
+        let Some(address) = self.dialer.dial(route.peer) else {
+            bail!(ControlError::NoAnswer);
+        };
         let body = rmp_serde::to_vec(message).change_context(ControlError::BadMessage)?;
         let sent = body.len();
-        let response = minreq::post(format!("http://{}{path}", route.peer))
+        let response = minreq::post(format!("http://{address}{path}"))
             .with_body(body)
             .with_timeout(EXCHANGE_TIMEOUT_SECONDS)
             .send();
--- a/coltsfootweir/src/daemon.rs
+++ b/coltsfootweir/src/daemon.rs
@@ -32,6 +32,8 @@
 use crate::context::TaskHandoff;
 use crate::context::lock;
 use crate::control_client::ControlClient;
+use crate::dialer::DirectDialer;
+use crate::dialer::PeerDialer;
 use crate::endpoint_index::EndpointIndex;
 use crate::evidence::EvidenceRecorder;
 use crate::floor::FloorState;
@@ -100,6 +102,33 @@
 
 impl std::error::Error for DaemonError {}
 
+/// What a daemon meets at its borders.
+pub struct DaemonParts {
+    /// The platform.
+    pub platform: Arc<dyn PlatformStore>,
+    /// Connections to other daemons.
+    pub dialer: Arc<dyn PeerDialer>,
+    /// Source of time.
+    pub clock: Arc<dyn DaemonClock>,
+    /// Bytes by cause, counted by the daemon and by the platform's client.
+    pub meter: Arc<LinkMeter>,
+}
+
+impl DaemonParts {
+    /// The parts of a daemon in production: the platform over HTTP, direct connections, the
+    /// operating system's clock.
+    #[must_use]
+    pub fn new(settings: &DaemonSettings) -> DaemonParts {
+        let meter = Arc::new(LinkMeter::default());
+        DaemonParts {
+            platform: open_platform(settings, &meter),
+            dialer: Arc::new(DirectDialer),
+            clock: Arc::new(SystemClock::new()),
+            meter,
+        }
+    }
+}
+
 /// A running daemon. Dropping it ends it at once; [`MeshDaemon::stop`] ends it in order.
 pub struct MeshDaemon {
     context: Arc<DaemonContext>,
@@ -121,7 +150,19 @@
     /// # Errors
     /// [`DaemonError`].
     pub fn start(settings: DaemonSettings) -> Result<MeshDaemon, Report<DaemonError>> {
-        let context = Arc::new(make_context(settings)?);
+        let parts = DaemonParts::new(&settings);
+        MeshDaemon::start_with(settings, parts)
+    }
+
+    /// Starts a daemon with other parts at its borders.
+    ///
+    /// # Errors
+    /// [`DaemonError`].
+    pub fn start_with(
+        settings: DaemonSettings,
+        parts: DaemonParts,
+    ) -> Result<MeshDaemon, Report<DaemonError>> {
+        let context = Arc::new(make_context(settings, parts)?);
         let control =
             TaskKernel::start(&context, TaskStage::Control).change_context(DaemonError::Task)?;
         let calls =
@@ -193,7 +234,16 @@
     }
 }
 
-fn make_context(settings: DaemonSettings) -> Result<DaemonContext, Report<DaemonError>> {
+fn make_context(
+    settings: DaemonSettings,
+    parts: DaemonParts,
+) -> Result<DaemonContext, Report<DaemonError>> {
+    let DaemonParts {
+        platform,
+        dialer,
+        clock,
+        meter,
+    } = parts;
     let control_listener = bind(settings.control)?;
     let call_listener = bind(settings.calls)?;
     call_listener
@@ -205,9 +255,7 @@
         Report::new(DaemonError::Bind(control_address)).attach(error.to_string())
     })?;
     let id: MemberId = control_address.to_string().into();
-    let clock: Arc<dyn DaemonClock> = Arc::new(SystemClock::new());
     let incarnation = make_incarnation(clock.wall());
-    let meter = Arc::new(LinkMeter::default());
     let (exchanges, exchange_queue) = flume::bounded(EXCHANGE_QUEUE);
     let (claims, claim_queue) = flume::bounded(CLAIM_QUEUE);
     let (config_wake, config_wakes) = flume::bounded(1);
@@ -233,8 +281,9 @@
     let zone = settings.zone.clone();
     let chooser = EndpointChooser::new(zone, settings.region.clone(), chooser_seed);
     Ok(DaemonContext {
-        platform: open_platform(&settings, &meter),
-        client: ControlClient::new(Arc::clone(&meter)),
+        client: ControlClient::new(Arc::clone(&meter), Arc::clone(&dialer)),
+        platform,
+        dialer,
         metrics: open_metrics(settings.statsd).change_context(DaemonError::Metrics)?,
         gossip: Mutex::new(make_gossip(own, &settings)),
         floor: Mutex::new(FloorState::new(clock.now())),
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -220,9 +220,12 @@
         let Some(millis) = deadline.header_ms(self.context.now()) else {
             return refuse(RefusalReason::DeadlinePassed);
         };
+        let Some(address) = self.context.dialer.dial(target.call_address) else {
+            return refuse(RefusalReason::UpstreamDown);
+        };
         let request = self.call.to_forward(Some(&target.id), millis);
         let left = self.deadline.remaining(self.context.now());
-        let sending = self.context.peers.send(target.call_address, request);
+        let sending = self.context.peers.send(address, request);
         let reply = match tokio::time::timeout(left, sending).await {
             Ok(Ok(response)) => read_peer_reply(response),
             Ok(Err(SendError::NotConnected)) => refuse(RefusalReason::UpstreamDown),
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod daemon;
 pub mod deadline;
 pub mod decision;
+pub mod dialer;
 pub mod endpoint_index;
 pub mod endpoint_state;
 pub mod evidence;
