--- a/standins/src/run_log.rs
+++ b/standins/src/run_log.rs
@@ -38,7 +38,7 @@
     pub request_id: Option<Box<str>>,
     /// Value of `idempotency-key`.
     pub idempotency_key: Option<Box<str>>,
-    /// Path of the request.
+    /// Path and query of the request.
     pub path: Box<str>,
 }
 
--- a/standins/src/upstream_call.rs
+++ b/standins/src/upstream_call.rs
@@ -12,6 +12,7 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::http::HeaderMap;
+use hyper::http::uri::PathAndQuery;
 use serde::Serialize;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -188,7 +189,11 @@
     RunRequest {
         request_id: read_text(request.headers(), REQUEST_ID_HEADER),
         idempotency_key: read_text(request.headers(), IDEMPOTENCY_HEADER),
-        path: request.uri().path().into(),
+        path: request
+            .uri()
+            .path_and_query()
+            .map_or("/", PathAndQuery::as_str)
+            .into(),
     }
 }
 
--- a/standins/src/upstream_stats.rs
+++ b/standins/src/upstream_stats.rs
@@ -41,7 +41,7 @@
     pub version: Box<str>,
     /// Number of the run.
     pub run: RunNumber,
-    /// Path of the request.
+    /// Path and query of the request.
     pub path: Box<str>,
     /// Fill up to the size asked.
     pub pad: Box<str>,
--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -75,7 +75,7 @@
 #[test]
 fn answer_names_request_version_and_run_at_the_size_asked() {
     let server = start(settings());
-    let response = minreq::get(url(&server, "/stalls/free"))
+    let response = minreq::get(url(&server, "/stalls/free?day=3"))
         .with_header("x-request-id", "r-17")
         .with_header("idempotency-key", "k-4")
         .with_header("x-standin-size", "5000")
@@ -86,7 +86,7 @@
     let answer: UpstreamAnswer = read_json(&response);
     assert_eq!(answer.request_id.as_deref(), Some("r-17"));
     assert_eq!((&*answer.service, &*answer.version), ("stalls", "v1"));
-    assert_eq!((answer.run, &*answer.path), (1, "/stalls/free"));
+    assert_eq!((answer.run, &*answer.path), (1, "/stalls/free?day=3"));
 
     let runs: Vec<RunEntry> = read_json(&get(&server, "/standin/runs"));
     assert_eq!(runs, server.runs());
