Control exchanges ask to close the connection

Cause: minreq sends no Connection: close by itself, and tiny_http parks a kept connection on a pool thread (docs/design/libraries.md). Change: the control client asks for it.

--- a/coltsfootweir/src/control_client.rs
+++ b/coltsfootweir/src/control_client.rs
@@ -85,6 +85,7 @@
         let body = rmp_serde::to_vec(message).change_context(ControlError::BadMessage)?;
         let sent = body.len();
         let response = minreq::post(format!("http://{address}{path}"))
+            .with_header("Connection", "close")
             .with_body(body)
             .with_timeout(EXCHANGE_TIMEOUT_SECONDS)
             .send();
