--- a/coltsfootweir/src/claim.rs
+++ b/coltsfootweir/src/claim.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use flume::Receiver;
+use flume::Sender;
 use log::warn;
-use tokio::sync::oneshot;
 
 use crate::booking_decision::ClaimRow;
 use crate::context::DaemonContext;
@@ -50,7 +50,7 @@
     /// Row to write when there is none.
     pub row: ClaimRow,
     /// Gets the outcome.
-    pub answer: oneshot::Sender<ClaimOutcome>,
+    pub answer: Sender<ClaimOutcome>,
 }
 
 struct ClaimWriter;
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -13,7 +13,6 @@
 use log::info;
 use log::warn;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
 
 use crate::announce::UpstreamAnnouncement;
 use crate::answer_cache::StoredAnswer;
@@ -190,7 +189,7 @@
     key: &BookingKey,
     row: ClaimRow,
 ) -> BookingDecision {
-    let (answer, outcome) = oneshot::channel();
+    let (answer, outcome) = flume::bounded(1);
     let service = route.service.clone();
     let request = ClaimRequest {
         service,
@@ -200,7 +199,7 @@
     };
     let _ = context.claims.send(request);
     let left = deadline.shrink(RETURN_MARGIN * 2).remaining(context.now());
-    let outcome = match tokio::time::timeout(left, outcome).await {
+    let outcome = match tokio::time::timeout(left, outcome.recv_async()).await {
         Ok(Ok(outcome)) => outcome,
         _ => ClaimOutcome::Unknown,
     };
--- a/coltsfootweir/src/upstream.rs
+++ b/coltsfootweir/src/upstream.rs
@@ -6,7 +6,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
+use flume::Receiver;
+use flume::Sender;
 
 use crate::announce::ANNOUNCE_TIMEOUT;
 use crate::announce::UpstreamAnnouncement;
@@ -31,7 +32,7 @@
     heard: Duration,
     is_down: bool,
     guard: GuardState,
-    waiters: HashMap<u64, oneshot::Sender<Admission>>,
+    waiters: HashMap<u64, Sender<Admission>>,
     calls: HashMap<u64, Fingerprint>,
     next_id: u64,
     crash_count: u64,
@@ -169,7 +170,7 @@
         let Some(waiter) = waiter else {
             return Ok(permit);
         };
-        match tokio::time::timeout(deadline.remaining(now), waiter).await {
+        match tokio::time::timeout(deadline.remaining(now), waiter.recv_async()).await {
             Ok(Ok(Ok(()))) => Ok(permit),
             Ok(Ok(Err(reason))) => Err(reason),
             Ok(Err(_)) => Err(RefusalReason::Cancelled),
@@ -182,7 +183,7 @@
         fingerprint: Fingerprint,
         deadline: CallDeadline,
         now: Duration,
-    ) -> Result<(u64, Option<oneshot::Receiver<Admission>>), RefusalReason> {
+    ) -> Result<(u64, Option<Receiver<Admission>>), RefusalReason> {
         let mut state = lock(&self.state);
         let id = state.next_id;
         state.next_id += 1;
@@ -192,7 +193,7 @@
                 Ok((id, None))
             }
             AdmitDecision::Wait => {
-                let (sender, receiver) = oneshot::channel();
+                let (sender, receiver) = flume::bounded(1);
                 state.waiters.insert(id, sender);
                 state.calls.insert(id, fingerprint);
                 Ok((id, Some(receiver)))
