--- a/coltsfootweir/src/config_task.rs
+++ b/coltsfootweir/src/config_task.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use flume::RecvTimeoutError;
@@ -130,7 +131,7 @@
 /// Returns whether this daemon reads the store's head now: a few members in the store's region do,
 /// or in each region while that one is out of reach, and any daemon whose floor is unknown.
 fn reads_store(context: &DaemonContext) -> bool {
-    if !lock(&context.config).is_serving() {
+    if !context.is_serving() {
         return true;
     }
     let settings = &context.settings;
@@ -177,6 +178,9 @@
     let mut config = lock(&context.config);
     config.raise_floor(floor);
     config.settle_floor();
+    context
+        .serving
+        .store(config.is_serving(), Ordering::Release);
     drop(config);
     lock(&context.gossip).set_floor_wanted(false);
     info!(target: CONFIG, "floor is generation {floor}");
@@ -258,6 +262,9 @@
         Ok(OfferOutcome::Applied) => {
             let config = lock(&context.config);
             context.table.store(config.table());
+            context
+                .serving
+                .store(config.is_serving(), Ordering::Release);
             drop(config);
             lock(&context.gossip).set_served(mark.clone());
             context.push_urgent();
--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -72,6 +72,8 @@
     pub claims: Sender<ClaimRequest>,
     /// Whether the daemon is leaving.
     pub leaving: AtomicBool,
+    /// Whether the configuration in force may be served; follows the configuration state.
+    pub(crate) serving: AtomicBool,
     /// Calls of callers now in progress.
     pub calls_running: AtomicU64,
     pub(crate) tally: CallTally,
@@ -102,6 +104,11 @@
         self.clock.now()
     }
 
+    /// Returns whether calls may be taken, without waiting for a change of configuration.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.serving.load(Ordering::Acquire)
+    }
+
     /// Returns whether the daemon was told to stop.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/coltsfootweir/src/daemon.rs
+++ b/coltsfootweir/src/daemon.rs
@@ -299,6 +299,7 @@
         exchanges,
         claims,
         leaving: AtomicBool::new(false),
+        serving: AtomicBool::new(false),
         calls_running: AtomicU64::new(0),
         tally: CallTally::default(),
         write_count: AtomicU64::new(0),
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -53,7 +53,7 @@
     if let Some(reply) = ask_ledger(context, call) {
         return reply;
     }
-    if !lock(&context.config).is_serving() {
+    if !context.is_serving() {
         return refuse(RefusalReason::NotServing);
     }
     if lock(&context.poison).is_refused(call.fingerprint, context.now()) {
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -61,7 +61,7 @@
 }
 
 async fn find_answer(context: &Arc<DaemonContext>, call: &CallRequest) -> CallReply {
-    if !lock(&context.config).is_serving() {
+    if !context.is_serving() {
         return refuse(RefusalReason::NotServing);
     }
     let table = context.table.load_full();
