--- a/coltsfootweir/src/config_state.rs
+++ b/coltsfootweir/src/config_state.rs
@@ -34,7 +34,7 @@
     mark: HeadMark,
     floor: Generation,
     floor_settled: bool,
-    earlier: VecDeque<Arc<ConfigSnapshot>>,
+    earlier: VecDeque<(HeadMark, Arc<ConfigSnapshot>)>,
 }
 
 impl ConfigState {
@@ -46,8 +46,8 @@
 
     /// Raises the lowest generation that the daemon may serve; a lower value changes nothing.
     ///
-    /// A daemon below the floor stops taking calls, so the floor is for generations that its
-    /// address has served, not for those that are merely accepted.
+    /// A daemon below the floor takes no calls. Once the floor is settled, it is to be raised only
+    /// to generations that an earlier run at the address has served.
     pub fn raise_floor(&mut self, generation: Generation) {
         self.floor = self.floor.max(generation);
     }
@@ -135,11 +135,14 @@
     /// the generation is not kept and the whole snapshot has to be sent.
     #[must_use]
     pub fn recent_delta(&self, from: Generation) -> Option<SnapshotDelta> {
-        let base = self
+        let (base_mark, base) = self
             .earlier
             .iter()
-            .find(|snapshot| snapshot.generation == from)?;
-        Some(self.snapshot.delta_from(base))
+            .find(|(mark, _)| mark.generation == from)?;
+        Some(
+            self.snapshot
+                .marked_delta(base, base_mark.clone(), self.mark()),
+        )
     }
 
     /// Returns the outcome of an offer that needs no decoding.
@@ -166,7 +169,7 @@
         mark: &HeadMark,
     ) -> Result<OfferOutcome, SnapshotError> {
         let table = RouteTable::compile(&snapshot)?;
-        self.earlier.push_back(Arc::clone(&self.snapshot));
+        self.earlier.push_back((self.mark(), self.snapshot()));
         if self.earlier.len() > KEPT_SNAPSHOTS {
             self.earlier.pop_front();
         }
--- a/coltsfootweir/src/snapshot_delta.rs
+++ b/coltsfootweir/src/snapshot_delta.rs
@@ -79,9 +79,19 @@
     /// Returns the delta that leads from `base` to this snapshot.
     #[must_use]
     pub fn delta_from(&self, base: &ConfigSnapshot) -> SnapshotDelta {
+        self.marked_delta(base, base.mark(), self.mark())
+    }
+
+    /// Returns the delta from `base`, with marks that the caller knows already.
+    pub(crate) fn marked_delta(
+        &self,
+        base: &ConfigSnapshot,
+        base_mark: HeadMark,
+        mark: HeadMark,
+    ) -> SnapshotDelta {
         SnapshotDelta {
-            base: base.mark(),
-            result: self.mark(),
+            base: base_mark,
+            result: mark,
             routes: changed_values(&base.routes, &self.routes),
             versions: changed_values(&base.versions, &self.versions),
             moves: changed_values(&base.moves, &self.moves),
