--- a/coltsfootweir/src/snapshot_change.rs
+++ b/coltsfootweir/src/snapshot_change.rs
@@ -7,6 +7,9 @@
 use crate::record_fault::RecordFault;
 use crate::snapshot::ConfigSnapshot;
 
+/// Ended moves that stay in the configuration, so that its size does not grow with its age.
+pub const ENDED_MOVES_KEPT: usize = 64;
+
 impl ConfigSnapshot {
     /// Returns the next generation with the records added, or replaced by name.
     ///
@@ -46,6 +49,47 @@
         }
     }
 
+    /// Returns the next generation without the records of these labels, such as `route/stalls`,
+    /// `upstream-version/stalls/v1` or `move/to-v2`.
+    ///
+    /// # Errors
+    /// Every fault: an unknown label, a move under way, or a broken closure.
+    pub fn without_records(&self, labels: &[Box<str>]) -> Result<ConfigSnapshot, Vec<RecordFault>> {
+        let mut next = self.next_generation();
+        let mut faults = Vec::new();
+        for label in labels {
+            if let Err(reason) = next.remove_record(label) {
+                faults.push(RecordFault::new(label.clone(), "name", reason));
+            }
+        }
+        if let Err(found) = next.check_closure() {
+            faults.extend(found);
+        }
+        if faults.is_empty() {
+            Ok(next)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn remove_record(&mut self, label: &str) -> Result<(), &'static str> {
+        let (kind, name) = label.split_once('/').unwrap_or((label, ""));
+        let removed = match kind {
+            "route" => self.routes.remove(name).is_some(),
+            "upstream-version" => self.versions.remove(name).is_some(),
+            "move" => match self.moves.get(name) {
+                Some(record) if !record.phase.is_ended() => return Err("the move is under way"),
+                _ => self.moves.remove(name).is_some(),
+            },
+            _ => return Err("no such kind; known are route, upstream-version and move"),
+        };
+        if removed {
+            Ok(())
+        } else {
+            Err("no such record")
+        }
+    }
+
     /// Returns the next generation with a move in a new phase.
     ///
     /// At [`MovePhase::Done`] the new version gets all of the standing traffic, at
@@ -84,9 +128,23 @@
     fn next_generation(&self) -> ConfigSnapshot {
         let mut next = self.clone();
         next.generation += 1;
+        next.drop_old_moves();
         next
     }
 
+    /// Drops the ended moves that were to be done longest ago, beyond [`ENDED_MOVES_KEPT`].
+    fn drop_old_moves(&mut self) {
+        let mut ended = Vec::new();
+        for record in self.moves.values().filter(|record| record.phase.is_ended()) {
+            ended.push((record.done_by, record.name.clone()));
+        }
+        ended.sort_unstable();
+        let surplus = ended.len().saturating_sub(ENDED_MOVES_KEPT);
+        for (_, name) in ended.into_iter().take(surplus) {
+            self.moves.remove(&name);
+        }
+    }
+
     /// Returns the move as an operator may set it.
     fn operator_move(&self, record: MoveRecord) -> Result<MoveRecord, RecordFault> {
         let Some(held) = self.moves.get(&record.name) else {
