Proofs of moves on real processes

Cause: the decisions on moves were proved alone; store, lease holder and call path were not in it. Change: a move taken back with the store down while another ends done, a frozen acting member that resumes late, a good version with one bad endpoint.

--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod move_fleet;
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -126,8 +128,13 @@
 }
 
 pub fn start_daemon(spec: &DaemonSpec) -> DaemonProcess {
+    start_daemon_with(spec, &[])
+}
+
+/// Starts a daemon with further flags.
+pub fn start_daemon_with(spec: &DaemonSpec, flags: &[String]) -> DaemonProcess {
     let seeds: Vec<String> = spec.seeds.iter().map(SocketAddr::to_string).collect();
-    let arguments = [
+    let mut arguments = vec![
         format!("--control={}", spec.control),
         format!("--region={}", spec.region),
         format!("--zone={}", spec.zone),
@@ -135,6 +142,7 @@
         "--store-region=north".into(),
         format!("--seeds={}", seeds.join(",")),
     ];
+    arguments.extend(flags.iter().cloned());
     let process = TestProcess::start("coltsfootweird", &arguments);
     let addresses = process.addresses();
     DaemonProcess {
