Tighter bounds in the fleet proofs

A condemned version reaches 560 members in 4 rounds and a restarted member knows all others after 3; the bounds of 12 rounds let defects pass that made both depend on repairs alone. Bounds are now 8 and 4 rounds.

--- a/coltsfootweir/tests/gossip_fleet.rs
+++ b/coltsfootweir/tests/gossip_fleet.rs
@@ -27,10 +27,13 @@
 const SPREAD_ROUNDS: u64 = 30;
 
 /// Rounds in which a condemned version must be known to all; a push takes a whole round here.
-const CONDEMNED_ROUNDS: u64 = 12;
+const CONDEMNED_ROUNDS: u64 = 8;
 
-/// Rounds in which a restarted member must know all others, and they its new run.
-const JOIN_ROUNDS: u64 = 12;
+/// Rounds in which a restarted member must know all others.
+const JOIN_ROUNDS: u64 = 4;
+
+/// Rounds in which all others must know a restarted member's new run.
+const NEW_RUN_ROUNDS: u64 = 12;
 
 #[test]
 fn traffic_stays_in_the_budget() {
@@ -149,6 +152,7 @@
     drive_rounds(&mut fleet, JOIN_ROUNDS);
     let known = fleet.states[8].view().live().count();
     assert_eq!(known, MEMBERS);
+    drive_rounds(&mut fleet, NEW_RUN_ROUNDS - JOIN_ROUNDS);
     let own = fleet.states[8].own();
     for (member, state) in fleet.states.iter().enumerate() {
         assert_eq!(
