Moves: proofs of late writes, store outages and late faults; figures for slowness

Cause: of the one-line defects tried, three left the tests green: a sum without its reset at zero, a pace that looks at total calls only, and none of the tests named a holder that resumes and writes late. The slowness rule gave no figures when all routes together condemned.

Ruled out: counting one of the green defects (a lease row kept one version too low after a write) as a gap: the next write conflicts and the row is read again, so it costs time only.

Change: tests for a frozen holder's late write, for a version condemned while the store is down, for a fault after a long good past, and for a route without calls. Figures come from the rule's own measure. Slow buckets are found once a verdict.

The verdict's cost grows with endpoints times routes; it wants an incremental sum before fleets of hundreds of endpoints a service.

--- a/coltsfootweir/src/sequential.rs
+++ b/coltsfootweir/src/sequential.rs
@@ -100,7 +100,7 @@
 }
 
 /// Counts of each route by slice.
-type RouteSlices = BTreeMap<RouteName, BTreeMap<u64, SideCounts>>;
+type RouteSlices<'a> = BTreeMap<&'a RouteName, BTreeMap<u64, SideCounts>>;
 
 /// Compares the versions on each route and on all routes together; returns the strongest result.
 #[must_use]
@@ -108,10 +108,11 @@
     let slices = collect(view, measure, None);
     // Later slices lack reports yet; they only show bursts that reach over an edge.
     let end = slice_number(view.now.saturating_sub(REPORT_DELAY));
-    let mut scopes: Vec<Option<RouteName>> = slices.keys().cloned().map(Some).collect();
+    let mut scopes: Vec<Option<RouteName>> =
+        slices.keys().map(|name| Some((*name).clone())).collect();
     scopes.push(None);
     let rests = rest_members(view);
-    let mut rest_slices: Vec<RouteSlices> = Vec::new();
+    let mut rest_slices: Vec<RouteSlices<'_>> = Vec::new();
     let mut strongest: Option<ComparisonResult> = None;
     for route in scopes {
         let mut strength = weight(&slices, route.as_ref(), measure, end) / FULL_WEIGHT;
@@ -154,7 +155,11 @@
     Vec::new()
 }
 
-fn collect(view: &PoolView, measure: &dyn BadMeasure, left_out: Option<&MemberId>) -> RouteSlices {
+fn collect<'a>(
+    view: &'a PoolView,
+    measure: &dyn BadMeasure,
+    left_out: Option<&MemberId>,
+) -> RouteSlices<'a> {
     let mut slices = RouteSlices::new();
     for slice in &view.slices {
         for (key, counts) in &slice.counts {
@@ -163,7 +168,7 @@
                 continue;
             }
             let (calls, bad) = measure.split(&key.route, counts);
-            let sides = slices.entry(key.route.clone()).or_default();
+            let sides = slices.entry(&key.route).or_default();
             let sides = sides.entry(slice.number).or_default();
             match key.side {
                 VersionSide::New => {
@@ -182,14 +187,14 @@
 
 /// Returns the weight of the evidence on one route or on all, at least 0.
 fn weight(
-    slices: &RouteSlices,
+    slices: &RouteSlices<'_>,
     scope: Option<&RouteName>,
     measure: &dyn BadMeasure,
     end: u64,
 ) -> f64 {
     let mut strata: Vec<(u64, Stratum)> = Vec::new();
     for (route, slices) in slices {
-        if scope.is_some_and(|scope| scope != route) {
+        if scope.is_some_and(|scope| scope != *route) {
             continue;
         }
         strata.extend(stratify(slices, end));
--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -1,5 +1,6 @@
 //! The rules that come with the library: failures, slowness and crashes.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -57,8 +58,9 @@
     fn judge(&self, view: &PoolView) -> Option<VerdictFinding> {
         let mut quiet = QuietSlices::default();
         quiet.add_crashes(view, CRASH_TIME);
-        let result = compare(view, &FailureMeasure { quiet })?;
-        let seen = figures(view, &result, |counts| (counts.calls, counts.failures));
+        let measure = FailureMeasure { quiet };
+        let result = compare(view, &measure)?;
+        let seen = figures(view, &result, &measure);
         Some(VerdictFinding {
             rule: self.name(),
             strength: result.strength,
@@ -99,11 +101,10 @@
         let mut quiet = QuietSlices::default();
         quiet.add_crashes(view, WARM_UP);
         quiet.add_starts(view, WARM_UP);
-        let result = compare(view, &SlowMeasure { view, quiet })?;
-        let seen = match &result.route {
-            Some(route) => figures(view, &result, |counts| slow_split(view, route, counts)),
-            None => "all routes".into(),
-        };
+        let first = slow_buckets(view);
+        let measure = SlowMeasure { first, quiet };
+        let result = compare(view, &measure)?;
+        let seen = figures(view, &result, &measure);
         Some(VerdictFinding {
             rule: self.name(),
             strength: result.strength,
@@ -115,13 +116,17 @@
 inventory::submit! { VerdictPlugin { rule: &SlownessRule } }
 
 struct SlowMeasure<'a> {
-    view: &'a PoolView,
+    first: BTreeMap<&'a RouteName, usize>,
     quiet: QuietSlices,
 }
 
 impl BadMeasure for SlowMeasure<'_> {
     fn split(&self, route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
-        slow_split(self.view, route, counts)
+        let Some(first) = self.first.get(route) else {
+            return (0, 0);
+        };
+        let calls = counts.latency.iter().sum();
+        (calls, counts.latency[*first..].iter().sum())
     }
 
     fn tolerance(&self) -> f64 {
@@ -133,19 +138,21 @@
     }
 }
 
-/// Returns the calls that did not fail and the slow ones among them.
-fn slow_split(view: &PoolView, route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
-    let Some(first) = slow_bucket(view.old.routes.get(route)) else {
-        return (0, 0);
-    };
-    let calls = counts.latency.iter().sum();
-    (calls, counts.latency[first..].iter().sum())
+/// Returns the first slow bucket of each route whose old latency is known.
+fn slow_buckets(view: &PoolView) -> BTreeMap<&RouteName, usize> {
+    let mut buckets = BTreeMap::new();
+    for (route, counts) in &view.old.routes {
+        if let Some(bucket) = slow_bucket(counts) {
+            buckets.insert(route, bucket);
+        }
+    }
+    buckets
 }
 
 /// Returns the first bucket that counts as slow: one past the bucket after the old quantile's, so
 /// that a small shift over an edge is not slow.
-fn slow_bucket(old: Option<&RouteCounts>) -> Option<usize> {
-    let latency = &old?.latency;
+fn slow_bucket(old: &RouteCounts) -> Option<usize> {
+    let latency = &old.latency;
     let calls: u64 = latency.iter().sum();
     if calls < QUANTILE_CALLS {
         return None;
@@ -161,18 +168,14 @@
 }
 
 /// Describes bad and all calls of both versions.
-fn figures(
-    view: &PoolView,
-    result: &ComparisonResult,
-    split: impl Fn(&RouteCounts) -> (u64, u64),
-) -> Box<str> {
+fn figures(view: &PoolView, result: &ComparisonResult, measure: &dyn BadMeasure) -> Box<str> {
     let sum = |totals: &VersionTotals| {
         let mut sum = (0, 0);
         for (route, counts) in &totals.routes {
             if result.route.as_ref().is_some_and(|scope| scope != route) {
                 continue;
             }
-            let (calls, bad) = split(counts);
+            let (calls, bad) = measure.split(route, counts);
             sum = (sum.0 + calls, sum.1 + bad);
         }
         sum
--- a/coltsfootweir/tests/move_world/mod.rs
+++ b/coltsfootweir/tests/move_world/mod.rs
@@ -126,12 +126,35 @@
     }
 
     /// Lets the oldest late write take effect, if its condition still holds.
-    pub fn land_late(&mut self) {
+    pub fn land_late(&mut self) -> Option<WriteResult> {
         if self.late.is_empty() {
-            return;
+            return None;
         }
         let write = self.late.remove(0);
-        self.commit(&write);
+        Some(self.commit(&write))
+    }
+
+    /// Returns the mover that holds the lease on the first move.
+    pub fn holder(&self) -> Option<usize> {
+        let row = self.rows.get(&self.head()[0].name)?;
+        let row: LeaseRow = serde_json::from_str(&row.value).unwrap();
+        self.movers
+            .iter()
+            .position(|mover| Some(&mover.id) == row.holder.as_ref())
+    }
+
+    /// Returns whether a mover holds the new version of the first move condemned.
+    pub fn is_condemned(&self, mover: usize) -> bool {
+        let name = &self.head()[0].name;
+        self.movers[mover]
+            .facts
+            .iter()
+            .any(|fact| fact.move_name == *name)
+    }
+
+    /// Returns the phase of the first move.
+    pub fn phase(&self) -> MovePhase {
+        self.head()[0].phase
     }
 
     /// Ends every fault and checks that each move comes to its end.
@@ -146,9 +169,7 @@
         self.movers[0].is_candidate = true;
         for _ in 0..500 {
             self.second(true);
-            if !self.late.is_empty() {
-                self.land_late();
-            }
+            self.land_late();
             if self.head().iter().all(|record| record.phase.is_ended()) {
                 break;
             }
--- a/coltsfootweir/tests/mover_machine.rs
+++ b/coltsfootweir/tests/mover_machine.rs
@@ -9,6 +9,9 @@
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
+use coltsfootweir::mover::WriteResult;
+use coltsfootweir::record::MovePhase;
+
 use crate::move_world::MoveWorld;
 use crate::move_world::StoreMode;
 
@@ -79,7 +82,9 @@
                 }
             }
             WorldEvent::Store(mode) => world.mode = mode,
-            WorldEvent::LandLate => world.land_late(),
+            WorldEvent::LandLate => {
+                world.land_late();
+            }
             WorldEvent::Freeze { mover, is_frozen } => world.set_frozen(mover, is_frozen),
             WorldEvent::Candidate {
                 mover,
@@ -97,6 +102,51 @@
     }
 }
 
+fn pass(world: &mut MoveWorld, seconds: u32) {
+    for _ in 0..seconds {
+        world.second(true);
+    }
+}
+
+#[test]
+fn late_write_of_a_frozen_holder_has_no_effect() {
+    let mut world = MoveWorld::new(MOVERS);
+    pass(&mut world, 10);
+    let holder = world.holder().expect("a holder after ten seconds");
+    world.mode = StoreMode::Late;
+    pass(&mut world, 10);
+    world.set_frozen(holder, true);
+    world.mode = StoreMode::Up;
+    pass(&mut world, 25);
+    assert_ne!(world.holder(), Some(holder), "another member took over");
+    let mut landed = 0;
+    while let Some(result) = world.land_late() {
+        assert_eq!(result, WriteResult::Refused);
+        landed += 1;
+    }
+    assert!(landed > 0, "a write was under way");
+    world.set_frozen(holder, false);
+    world.settle();
+}
+
+#[test]
+fn bad_version_is_condemned_while_the_store_is_down() {
+    let mut world = MoveWorld::new(MOVERS);
+    pass(&mut world, 40);
+    world.mode = StoreMode::Down;
+    world.set_fails(0, true);
+    pass(&mut world, 20);
+    assert!(
+        world.is_condemned(0) && world.is_condemned(2),
+        "the fact reached every member"
+    );
+    assert_ne!(world.phase(), MovePhase::TakenBack);
+    world.mode = StoreMode::Up;
+    pass(&mut world, 15);
+    assert_eq!(world.phase(), MovePhase::TakenBack);
+    world.settle();
+}
+
 prop_state_machine! {
     #![proptest_config(Config {
         cases: 48,
--- a/coltsfootweir/tests/pace_steps.rs
+++ b/coltsfootweir/tests/pace_steps.rs
@@ -27,22 +27,25 @@
     share: TrafficShare,
 }
 
-/// Runs a move in which `rate` calls of the new version run each second at full share.
-fn run(allowed: u64, rate: u64, ticks: &[u64]) -> Vec<TakenStep> {
+/// Runs a move in which `rate` calls of the new version run each second at full share, and a fifth
+/// as many of them on the rarest route, or none.
+fn run(allowed: u64, rate: u64, has_rare: bool, ticks: &[u64]) -> Vec<TakenStep> {
     let pace = MovePace::new(PaceLimits::default());
     let mut steps = vec![TakenStep {
         second: 0,
         phase: MovePhase::Waiting,
         share: TrafficShare::default(),
     }];
-    let (mut second, mut calls, mut bookings) = (0, 0, 0);
+    let (mut second, mut calls, mut rare) = (0, 0, 0);
     for tick in ticks.iter().cycle() {
         let step = steps[steps.len() - 1];
         if step.phase.is_ended() || second > 2 * allowed {
             return steps;
         }
         calls += rate * tick * u64::from(step.share.checks) / 100;
-        bookings += rate * tick * u64::from(step.share.bookings) / 500;
+        if has_rare {
+            rare += rate * tick * u64::from(step.share.checks) / 500;
+        }
         second += tick;
         let verdict = if calls >= 50 {
             Verdict::Clear { confidence: 0.95 }
@@ -56,7 +59,7 @@
             left: Duration::from_secs(allowed.saturating_sub(second)),
             calls: StepCalls {
                 total: calls,
-                fewest: bookings,
+                fewest: rare,
             },
             has_endpoints: true,
             verdict: &verdict,
@@ -69,7 +72,7 @@
             phase,
             share,
         });
-        (calls, bookings) = (0, 0);
+        (calls, rare) = (0, 0);
     }
     steps
 }
@@ -86,11 +89,12 @@
     fn good_versions_are_done_in_time(
         extra in 0..7200_u64,
         rate in prop_oneof![Just(0_u64), 1..10_u64, 10..500_u64],
+        has_rare in any::<bool>(),
         ticks in prop::collection::vec(1..=2_u64, 1..20),
     ) {
         let limits = PaceLimits::default();
         let allowed = limits.least_time().as_secs() + extra;
-        let steps = run(allowed, rate, &ticks);
+        let steps = run(allowed, rate, has_rare, &ticks);
         let end = steps[steps.len() - 1];
         prop_assert_eq!(end.phase, MovePhase::Done);
         prop_assert!(end.second <= allowed, "done at {} of {}", end.second, allowed);
@@ -112,11 +116,12 @@
     #[test]
     fn bookings_wait_for_evidence(
         extra in 0..7200_u64,
+        rate in prop_oneof![Just(0_u64), 10..500_u64],
         ticks in prop::collection::vec(1..=2_u64, 1..20),
     ) {
         let limits = PaceLimits::default();
         let allowed = limits.least_time().as_secs() + extra;
-        for step in run(allowed, 0, &ticks) {
+        for step in run(allowed, rate, false, &ticks) {
             if step.second * 2 <= allowed - limits.settle.as_secs() {
                 prop_assert!(step.share.bookings <= UNPROVEN_BOOKINGS, "{:?}", step);
             }
--- a/coltsfootweir/tests/verdict_rates.rs
+++ b/coltsfootweir/tests/verdict_rates.rs
@@ -29,6 +29,9 @@
 /// The same for a fault that shows at the full share, or to bookings only.
 const LATE_HARM: f64 = 0.07;
 
+/// The same for a fault that shows after a long good past, at a small share.
+const LONG_HARM: f64 = 0.01;
+
 /// The same when a whole move has about thirty bookings.
 const SPARSE_HARM: f64 = 0.25;
 
@@ -118,6 +121,16 @@
     assert_bad(&runs, LATE_HARM);
 }
 
+#[test]
+fn fails_after_a_long_while() {
+    let runs = repeat("fails 25% after 240 s, all fail 5%", |trial, _| {
+        failing(trial, 0.25, |site| site.is_new && site.second > 250);
+        trial.base_failure = 0.05;
+        trial.allowed = Duration::from_secs(900);
+    });
+    assert_bad(&runs, LONG_HARM);
+}
+
 #[test]
 fn fails_after_the_last_step() {
     let runs = repeat("fails 50% at 100%", |trial, _| {
