--- a/coltsfootweir/src/mover_task.rs
+++ b/coltsfootweir/src/mover_task.rs
@@ -52,7 +52,7 @@
 const EVIDENCE_PATH: &str = "/evidence";
 
 /// Time between two ticks.
-const TICK_INTERVAL: Duration = Duration::from_millis(500);
+const TICK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Members of a region that act on a move.
 const CANDIDATE_COUNT: usize = 2;
