--- a/coltsfootweir/src/view.rs
+++ b/coltsfootweir/src/view.rs
@@ -159,6 +159,11 @@
             return false;
         }
         let mut ended = record.entry.clone();
+        if ended.incarnation != rank.incarnation {
+            // Nothing but the end is known of the later run.
+            ended.served = 0;
+            ended.endpoint = None;
+        }
         ended.incarnation = rank.incarnation;
         ended.counter = rank.counter;
         ended.state = rank.state;
--- a/coltsfootweir/tests/entry_merge.rs
+++ b/coltsfootweir/tests/entry_merge.rs
@@ -8,6 +8,7 @@
 use coltsfootweir::member::EntryRank;
 use coltsfootweir::member::MemberEntry;
 use coltsfootweir::member::MemberState;
+use coltsfootweir::member::member_hash;
 use coltsfootweir::member::run_hash;
 use coltsfootweir::view::MemberView;
 use proptest::prelude::*;
@@ -85,6 +86,23 @@
     assert_eq!(view.advertised(&current.id), 4);
 }
 
+#[test]
+fn the_end_of_a_later_run_takes_nothing_from_the_earlier_one() {
+    let mut view = support_view();
+    let mut earlier = entry_of(0, 1);
+    earlier.served = 4;
+    view.merge(&earlier, Duration::ZERO);
+    let mut end = entry_of(0, 2).rank();
+    end.state = MemberState::Dead;
+    assert!(view.merge_end(member_hash(&earlier.id), end, Duration::ZERO));
+    let mut refuted = entry_of(0, 2);
+    refuted.counter = 1;
+    refuted.served = 3;
+    view.merge(&refuted, Duration::ZERO);
+    assert_eq!(view.get(&refuted.id), Some(&refuted));
+    assert_eq!(view.advertised(&refuted.id), 4);
+}
+
 proptest! {
     #![proptest_config(config())]
 
