Count each exchange once, where it crosses, with its heads

Cause: gossip and configuration pulls were added to the link meter by the daemon that asks and by the one that answers, so a sum over daemons held them twice; evidence and calls were added once. An exchange with a seed in another region counted as local, because only its answer tells its region. Forwarded calls were counted without their heads.

Ruled out: halving in the report, since half of the causes are counted once and the two ends counted different sizes (only the asking one added the fixed overhead).

Change: the asking daemon alone counts, both ways together; an exchange may be placed by its answer; heads of forwarded calls are added. The pull request no longer carries the region.

--- a/coltsfootweir/src/config_task.rs
+++ b/coltsfootweir/src/config_task.rs
@@ -50,7 +50,6 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct PullRequest {
     held: Generation,
-    region: Box<str>,
 }
 
 /// The configuration in force, as a delta from what the asking daemon holds or whole.
@@ -75,14 +74,7 @@
             Ok(request) => request,
             Err(error) => return ControlAnswer::BadRequest(error.to_string().into()),
         };
-        let answer = ControlAnswer::message(&answer_pull(context, request.held));
-        if let ControlAnswer::Message(answer) = &answer {
-            let crosses = request.region != context.settings.region;
-            context
-                .meter
-                .add(LinkCause::Config, crosses, body.len() + answer.len());
-        }
-        answer
+        ControlAnswer::message(&answer_pull(context, request.held))
     }
 }
 
@@ -210,13 +202,13 @@
 }
 
 fn pull_from(context: &DaemonContext, holder: SocketAddr) -> bool {
-    let region = context.settings.region.clone();
+    let region = &context.settings.region;
     let crosses = {
         let gossip = lock(&context.gossip);
         gossip
             .view()
             .get(&holder.to_string())
-            .is_some_and(|entry| entry.region != region)
+            .is_some_and(|entry| entry.region != *region)
     };
     let held = lock(&context.config).mark().generation;
     let route = ExchangeRoute {
@@ -224,7 +216,7 @@
         cause: LinkCause::Config,
         crosses,
     };
-    let request = PullRequest { held, region };
+    let request = PullRequest { held };
     let answer = match context
         .client
         .exchange::<PullAnswer>(route, PULL_PATH, &request)
--- a/coltsfootweir/src/control_client.rs
+++ b/coltsfootweir/src/control_client.rs
@@ -43,7 +43,8 @@
 
 impl std::error::Error for ControlError {}
 
-/// Where an exchange goes and how its bytes are counted.
+/// Where an exchange goes and how its bytes are counted. The asking daemon alone counts an exchange,
+/// so that sums over daemons hold each byte once.
 #[derive(Clone, Copy, Debug)]
 pub struct ExchangeRoute {
     /// Control address of the peer.
@@ -76,6 +77,20 @@
         route: ExchangeRoute,
         path: &str,
         message: &impl Serialize,
+    ) -> Result<T, Report<ControlError>> {
+        self.exchange_placed(route, path, message, |_| route.crosses)
+    }
+
+    /// Like [`ControlClient::exchange`], for a peer whose region only its answer tells.
+    ///
+    /// # Errors
+    /// Any [`ControlError`].
+    pub fn exchange_placed<T: DeserializeOwned>(
+        &self,
+        route: ExchangeRoute,
+        path: &str,
+        message: &impl Serialize,
+        crosses: impl FnOnce(&T) -> bool,
     ) -> Result<T, Report<ControlError>> {
         let body = rmp_serde::to_vec(message).change_context(ControlError::BadMessage)?;
         let sent = body.len();
@@ -86,15 +101,20 @@
         let received = response
             .as_ref()
             .map_or(0, |response| response.as_bytes().len());
-        self.meter.add(
-            route.cause,
-            route.crosses,
-            sent + received + EXCHANGE_OVERHEAD,
-        );
-        let response = response.change_context(ControlError::NoAnswer)?;
-        if response.status_code != 200 {
-            bail!(ControlError::Refused);
-        }
-        rmp_serde::from_slice(response.as_bytes()).change_context(ControlError::BadMessage)
+        let answer = read_answer(response);
+        let crosses = answer.as_ref().map_or(route.crosses, crosses);
+        let bytes = sent + received + EXCHANGE_OVERHEAD;
+        self.meter.add(route.cause, crosses, bytes);
+        answer
+    }
+}
+
+fn read_answer<T: DeserializeOwned>(
+    response: Result<minreq::Response, minreq::Error>,
+) -> Result<T, Report<ControlError>> {
+    let response = response.change_context(ControlError::NoAnswer)?;
+    if response.status_code != 200 {
+        bail!(ControlError::Refused);
     }
+    rmp_serde::from_slice(response.as_bytes()).change_context(ControlError::BadMessage)
 }
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -83,9 +83,11 @@
         cause: LinkCause::Gossip,
         crosses,
     };
+    let region = &context.settings.region;
+    let from_elsewhere = |answer: &GossipMessage| answer.region != *region;
     let answer = context
         .client
-        .exchange::<GossipMessage>(route, GOSSIP_PATH, &message);
+        .exchange_placed(route, GOSSIP_PATH, &message, from_elsewhere);
     let now = context.now();
     let mut gossip = lock(&context.gossip);
     let mut actions = match answer {
@@ -121,19 +123,12 @@
             Ok(message) => message,
             Err(error) => return ControlAnswer::BadRequest(error.to_string().into()),
         };
-        let crosses = message.region != context.settings.region;
         let mut gossip = lock(&context.gossip);
         let answer = gossip.receive(message, context.now());
         let actions = gossip.take_urgent();
         drop(gossip);
         context.queue_exchanges(actions);
         context.after_gossip();
-        let answer = ControlAnswer::message(&answer);
-        if let ControlAnswer::Message(answer) = &answer {
-            context
-                .meter
-                .add(LinkCause::Gossip, crosses, body.len() + answer.len());
-        }
-        answer
+        ControlAnswer::message(&answer)
     }
 }
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -30,6 +30,7 @@
 use crate::http_pool::SendError;
 use crate::ids::MemberId;
 use crate::link::LinkCause;
+use crate::link::head_bytes;
 use crate::load_report::LoadReport;
 use crate::outcome::CallOutcome;
 use crate::outcome::DoubtReason;
@@ -212,6 +213,7 @@
             return refuse(RefusalReason::DeadlinePassed);
         };
         let request = self.call.to_forward(Some(&target.id), millis);
+        let sent = self.call.body.len() + head_bytes(request.headers());
         let left = self.deadline.remaining(self.context.now());
         let sending = self.context.peers.send(target.call_address, request);
         let reply = match tokio::time::timeout(left, sending).await {
@@ -220,8 +222,9 @@
             Ok(Err(SendError::Broken | SendError::TooLong)) => doubt(DoubtReason::AnswerBroken),
             Err(_) => doubt(DoubtReason::Timeout),
         };
-        let bytes = self.call.body.len() + reply.response.body().len();
-        self.context.meter.add(LinkCause::Calls, crosses, bytes);
+        let received = reply.response.body().len() + head_bytes(reply.response.headers());
+        let meter = &self.context.meter;
+        meter.add(LinkCause::Calls, crosses, sent + received);
         reply
     }
 
--- a/coltsfootweir/src/link.rs
+++ b/coltsfootweir/src/link.rs
@@ -1,11 +1,20 @@
 //! Bytes by cause: what crosses the paid link between regions, and what control costs.
+//!
+//! An exchange is counted by the daemon that asked, both ways together, and by no other.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use hyper::header::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Bytes around the name and value of a header line.
+const HEADER_FRAME_BYTES: usize = 4;
+
+/// Bytes of a request line or status line besides the path, with the empty line that ends the head.
+const START_LINE_BYTES: usize = 20;
+
 /// Why bytes were sent.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -81,3 +90,13 @@
         list
     }
 }
+
+/// Returns the bytes of an HTTP head with these header lines, but for the path.
+#[must_use]
+pub fn head_bytes(headers: &HeaderMap) -> usize {
+    let mut bytes = START_LINE_BYTES;
+    for (name, value) in headers {
+        bytes += name.as_str().len() + value.len() + HEADER_FRAME_BYTES;
+    }
+    bytes
+}
