--- a/coltsfootweir/src/reports.rs
+++ b/coltsfootweir/src/reports.rs
@@ -1,7 +1,9 @@
 //! What a daemon tells operators on its control port.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,6 +14,7 @@
 use crate::control_server::ControlHandler;
 use crate::control_server::HandlerPlugin;
 use crate::fact::CondemnedFact;
+use crate::gossip::GossipState;
 use crate::ids::Generation;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
@@ -40,6 +43,9 @@
     pub calls_running: u64,
     /// Every member it knows.
     pub members: Vec<MemberEntry>,
+    /// Regions that nothing was heard of lately; empty from a daemon that does not tell.
+    #[serde(default)]
+    pub unreachable: BTreeSet<RegionName>,
     /// Versions found bad.
     pub condemned: Vec<CondemnedFact>,
 }
@@ -92,11 +98,22 @@
                 .calls_running
                 .load(std::sync::atomic::Ordering::Relaxed),
             members: gossip.view().entries().cloned().collect(),
+            unreachable: unreachable_regions(&gossip, self.now()),
             condemned: gossip.condemned().cloned().collect(),
         }
     }
 }
 
+fn unreachable_regions(gossip: &GossipState, now: Duration) -> BTreeSet<RegionName> {
+    let mut regions = BTreeSet::new();
+    for entry in gossip.view().entries() {
+        if !gossip.region_reachable(&entry.region, now) {
+            regions.insert(entry.region.clone());
+        }
+    }
+    regions
+}
+
 struct SloHandler;
 
 inventory::submit! { HandlerPlugin { handler: &SloHandler } }
