The operator's commands, their pages and tests

Cause: only `apply` and `validate` existed; operators could not read back moves, decisions, members, burn or the link's bytes.

`--json` prints one object, errors too. Reads and object writes whose answer was lost are sent again within the timeout; a commit is not, it is settled by its write id, for 10 s after the library gave up. A record given in two files is refused. docs/OPERATIONS.md has schemas, commands with output from runs, exit codes, settings, logs and what to do when; a test applies its records and checks flags, commands and codes. docs/GLOSSARY.md maps words.

Ruled out: printing ended moves with `get`, since `apply` refuses their names; taking them again as they are would let an old file of records flip the standing shares back. Phase and share inside the records, since `apply` refuses the fields; they are notes on standard error and a list of the JSON.

--- a/programs/src/apply.rs
+++ b/programs/src/apply.rs
@@ -1,78 +1,77 @@
-//! `apply` and `validate`: reads record files and has them accepted as one change.
+//! `apply`: has the records of files accepted as one change.
 
-use std::fs;
-use std::io;
-use std::net::SocketAddr;
-use std::path::Path;
+use std::cell::RefCell;
 use std::path::PathBuf;
+use std::thread;
 use std::time::Duration;
-use std::time::SystemTime;
+use std::time::Instant;
 
 use coltsfootweir::accept::AcceptError;
 use coltsfootweir::accept::accept_change;
-use coltsfootweir::http_platform::HttpPlatform;
+use coltsfootweir::accept::find_write;
+use coltsfootweir::ids::Generation;
+use coltsfootweir::ids::MoveName;
 use coltsfootweir::ids::WriteId;
+use coltsfootweir::platform::PlatformStore;
 use coltsfootweir::record::ConfigRecord;
-use coltsfootweir::record_fault::RecordFault;
-use coltsfootweir::schema::parse_records;
 use coltsfootweir::snapshot::ConfigSnapshot;
+use error_stack::Report;
 use rand::RngExt;
+use serde_json::json;
 
+use crate::accepted::unavailable;
 use crate::failure::CommandFailure;
-use crate::failure::CommandResult;
+use crate::failure::InputFault;
+use crate::input::read_files;
+use crate::output::CommandOutput;
+use crate::output::CommandResult;
+use crate::output::print_note;
+use crate::wait::wait_moves;
 
-/// Time a platform operation may take.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for which the outcome of a write without an answer is looked for.
+const SETTLE_LIMIT: Duration = Duration::from_secs(10);
 
-/// Checks record files without accepting them.
-///
-/// # Errors
-/// [`CommandFailure::Refused`] with every fault.
-pub fn validate_files(files: &[PathBuf]) -> CommandResult {
-    let records = read_files(files)?;
-    Ok(format!("{} records are well formed\n", records.len()))
-}
+/// Time between two looks for such a write.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Accepts the records of files, all or none.
-///
-/// # Errors
-/// Any [`CommandFailure`] but those of waiting.
-pub fn apply_files(platform: SocketAddr, files: &[PathBuf]) -> CommandResult {
-    let records = read_files(files)?;
-    let snapshot = accept_records(platform, &records)?;
-    Ok(format!("accepted as generation {}\n", snapshot.generation))
+/// What came of a change that was not refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AcceptedChange {
+    /// Generation that holds the records.
+    pub generation: Generation,
+    /// Whether the change made that generation; otherwise it held the records already.
+    pub changed: bool,
 }
 
-/// Reads the records of files.
+/// Accepts the records of files, all or none; with a limit waits until their moves have ended.
 ///
 /// # Errors
-/// [`CommandFailure::Refused`] with every fault of every file.
-pub fn read_files(files: &[PathBuf]) -> Result<Vec<ConfigRecord>, CommandFailure> {
-    let mut records = Vec::new();
-    let mut faults = Vec::new();
-    for file in files {
-        let text = read_file(file)?;
-        match parse_records(&text, SystemTime::now()) {
-            Ok(list) => records.extend(list),
-            Err(list) => {
-                let name = file.display();
-                faults.extend(list.iter().map(|fault| format!("{name}: {fault}")));
-            }
-        }
-    }
-    if !faults.is_empty() {
-        return Err(CommandFailure::Refused(faults.join("\n  ").into()));
-    }
-    Ok(records)
-}
-
-fn read_file(file: &Path) -> Result<String, CommandFailure> {
-    let text = if file == Path::new("-") {
-        io::read_to_string(io::stdin())
+/// Any [`CommandFailure`].
+pub fn apply_files(
+    store: &dyn PlatformStore,
+    files: &[PathBuf],
+    wait_limit: Option<Duration>,
+) -> CommandResult {
+    let records = read_files(files)?;
+    let accepted = accept_records(store, &records)?;
+    let generation = accepted.generation;
+    let mut text = if accepted.changed {
+        format!("accepted as generation {generation}\n")
     } else {
-        fs::read_to_string(file)
+        format!("unchanged: generation {generation} holds these records\n")
     };
-    text.map_err(|error| CommandFailure::Refused(format!("{}: {error}", file.display()).into()))
+    let mut json = json!({
+        "generation": generation,
+        "changed": accepted.changed,
+        "records": records.iter().map(ConfigRecord::label).collect::<Vec<_>>(),
+    });
+    if let Some(limit) = wait_limit {
+        print_note(&text);
+        let moves = wait_moves(store, &move_names(&records), limit)?;
+        text = moves.iter().map(|summary| format!("{summary}\n")).collect();
+        json["moves"] = json!(moves);
+    }
+    Ok(CommandOutput::new(text, json))
 }
 
 /// Has records accepted as one change.
@@ -80,13 +79,44 @@
 /// # Errors
 /// Any [`CommandFailure`] but those of waiting.
 pub fn accept_records(
-    platform: SocketAddr,
+    store: &dyn PlatformStore,
     records: &[ConfigRecord],
-) -> Result<ConfigSnapshot, CommandFailure> {
-    let store = HttpPlatform::new(platform, PLATFORM_TIMEOUT);
+) -> Result<AcceptedChange, CommandFailure> {
+    let last_write = RefCell::new(None);
+    let write_ids = || {
+        let write_id = make_write_id();
+        last_write.replace(Some(write_id.clone()));
+        write_id
+    };
     let change = |base: &ConfigSnapshot| base.with_records(records.iter().cloned());
-    accept_change(&store, &make_write_id, &change, &[])
-        .map_err(|report| to_failure(report.current_context()))
+    match accept_change(store, &write_ids, &change, &[]) {
+        Ok(snapshot) => Ok(AcceptedChange {
+            generation: snapshot.generation,
+            changed: last_write.borrow().is_some(),
+        }),
+        Err(report) => match report.current_context() {
+            AcceptError::InDoubt(write_id) => settle_write(store, write_id),
+            _ => Err(to_failure(&report)),
+        },
+    }
+}
+
+/// Looks for the outcome of a write whose answer was lost.
+fn settle_write(
+    store: &dyn PlatformStore,
+    write_id: &WriteId,
+) -> Result<AcceptedChange, CommandFailure> {
+    let start = Instant::now();
+    while start.elapsed() < SETTLE_LIMIT {
+        if let Ok(Some(generation)) = find_write(store, write_id) {
+            return Ok(AcceptedChange {
+                generation,
+                changed: true,
+            });
+        }
+        thread::sleep(SETTLE_INTERVAL);
+    }
+    Err(CommandFailure::InDoubt(write_id.clone()))
 }
 
 fn make_write_id() -> WriteId {
@@ -94,16 +124,24 @@
     format!("operator-{id:032x}").into()
 }
 
-fn to_failure(error: &AcceptError) -> CommandFailure {
-    match error {
-        AcceptError::Refused(faults) => CommandFailure::Refused(join_faults(faults)),
-        AcceptError::Conflict(name) => CommandFailure::Conflict(name.clone()),
-        AcceptError::Unavailable => CommandFailure::Unavailable(error.to_string().into()),
-        AcceptError::InDoubt(_) => CommandFailure::InDoubt(error.to_string().into()),
+fn move_names(records: &[ConfigRecord]) -> Vec<MoveName> {
+    let mut names = Vec::new();
+    for record in records {
+        let ConfigRecord::Move(record) = record else {
+            continue;
+        };
+        names.push(record.name.clone());
     }
+    names
 }
 
-fn join_faults(faults: &[RecordFault]) -> Box<str> {
-    let lines: Vec<String> = faults.iter().map(RecordFault::to_string).collect();
-    lines.join("\n  ").into()
+fn to_failure(report: &Report<AcceptError>) -> CommandFailure {
+    match report.current_context() {
+        AcceptError::Refused(faults) => {
+            CommandFailure::Refused(faults.iter().cloned().map(InputFault::from).collect())
+        }
+        AcceptError::Conflict(record) => CommandFailure::Conflict(record.clone()),
+        AcceptError::Unavailable => unavailable(report),
+        AcceptError::InDoubt(write_id) => CommandFailure::InDoubt(write_id.clone()),
+    }
 }
--- a/programs/src/arguments.rs
+++ b/programs/src/arguments.rs
@@ -2,18 +2,27 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::Args;
 use clap::Parser;
 use clap::Subcommand;
+use clap::ValueEnum;
+use coltsfootweir::ids::Generation;
+use coltsfootweir::record::ConfigRecord;
+
+use crate::report::ReportCall;
 
 /// Drives coltsfootweir: writes records and reads back what became of them.
 #[derive(Debug, Parser)]
 #[command(name = "coltsfootweir", version)]
 pub struct OperatorArgs {
-    /// Print JSON for programs
+    /// Print one JSON object for programs, errors too
     #[arg(long, global = true)]
     pub json: bool,
+    /// Longest time one request to the platform or a daemon may take, such as 5s; whole seconds
+    #[arg(long, global = true, default_value = "5s", value_parser = humantime::parse_duration)]
+    pub timeout: Duration,
     /// What to do
     #[command(subcommand)]
     pub command: OperatorCommand,
@@ -27,11 +36,46 @@
     pub platform: SocketAddr,
 }
 
+/// A daemon to ask.
+#[derive(Args, Clone, Copy, Debug)]
+pub struct ViaArgs {
+    /// Control address of any daemon, IP:PORT
+    #[arg(long, env = "COLTSFOOTWEIR_DAEMON")]
+    pub daemon: SocketAddr,
+}
+
+/// A kind of record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum KindFilter {
+    /// Routes
+    Route,
+    /// Upstream versions, named SERVICE/VERSION
+    UpstreamVersion,
+    /// Moves
+    Move,
+}
+
+impl KindFilter {
+    /// Returns whether a record is of this kind.
+    #[must_use]
+    pub fn matches(self, record: &ConfigRecord) -> bool {
+        let kind = match record {
+            ConfigRecord::Route(_) => KindFilter::Route,
+            ConfigRecord::Version(_) => KindFilter::UpstreamVersion,
+            ConfigRecord::Move(_) => KindFilter::Move,
+        };
+        kind == self
+    }
+}
+
 /// A command of the operator's program.
 #[derive(Debug, Subcommand)]
 pub enum OperatorCommand {
     /// Check record files without accepting them
     Validate {
+        /// Address of the platform, IP:PORT; checks the files against the accepted configuration too
+        #[arg(long)]
+        platform: Option<SocketAddr>,
         /// Files of records, JSON; - is standard input
         #[arg(required = true)]
         files: Vec<PathBuf>,
@@ -49,6 +93,45 @@
         wait: bool,
         /// Longest time to wait, such as 10m
         #[arg(long, default_value = "1h", value_parser = humantime::parse_duration)]
-        wait_limit: std::time::Duration,
+        wait_limit: Duration,
+    },
+    /// Print the accepted records as apply takes them
+    Get {
+        /// Where the platform is
+        #[command(flatten)]
+        platform: PlatformArgs,
+        /// Only records of this kind
+        kind: Option<KindFilter>,
+        /// Only the record of this name
+        name: Option<Box<str>>,
+        /// An earlier configuration instead of the one in force
+        #[arg(long)]
+        generation: Option<Generation>,
+    },
+    /// List every move: phase, share, time left, reason
+    Moves {
+        /// Where the platform is
+        #[command(flatten)]
+        platform: PlatformArgs,
+    },
+    /// Print the decisions of a move: what was seen, the rule, the outcome
+    Explain {
+        /// Where the platform is
+        #[command(flatten)]
+        platform: PlatformArgs,
+        /// Name of the move
+        name: Box<str>,
+    },
+    /// List members and endpoints, as one daemon sees them
+    Status {
+        /// A daemon to ask
+        #[command(flatten)]
+        via: ViaArgs,
+    },
+    /// Report over every live daemon
+    Report {
+        /// The report
+        #[command(subcommand)]
+        call: ReportCall,
     },
 }
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -1,6 +1,22 @@
 //! The operator's commands and the demo, as a library under the programs.
 
+pub mod accepted;
 pub mod apply;
 pub mod arguments;
 pub mod command;
+pub mod daemon_client;
+pub mod explain;
 pub mod failure;
+pub mod fleet;
+pub mod get;
+pub mod input;
+pub mod moves;
+pub mod output;
+pub mod patient_store;
+pub mod report;
+mod report_link;
+mod report_slo;
+pub mod status;
+pub mod text_table;
+pub mod validate;
+pub mod wait;
--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod operator;
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -166,7 +168,8 @@
         .spawn()
         .expect("operator's program starts");
     let mut pipe = child.stdin.take().expect("standard input is piped");
-    pipe.write_all(input.as_bytes()).expect("input is written");
+    // A program that ends or has read enough closes its end.
+    let _ = pipe.write_all(input.as_bytes());
     drop(pipe);
     child.wait_with_output().expect("operator's program ends")
 }
--- /dev/null
+++ b/programs/tests/common/operator.rs
@@ -0,0 +1,56 @@
+//! Runs the operator's program and sets the faults of stand-ins.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use super::run_operator;
+
+/// How a run of the operator's program ended.
+#[derive(Debug)]
+pub struct OperatorRun {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl OperatorRun {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|error| panic!("{error}: {self:?}"))
+    }
+}
+
+/// Runs the operator's program with arguments separated by blanks.
+pub fn operate(arguments: &str, input: &str) -> OperatorRun {
+    let arguments: Vec<&str> = arguments.split_whitespace().collect();
+    let output = run_operator(&arguments, input);
+    OperatorRun {
+        code: output.status.code().expect("ended by itself"),
+        out: String::from_utf8(output.stdout).expect("text"),
+        err: String::from_utf8(output.stderr).expect("text"),
+    }
+}
+
+/// Runs it and wants success and JSON.
+pub fn operate_json(arguments: &str, input: &str) -> Value {
+    let run = operate(&format!("{arguments} --json"), input);
+    assert_eq!(run.code, 0, "{run:?}");
+    run.json()
+}
+
+pub fn post_json(address: SocketAddr, path: &str, body: &str) {
+    let response = minreq::post(format!("http://{address}{path}"))
+        .with_body(body)
+        .with_timeout(5)
+        .send()
+        .expect("an answer");
+    assert_eq!(response.status_code, 200, "{path} {body}");
+}
+
+pub fn get_json(address: SocketAddr, path: &str) -> Value {
+    let response = minreq::get(format!("http://{address}{path}"))
+        .with_timeout(5)
+        .send()
+        .expect("an answer");
+    serde_json::from_slice(response.as_bytes()).expect("JSON")
+}
--- /dev/null
+++ b/programs/tests/operator_docs.rs
@@ -0,0 +1,130 @@
+//! The operator's pages against the programs: record examples, flags, commands and exit codes.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use clap::Args;
+use clap::Command;
+use clap::CommandFactory;
+use coltsfootweir::settings::DaemonArgs;
+use common::operator::operate;
+use common::operator::operate_json;
+use common::start_platform;
+use programs::arguments::OperatorArgs;
+use programs::failure::CommandFailure;
+use serde_json::Value;
+
+fn operations() -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
+    fs::read_to_string(path).expect("the page is there")
+}
+
+/// Texts of the fenced blocks of a language, in order.
+fn blocks(page: &str, language: &str) -> Vec<String> {
+    let start = format!("```{language}\n");
+    let parts = page.split(start.as_str()).skip(1);
+    let blocks = parts.filter_map(|part| part.split("```").next());
+    blocks.map(String::from).collect()
+}
+
+#[test]
+fn examples_of_records_are_accepted_one_after_another_and_cover_every_schema() {
+    let platform = start_platform();
+    let mut seen = BTreeSet::new();
+    let examples = blocks(&operations(), "json");
+    for example in &examples {
+        let alone = operate("validate -", example);
+        assert_eq!(alone.code, 0, "{example}: {alone:?}");
+        let accepted = operate_json(&format!("apply - --platform {}", platform.address), example);
+        assert_eq!(accepted["changed"], true, "{example}");
+        let records: Value = serde_json::from_str(example).expect("JSON");
+        let list = records.as_array().cloned().unwrap_or(vec![records]);
+        for record in list {
+            seen.insert(format!("{} {}", record["kind"], record["schema"]));
+        }
+    }
+    for kind in ["route", "upstream-version", "move"] {
+        for schema in [1, 2] {
+            assert!(
+                seen.contains(&format!("\"{kind}\" {schema}")),
+                "no example of {kind} {schema}"
+            );
+        }
+    }
+}
+
+#[test]
+fn fields_of_accepted_records_are_documented() {
+    let platform = start_platform();
+    let page = operations();
+    for example in blocks(&page, "json") {
+        operate_json(
+            &format!("apply - --platform {}", platform.address),
+            &example,
+        );
+    }
+    let accepted = operate_json(&format!("get --platform {}", platform.address), "");
+    for record in accepted["records"].as_array().expect("records") {
+        for field in record.as_object().expect("a record").keys() {
+            if field == "kind" || field == "schema" {
+                continue;
+            }
+            assert!(
+                page.contains(&format!("| `{field}` | ")),
+                "{field} of {record}"
+            );
+        }
+    }
+}
+
+#[test]
+fn settings_commands_and_exit_codes_are_documented() {
+    let page = operations();
+    let daemon = DaemonArgs::augment_args(Command::new("coltsfootweird"));
+    for argument in daemon.get_arguments() {
+        let flag = argument.get_long().expect("every setting has a flag");
+        let name = argument
+            .get_env()
+            .expect("and a variable")
+            .to_string_lossy();
+        assert!(
+            page.contains(&format!("| `--{flag}` | `{name}` |")),
+            "--{flag}"
+        );
+    }
+    let operator = OperatorArgs::command();
+    for command in operator.get_subcommands() {
+        let name = command.get_name();
+        if name == "report" {
+            for report in command.get_subcommands() {
+                assert!(page.contains(&format!("### `report {}`", report.get_name())));
+            }
+            continue;
+        }
+        let heading = format!("### `{name}");
+        assert!(page.contains(&heading) || name == "demo", "no {heading}");
+    }
+    let failures = [
+        CommandFailure::Refused(vec![]),
+        CommandFailure::Conflict("".into()),
+        CommandFailure::Unavailable("".into()),
+        CommandFailure::InDoubt("".into()),
+        CommandFailure::TakenBack(vec![]),
+        CommandFailure::TimedOut(vec![]),
+    ];
+    for failure in failures {
+        let kind = failure.to_json()["error"]["kind"]
+            .as_str()
+            .map(String::from);
+        let kind = kind.expect("a kind");
+        let row = format!("| {} | ", failure.exit_code());
+        let found = page.lines().find(|line| line.starts_with(&row));
+        assert!(
+            found.is_some_and(|line| line.contains(&format!("`{kind}`"))),
+            "{kind}"
+        );
+    }
+}
