--- a/programs/src/demo_fleet.rs
+++ b/programs/src/demo_fleet.rs
@@ -175,7 +175,7 @@
         drain_limit: "10s".into(),
         queue_limit: "18".into(),
         read_timeout: "5s".into(),
-        move_dwell: "1500ms".into(),
-        move_settle: "4s".into(),
+        move_dwell: "900ms".into(),
+        move_settle: "3s".into(),
     }
 }
