The remove command; a move's name is used once

Cause: records could not be removed by operators; the name of a move that had left the configuration could be used again and meet its old condemned fact.

--- a/coltsfootweir/src/metrics_task.rs
+++ b/coltsfootweir/src/metrics_task.rs
@@ -75,11 +75,13 @@
 fn report_standing(context: &DaemonContext) {
     let status = context.status();
     let load = context.upstream.load();
+    let live = lock(&context.gossip).view().live().count();
     let crashes = lock(&context.gossip).crashes().count();
     let gauges = [
         ("config.generation", status.generation),
         ("config.floor", status.floor),
         ("members.known", status.members.len() as u64),
+        ("members.live", live as u64),
         ("moves.condemned", status.condemned.len() as u64),
         ("upstream.crashes", crashes as u64),
         ("upstream.running", u64::from(load.running)),
--- a/programs/src/apply.rs
+++ b/programs/src/apply.rs
@@ -7,18 +7,24 @@
 use std::time::Instant;
 
 use coltsfootweir::accept::AcceptError;
+use coltsfootweir::accept::ConfigChange;
 use coltsfootweir::accept::accept_change;
 use coltsfootweir::accept::find_write;
 use coltsfootweir::ids::Generation;
 use coltsfootweir::ids::MoveName;
 use coltsfootweir::ids::WriteId;
+use coltsfootweir::lease::LeaseRow;
+use coltsfootweir::mover::lease_key;
 use coltsfootweir::platform::PlatformStore;
+use coltsfootweir::platform::RowCondition;
+use coltsfootweir::platform::RowWrite;
 use coltsfootweir::record::ConfigRecord;
 use coltsfootweir::snapshot::ConfigSnapshot;
 use error_stack::Report;
 use rand::RngExt;
 use serde_json::json;
 
+use crate::accepted::read_accepted;
 use crate::accepted::unavailable;
 use crate::failure::CommandFailure;
 use crate::failure::InputFault;
@@ -76,11 +82,46 @@
 
 /// Has records accepted as one change.
 ///
+/// A new move also makes its lease row, so that the name of an earlier move, even of one that has left
+/// the configuration, is not used again.
+///
 /// # Errors
 /// Any [`CommandFailure`] but those of waiting.
 pub fn accept_records(
     store: &dyn PlatformStore,
     records: &[ConfigRecord],
+) -> Result<AcceptedChange, CommandFailure> {
+    let held = read_accepted(store)?;
+    let mut guards = Vec::new();
+    for record in records {
+        let ConfigRecord::Move(record) = record else {
+            continue;
+        };
+        if !held.moves.contains_key(&record.name) {
+            guards.push(first_lease(&record.name));
+        }
+    }
+    let change = |base: &ConfigSnapshot| base.with_records(records.iter().cloned());
+    accept_guarded(store, &change, &guards)
+}
+
+fn first_lease(name: &MoveName) -> RowWrite {
+    let row = serde_json::to_string(&LeaseRow::default()).unwrap_or_default();
+    RowWrite {
+        key: lease_key(name),
+        condition: RowCondition::Absent,
+        value: Some(row.into()),
+    }
+}
+
+/// Has a change accepted; the guards are written in the same transaction.
+///
+/// # Errors
+/// Any [`CommandFailure`] but those of waiting.
+pub fn accept_guarded(
+    store: &dyn PlatformStore,
+    change: &ConfigChange<'_>,
+    guards: &[RowWrite],
 ) -> Result<AcceptedChange, CommandFailure> {
     let last_write = RefCell::new(None);
     let write_ids = || {
@@ -88,8 +129,7 @@
         last_write.replace(Some(write_id.clone()));
         write_id
     };
-    let change = |base: &ConfigSnapshot| base.with_records(records.iter().cloned());
-    match accept_change(store, &write_ids, &change, &[]) {
+    match accept_change(store, &write_ids, change, guards) {
         Ok(snapshot) => Ok(AcceptedChange {
             generation: snapshot.generation,
             changed: last_write.borrow().is_some(),
--- a/programs/src/arguments.rs
+++ b/programs/src/arguments.rs
@@ -97,6 +97,15 @@
         #[arg(long, default_value = "1h", value_parser = humantime::parse_duration)]
         wait_limit: Duration,
     },
+    /// Take records out of the configuration, all or none
+    Remove {
+        /// Where the platform is
+        #[command(flatten)]
+        platform: PlatformArgs,
+        /// Records, such as route/stalls or upstream-version/stalls/v1
+        #[arg(required = true)]
+        labels: Vec<Box<str>>,
+    },
     /// Print the accepted records as apply takes them
     Get {
         /// Where the platform is
--- a/programs/src/command.rs
+++ b/programs/src/command.rs
@@ -9,6 +9,7 @@
 use crate::moves::list_moves;
 use crate::output::CommandResult;
 use crate::patient_store::PatientStore;
+use crate::remove::remove_records;
 use crate::status::show_status;
 use crate::validate::validate_files;
 
@@ -33,6 +34,9 @@
             let store = PatientStore::new(platform.platform, timeout);
             apply_files(&store, files, wait.then_some(*wait_limit))
         }
+        OperatorCommand::Remove { platform, labels } => {
+            remove_records(&PatientStore::new(platform.platform, timeout), labels)
+        }
         OperatorCommand::Get {
             platform,
             kind,
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod moves;
 pub mod output;
 pub mod patient_store;
+pub mod remove;
 pub mod report;
 mod report_link;
 mod report_slo;
