A fleet that starts at once is soon quiet

Cause: in a mass start each member forwarded every entry it learned 21 times, ten entries a message and some two messages a second: 160 entries take 168 s. Ruled out: counting heard entries as sent, alone (2,432 B/s before, 2,428 after: the queue only drains twice as fast). Change: a joining member forwards only urgent entries; its peers learn the rest by the same repairs. Entries heard again count as sent.

--- a/coltsfootweir/src/exchange.rs
+++ b/coltsfootweir/src/exchange.rs
@@ -240,12 +240,18 @@
             return;
         }
         self.absorb_regions(message);
-        // A joining member learns what the others know already.
-        let spreads = message.repair.is_none() || !self.is_joining();
+        // A joining member learns what the others know already, or what repairs bring them too.
+        let is_joining = self.is_joining();
         for entry in &message.entries {
+            let member = member_hash(&entry.id);
             let outcome = self.view.merge(entry, self.now);
-            if outcome.changed && spreads {
-                self.spread_entry(member_hash(&entry.id));
+            if outcome.changed && (outcome.urgent || !is_joining) {
+                self.spread_entry(member);
+            }
+            // What others send too needs fewer sends of this member.
+            if !outcome.changed && self.view.known_rank(member) == Some(entry.rank()) {
+                let sends = send_limit(self.limits.entry_sends, self.peers.near.len());
+                self.entry_queue.near.note_heard(member, sends);
             }
             if outcome.served {
                 self.spread_served(run_hash(&entry.id, entry.incarnation));
--- a/coltsfootweir/tests/gossip_fleet.rs
+++ b/coltsfootweir/tests/gossip_fleet.rs
@@ -35,6 +35,12 @@
 /// Rounds in which all others must know a restarted member's new run.
 const NEW_RUN_ROUNDS: u64 = 12;
 
+/// Members that start at once.
+const STARTING_MEMBERS: usize = 160;
+
+/// Rounds after which a fleet that started at once must be in the budget.
+const START_ROUNDS: u64 = 19;
+
 #[test]
 fn traffic_stays_in_the_budget() {
     let mut fleet = GossipFleet::new(MEMBERS);
@@ -78,6 +84,19 @@
     assert!(link < LINK_BYTES_PER_SECOND, "{link} B/s over the link");
 }
 
+#[test]
+fn a_fleet_that_starts_at_once_is_soon_in_the_budget() {
+    let mut fleet = GossipFleet::started_at_once(STARTING_MEMBERS);
+    drive_rounds(&mut fleet, START_ROUNDS);
+    let known = fleet.states.iter().map(|state| state.view().live().count());
+    assert_eq!(known.min(), Some(STARTING_MEMBERS));
+    fleet.counting = true;
+    drive_rounds(&mut fleet, IDLE_ROUNDS);
+    let sent = fleet.counts.bytes / IDLE_ROUNDS / STARTING_MEMBERS as u64;
+    println!("sent by a member after the start: {sent} B/s");
+    assert!(2 * sent <= BYTES_PER_SECOND, "{sent} B/s sent");
+}
+
 #[test]
 fn a_head_reaches_all_members() {
     let mut fleet = GossipFleet::new(MEMBERS);
--- a/coltsfootweir/tests/support/mod.rs
+++ b/coltsfootweir/tests/support/mod.rs
@@ -98,12 +98,22 @@
 impl GossipFleet {
     /// Members that know each other already.
     pub fn new(count: usize) -> GossipFleet {
-        let mut states = Vec::new();
-        let mut index = BTreeMap::new();
         let entries: Vec<MemberEntry> = (0..count).map(|member| entry_of(member, 1)).collect();
-        for (member, entry) in entries.iter().enumerate() {
-            let mut state = GossipState::new(entry.clone(), GossipLimits::default(), member as u64);
+        let mut fleet = GossipFleet::started_at_once(count);
+        for (member, state) in fleet.states.iter_mut().enumerate() {
             state.receive(introduction(&entries, member), Duration::ZERO);
+        }
+        fleet
+    }
+
+    /// Members that start at the same time and know a few seeds.
+    pub fn started_at_once(count: usize) -> GossipFleet {
+        let mut states = Vec::new();
+        let mut index = BTreeMap::new();
+        for member in 0..count {
+            let mut state =
+                GossipState::new(entry_of(member, 1), GossipLimits::default(), member as u64);
+            state.add_seeds((0..count.min(5)).map(address_of));
             index.insert(address_of(member), member);
             states.push(state);
         }
