--- /dev/null
+++ b/measure/src/fleet.rs
@@ -0,0 +1,158 @@
+//! A fleet of daemons and the platform stand-in, as processes.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use coltsfootweir::ids::Generation;
+use coltsfootweir::member::MemberState;
+use coltsfootweir::schema::parse_records;
+use error_stack::Report;
+use error_stack::ResultExt;
+use programs::apply::accept_records;
+
+use crate::deployment::DaemonPlace;
+use crate::failure::MeasureError;
+use crate::failure::MeasureResult;
+use crate::probe::read_status;
+use crate::process::ChildProcess;
+
+/// Seeds that each daemon is given.
+const SEED_COUNT: usize = 4;
+
+/// Time between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct FleetDaemon {
+    /// The process.
+    pub process: ChildProcess,
+    /// Where it stands.
+    pub place: DaemonPlace,
+}
+
+impl FleetDaemon {
+    /// Address of the control port.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.process.addresses()[0]
+    }
+
+    /// Address that takes calls.
+    #[must_use]
+    pub fn calls(&self) -> SocketAddr {
+        *self.process.addresses().last().unwrap_or(&self.control())
+    }
+}
+
+/// The platform stand-in and daemons; all end when the fleet is dropped.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// The platform stand-in.
+    pub platform: ChildProcess,
+    /// The daemons.
+    pub daemons: Vec<FleetDaemon>,
+    store_region: &'static str,
+}
+
+impl TestFleet {
+    /// Starts the platform and `count` daemons that fill `places` in turn.
+    ///
+    /// # Errors
+    /// [`MeasureError::Start`].
+    pub fn start(count: usize, places: &[DaemonPlace]) -> MeasureResult<TestFleet> {
+        let mut fleet = TestFleet {
+            platform: ChildProcess::start("standin-platform", &[])?,
+            daemons: Vec::new(),
+            store_region: places[0].region,
+        };
+        for number in 0..count {
+            let daemon = fleet.start_daemon(places[number % places.len()])?;
+            fleet.daemons.push(daemon);
+        }
+        Ok(fleet)
+    }
+
+    /// Address of the platform.
+    #[must_use]
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform.addresses()[0]
+    }
+
+    /// Kills a daemon and starts one in its place on new ports.
+    ///
+    /// # Errors
+    /// [`MeasureError::Start`].
+    pub fn replace_daemon(&mut self, index: usize) -> MeasureResult<()> {
+        self.daemons[index].process.kill();
+        self.daemons[index] = self.start_daemon(self.daemons[index].place)?;
+        Ok(())
+    }
+
+    fn start_daemon(&self, place: DaemonPlace) -> MeasureResult<FleetDaemon> {
+        let seeds: Vec<String> = self
+            .daemons
+            .iter()
+            .take(SEED_COUNT)
+            .map(|daemon| daemon.control().to_string())
+            .collect();
+        let arguments = [
+            format!("--region={}", place.region),
+            format!("--zone={}", place.zone),
+            format!("--platform={}", self.platform_address()),
+            format!("--store-region={}", self.store_region),
+            format!("--seeds={}", seeds.join(",")),
+            "--log=off".into(),
+        ];
+        let process = ChildProcess::start("coltsfootweird", &arguments)?;
+        Ok(FleetDaemon { process, place })
+    }
+
+    /// Has records accepted as one change; returns the generation.
+    ///
+    /// # Errors
+    /// [`MeasureError::Refused`].
+    pub fn apply(&self, records: &str) -> MeasureResult<Generation> {
+        let list = parse_records(records, std::time::SystemTime::now())
+            .map_err(|faults| Report::new(MeasureError::Refused).attach(format!("{faults:?}")))?;
+        accept_records(self.platform_address(), &list)
+            .map(|snapshot| snapshot.generation)
+            .change_context(MeasureError::Refused)
+    }
+
+    /// Waits until every daemon serves `generation` and knows `endpoints` ready endpoints.
+    ///
+    /// # Errors
+    /// [`MeasureError::NotReached`].
+    pub fn wait_settled(
+        &self,
+        generation: Generation,
+        endpoints: usize,
+        limit: Duration,
+    ) -> MeasureResult<Duration> {
+        let start = Instant::now();
+        for daemon in &self.daemons {
+            while !is_settled(daemon.control(), generation, endpoints) {
+                if start.elapsed() > limit {
+                    let text = format!("generation {generation}, {endpoints} endpoints");
+                    return Err(Report::new(MeasureError::NotReached(text.into())));
+                }
+                thread::sleep(POLL_INTERVAL);
+            }
+        }
+        Ok(start.elapsed())
+    }
+}
+
+fn is_settled(control: SocketAddr, generation: Generation, endpoints: usize) -> bool {
+    let Ok(status) = read_status(control) else {
+        return false;
+    };
+    let ready = status
+        .members
+        .iter()
+        .filter(|entry| entry.state == MemberState::Alive && entry.endpoint.is_some());
+    status.generation >= generation && ready.count() >= endpoints
+}
