--- a/measure/src/cost.rs
+++ b/measure/src/cost.rs
@@ -30,6 +30,9 @@
 use crate::sample::FleetUse;
 use crate::usage::machine_load;
 
+/// Numbers of daemons.
+const FLEET_SIZES: [usize; 5] = [10, 20, 40, 80, 160];
+
 /// Endpoints of one service.
 const SERVICE_ENDPOINTS: usize = 8;
 
@@ -89,8 +92,8 @@
 
     fn run(&self, settings: &RunSettings) -> MeasureResult<RunResult> {
         let mut points = Vec::new();
-        for daemons in &settings.daemons {
-            measure_size(*daemons, settings, &mut points)?;
+        for daemons in settings.sizes(&FLEET_SIZES) {
+            measure_size(daemons, settings, &mut points)?;
         }
         let fits = fit_points(&points);
         Ok(RunResult {
--- a/measure/src/experiment.rs
+++ b/measure/src/experiment.rs
@@ -34,8 +34,8 @@
 /// Settings of a run.
 #[derive(Args, Clone, Debug, Serialize)]
 pub struct RunSettings {
-    /// Numbers of daemons, separated by commas
-    #[arg(long, value_delimiter = ',', default_values_t = [10, 20, 40, 80, 160])]
+    /// Numbers of daemons, separated by commas; those of the experiment when absent
+    #[arg(long, value_delimiter = ',')]
     pub daemons: Vec<usize>,
     /// Time measured in each phase
     #[arg(long, default_value = "20s", value_parser = humantime::parse_duration)]
@@ -71,6 +71,15 @@
         self.only.is_empty() || self.only.iter().any(|name| **name == *part)
     }
 
+    /// Numbers of daemons, or `usual` when none were given.
+    #[must_use]
+    pub fn sizes(&self, usual: &[usize]) -> Vec<usize> {
+        if self.daemons.is_empty() {
+            return usual.to_vec();
+        }
+        self.daemons.clone()
+    }
+
     /// Deployments to measure.
     #[must_use]
     pub fn deployments(&self) -> Vec<DeploymentPreset> {
