--- a/coltsfootweir/src/reports.rs
+++ b/coltsfootweir/src/reports.rs
@@ -97,6 +97,20 @@
     }
 }
 
+struct GenerationHandler;
+
+inventory::submit! { HandlerPlugin { handler: &GenerationHandler } }
+
+impl ControlHandler for GenerationHandler {
+    fn path(&self) -> &'static str {
+        "/generation"
+    }
+
+    fn answer(&self, context: &Arc<DaemonContext>, _body: &[u8]) -> ControlAnswer {
+        ControlAnswer::json(&lock(&context.config).mark().generation)
+    }
+}
+
 struct SloHandler;
 
 inventory::submit! { HandlerPlugin { handler: &SloHandler } }
--- a/measure/src/announcer.rs
+++ b/measure/src/announcer.rs
@@ -15,11 +15,20 @@
 use flume::RecvTimeoutError;
 use flume::Sender;
 
+use crate::fleet::TestFleet;
 use crate::probe::post;
+use crate::records::service_name;
 
 /// Threads that announce.
 const WORKER_COUNT: usize = 4;
 
+/// Slots of an announced upstream.
+const UPSTREAM_SLOTS: u16 = 9;
+
+/// Address of the announced upstreams, at which nothing listens.
+const UPSTREAM_ADDRESS: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+
 /// An upstream that is announced but takes no calls.
 #[derive(Clone, Debug)]
 pub struct AnnouncedUpstream {
@@ -77,6 +86,25 @@
     }
 }
 
+/// Announces an upstream of one of `services` services for each daemon of a fleet.
+#[must_use]
+pub fn announce_fleet(fleet: &TestFleet, services: usize) -> FleetAnnouncer {
+    let mut upstreams = Vec::new();
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        upstreams.push(AnnouncedUpstream {
+            daemon: daemon.control(),
+            announcement: UpstreamAnnouncement {
+                service: service_name(number % services),
+                version: "v1".into(),
+                address: UPSTREAM_ADDRESS,
+                slots: UPSTREAM_SLOTS,
+                leaving: false,
+            },
+        });
+    }
+    FleetAnnouncer::start(upstreams)
+}
+
 fn announce_share(upstreams: &SharedUpstreams, worker: usize) {
     let list: Vec<AnnouncedUpstream> = upstreams
         .lock()
--- a/measure/src/calls.rs
+++ b/measure/src/calls.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use serde::Serialize;
 use serde_json::json;
+use standins::upstream_faults::UpstreamFaults;
 
 use crate::deployment::FULL_SIZE_PLACES;
 use crate::experiment::Experiment;
@@ -136,6 +137,7 @@
                 work,
                 connection_limit: 120,
                 seed,
+                faults: UpstreamFaults::default(),
             })?);
         }
         fleet.wait_settled(generation, GUARD_COUNT, SETTLE_LIMIT)?;
--- a/measure/src/cost.rs
+++ b/measure/src/cost.rs
@@ -1,16 +1,13 @@
 //! Experiment `cost`: processor, memory, control bytes and store operations against fleet size.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use coltsfootweir::announce::UpstreamAnnouncement;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use serde_json::json;
 
-use crate::announcer::AnnouncedUpstream;
-use crate::announcer::FleetAnnouncer;
+use crate::announcer::announce_fleet;
 use crate::churn::CHURN_KINDS;
 use crate::churn::ChurnDriver;
 use crate::churn::ChurnKind;
@@ -22,7 +19,6 @@
 use crate::fit::FittedLine;
 use crate::fit::fit_line;
 use crate::fleet::TestFleet;
-use crate::records::service_name;
 use crate::records::service_records;
 use crate::report::RunResult;
 use crate::report::TextTable;
@@ -36,9 +32,6 @@
 /// Endpoints of one service.
 const SERVICE_ENDPOINTS: usize = 8;
 
-/// Slots of an announced upstream.
-const UPSTREAM_SLOTS: u16 = 9;
-
 /// Daemons at the size to which the lines are drawn out.
 const FULL_SIZE: f64 = 560.0;
 
@@ -111,7 +104,7 @@
     let mut fleet = TestFleet::start(daemons, &FULL_SIZE_PLACES)?;
     let services = daemons.div_ceil(SERVICE_ENDPOINTS);
     let generation = fleet.apply(&service_records(services))?;
-    let announcer = FleetAnnouncer::start(list_upstreams(&fleet, services));
+    let announcer = announce_fleet(&fleet, services);
     let settled = fleet.wait_settled(generation, daemons, SETTLE_LIMIT)?;
     eprintln!("{daemons} daemons settled in {settled:?}");
     std::thread::sleep(REST_TIME);
@@ -142,24 +135,6 @@
     Ok(())
 }
 
-fn list_upstreams(fleet: &TestFleet, services: usize) -> Vec<AnnouncedUpstream> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    let mut upstreams = Vec::new();
-    for (number, daemon) in fleet.daemons.iter().enumerate() {
-        upstreams.push(AnnouncedUpstream {
-            daemon: daemon.control(),
-            announcement: UpstreamAnnouncement {
-                service: service_name(number % services),
-                version: "v1".into(),
-                address,
-                slots: UPSTREAM_SLOTS,
-                leaving: false,
-            },
-        });
-    }
-    upstreams
-}
-
 fn fit_points(points: &[CostPoint]) -> Vec<CostFit> {
     let mut fits = Vec::new();
     for kind in CHURN_KINDS {
--- a/measure/src/experiment.rs
+++ b/measure/src/experiment.rs
@@ -49,6 +49,9 @@
     /// Calls a second for each daemon
     #[arg(long, default_value_t = 41.0)]
     pub rate: f64,
+    /// Time within which a move is to be done
+    #[arg(long, default_value = "180s", value_parser = humantime::parse_duration)]
+    pub done_in: Duration,
     /// Deployment whose sizes are used
     #[arg(long, value_enum)]
     #[serde(skip)]
--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -91,6 +91,17 @@
         Ok(())
     }
 
+    /// Control addresses of the daemons that run.
+    pub fn running(&mut self) -> Vec<SocketAddr> {
+        let mut list = Vec::new();
+        for daemon in &mut self.daemons {
+            if !daemon.process.has_ended() {
+                list.push(daemon.control());
+            }
+        }
+        list
+    }
+
     fn start_daemon(&self, place: DaemonPlace) -> MeasureResult<FleetDaemon> {
         let seeds: Vec<String> = self
             .daemons
--- a/measure/src/probe.rs
+++ b/measure/src/probe.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use coltsfootweir::ids::Generation;
 use coltsfootweir::reports::DaemonStatus;
 use coltsfootweir::reports::LinkReport;
 use error_stack::ResultExt;
@@ -26,6 +27,14 @@
     get(control, "/status")
 }
 
+/// Reads the generation that a daemon has in force.
+///
+/// # Errors
+/// [`MeasureError::NoAnswer`].
+pub fn read_generation(control: SocketAddr) -> MeasureResult<Generation> {
+    get(control, "/generation")
+}
+
 /// Reads the bytes that a daemon counted by cause.
 ///
 /// # Errors
--- a/measure/src/process.rs
+++ b/measure/src/process.rs
@@ -67,6 +67,11 @@
         self.child.id()
     }
 
+    /// Tells whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
