--- a/coltsfootweir/src/claim.rs
+++ b/coltsfootweir/src/claim.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use flume::Receiver;
+use flume::Sender;
 use log::warn;
-use tokio::sync::oneshot;
 
 use crate::booking_decision::ClaimRow;
 use crate::context::DaemonContext;
@@ -27,7 +27,7 @@
 const BATCH_LIMIT: usize = 64;
 
 /// Time between two looks at the stop signal.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What became of a claim.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -50,7 +50,7 @@
     /// Row to write when there is none.
     pub row: ClaimRow,
     /// Gets the outcome.
-    pub answer: oneshot::Sender<ClaimOutcome>,
+    pub answer: Sender<ClaimOutcome>,
 }
 
 struct ClaimWriter;
--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -24,6 +24,7 @@
 use crate::clock::DaemonClock;
 use crate::config_state::ConfigState;
 use crate::control_client::ControlClient;
+use crate::dialer::PeerDialer;
 use crate::endpoint_index::EndpointIndex;
 use crate::evidence::EvidenceRecorder;
 use crate::floor::FloorState;
@@ -35,6 +36,7 @@
 use crate::ids::RouteName;
 use crate::ids::WriteId;
 use crate::link::LinkMeter;
+use crate::metrics_task::CallTally;
 use crate::mover::MoverState;
 use crate::platform::PlatformStore;
 use crate::poison::PoisonTable;
@@ -72,9 +74,11 @@
     pub leaving: AtomicBool,
     /// Calls of callers now in progress.
     pub calls_running: AtomicU64,
+    pub(crate) tally: CallTally,
     pub(crate) write_count: AtomicU64,
     pub(crate) handoff: Mutex<TaskHandoff>,
     pub(crate) config_wake: Sender<()>,
+    pub(crate) dialer: Arc<dyn PeerDialer>,
     pub(crate) peers: ConnectionPool,
     pub(crate) gossip: Mutex<GossipState>,
     pub(crate) config: Mutex<ConfigState>,
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -63,7 +63,7 @@
     stop: &StopSignal,
 ) {
     while !stop.is_set() {
-        match exchanges.recv_timeout(GOSSIP_INTERVAL / 5) {
+        match exchanges.recv_timeout(GOSSIP_INTERVAL / 2) {
             Ok(action) => make_exchange(context, action),
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
@@ -90,9 +90,7 @@
     let mut gossip = lock(&context.gossip);
     let mut actions = match answer {
         Ok(answer) => {
-            if let Some(floor) = answer.floor {
-                lock(&context.floor).on_peer(&answer.from, floor, now);
-            }
+            lock(&context.floor).on_answer(&answer, now);
             gossip.on_answer(to, answer, now)
         }
         Err(error) => {
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -12,8 +13,8 @@
 use log::info;
 use log::warn;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
 
+use crate::announce::UpstreamAnnouncement;
 use crate::answer_cache::StoredAnswer;
 use crate::booking_decision::BookingDecision;
 use crate::booking_decision::ClaimRow;
@@ -37,6 +38,8 @@
 use crate::outcome::RefusalReason;
 use crate::record::RouteClass;
 use crate::record::RouteRecord;
+use crate::record::TrafficShare;
+use crate::route_table::RouteTable;
 
 /// Time a connection attempt to an upstream that broke a connection may take.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -47,6 +50,9 @@
     call: &CallRequest,
     deadline: CallDeadline,
 ) -> CallReply {
+    if let Some(reply) = ask_ledger(context, call) {
+        return reply;
+    }
     if !lock(&context.config).is_serving() {
         return refuse(RefusalReason::NotServing);
     }
@@ -57,9 +63,18 @@
     let Some(route) = table.find(call.route_path()) else {
         return refuse(RefusalReason::NoRoute);
     };
-    let known = context.upstream.identity();
-    if known.is_none_or(|announcement| announcement.service != route.service) {
+    let Some(known) = context
+        .upstream
+        .identity()
+        .filter(|own| own.service == route.service)
+    else {
         return refuse(RefusalReason::UnknownTarget);
+    };
+    if is_version_off(context, &table, &known) {
+        return refuse(RefusalReason::VersionOff);
+    }
+    if call.is_mint() {
+        return mint_key(context, call, route);
     }
     match route.class {
         RouteClass::Check => hand_over(context, call, route, deadline, None).await,
@@ -67,6 +82,45 @@
     }
 }
 
+/// Answers a repeat of a booking that the ledger knows to have run or to be in doubt, whatever else
+/// would refuse it now.
+fn ask_ledger(context: &DaemonContext, call: &CallRequest) -> Option<CallReply> {
+    let key = BookingKey::parse(call.header(&BOOKING_KEY)?).ok()?;
+    let decision = lock(&context.ledger).look_up(&key, call.fingerprint, context.now())?;
+    match decision {
+        BookingDecision::Replay(answer) => Some(replay(&answer)),
+        BookingDecision::InDoubt(reason) => Some(doubt(reason)),
+        _ => None,
+    }
+}
+
+/// Returns whether the own version gets no traffic: it was found bad, or has no share and no move.
+fn is_version_off(context: &DaemonContext, table: &RouteTable, own: &UpstreamAnnouncement) -> bool {
+    let mut splits = table.splits(&own.service).iter();
+    let Some(split) = splits.find(|split| split.version == own.version) else {
+        return true;
+    };
+    match &split.move_name {
+        Some(name) => context.index.load().is_condemned(name, &split.version),
+        None => split.share == TrafficShare::NONE,
+    }
+}
+
+/// Gives a caller a key with which only the own upstream may run a booking.
+fn mint_key(context: &DaemonContext, call: &CallRequest, route: &RouteRecord) -> CallReply {
+    if call.method != Method::POST || route.class != RouteClass::Booking {
+        return refuse(RefusalReason::BadKey);
+    }
+    if context.is_leaving() {
+        return refuse(RefusalReason::Leaving);
+    }
+    if context.upstream.address().is_none() {
+        return refuse(RefusalReason::UpstreamDown);
+    }
+    let key = lock(&context.ledger).mint();
+    CallReply::ran(Response::new(Bytes::from(format!("{key}\n"))))
+}
+
 fn refuse(reason: RefusalReason) -> CallReply {
     CallReply::told(CallOutcome::NotRun(reason))
 }
@@ -85,6 +139,12 @@
     let Some(Ok(key)) = call.header(&BOOKING_KEY).map(BookingKey::parse) else {
         return refuse(RefusalReason::BadKey);
     };
+    // A key is not bound to an upstream that would refuse it, so that another one can claim it.
+    if !lock(&context.ledger).knows(&key)
+        && let Some(reason) = context.upstream.refusal(deadline.shrink(RETURN_MARGIN))
+    {
+        return refuse(reason);
+    }
     let context = Arc::clone(context);
     let call = call.clone();
     let route = route.clone();
@@ -129,7 +189,7 @@
     key: &BookingKey,
     row: ClaimRow,
 ) -> BookingDecision {
-    let (answer, outcome) = oneshot::channel();
+    let (answer, outcome) = flume::bounded(1);
     let service = route.service.clone();
     let request = ClaimRequest {
         service,
@@ -139,7 +199,7 @@
     };
     let _ = context.claims.send(request);
     let left = deadline.shrink(RETURN_MARGIN * 2).remaining(context.now());
-    let outcome = match tokio::time::timeout(left, outcome).await {
+    let outcome = match tokio::time::timeout(left, outcome.recv_async()).await {
         Ok(Ok(outcome)) => outcome,
         _ => ClaimOutcome::Unknown,
     };
@@ -222,7 +282,9 @@
     }
     let request = call.to_forward(None, millis);
     let reply = send_to_upstream(context, call, route, deadline, address, request).await;
-    permit.finish();
+    if reply.outcome == CallOutcome::Ran {
+        permit.finish();
+    }
     reply
 }
 
@@ -250,8 +312,14 @@
             refuse(RefusalReason::UpstreamDown)
         }
         Ok(Err(SendError::Broken | SendError::TooLong)) => {
+            let suspects = lock(&context.poison).crash_suspects(&[call.fingerprint], start);
             if note_if_crashed(context, address).await {
-                return doubt(DoubtReason::UpstreamCrashed);
+                let is_suspect = !suspects.is_empty();
+                return doubt(if is_suspect {
+                    DoubtReason::UpstreamCrashed
+                } else {
+                    DoubtReason::AnswerBroken
+                });
             }
             record_call(context, route, true, latency);
             doubt(DoubtReason::AnswerBroken)
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -55,6 +55,12 @@
 
 /// Answers a caller's call.
 pub(crate) async fn run_ingress(context: &Arc<DaemonContext>, call: &CallRequest) -> CallReply {
+    let reply = find_answer(context, call).await;
+    context.tally.add(reply.outcome);
+    reply
+}
+
+async fn find_answer(context: &Arc<DaemonContext>, call: &CallRequest) -> CallReply {
     if !lock(&context.config).is_serving() {
         return refuse(RefusalReason::NotServing);
     }
@@ -97,7 +103,7 @@
 impl CallAttempts<'_> {
     async fn run(&mut self) -> CallReply {
         self.budget(|budget| budget.on_call());
-        if self.route.class == RouteClass::Check {
+        if self.route.class == RouteClass::Check || self.call.is_mint() {
             return self.try_endpoints().await;
         }
         match self.call.header(&BOOKING_KEY).map(BookingKey::parse) {
@@ -191,12 +197,15 @@
 
     async fn send(&mut self, target: &EndpointTarget) -> CallReply {
         self.tried.push(target.id.clone());
+        let running = RunningCall::start(self.context, target);
         if target.id == self.context.id {
-            return run_guarded(self.context, self.call, self.deadline).await;
+            let reply = run_guarded(self.context, self.call, self.deadline).await;
+            running.end(&reply, Some(self.context.upstream.load()));
+            return reply;
         }
-        let running = RunningCall::start(self.context, target);
         let reply = self.forward(target).await;
-        running.end(&reply);
+        let load = header_text(reply.response.headers(), LOAD.as_str()).and_then(LoadReport::parse);
+        running.end(&reply, load);
         reply
     }
 
@@ -211,9 +220,12 @@
         let Some(millis) = deadline.header_ms(self.context.now()) else {
             return refuse(RefusalReason::DeadlinePassed);
         };
+        let Some(address) = self.context.dialer.dial(target.call_address) else {
+            return refuse(RefusalReason::UpstreamDown);
+        };
         let request = self.call.to_forward(Some(&target.id), millis);
         let left = self.deadline.remaining(self.context.now());
-        let sending = self.context.peers.send(target.call_address, request);
+        let sending = self.context.peers.send(address, request);
         let reply = match tokio::time::timeout(left, sending).await {
             Ok(Ok(response)) => read_peer_reply(response),
             Ok(Err(SendError::NotConnected)) => refuse(RefusalReason::UpstreamDown),
@@ -283,7 +295,7 @@
         }
     }
 
-    fn end(mut self, reply: &CallReply) {
+    fn end(mut self, reply: &CallReply, load: Option<LoadReport>) {
         self.end = match reply.outcome {
             CallOutcome::Ran if reply.response.status().is_server_error() => CallEnd::Failure,
             CallOutcome::Ran => CallEnd::Success,
@@ -291,7 +303,6 @@
             CallOutcome::NotRun(_) => CallEnd::Neutral,
             CallOutcome::InDoubt(_) => CallEnd::Failure,
         };
-        let load = header_text(reply.response.headers(), LOAD.as_str()).and_then(LoadReport::parse);
         if let Some(load) = load {
             lock(&self.context.chooser).on_answer(self.id, load, self.context.now());
         }
--- a/coltsfootweir/src/spread_queue.rs
+++ b/coltsfootweir/src/spread_queue.rs
@@ -23,6 +23,22 @@
         self.sends.insert(key, 0);
     }
 
+    /// Number of changes that are still to be sent.
+    pub(crate) fn len(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Counts a change as sent because another member sent it; see [`SpreadQueue::take`].
+    pub(crate) fn note_heard(&mut self, key: u64, limit: u32) {
+        let Some(sends) = self.sends.get_mut(&key) else {
+            return;
+        };
+        *sends += 1;
+        if *sends >= limit {
+            self.sends.remove(&key);
+        }
+    }
+
     /// Takes up to `count` changes, those sent the fewest times first, and counts them as sent; a
     /// change sent `limit` times is dropped.
     pub(crate) fn take(&mut self, count: usize, limit: u32) -> Vec<u64> {
@@ -51,6 +67,31 @@
     }
 }
 
+/// Changes of one kind, to send within the region and over the link.
+#[derive(Clone, Debug)]
+pub(crate) struct SpreadQueues {
+    pub(crate) near: SpreadQueue,
+    pub(crate) far: SpreadQueue,
+}
+
+impl SpreadQueues {
+    /// Empty queues.
+    pub(crate) fn new(salt: u64) -> SpreadQueues {
+        SpreadQueues {
+            near: SpreadQueue::new(salt),
+            far: SpreadQueue::new(salt),
+        }
+    }
+
+    /// Adds a change that is to cross the link as well if `crosses`.
+    pub(crate) fn push(&mut self, key: u64, crosses: bool) {
+        self.near.push(key);
+        if crosses {
+            self.far.push(key);
+        }
+    }
+}
+
 /// Number of sends for `factor` per doubling of `members`.
 pub(crate) fn send_limit(factor: u32, members: usize) -> u32 {
     factor * (usize::BITS - members.leading_zeros()).max(1)
--- a/standins/src/upstream_call.rs
+++ b/standins/src/upstream_call.rs
@@ -12,6 +12,7 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::http::HeaderMap;
+use hyper::http::uri::PathAndQuery;
 use serde::Serialize;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -105,7 +106,10 @@
         sleep(deadline).await;
         return RunOutcome::Expired;
     }
-    sleep(plan.work).await;
+    // A sleep of no time would last to the next tick of the timer.
+    if !plan.work.is_zero() {
+        sleep(plan.work).await;
+    }
     if plan.fails {
         RunOutcome::Failed
     } else {
@@ -185,7 +189,11 @@
     RunRequest {
         request_id: read_text(request.headers(), REQUEST_ID_HEADER),
         idempotency_key: read_text(request.headers(), IDEMPOTENCY_HEADER),
-        path: request.uri().path().into(),
+        path: request
+            .uri()
+            .path_and_query()
+            .map_or("/", PathAndQuery::as_str)
+            .into(),
     }
 }
 
