--- a/measure/src/bin/coltsfootweir-measure.rs
+++ b/measure/src/bin/coltsfootweir-measure.rs
@@ -5,9 +5,11 @@
 use clap::Parser;
 use measure::experiment::MeasureArgs;
 use measure::experiment::run_experiment;
+use measure::process::end_on_signal;
 
 fn main() -> ExitCode {
-    match run_experiment(&MeasureArgs::parse()) {
+    let arguments = MeasureArgs::parse();
+    match end_on_signal().and_then(|()| run_experiment(&arguments)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
