Compare added latency with that of two plain TCP relays

On a busy machine the tail of a call is the wait for a core at each hop. Two bare relays take as many hops as two daemons, so they show what of the added time is the machine's.

--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Measurements of the programs, started as real processes on loopback.
 
 pub mod announcer;
+mod call_fleet;
 mod calls;
 pub mod churn;
 mod convergence;
@@ -14,6 +15,7 @@
 mod move_case;
 mod move_traffic;
 mod moves;
+mod overload;
 pub mod poller;
 pub mod probe;
 pub mod process;
