Count the heads and headers of an exchange at both of its ends

The meter added 500 bytes for HTTP heads and TCP set-up at the calling daemon only. System calls of a daemon under strace: heads of 87 and 102 bytes; a connection of its own takes ten packets, 536 bytes of TCP and IP headers. So 730 bytes, and both daemons of an exchange spend them.

Evidence is still counted at its caller only.

--- a/coltsfootweir/src/config_task.rs
+++ b/coltsfootweir/src/config_task.rs
@@ -17,6 +17,7 @@
 use crate::config_state::OfferOutcome;
 use crate::context::DaemonContext;
 use crate::context::lock;
+use crate::control_client::EXCHANGE_OVERHEAD;
 use crate::control_client::ExchangeRoute;
 use crate::control_server::ControlAnswer;
 use crate::control_server::ControlHandler;
@@ -78,9 +79,8 @@
         let answer = ControlAnswer::message(&answer_pull(context, request.held));
         if let ControlAnswer::Message(answer) = &answer {
             let crosses = request.region != context.settings.region;
-            context
-                .meter
-                .add(LinkCause::Config, crosses, body.len() + answer.len());
+            let bytes = body.len() + answer.len() + EXCHANGE_OVERHEAD;
+            context.meter.add(LinkCause::Config, crosses, bytes);
         }
         answer
     }
--- a/coltsfootweir/src/control_client.rs
+++ b/coltsfootweir/src/control_client.rs
@@ -17,8 +17,8 @@
 /// Time one exchange may take, in seconds.
 const EXCHANGE_TIMEOUT_SECONDS: u64 = 2;
 
-/// Bytes of HTTP heads and TCP set-up added to the bodies of one exchange, as counted.
-const EXCHANGE_OVERHEAD: usize = 500;
+/// Bytes of HTTP heads and of the TCP and IP headers of one exchange on a connection of its own.
+pub(crate) const EXCHANGE_OVERHEAD: usize = 730;
 
 /// Failure of an exchange with a peer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -9,6 +9,7 @@
 
 use crate::context::DaemonContext;
 use crate::context::lock;
+use crate::control_client::EXCHANGE_OVERHEAD;
 use crate::control_client::ExchangeRoute;
 use crate::control_server::ControlAnswer;
 use crate::control_server::ControlHandler;
@@ -128,9 +129,8 @@
         context.after_gossip();
         let answer = ControlAnswer::message(&answer);
         if let ControlAnswer::Message(answer) = &answer {
-            context
-                .meter
-                .add(LinkCause::Gossip, crosses, body.len() + answer.len());
+            let bytes = body.len() + answer.len() + EXCHANGE_OVERHEAD;
+            context.meter.add(LinkCause::Gossip, crosses, bytes);
         }
         answer
     }
