Let the fixed steps of the moves run to their end

Traffic stopped when the system took a version back, so the compared way was spared most of its harm. Both now run to the time asked for.

--- a/measure/src/move_case.rs
+++ b/measure/src/move_case.rs
@@ -47,9 +47,6 @@
 /// Length of one stretch of traffic, between two looks at the move.
 const STRETCH: Duration = Duration::from_secs(1);
 
-/// Stretches of traffic after the move has ended.
-const LAST_STRETCHES: u32 = 6;
-
 /// Time after the time asked for in which the end is still waited for.
 const OVERTIME: Duration = Duration::from_secs(30);
 
@@ -143,8 +140,8 @@
     let mut ended = None;
     let mut last = None;
     let mut calls = 0;
-    let mut stretches_left = LAST_STRETCHES;
-    while stretches_left > 0 && start.elapsed() < settings.done_in + OVERTIME {
+    // The fixed steps go on to their end, whatever became of the move.
+    while start.elapsed() < limit(settings, ended) {
         traffic.step_old = step_upstreams.addresses(VERSIONS[0]);
         traffic.step_new = step_upstreams.addresses(VERSIONS[1]);
         let offset = start.elapsed();
@@ -159,7 +156,6 @@
         last = read_move(fleet.platform_address()).or(last);
         if last.as_ref().is_some_and(|record| record.phase.is_ended()) {
             ended.get_or_insert(start.elapsed());
-            stretches_left -= 1;
         }
     }
     let used = FleetSample::take(&fleet)?.since(&before);
@@ -183,6 +179,14 @@
     })
 }
 
+/// How long the traffic lasts.
+fn limit(settings: &RunSettings, ended: Option<Duration>) -> Duration {
+    match ended {
+        Some(_) => settings.done_in,
+        None => settings.done_in + OVERTIME,
+    }
+}
+
 fn version_faults(case: VersionCase, is_new: bool, prefix: &str) -> UpstreamFaults {
     if is_new {
         case.new_faults(prefix)
--- a/measure/src/moves.rs
+++ b/measure/src/moves.rs
@@ -108,6 +108,8 @@
         "exposure s",
         "cpu %",
         "B/s",
+        "max",
+        "evidence B/s",
     ]);
     let seconds = |value: Option<f64>| value.map_or("-".into(), |value| format!("{value:.1}"));
     for case in cases {
@@ -129,6 +131,8 @@
             seconds(steps.exposure),
             format!("{:.2}", case.used.processor_percent),
             format!("{:.0}", case.used.control_bytes),
+            format!("{:.0}", case.used.control_bytes_max),
+            format!("{:.0}", case.used.evidence_bytes),
         ]);
     }
     let mut text = format!("moves, {deployment:?}\n{}", table.render());
--- a/measure/src/sample.rs
+++ b/measure/src/sample.rs
@@ -31,6 +31,7 @@
     gossip: u64,
     config: u64,
     store: u64,
+    evidence: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -73,6 +74,8 @@
     pub config_bytes: f64,
     /// Mean store bytes a second of a daemon.
     pub store_bytes: f64,
+    /// Mean evidence bytes a second of a daemon; counted at the daemon that asks only.
+    pub evidence_bytes: f64,
     /// Control bytes a second over the link, whole fleet; both ends count, so halved.
     pub link_bytes: f64,
     /// Row and object reads of the platform a second, whole fleet.
@@ -103,6 +106,7 @@
                     LinkCause::Gossip => bytes.gossip += sum,
                     LinkCause::Config => bytes.config += sum,
                     LinkCause::Store => bytes.store += sum,
+                    LinkCause::Evidence => bytes.evidence += sum,
                     _ => {}
                 }
             }
@@ -145,6 +149,7 @@
             total.gossip_bytes += rate(now.bytes.gossip, then.bytes.gossip);
             total.config_bytes += rate(now.bytes.config, then.bytes.config);
             total.store_bytes += rate(now.bytes.store, then.bytes.store);
+            total.evidence_bytes += rate(now.bytes.evidence, then.bytes.evidence);
             total.link_bytes += rate(now.bytes.link, then.bytes.link) / 2.0;
         }
         let count = total.daemons.max(1) as f64;
@@ -156,6 +161,7 @@
             &mut total.gossip_bytes,
             &mut total.config_bytes,
             &mut total.store_bytes,
+            &mut total.evidence_bytes,
         ] {
             *sum /= count;
         }
