--- /dev/null
+++ b/coltsfootweir/tests/mesh/mod.rs
@@ -0,0 +1,356 @@
+//! Members with their configuration, driven by hand on one store.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootweir::accept::accept_change;
+use coltsfootweir::accept::fetch_snapshot;
+use coltsfootweir::accept::read_head;
+use coltsfootweir::config_state::ConfigState;
+use coltsfootweir::config_state::OfferOutcome;
+use coltsfootweir::floor::FloorState;
+use coltsfootweir::gossip::GossipState;
+use coltsfootweir::gossip_limits::GossipLimits;
+use coltsfootweir::gossip_message::GossipAction;
+use coltsfootweir::ids::Generation;
+use coltsfootweir::ids::WriteId;
+use coltsfootweir::member::MemberEntry;
+use coltsfootweir::member::MemberState;
+use coltsfootweir::rank::holds_job;
+use coltsfootweir::record::ConfigRecord;
+use coltsfootweir::route_table::RouteTable;
+use coltsfootweir::snapshot::ConfigSnapshot;
+
+use super::common::FakeStore;
+use super::common::StoreFault;
+use super::common::first_snapshot;
+use super::common::route;
+
+/// Members; even ones stand in the region of the store.
+pub const MEMBERS: usize = 6;
+
+const REGIONS: [&str; 2] = ["north", "south"];
+
+/// What a member's process does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MemberMode {
+    Running,
+    Frozen,
+    Killed,
+}
+
+struct MeshMember {
+    mode: MemberMode,
+    gossip: GossipState,
+    config: ConfigState,
+    floor: FloorState,
+    read_store: bool,
+    /// Highest generation that any run at this address served.
+    served: Generation,
+}
+
+/// Members, what is under way between them, and the store.
+pub struct MeshWorld {
+    members: Vec<MeshMember>,
+    store: Arc<FakeStore>,
+    now: Duration,
+    incarnation: u64,
+    writes: u64,
+    pub is_cut: bool,
+    pub is_store_up: bool,
+    pub lose: u8,
+    pub damage: u8,
+}
+
+fn address_of(index: usize) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([10, 7, 0, index as u8 + 1], 7000))
+}
+
+fn start_member(index: usize, incarnation: u64, now: Duration) -> MeshMember {
+    let entry = MemberEntry {
+        id: address_of(index).to_string().into(),
+        call_address: address_of(index),
+        region: REGIONS[index % 2].into(),
+        zone: "zone".into(),
+        incarnation,
+        counter: 0,
+        state: MemberState::Alive,
+        served: 0,
+        endpoint: None,
+    };
+    let mut gossip = GossipState::new(entry, GossipLimits::default(), incarnation);
+    gossip.add_seeds((0..MEMBERS).map(address_of));
+    gossip.set_floor_wanted(true);
+    MeshMember {
+        mode: MemberMode::Running,
+        gossip,
+        config: ConfigState::new(),
+        floor: FloorState::new(now),
+        read_store: false,
+        served: 0,
+    }
+}
+
+impl MeshWorld {
+    pub fn new() -> MeshWorld {
+        let store = Arc::new(FakeStore::default());
+        let first = |_: &ConfigSnapshot| Ok(first_snapshot());
+        accept_change(store.as_ref(), &|| "first".into(), &first, &[]).expect("the store works");
+        let members =
+            (0..MEMBERS).map(|index| start_member(index, index as u64 + 1, Duration::ZERO));
+        MeshWorld {
+            members: members.collect(),
+            store,
+            now: Duration::ZERO,
+            incarnation: 100,
+            writes: 0,
+            is_cut: false,
+            is_store_up: true,
+            lose: 0,
+            damage: 0,
+        }
+    }
+
+    pub fn set_mode(&mut self, member: usize, mode: MemberMode) {
+        // A killed process comes back only as a new run.
+        if self.members[member].mode != MemberMode::Killed {
+            self.members[member].mode = mode;
+        }
+    }
+
+    pub fn restart(&mut self, member: usize) {
+        self.incarnation += 1;
+        let served = self.members[member].served;
+        self.members[member] = start_member(member, self.incarnation, self.now);
+        self.members[member].served = served;
+    }
+
+    pub fn heal(&mut self) {
+        (self.is_cut, self.is_store_up, self.lose, self.damage) = (false, true, 0, 0);
+        self.store.flush();
+        for index in 0..MEMBERS {
+            if self.members[index].mode == MemberMode::Killed {
+                self.restart(index);
+            }
+            self.members[index].mode = MemberMode::Running;
+        }
+    }
+
+    /// An operator changes a route; rivals change others in between.
+    pub fn operate(&mut self, name: u8, script: &[StoreFault], rivals: bool) {
+        if !self.is_store_up {
+            return;
+        }
+        self.writes += 1;
+        let number = self.writes;
+        let rival = move |store: &FakeStore| {
+            let write_id: WriteId = format!("rival-{number}-{}", store.log().len()).into();
+            let change = |base: &ConfigSnapshot| {
+                base.with_records([ConfigRecord::Route(route(
+                    "rival",
+                    "stalls",
+                    base.generation,
+                ))])
+            };
+            let _ = accept_change(store, &|| write_id.clone(), &change, &[]);
+        };
+        let hook: Option<Arc<dyn Fn(&FakeStore) + Send + Sync>> =
+            if rivals { Some(Arc::new(rival)) } else { None };
+        self.store.load(script, hook);
+        let tries = std::cell::Cell::new(0);
+        let write_ids = || {
+            tries.set(tries.get() + 1);
+            format!("operator-{number}-{}", tries.get()).into()
+        };
+        let name = format!("route-{name}");
+        let record = ConfigRecord::Route(route(&name, "stalls", 100 + number));
+        let change = |base: &ConfigSnapshot| base.with_records([record.clone()]);
+        let _ = accept_change(self.store.as_ref(), &write_ids, &change, &[]);
+        self.store.load(&[], None);
+    }
+
+    /// One second: every running member gossips, then looks after its configuration.
+    pub fn pass_round(&mut self) {
+        self.now += Duration::from_secs(1);
+        let mut queue = VecDeque::new();
+        for index in 0..MEMBERS {
+            if self.members[index].mode == MemberMode::Running {
+                let actions = self.members[index].gossip.tick(self.now);
+                queue.extend(actions.into_iter().map(|action| (index, action)));
+            }
+        }
+        self.exchange_all(queue);
+        for index in 0..MEMBERS {
+            if self.members[index].mode == MemberMode::Running {
+                self.look_after(index);
+            }
+        }
+    }
+
+    fn exchange_all(&mut self, mut queue: VecDeque<(usize, GossipAction)>) {
+        let mut limit = 400;
+        while let Some((from, action)) = queue.pop_front() {
+            limit -= 1;
+            if limit == 0 {
+                return;
+            }
+            let GossipAction::Exchange { to, message, .. } = action;
+            let target = (0..MEMBERS).find(|index| address_of(*index) == to);
+            let Some(target) = target.filter(|target| self.reaches(from, *target)) else {
+                let actions = self.members[from].gossip.on_failure(to, self.now);
+                self.members[from]
+                    .floor
+                    .on_peer_failure(&to.to_string().into());
+                queue.extend(actions.into_iter().map(|action| (from, action)));
+                continue;
+            };
+            // The message arrives twice; the first answer may be lost.
+            let _ = self.members[target]
+                .gossip
+                .receive(message.clone(), self.now);
+            let answer = self.members[target].gossip.receive(message, self.now);
+            let pushed = self.members[target].gossip.take_urgent();
+            queue.extend(pushed.into_iter().map(|action| (target, action)));
+            let actions = if self.lose > 0 {
+                self.lose -= 1;
+                self.members[from].gossip.on_failure(to, self.now)
+            } else {
+                self.members[from].floor.on_answer(&answer, self.now);
+                self.members[from].gossip.on_answer(to, answer, self.now)
+            };
+            queue.extend(actions.into_iter().map(|action| (from, action)));
+            let pushed = self.members[from].gossip.take_urgent();
+            queue.extend(pushed.into_iter().map(|action| (from, action)));
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let is_apart = self.is_cut && from % 2 != to % 2;
+        !is_apart && self.members[to].mode == MemberMode::Running
+    }
+
+    /// What the daemon's configuration task does in a round.
+    fn look_after(&mut self, index: usize) {
+        let is_store_up = self.is_store_up && !(self.is_cut && index % 2 == 1);
+        let now = self.now;
+        let member = &mut self.members[index];
+        let region = REGIONS[index % 2];
+        let id = member.gossip.own().id.clone();
+        let is_reader = holds_job("store", &id, 2, member.gossip.view().live_in(region));
+        if !member.config.is_serving() || (is_reader && index.is_multiple_of(2)) {
+            let head = if is_store_up {
+                read_head(self.store.as_ref()).ok()
+            } else {
+                None
+            };
+            member
+                .floor
+                .on_store_head(head.as_ref().map(|head| head.generation));
+            if let Some(head) = head {
+                member.read_store = true;
+                member.gossip.note_head(head);
+            }
+        }
+        if !member.config.is_settled() {
+            member.floor.on_view(member.gossip.view());
+            if let Some(floor) = member.floor.floor(now) {
+                member.config.raise_floor(floor);
+                member.config.settle_floor();
+                member.gossip.set_floor_wanted(false);
+            }
+        }
+        self.catch_up(index, is_store_up);
+        let member = &mut self.members[index];
+        if member.config.is_serving() {
+            let generation = member.config.mark().generation;
+            if member.read_store {
+                assert!(
+                    generation >= member.served,
+                    "{id} went back to {generation}"
+                );
+            }
+            member.served = member.served.max(generation);
+        }
+    }
+
+    fn catch_up(&mut self, index: usize, is_store_up: bool) {
+        let Some((mark, holders)) = self.members[index].gossip.best_head() else {
+            return;
+        };
+        for address in holders {
+            let holder = (0..MEMBERS).find(|other| address_of(*other) == address);
+            let Some(holder) = holder.filter(|holder| self.reaches(index, *holder)) else {
+                continue;
+            };
+            if self.pull(index, holder) {
+                return;
+            }
+        }
+        if is_store_up && let Ok(snapshot) = fetch_snapshot(self.store.as_ref(), &mark) {
+            let outcome = self.members[index].config.offer(&snapshot.encode(), &mark);
+            assert!(outcome.is_ok(), "the store's own snapshot is refused");
+            self.members[index].gossip.set_served(mark);
+        }
+    }
+
+    fn pull(&mut self, index: usize, holder: usize) -> bool {
+        let held = self.members[index].config.mark().generation;
+        let source = &self.members[holder].config;
+        let mark = source.mark();
+        let delta = source.recent_delta(held).map(|delta| delta.encode());
+        let is_delta = delta.is_some();
+        let mut bytes = delta.unwrap_or_else(|| source.snapshot().encode());
+        let is_damaged = self.damage > 0;
+        if is_damaged {
+            self.damage -= 1;
+            bytes.truncate(bytes.len() * 2 / 3);
+        }
+        let config = &mut self.members[index].config;
+        let before = config.mark();
+        let outcome = if is_delta {
+            config.offer_delta(&bytes, &mark)
+        } else {
+            config.offer(&bytes, &mark)
+        };
+        if is_damaged && mark.generation > before.generation {
+            assert!(outcome.is_err(), "a damaged transfer was taken");
+            assert_eq!(config.mark(), before);
+        }
+        if outcome == Ok(OfferOutcome::Applied) {
+            self.members[index].gossip.set_served(mark);
+        }
+        outcome.is_ok()
+    }
+
+    pub fn check_invariants(&self) {
+        for member in &self.members {
+            let snapshot = member.config.snapshot();
+            assert!(
+                RouteTable::compile(&snapshot).is_ok(),
+                "a table that is not closed"
+            );
+            assert_eq!(member.config.table().generation(), snapshot.generation);
+            assert_eq!(member.gossip.own().served, member.config.mark().generation);
+        }
+    }
+
+    pub fn check_converged(&self) {
+        let head = read_head(self.store.as_ref()).expect("the store works");
+        for member in &self.members {
+            assert!(
+                member.config.is_serving(),
+                "{} does not serve",
+                member.gossip.own().id
+            );
+            assert_eq!(member.config.mark(), head, "{}", member.gossip.own().id);
+        }
+    }
+
+    /// Each generation was accepted by one write.
+    pub fn check_accepted_once(&self) {
+        for (index, (_, generation)) in self.store.log().iter().enumerate() {
+            assert_eq!(*generation, index as u64 + 1);
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootweir/tests/mesh_machine.rs
@@ -0,0 +1,142 @@
+//! Members, configuration and store together, under failures that come together: kills, restarts with
+//! nothing kept, freezes, cuts, lost and repeated messages, damaged transfers, outages of the store, lost
+//! answers and racing operators.
+
+mod common;
+mod mesh;
+
+use common::StoreFault;
+use common::fixed_config;
+use mesh::MEMBERS;
+use mesh::MemberMode;
+use mesh::MeshWorld;
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+/// Rounds of one second in which everything heals.
+const HEAL_ROUNDS: usize = 60;
+
+/// Rounds of one second in which an accepted configuration is in force everywhere.
+const CONVERGE_ROUNDS: usize = 19;
+
+#[derive(Clone, Debug)]
+enum MeshStep {
+    Round,
+    SetMode(usize, MemberMode),
+    Restart(usize),
+    SetCut(bool),
+    SetStore(bool),
+    LoseMessages(u8),
+    DamagePulls(u8),
+    Operate {
+        name: u8,
+        script: Vec<StoreFault>,
+        rivals: bool,
+    },
+}
+
+/// The steps need no model: the oracle is what each address served and what the store accepted.
+#[derive(Clone, Debug)]
+struct NoModel;
+
+fn store_fault() -> impl Strategy<Value = StoreFault> {
+    prop_oneof![
+        6 => Just(StoreFault::None),
+        1 => Just(StoreFault::Outage),
+        1 => Just(StoreFault::LostBefore),
+        1 => Just(StoreFault::LostAfter),
+        1 => (0..4u8).prop_map(StoreFault::Late),
+        1 => (1..3u8).prop_map(StoreFault::Rivals),
+    ]
+}
+
+impl ReferenceStateMachine for NoModel {
+    type State = NoModel;
+    type Transition = MeshStep;
+
+    fn init_state() -> BoxedStrategy<NoModel> {
+        Just(NoModel).boxed()
+    }
+
+    fn transitions(_: &NoModel) -> BoxedStrategy<MeshStep> {
+        let mode = prop_oneof![
+            3 => Just(MemberMode::Running),
+            2 => Just(MemberMode::Frozen),
+            2 => Just(MemberMode::Killed),
+        ];
+        let script = prop::collection::vec(store_fault(), 0..8);
+        prop_oneof![
+            16 => Just(MeshStep::Round),
+            3 => (0..MEMBERS, mode).prop_map(|(member, mode)| MeshStep::SetMode(member, mode)),
+            3 => (0..MEMBERS).prop_map(MeshStep::Restart),
+            1 => any::<bool>().prop_map(MeshStep::SetCut),
+            1 => any::<bool>().prop_map(MeshStep::SetStore),
+            2 => (1..6u8).prop_map(MeshStep::LoseMessages),
+            2 => (1..4u8).prop_map(MeshStep::DamagePulls),
+            4 => (0..6u8, script, any::<bool>())
+                .prop_map(|(name, script, rivals)| MeshStep::Operate { name, script, rivals }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: NoModel, _: &MeshStep) -> NoModel {
+        state
+    }
+}
+
+struct MeshTest;
+
+impl StateMachineTest for MeshTest {
+    type SystemUnderTest = MeshWorld;
+    type Reference = NoModel;
+
+    fn init_test(_: &NoModel) -> MeshWorld {
+        MeshWorld::new()
+    }
+
+    fn apply(mut world: MeshWorld, _: &NoModel, step: MeshStep) -> MeshWorld {
+        match step {
+            MeshStep::Round => world.pass_round(),
+            MeshStep::SetMode(member, mode) => world.set_mode(member, mode),
+            MeshStep::Restart(member) => world.restart(member),
+            MeshStep::SetCut(cut) => world.is_cut = cut,
+            MeshStep::SetStore(is_up) => world.is_store_up = is_up,
+            MeshStep::LoseMessages(count) => world.lose = count,
+            MeshStep::DamagePulls(count) => world.damage = count,
+            MeshStep::Operate {
+                name,
+                script,
+                rivals,
+            } => world.operate(name, &script, rivals),
+        }
+        world
+    }
+
+    fn check_invariants(world: &MeshWorld, _: &NoModel) {
+        world.check_invariants();
+    }
+
+    fn teardown(mut world: MeshWorld, _: NoModel) {
+        world.heal();
+        for _ in 0..HEAL_ROUNDS {
+            world.pass_round();
+            world.check_invariants();
+        }
+        world.operate(0, &[], false);
+        for _ in 0..CONVERGE_ROUNDS {
+            world.pass_round();
+            world.check_invariants();
+        }
+        world.check_converged();
+        world.check_accepted_once();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(fixed_config(0x6d65_7368, 48))]
+
+    #[test]
+    fn mesh_holds_under_mixed_failures(sequential 60..160 => MeshTest);
+}
