--- a/coltsfootweir/tests/mesh/mod.rs
+++ b/coltsfootweir/tests/mesh/mod.rs
@@ -67,6 +67,16 @@
     std::net::SocketAddr::from(([10, 7, 0, index as u8 + 1], 7000))
 }
 
+/// Cuts an encoded transfer short, or changes one byte of it.
+fn damage_bytes(bytes: &mut Vec<u8>, number: u8) {
+    let place = bytes.len() * (usize::from(number) * 37 % 100) / 100;
+    if number.is_multiple_of(2) {
+        bytes.truncate(place);
+    } else {
+        bytes[place] ^= 1;
+    }
+}
+
 fn start_member(index: usize, incarnation: u64, now: Duration) -> MeshMember {
     let entry = MemberEntry {
         id: address_of(index).to_string().into(),
@@ -155,9 +165,11 @@
             };
             let _ = accept_change(store, &|| write_id.clone(), &change, &[]);
         };
-        let hook: Option<Arc<dyn Fn(&FakeStore) + Send + Sync>> =
-            if rivals { Some(Arc::new(rival)) } else { None };
-        self.store.load(script, hook);
+        if rivals {
+            self.store.load(script, Some(Arc::new(rival)));
+        } else {
+            self.store.load(script, None);
+        }
         let tries = std::cell::Cell::new(0);
         let write_ids = || {
             tries.set(tries.get() + 1);
@@ -260,17 +272,32 @@
                 member.gossip.set_floor_wanted(false);
             }
         }
+        self.note_served(index);
         self.catch_up(index, is_store_up);
+        self.note_served(index);
+    }
+
+    /// Takes a call at a member: what it serves never goes back at its address.
+    fn note_served(&mut self, index: usize) {
         let member = &mut self.members[index];
-        if member.config.is_serving() {
-            let generation = member.config.mark().generation;
-            if member.read_store {
-                assert!(
-                    generation >= member.served,
-                    "{id} went back to {generation}"
-                );
-            }
-            member.served = member.served.max(generation);
+        if !member.config.is_serving() {
+            return;
+        }
+        let generation = member.config.mark().generation;
+        if member.read_store {
+            assert!(
+                generation >= member.served,
+                "member {index} went back to {generation}"
+            );
+        }
+        member.served = member.served.max(generation);
+    }
+
+    /// A transfer that crossed others: whatever `holder` has is offered to `index`.
+    pub fn cross_pull(&mut self, index: usize, holder: usize) {
+        if index != holder && self.members[index].mode == MemberMode::Running {
+            self.pull(index, holder);
+            self.note_served(index);
         }
     }
 
@@ -304,7 +331,7 @@
         let is_damaged = self.damage > 0;
         if is_damaged {
             self.damage -= 1;
-            bytes.truncate(bytes.len() * 2 / 3);
+            damage_bytes(&mut bytes, self.damage);
         }
         let config = &mut self.members[index].config;
         let before = config.mark();
--- a/coltsfootweir/tests/mesh_machine.rs
+++ b/coltsfootweir/tests/mesh_machine.rs
@@ -30,6 +30,7 @@
     SetStore(bool),
     LoseMessages(u8),
     DamagePulls(u8),
+    CrossPull(usize, usize),
     Operate {
         name: u8,
         script: Vec<StoreFault>,
@@ -74,7 +75,8 @@
             1 => any::<bool>().prop_map(MeshStep::SetCut),
             1 => any::<bool>().prop_map(MeshStep::SetStore),
             2 => (1..6u8).prop_map(MeshStep::LoseMessages),
-            2 => (1..4u8).prop_map(MeshStep::DamagePulls),
+            4 => (1..20u8).prop_map(MeshStep::DamagePulls),
+            4 => (0..MEMBERS, 0..MEMBERS).prop_map(|(member, from)| MeshStep::CrossPull(member, from)),
             4 => (0..6u8, script, any::<bool>())
                 .prop_map(|(name, script, rivals)| MeshStep::Operate { name, script, rivals }),
         ]
@@ -105,6 +107,7 @@
             MeshStep::SetStore(is_up) => world.is_store_up = is_up,
             MeshStep::LoseMessages(count) => world.lose = count,
             MeshStep::DamagePulls(count) => world.damage = count,
+            MeshStep::CrossPull(member, holder) => world.cross_pull(member, holder),
             MeshStep::Operate {
                 name,
                 script,
