Measure cost at all sizes at once, after the joining is over

At 80 idle daemons a member counted 4.2 to 5.4 KB/s for 75 s after the start of the whole fleet, though its view had not changed in 65 s of them, then 1.4 KB/s. So 35 s of rest mixed joining into the idle figures of 80 and 160 daemons; now 100 s.

--- a/measure/src/convergence.rs
+++ b/measure/src/convergence.rs
@@ -51,7 +51,7 @@
 const SETTLE_LIMIT: Duration = Duration::from_secs(120);
 
 /// Time between settling and the first change, so that joining is over.
-const REST_TIME: Duration = Duration::from_secs(35);
+const REST_TIME: Duration = Duration::from_secs(100);
 
 /// Killed daemons: one in this many.
 const KILL_PART: usize = 10;
--- a/measure/src/cost.rs
+++ b/measure/src/cost.rs
@@ -1,7 +1,9 @@
 //! Experiment `cost`: processor, memory, control bytes and store operations against fleet size.
 
+use std::thread;
 use std::time::Duration;
 
+use error_stack::Report;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -15,6 +17,7 @@
 use crate::experiment::Experiment;
 use crate::experiment::ExperimentPlugin;
 use crate::experiment::RunSettings;
+use crate::failure::MeasureError;
 use crate::failure::MeasureResult;
 use crate::fit::FittedLine;
 use crate::fit::fit_line;
@@ -39,7 +42,7 @@
 const SETTLE_LIMIT: Duration = Duration::from_secs(120);
 
 /// Time between settling and the first measured phase, so that joining is over.
-const REST_TIME: Duration = Duration::from_secs(35);
+const REST_TIME: Duration = Duration::from_secs(100);
 
 /// A figure that is fitted: its name and how it is read.
 type FittedFigure = (&'static str, fn(&FleetUse) -> f64);
@@ -84,10 +87,7 @@
     }
 
     fn run(&self, settings: &RunSettings) -> MeasureResult<RunResult> {
-        let mut points = Vec::new();
-        for daemons in settings.sizes(&FLEET_SIZES) {
-            measure_size(daemons, settings, &mut points)?;
-        }
+        let points = measure_sizes(&settings.sizes(&FLEET_SIZES), settings)?;
         let fits = fit_points(&points);
         Ok(RunResult {
             text: render(&points, &fits),
@@ -96,18 +96,32 @@
     }
 }
 
-fn measure_size(
-    daemons: usize,
-    settings: &RunSettings,
-    points: &mut Vec<CostPoint>,
-) -> MeasureResult<()> {
+/// Measures fleets of all sizes at the same time, so that the machine is the same for all.
+fn measure_sizes(sizes: &[usize], settings: &RunSettings) -> MeasureResult<Vec<CostPoint>> {
+    thread::scope(|scope| {
+        let mut running = Vec::new();
+        for daemons in sizes {
+            running.push(scope.spawn(move || measure_size(*daemons, settings)));
+        }
+        let mut points = Vec::new();
+        for size in running {
+            let failure = || MeasureError::NotReached("end of a size".into());
+            let list = size.join().unwrap_or_else(|_| Err(Report::new(failure())));
+            points.extend(list?);
+        }
+        Ok(points)
+    })
+}
+
+fn measure_size(daemons: usize, settings: &RunSettings) -> MeasureResult<Vec<CostPoint>> {
+    let mut points = Vec::new();
     let mut fleet = TestFleet::start(daemons, &FULL_SIZE_PLACES)?;
     let services = daemons.div_ceil(SERVICE_ENDPOINTS);
     let generation = fleet.apply(&service_records(services))?;
     let announcer = announce_fleet(&fleet, services);
     let settled = fleet.wait_settled(generation, daemons, SETTLE_LIMIT)?;
     eprintln!("{daemons} daemons settled in {settled:?}");
-    std::thread::sleep(REST_TIME);
+    thread::sleep(REST_TIME);
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
     for kind in CHURN_KINDS {
         if !settings.wants(kind.name()) {
@@ -132,7 +146,7 @@
         eprintln!("{daemons} daemons, {}: {used:?}", point.phase);
         points.push(point);
     }
-    Ok(())
+    Ok(points)
 }
 
 fn fit_points(points: &[CostPoint]) -> Vec<CostFit> {
