--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coltsfootweir::http_platform::HttpPlatform;
 use coltsfootweir::ids::Generation;
 use coltsfootweir::member::MemberState;
 use coltsfootweir::schema::parse_records;
@@ -21,6 +22,9 @@
 /// Seeds that each daemon is given.
 const SEED_COUNT: usize = 4;
 
+/// Time a platform operation may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -128,8 +132,9 @@
     pub fn apply(&self, records: &str) -> MeasureResult<Generation> {
         let list = parse_records(records, std::time::SystemTime::now())
             .map_err(|faults| Report::new(MeasureError::Refused).attach(format!("{faults:?}")))?;
-        accept_records(self.platform_address(), &list)
-            .map(|snapshot| snapshot.generation)
+        let store = HttpPlatform::new(self.platform_address(), PLATFORM_TIMEOUT);
+        accept_records(&store, &list)
+            .map(|accepted| accepted.generation)
             .change_context(MeasureError::Refused)
     }
 
--- a/programs/src/demo_fleet.rs
+++ b/programs/src/demo_fleet.rs
@@ -82,7 +82,7 @@
     /// Waits until every daemon serves `generation` and knows every endpoint.
     ///
     /// # Errors
-    /// [`CommandFailure::TimedOut`].
+    /// [`CommandFailure::Unavailable`] after `limit`.
     pub fn wait_generation(&self, generation: u64, limit: Duration) -> Result<(), CommandFailure> {
         let start = Instant::now();
         while !self
@@ -91,7 +91,9 @@
             .all(|daemon| self.is_ready(daemon, generation))
         {
             if start.elapsed() > limit {
-                return Err(CommandFailure::TimedOut("not every daemon is ready".into()));
+                return Err(CommandFailure::Unavailable(
+                    "not every daemon is ready".into(),
+                ));
             }
             thread::sleep(LOOK_INTERVAL);
         }
--- a/programs/src/demo_traffic.rs
+++ b/programs/src/demo_traffic.rs
@@ -15,6 +15,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
 
 /// Callers at once.
 const CALLER_COUNT: u64 = 6;
@@ -41,6 +42,7 @@
 }
 
 /// What the callers saw.
+#[derive(Clone, Copy, Debug, Serialize)]
 pub struct TrafficTally {
     answered: u64,
     failed: u64,
