Give each measured fleet a loopback address of its own

A run of cost beside one of convergence mixed two fleets: 160 daemons settled before 80, and in the phase of changes they pulled no configuration (0 B/s) though five were accepted. Members try the addresses of dead members again, and a port of a killed daemon had gone to a daemon of another fleet, so the two joined by gossip and the higher generation won. Each fleet now stands on its own address in 127.0.0.0/8.

--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -1,6 +1,10 @@
 //! A fleet of daemons and the platform stand-in, as processes.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::process;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,6 +32,9 @@
 /// Time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Fleets that this process has started.
+static FLEET_COUNT: AtomicU8 = AtomicU8::new(1);
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct FleetDaemon {
@@ -59,6 +66,7 @@
     /// The daemons.
     pub daemons: Vec<FleetDaemon>,
     store_region: &'static str,
+    host: Ipv4Addr,
 }
 
 impl TestFleet {
@@ -71,6 +79,7 @@
             platform: ChildProcess::start("standin-platform", &[])?,
             daemons: Vec::new(),
             store_region: places[0].region,
+            host: make_host(),
         };
         for number in 0..count {
             let daemon = fleet.start_daemon(places[number % places.len()])?;
@@ -114,6 +123,8 @@
             .map(|daemon| daemon.control().to_string())
             .collect();
         let arguments = [
+            format!("--control={}:0", self.host),
+            format!("--calls={}:0", self.host),
             format!("--region={}", place.region),
             format!("--zone={}", place.zone),
             format!("--platform={}", self.platform_address()),
@@ -162,6 +173,13 @@
     }
 }
 
+/// Makes a loopback address of this fleet alone. Members try dead members' addresses again, so a
+/// port that another fleet took over would join the two.
+fn make_host() -> Ipv4Addr {
+    let [.., high, low] = process::id().to_be_bytes();
+    Ipv4Addr::new(127, high, low, FLEET_COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
 fn is_settled(control: SocketAddr, generation: Generation, endpoints: usize) -> bool {
     let Ok(status) = read_status(control) else {
         return false;
