--- a/programs/src/apply.rs
+++ b/programs/src/apply.rs
@@ -28,6 +28,8 @@
 use crate::accepted::unavailable;
 use crate::failure::CommandFailure;
 use crate::failure::InputFault;
+use crate::hand_out::hand_out;
+use crate::hand_out::read_seeds;
 use crate::input::read_files;
 use crate::output::CommandOutput;
 use crate::output::CommandResult;
@@ -129,11 +131,16 @@
         last_write.replace(Some(write_id.clone()));
         write_id
     };
+    // Read before the change, since the store may be down after it.
+    let seeds = read_seeds(store);
     match accept_change(store, &write_ids, change, guards) {
-        Ok(snapshot) => Ok(AcceptedChange {
-            generation: snapshot.generation,
-            changed: last_write.borrow().is_some(),
-        }),
+        Ok(snapshot) => {
+            hand_out(&seeds, &snapshot);
+            Ok(AcceptedChange {
+                generation: snapshot.generation,
+                changed: last_write.borrow().is_some(),
+            })
+        }
         Err(report) => match report.current_context() {
             AcceptError::InDoubt(write_id) => settle_write(store, write_id),
             _ => Err(to_failure(&report)),
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod failure;
 pub mod fleet;
 pub mod get;
+pub mod hand_out;
 pub mod input;
 pub mod moves;
 pub mod output;
