--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod caller;
+pub mod fleet;
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
