--- a/programs/tests/common/fleet.rs
+++ b/programs/tests/common/fleet.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use standins::run_log::RunEntry;
+use standins::upstream::UpstreamServer;
+use standins::upstream_settings::UpstreamSettings;
 use standins::upstream_stats::UpstreamStats;
 
 use super::DaemonProcess;
@@ -41,29 +43,54 @@
     pub platform: PlatformProcess,
     pub daemons: Vec<DaemonProcess>,
     pub upstreams: Vec<UpstreamProcess>,
+    /// Upstreams in the test's own process; their logs outlast their crashes.
+    pub servers: Vec<UpstreamServer>,
     upstream_flags: Vec<String>,
-    runs_before: Vec<RunEntry>,
 }
 
 impl TestFleet {
-    /// Starts `count` daemons with an upstream each and waits until all serve and know each other.
+    /// Starts `count` daemons with an upstream process each and waits until all serve.
     pub fn start(count: usize, upstream_flags: &[&str]) -> TestFleet {
-        let mut fleet = TestFleet {
-            platform: start_platform(),
-            daemons: Vec::new(),
-            upstreams: Vec::new(),
-            upstream_flags: upstream_flags.iter().map(ToString::to_string).collect(),
-            runs_before: Vec::new(),
-        };
+        let mut fleet = TestFleet::empty();
+        fleet.upstream_flags = upstream_flags.iter().map(ToString::to_string).collect();
         for _ in 0..count {
             let daemon = start_daemon(&fleet.daemon_spec("127.0.0.1:0"));
             let upstream = start_upstream_with(daemon.control, &fleet.upstream_flags);
             fleet.daemons.push(daemon);
             fleet.upstreams.push(upstream);
         }
-        apply(fleet.platform.address, RECORDS);
-        fleet.wait_ready();
-        fleet
+        fleet.open()
+    }
+
+    /// Starts `count` daemons with an upstream each in the test's own process, whose log outlasts
+    /// its crashes, and waits until all serve.
+    pub fn start_logged(count: usize, settings: &UpstreamSettings) -> TestFleet {
+        let mut fleet = TestFleet::empty();
+        for _ in 0..count {
+            let daemon = start_daemon(&fleet.daemon_spec("127.0.0.1:0"));
+            let mut settings = settings.clone();
+            settings.daemon = Some(daemon.control);
+            let server = UpstreamServer::start(settings).expect("upstream starts");
+            fleet.daemons.push(daemon);
+            fleet.servers.push(server);
+        }
+        fleet.open()
+    }
+
+    fn empty() -> TestFleet {
+        TestFleet {
+            platform: start_platform(),
+            daemons: Vec::new(),
+            upstreams: Vec::new(),
+            servers: Vec::new(),
+            upstream_flags: Vec::new(),
+        }
+    }
+
+    fn open(self) -> TestFleet {
+        apply(self.platform.address, RECORDS);
+        self.wait_ready();
+        self
     }
 
     fn daemon_spec(&self, control: &str) -> DaemonSpec {
@@ -101,22 +128,19 @@
         self.daemons[index] = start_daemon(&spec);
     }
 
-    /// Keeps the run log of an upstream, kills it and starts another in its place.
+    /// Kills an upstream process and starts another in its place, with an empty log.
     pub fn restart_upstream(&mut self, index: usize) {
         self.upstreams[index].process.kill();
         let control = self.daemons[index].control;
         self.upstreams[index] = start_upstream_with(control, &self.upstream_flags);
     }
 
-    /// Keeps the runs that an upstream about to be killed has logged.
-    pub fn keep_runs(&mut self, index: usize) {
-        let runs = read_runs(self.upstreams[index].address);
-        self.runs_before.extend(runs);
-    }
-
-    /// Runs kept and those in the logs of the living upstreams.
+    /// Runs in the logs of the living upstreams.
     pub fn runs(&self) -> Vec<RunEntry> {
-        let mut runs = self.runs_before.clone();
+        let mut runs = Vec::new();
+        for server in &self.servers {
+            runs.extend(server.runs());
+        }
         for upstream in &self.upstreams {
             runs.extend(read_runs(upstream.address));
         }
