A planned stop cuts no request that is on its way

Cause, three faults seen by programs/tests/calls_stop.rs: (1) at the stop the listener was closed with connections still in the kernel's queue, which resets them with their requests; (2) a connection just taken was shut down before its first request was read, hyper counting it as idle; (3) the runtime of the call port ended with the last connection and dropped bookings whose callers had hung up, so the upstream saw them cancelled.

Ruled out: a freed port taken by a different process; a reset by the upstream. A first mend lost all connections again: a stream taken through the standard listener has to be set non-blocking.

Left: a connection completed by the kernel between the last accept and the close.

--- a/coltsfootweir/src/call_server.rs
+++ b/coltsfootweir/src/call_server.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -44,10 +43,17 @@
 use crate::logging::CALLS;
 use crate::outcome::CallOutcome;
 use crate::outcome::RefusalReason;
+use crate::running_count::RunningCount;
 
 /// Time to wait after the listener failed, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which a connection that is about to be closed still takes a request already on its way.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at what still runs while draining.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
 struct CallPort;
 
 inventory::submit! { TaskPlugin { task: &CallPort } }
@@ -97,9 +103,20 @@
             },
         }
     }
-    drop(listener);
-    let drain = async { while connections.join_next().await.is_some() {} };
-    if tokio::time::timeout(context.settings.drain_limit, drain)
+    // Connections that the kernel took already would be reset together with the listener.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            let Ok(stream) = stream else {
+                continue;
+            };
+            let connection = serve_connection(Arc::clone(context), stream, stop.clone());
+            connections.spawn(connection);
+        }
+    }
+    if tokio::time::timeout(context.settings.drain_limit, drain(context, connections))
         .await
         .is_err()
     {
@@ -107,6 +124,20 @@
     }
 }
 
+/// Waits for every connection, and for bookings whose callers hung up.
+async fn drain(context: &DaemonContext, mut connections: JoinSet<()>) {
+    while connections.join_next().await.is_some() {}
+    while context.bookings_running.load(Ordering::Relaxed) > 0 {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+/// Returns when the daemon stops and a request on its way has had the time to arrive.
+async fn wait_close(stop: &StopSignal) {
+    stop.wait_async().await;
+    tokio::time::sleep(CLOSE_GRACE).await;
+}
+
 async fn serve_connection(context: Arc<DaemonContext>, stream: TcpStream, stop: StopSignal) {
     let _ = stream.set_nodelay(true);
     let read_timeout = context.settings.read_timeout;
@@ -118,7 +149,7 @@
     tokio::pin!(connection);
     let served = tokio::select! {
         served = connection.as_mut() => served,
-        () = stop.wait_async() => {
+        () = wait_close(&stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -131,24 +162,6 @@
 /// Time a kept connection may stand idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Counts a call for as long as it runs.
-struct RunningCount<'a> {
-    count: &'a AtomicU64,
-}
-
-impl<'a> RunningCount<'a> {
-    fn start(count: &'a AtomicU64) -> RunningCount<'a> {
-        count.fetch_add(1, Ordering::Relaxed);
-        RunningCount { count }
-    }
-}
-
-impl Drop for RunningCount<'_> {
-    fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn answer(
     context: Arc<DaemonContext>,
     request: Request<Incoming>,
--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -75,7 +75,9 @@
     /// Whether the configuration in force may be served; follows the configuration state.
     pub(crate) serving: AtomicBool,
     /// Calls of callers now in progress.
-    pub calls_running: AtomicU64,
+    pub calls_running: Arc<AtomicU64>,
+    /// Bookings now in progress, with those whose callers hung up.
+    pub bookings_running: Arc<AtomicU64>,
     pub(crate) tally: CallTally,
     pub(crate) write_count: AtomicU64,
     pub(crate) handoff: Mutex<TaskHandoff>,
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -40,6 +40,7 @@
 use crate::record::RouteRecord;
 use crate::record::TrafficShare;
 use crate::route_table::RouteTable;
+use crate::running_count::RunningCount;
 
 /// Time a connection attempt to an upstream that broke a connection may take.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -148,7 +149,9 @@
     let context = Arc::clone(context);
     let call = call.clone();
     let route = route.clone();
+    let running = RunningCount::start(&context.bookings_running);
     let task = tokio::spawn(async move {
+        let _running = running;
         let decision = lock(&context.ledger).begin(&key, call.fingerprint, context.now());
         let decision = match decision {
             BookingDecision::Claim(row) => claim_key(&context, &route, deadline, &key, row).await,
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod reports;
 pub mod retry;
 pub mod route_table;
+mod running_count;
 mod schedule;
 pub mod schema;
 pub mod schema_v1;
--- a/programs/tests/common/caller.rs
+++ b/programs/tests/common/caller.rs
@@ -131,9 +131,10 @@
         }
     }
 
-    /// Sends a request on the kept connection, or on a new one when there is none.
+    /// Sends a request on the kept connection, or on a new one when there is none or it was closed.
     pub fn call(&mut self, spec: &CallSpec) -> CallEnd {
-        let stream = self.stream.take().or_else(|| self.connect());
+        let kept = self.stream.take().filter(is_open);
+        let stream = kept.or_else(|| self.connect());
         let Some(mut stream) = stream else {
             return CallEnd::Unsent;
         };
@@ -156,6 +157,16 @@
     }
 }
 
+/// Returns whether the other side has neither closed the connection nor sent anything unasked.
+fn is_open(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return false;
+    }
+    let peeked = stream.peek(&mut [0]);
+    let is_quiet = peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+    is_quiet && stream.set_nonblocking(false).is_ok()
+}
+
 /// Sends a request on a connection of its own.
 pub fn call_once(address: SocketAddr, spec: &CallSpec) -> CallEnd {
     KeptCaller::new(address).call(spec)
