Claims that wait for a slow store hold up no other call

Cause: claim_key queued the claim with a blocking send on the call port's only thread. With the store slow (2.5 s an operation) the queue of 1024 claims filled, and every call of the daemon waited for the next batch. Claims that nobody waited for any longer were still written, 64 a batch.

Ruled out: the upstream (nothing ran), the guard (refusals came at once when the queue had room).

Change: a full queue makes the claim unknown at once, which is a true "not run"; claims whose attempt was given up are not written.

--- a/coltsfootweir/src/claim.rs
+++ b/coltsfootweir/src/claim.rs
@@ -1,5 +1,6 @@
 //! Writes the claims of callers' booking keys to the platform's table, many in one batch.
 
+use std::iter;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -76,16 +77,20 @@
     }
 }
 
+/// Takes claims that are still waited for; one that was given up is not written.
 fn collect_batch(requests: &Receiver<ClaimRequest>) -> Vec<ClaimRequest> {
     let mut batch = Vec::new();
-    if let Ok(request) = requests.recv_timeout(POLL_INTERVAL) {
+    let Ok(first) = requests.recv_timeout(POLL_INTERVAL) else {
+        return batch;
+    };
+    for request in iter::once(first).chain(requests.try_iter()) {
+        if request.answer.is_disconnected() {
+            continue;
+        }
         batch.push(request);
-    }
-    while batch.len() < BATCH_LIMIT {
-        let Ok(request) = requests.try_recv() else {
+        if batch.len() >= BATCH_LIMIT {
             break;
-        };
-        batch.push(request);
+        }
     }
     batch
 }
--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -200,7 +200,8 @@
         row,
         answer,
     };
-    let _ = context.claims.send(request);
+    // A full queue drops the request, and with it the sender: the claim is then unknown at once.
+    let _ = context.claims.try_send(request);
     let left = deadline.shrink(RETURN_MARGIN * 2).remaining(context.now());
     let outcome = match tokio::time::timeout(left, outcome.recv_async()).await {
         Ok(Ok(outcome)) => outcome,
