--- /dev/null
+++ b/programs/tests/calls_poison.rs
@@ -0,0 +1,151 @@
+//! A request that crashes every upstream that runs it is sent again and again through all daemons:
+//! it brings down a bounded number of upstreams, and other calls go on.
+
+mod common;
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use coltsfootweir::poison::POISON_TIMEOUT;
+use standins::run_log::RunOutcome;
+use standins::upstream_faults::UpstreamFaults;
+use standins::upstream_settings::UpstreamSettings;
+
+use common::caller::CallSpec;
+use common::caller::KeptCaller;
+use common::caller::call_once;
+use common::fleet::TestFleet;
+use common::fleet::pause;
+
+const DAEMONS: usize = 5;
+
+/// Time between two copies of the poison request.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time within which a crash fact reaches every daemon.
+const SPREAD_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which copies are sent, well within the time the request stays refused.
+const SENDING_TIME: Duration = Duration::from_secs(12);
+
+/// Crashes allowed: two, and one for each copy sent before the facts are everywhere.
+const MAX_CRASHES: usize = 2 + (SPREAD_TIME.as_millis() / COPY_INTERVAL.as_millis()) as usize;
+
+struct OtherCalls {
+    good: AtomicUsize,
+    failed: AtomicUsize,
+}
+
+fn call_others(fleet: &TestFleet, caller: usize, stop: &AtomicBool, calls: &OtherCalls) {
+    let mut kept = KeptCaller::new(fleet.daemons[caller % DAEMONS].calls);
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        // Paths of their own, so that none has run to its end before.
+        let spec = CallSpec::get(format!("/stalls/{caller}-{number}"));
+        let answer = kept.call(&spec).whole();
+        let count = match answer.is_some_and(|answer| answer.is_good()) {
+            true => &calls.good,
+            false => &calls.failed,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        pause(Duration::from_millis(10));
+    }
+}
+
+fn crash_count(fleet: &TestFleet) -> usize {
+    let runs = fleet.runs();
+    let is_poison = |path: &str| path.contains("poison");
+    let crashed = runs
+        .iter()
+        .filter(|run| run.outcome == RunOutcome::Crashed && is_poison(&run.request.path));
+    crashed.count()
+}
+
+/// Restarts what crashed, until stopped.
+fn restart_crashed(fleet: &TestFleet, stop: &AtomicBool) {
+    let mut restarted = vec![0; DAEMONS];
+    while !stop.load(Ordering::Relaxed) {
+        for (server, done) in fleet.servers.iter().zip(&mut restarted) {
+            let runs = server.runs();
+            let crashes = runs.iter().filter(|run| {
+                run.outcome == RunOutcome::Crashed && run.request.path.contains("poison")
+            });
+            if crashes.count() > *done {
+                *done += 1;
+                server.restart().expect("upstream restarts");
+            }
+        }
+        pause(Duration::from_millis(50));
+    }
+}
+
+fn send_poison(fleet: &TestFleet, make_copy: impl Fn(usize) -> CallSpec) -> usize {
+    let start = Instant::now();
+    let mut refused = 0;
+    for copy in 0.. {
+        if start.elapsed() > SENDING_TIME {
+            break;
+        }
+        let answer = call_once(fleet.daemons[copy % DAEMONS].calls, &make_copy(copy)).whole();
+        if let Some(answer) = answer {
+            assert!(!answer.is_good(), "a crashed request was answered as run");
+            refused += usize::from(answer.reason() == "poison");
+        }
+        pause(COPY_INTERVAL);
+    }
+    refused
+}
+
+fn prove_poison(make_copy: impl Fn(usize) -> CallSpec) {
+    assert!(SENDING_TIME < POISON_TIMEOUT);
+    let mut settings = UpstreamSettings::new("stalls", "v1");
+    settings.faults = UpstreamFaults {
+        crash_on_body: Some("poison".into()),
+        ..UpstreamFaults::default()
+    };
+    let fleet = TestFleet::start_logged(DAEMONS, &settings);
+    let calls = OtherCalls {
+        good: AtomicUsize::new(0),
+        failed: AtomicUsize::new(0),
+    };
+    let stop = AtomicBool::new(false);
+    let refused = std::thread::scope(|scope| {
+        for caller in 0..DAEMONS {
+            let (fleet, stop, calls) = (&fleet, &stop, &calls);
+            scope.spawn(move || call_others(fleet, caller, stop, calls));
+        }
+        scope.spawn(|| restart_crashed(&fleet, &stop));
+        let refused = send_poison(&fleet, make_copy);
+        stop.store(true, Ordering::Relaxed);
+        refused
+    });
+    let crashes = crash_count(&fleet);
+    assert!(crashes <= MAX_CRASHES, "{crashes} upstreams brought down");
+    assert!(crashes >= 2, "only {crashes} upstreams brought down");
+    assert!(refused > 10, "only {refused} copies refused as poison");
+    let good = calls.good.load(Ordering::Relaxed);
+    let failed = calls.failed.load(Ordering::Relaxed);
+    assert!(
+        failed * 20 < good,
+        "{failed} other calls failed, {good} were good"
+    );
+}
+
+#[test]
+fn poison_check_brings_down_few_upstreams() {
+    prove_poison(|_| CallSpec::get("/stalls/poison"));
+}
+
+#[test]
+fn poison_booking_sent_with_new_keys_brings_down_few_upstreams() {
+    // The key is not part of what makes two requests the same.
+    prove_poison(|copy| {
+        let spec = CallSpec::post("/bookings/poison", "stall 4");
+        spec.with("idempotency-key", format!("poison-{copy}"))
+    });
+}
