--- a/programs/tests/calls_answers.rs
+++ b/programs/tests/calls_answers.rs
@@ -18,6 +18,7 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
+use common::fleet::StopOnDrop;
 use common::fleet::TestFleet;
 use common::fleet::assert_own;
 use common::fleet::pause;
@@ -83,6 +84,7 @@
     let good = AtomicUsize::new(0);
     let addresses = fleet.calls();
     std::thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
         for caller in 0..CALLERS {
             let (stop, good, addresses) = (&stop, &good, &addresses);
             scope.spawn(move || {
@@ -97,7 +99,7 @@
         pause(Duration::from_millis(700));
         fleet.daemons[3].process.kill();
         pause(Duration::from_millis(700));
-        stop.store(true, Ordering::Relaxed);
+        drop(stopper);
     });
     let good = good.load(Ordering::Relaxed);
     assert!(good > 200, "only {good} good answers");
--- /dev/null
+++ b/programs/tests/calls_leave.rs
@@ -0,0 +1,144 @@
+//! A leaving upstream gets no new work after a few seconds, also from daemons that were frozen or
+//! cut off when the news went round, and finishes what runs.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use coltsfootweir::announce::ANNOUNCE_TIMEOUT;
+use standins::run_log::RunEntry;
+use standins::run_log::RunOutcome;
+use standins::upstream_settings::UpstreamSettings;
+
+use common::PATIENCE;
+use common::caller::CallSpec;
+use common::caller::KeptCaller;
+use common::caller::send_raw;
+use common::fleet::StopOnDrop;
+use common::fleet::TestFleet;
+use common::fleet::pause;
+use common::mesh::CutKind;
+use common::mesh::TestMesh;
+use common::wait_for;
+
+/// Longest time after its notice at which a leaving upstream may get new work: as long as a daemon
+/// hands work to an upstream that is silent, with time for a busy machine.
+const MAX_LATE: Duration = ANNOUNCE_TIMEOUT.saturating_add(Duration::from_millis(500));
+
+fn upstream_settings() -> UpstreamSettings {
+    let mut settings = UpstreamSettings::new("stalls", "v1");
+    settings.work = Duration::from_millis(40);
+    settings.work_jitter_percent = 80;
+    settings
+}
+
+fn call_until_stopped(addresses: &[SocketAddr], caller: usize, stop: &AtomicBool) -> usize {
+    let mut good = 0;
+    let mut kept: Vec<KeptCaller> = addresses.iter().copied().map(KeptCaller::new).collect();
+    for number in caller.. {
+        if stop.load(Ordering::Relaxed) {
+            return good;
+        }
+        let id = format!("l{caller}-{number}");
+        let spec = match number % 4 {
+            0 => CallSpec::post("/bookings/stall", "").with("idempotency-key", &id),
+            _ => CallSpec::get("/stalls/free"),
+        };
+        let spec = spec.with("x-coltsfootweir-deadline-ms", 8000);
+        let answer = kept[number % addresses.len()].call(&spec).whole();
+        good += usize::from(answer.is_some_and(|answer| answer.is_good()));
+    }
+    good
+}
+
+/// Calls through every address while `act` goes on; returns the good answers.
+fn call_while(addresses: &[SocketAddr], act: impl FnOnce()) -> usize {
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
+        let stop = &stop;
+        let mut callers = Vec::new();
+        for caller in 0..16 {
+            callers.push(scope.spawn(move || call_until_stopped(addresses, caller, stop)));
+        }
+        act();
+        drop(stopper);
+        let ends = callers.into_iter().map(|caller| caller.join());
+        ends.map(|end| end.expect("caller ends")).sum()
+    })
+}
+
+/// Holds a log to the rule: no work after the bound, and all that ran was finished.
+fn assert_left(runs: &[RunEntry]) {
+    let before = runs.iter().filter(|run| !run.after_leave);
+    let last = before
+        .map(|run| run.started)
+        .max()
+        .expect("runs before the leave");
+    for run in runs.iter().filter(|run| run.after_leave) {
+        let late = run.started - last;
+        assert!(
+            late < MAX_LATE,
+            "run {} started {late:?} after the notice",
+            run.run
+        );
+    }
+    for run in runs {
+        assert_eq!(run.outcome, RunOutcome::Finished, "run {}", run.run);
+    }
+}
+
+#[test]
+fn leaving_upstream_gets_no_new_work_from_a_daemon_that_was_frozen() {
+    let fleet = TestFleet::start_logged(4, &upstream_settings());
+    let good = call_while(&fleet.calls(), || {
+        pause(Duration::from_secs(1));
+        fleet.daemons[3].process.signal("STOP");
+        fleet.servers[0].leave();
+        pause(Duration::from_secs(5));
+        fleet.daemons[3].process.signal("CONT");
+        pause(Duration::from_secs(2));
+    });
+    assert_left(&fleet.servers[0].runs());
+    assert!(good > 100, "only {good} good answers");
+}
+
+#[test]
+fn leaving_upstream_gets_no_new_work_when_the_daemon_beside_it_was_frozen() {
+    let fleet = TestFleet::start_logged(2, &upstream_settings());
+    let daemon = &fleet.daemons[0].process;
+    let calls = fleet.calls();
+    let good = call_while(&calls, || {
+        pause(Duration::from_secs(1));
+        daemon.signal("STOP");
+        wait_for("upstream idle", PATIENCE, || {
+            fleet.servers[0].stats().running == 0
+        });
+        fleet.servers[0].leave();
+        pause(MAX_LATE + Duration::from_secs(1));
+        // What waits for the daemon when it resumes is older than its news of the leave.
+        let head = b"GET /stalls/free HTTP/1.1\r\nhost: test\r\n\r\n";
+        let _waiting: Vec<_> = (0..60).map(|_| send_raw(calls[0], head)).collect();
+        daemon.signal("CONT");
+        pause(Duration::from_secs(2));
+    });
+    assert_left(&fleet.servers[0].runs());
+    assert!(good > 50, "only {good} good answers");
+}
+
+#[test]
+fn leaving_upstream_gets_no_new_work_from_daemons_that_miss_the_news() {
+    let mesh = TestMesh::start(&["north", "north", "south", "south"], &upstream_settings());
+    let south = &mesh.calls()[2..];
+    let good = call_while(south, || {
+        pause(Duration::from_secs(1));
+        mesh.set_cut(CutKind::Control);
+        mesh.servers[0].leave();
+        pause(MAX_LATE + Duration::from_secs(2));
+    });
+    assert_left(&mesh.servers[0].runs());
+    assert!(good > 100, "only {good} good answers");
+}
--- a/programs/tests/calls_not_run.rs
+++ b/programs/tests/calls_not_run.rs
@@ -17,6 +17,7 @@
 
 use common::caller::CallSpec;
 use common::caller::call_once;
+use common::fleet::StopOnDrop;
 use common::fleet::TestFleet;
 use common::fleet::pause;
 use common::fleet::run_ids;
@@ -86,6 +87,7 @@
     let stop = AtomicBool::new(false);
     let seen = Mutex::new(SeenAnswers::default());
     std::thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
         for caller in 0..CALLERS {
             let (addresses, stop, seen) = (&addresses, &stop, &seen);
             scope.spawn(move || call_until_stopped(caller, addresses, stop, seen));
@@ -96,7 +98,7 @@
             *addresses.write().expect("addresses") = fleet.calls();
         }
         pause(Duration::from_millis(600));
-        stop.store(true, Ordering::Relaxed);
+        drop(stopper);
     });
     let seen = seen.into_inner().expect("answers");
     let ran = run_ids(&fleet.runs());
--- a/programs/tests/calls_once.rs
+++ b/programs/tests/calls_once.rs
@@ -25,6 +25,7 @@
 use common::caller::KeptCaller;
 use common::caller::WholeAnswer;
 use common::caller::call_once;
+use common::fleet::StopOnDrop;
 use common::fleet::TestFleet;
 use common::fleet::assert_at_most_once;
 use common::fleet::mint_key;
@@ -118,6 +119,7 @@
         first: &first,
     };
     std::thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
         let view = &view;
         for caller in 0..CALLERS {
             scope.spawn(move || book_until_stopped(caller, view));
@@ -128,7 +130,7 @@
             *addresses.write().expect("addresses") = fleet.calls();
         }
         pause(Duration::from_millis(400));
-        stop.store(true, Ordering::Relaxed);
+        drop(stopper);
     });
     let runs = fleet.runs();
     assert_at_most_once(&runs);
--- a/programs/tests/calls_poison.rs
+++ b/programs/tests/calls_poison.rs
@@ -17,6 +17,7 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
+use common::fleet::StopOnDrop;
 use common::fleet::TestFleet;
 use common::fleet::pause;
 
@@ -115,13 +116,14 @@
     };
     let stop = AtomicBool::new(false);
     let refused = std::thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
         for caller in 0..DAEMONS {
             let (fleet, stop, calls) = (&fleet, &stop, &calls);
             scope.spawn(move || call_others(fleet, caller, stop, calls));
         }
         scope.spawn(|| restart_crashed(&fleet, &stop));
         let refused = send_poison(&fleet, make_copy);
-        stop.store(true, Ordering::Relaxed);
+        drop(stopper);
         refused
     });
     let crashes = crash_count(&fleet);
--- a/programs/tests/calls_stop.rs
+++ b/programs/tests/calls_stop.rs
@@ -23,6 +23,7 @@
 use common::caller::KeptCaller;
 use common::caller::read_answer;
 use common::caller::send_raw;
+use common::fleet::StopOnDrop;
 use common::fleet::TestFleet;
 use common::fleet::assert_own;
 use common::fleet::pause;
@@ -97,6 +98,7 @@
     let addresses = fleet.calls();
     let (stop, cuts) = (AtomicBool::new(false), Mutex::new(Vec::new()));
     let good: usize = std::thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
         let mut callers = Vec::new();
         for caller in 0..CALLERS {
             let (addresses, stop, cuts) = (&addresses, &stop, &cuts);
@@ -107,7 +109,7 @@
             daemon.process.signal("TERM");
         }
         fleet.daemons[..count].iter_mut().for_each(wait_exit);
-        stop.store(true, Ordering::Relaxed);
+        drop(stopper);
         callers
             .into_iter()
             .map(|caller| caller.join().expect("caller ends"))
--- a/programs/tests/common/fleet.rs
+++ b/programs/tests/common/fleet.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -261,3 +263,12 @@
     let (_open, ticks) = std::sync::mpsc::channel::<()>();
     let _ = ticks.recv_timeout(time);
 }
+
+/// Tells callers to stop when it is dropped, also by a failure of the test.
+pub struct StopOnDrop<'a>(pub &'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod mesh;
 
 use std::io::BufRead;
 use std::io::BufReader;
