--- a/programs/tests/calls_not_run.rs
+++ b/programs/tests/calls_not_run.rs
@@ -127,8 +127,10 @@
 }
 
 #[test]
-fn refusals_are_true_under_overload_and_short_deadlines() {
-    let mut fleet = TestFleet::start_logged(3, &slow_upstream());
+fn refusals_are_true_under_overload_short_deadlines_and_broken_answers() {
+    let mut settings = slow_upstream();
+    settings.faults.truncate_percent = 20;
+    let mut fleet = TestFleet::start_logged(3, &settings);
     let seen = prove_refusals(&mut fleet, |_| {});
     assert_seen(&seen, "overloaded");
     assert_seen(&seen, "deadline-passed");
--- a/programs/tests/calls_once.rs
+++ b/programs/tests/calls_once.rs
@@ -151,6 +151,35 @@
     });
 }
 
+#[test]
+fn minted_key_of_a_daemon_that_died_is_in_doubt_and_runs_no_more() {
+    let mut fleet = TestFleet::start_logged(2, &upstream_settings());
+    let mut keys = Vec::new();
+    for number in 0..10 {
+        let calls = fleet.daemons[number % 2].calls;
+        let key = mint_key(calls).expect("a key");
+        let answer = call_once(calls, &book(&key)).whole().expect("an answer");
+        assert!(answer.is_good(), "{}", answer.text());
+        keys.push(key);
+    }
+    (0..2).for_each(|index| fleet.restart_daemon(index));
+    fleet.wait_ready();
+    for number in 0..40 {
+        // Counts of the new keys pass those of the old ones.
+        mint_key(fleet.daemons[number % 2].calls).expect("a key");
+    }
+    for (number, key) in keys.iter().enumerate() {
+        let calls = fleet.daemons[number % 2].calls;
+        let answer = call_once(calls, &book(key)).whole().expect("an answer");
+        assert_eq!(
+            (answer.outcome(), answer.reason()),
+            ("in-doubt", "owner-gone")
+        );
+    }
+    assert_at_most_once(&fleet.runs());
+    assert_eq!(fleet.runs().len(), 10);
+}
+
 #[test]
 fn bookings_run_once_while_daemons_freeze_and_resume_late() {
     let mut fleet = TestFleet::start_logged(4, &upstream_settings());
