--- a/coltsfootweir/src/sequential.rs
+++ b/coltsfootweir/src/sequential.rs
@@ -20,13 +20,16 @@
 use crate::ids::RouteName;
 
 /// Odds ratios that are tested against one.
-const ODDS_RATIOS: [f64; 3] = [4.0, 12.0, 40.0];
+const ODDS_RATIOS: [f64; 4] = [2.5, 6.0, 16.0, 40.0];
 
 /// Weight from which all endpoints together condemn, in natural logarithms of the likelihood ratio.
-const FULL_WEIGHT: f64 = 12.0;
+const FULL_WEIGHT: f64 = 9.0;
 
 /// Weight that must remain without any one endpoint.
-const REST_WEIGHT: f64 = 6.0;
+const REST_WEIGHT: f64 = 6.5;
+
+/// Strength below which evidence is not looked at more closely.
+const LEAST_STRENGTH: f64 = 0.5;
 
 /// Calls that close a stratum.
 const STRATUM_CALLS: f64 = 20.0;
@@ -97,7 +100,7 @@
 }
 
 /// Counts of each route by slice.
-type RouteSlices = BTreeMap<RouteName, BTreeMap<u64, SideCounts>>;
+type RouteSlices<'a> = BTreeMap<&'a RouteName, BTreeMap<u64, SideCounts>>;
 
 /// Compares the versions on each route and on all routes together; returns the strongest result.
 #[must_use]
@@ -105,14 +108,17 @@
     let slices = collect(view, measure, None);
     // Later slices lack reports yet; they only show bursts that reach over an edge.
     let end = slice_number(view.now.saturating_sub(REPORT_DELAY));
-    let mut scopes: Vec<Option<RouteName>> = slices.keys().cloned().map(Some).collect();
+    let mut scopes: Vec<Option<RouteName>> =
+        slices.keys().map(|name| Some((*name).clone())).collect();
     scopes.push(None);
     let rests = rest_members(view);
-    let mut rest_slices: Vec<RouteSlices> = Vec::new();
+    let mut rest_slices: Vec<RouteSlices<'_>> = Vec::new();
     let mut strongest: Option<ComparisonResult> = None;
     for route in scopes {
         let mut strength = weight(&slices, route.as_ref(), measure, end) / FULL_WEIGHT;
-        let floor = strongest.as_ref().map_or(0.0, |result| result.strength);
+        let floor = strongest
+            .as_ref()
+            .map_or(LEAST_STRENGTH, |result| result.strength);
         if strength <= floor {
             continue;
         }
@@ -149,7 +155,11 @@
     Vec::new()
 }
 
-fn collect(view: &PoolView, measure: &dyn BadMeasure, left_out: Option<&MemberId>) -> RouteSlices {
+fn collect<'a>(
+    view: &'a PoolView,
+    measure: &dyn BadMeasure,
+    left_out: Option<&MemberId>,
+) -> RouteSlices<'a> {
     let mut slices = RouteSlices::new();
     for slice in &view.slices {
         for (key, counts) in &slice.counts {
@@ -158,7 +168,7 @@
                 continue;
             }
             let (calls, bad) = measure.split(&key.route, counts);
-            let sides = slices.entry(key.route.clone()).or_default();
+            let sides = slices.entry(&key.route).or_default();
             let sides = sides.entry(slice.number).or_default();
             match key.side {
                 VersionSide::New => {
@@ -177,14 +187,14 @@
 
 /// Returns the weight of the evidence on one route or on all, at least 0.
 fn weight(
-    slices: &RouteSlices,
+    slices: &RouteSlices<'_>,
     scope: Option<&RouteName>,
     measure: &dyn BadMeasure,
     end: u64,
 ) -> f64 {
     let mut strata: Vec<(u64, Stratum)> = Vec::new();
     for (route, slices) in slices {
-        if scope.is_some_and(|scope| scope != route) {
+        if scope.is_some_and(|scope| scope != *route) {
             continue;
         }
         strata.extend(stratify(slices, end));
@@ -218,7 +228,7 @@
         let share = counts.new_calls / calls;
         let bad = counts.new_bad + counts.old_bad;
         let gain = counts.new_bad * ratio.ln() - bad * (1.0 + share * (ratio - 1.0)).ln();
-        gain * self.factor - counts.new_calls * tolerance * (ratio - 1.0)
+        self.factor * (gain - counts.new_calls * tolerance * (ratio - 1.0))
     }
 }
 
@@ -283,7 +293,7 @@
 /// Slices in which endpoints restart, during which their counts say nothing of their version.
 #[derive(Clone, Debug, Default)]
 pub struct QuietSlices {
-    quiet: BTreeSet<(MemberId, u64)>,
+    quiet: BTreeMap<MemberId, BTreeSet<u64>>,
 }
 
 impl QuietSlices {
@@ -312,12 +322,13 @@
     /// Returns whether the counts of an endpoint in a slice say nothing.
     #[must_use]
     pub fn contains(&self, member: &MemberId, slice: u64) -> bool {
-        self.quiet.contains(&(member.clone(), slice))
+        self.quiet
+            .get(member)
+            .is_some_and(|slices| slices.contains(&slice))
     }
 
     fn add(&mut self, member: &MemberId, first: u64, length: Duration) {
-        for number in first..=first + slice_number(length) {
-            self.quiet.insert((member.clone(), number));
-        }
+        let slices = self.quiet.entry(member.clone()).or_default();
+        slices.extend(first..=first + slice_number(length));
     }
 }
--- a/coltsfootweir/tests/entry_merge.rs
+++ b/coltsfootweir/tests/entry_merge.rs
@@ -8,6 +8,8 @@
 use coltsfootweir::member::EntryRank;
 use coltsfootweir::member::MemberEntry;
 use coltsfootweir::member::MemberState;
+use coltsfootweir::member::member_hash;
+use coltsfootweir::member::run_hash;
 use coltsfootweir::view::MemberView;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -71,6 +73,36 @@
         .collect()
 }
 
+#[test]
+fn a_row_of_an_earlier_run_is_ignored() {
+    let mut view = support_view();
+    let earlier = entry_of(0, 1);
+    let current = entry_of(0, 2);
+    view.merge(&earlier, Duration::ZERO);
+    assert!(view.note_served(run_hash(&earlier.id, 1), 4));
+    view.merge(&current, Duration::ZERO);
+    assert!(!view.note_served(run_hash(&earlier.id, 1), 5));
+    assert_eq!(view.get(&current.id), Some(&current));
+    assert_eq!(view.advertised(&current.id), 4);
+}
+
+#[test]
+fn the_end_of_a_later_run_takes_nothing_from_the_earlier_one() {
+    let mut view = support_view();
+    let mut earlier = entry_of(0, 1);
+    earlier.served = 4;
+    view.merge(&earlier, Duration::ZERO);
+    let mut end = entry_of(0, 2).rank();
+    end.state = MemberState::Dead;
+    assert!(view.merge_end(member_hash(&earlier.id), end, Duration::ZERO));
+    let mut refuted = entry_of(0, 2);
+    refuted.counter = 1;
+    refuted.served = 3;
+    view.merge(&refuted, Duration::ZERO);
+    assert_eq!(view.get(&refuted.id), Some(&refuted));
+    assert_eq!(view.advertised(&refuted.id), 4);
+}
+
 proptest! {
     #![proptest_config(config())]
 
