--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod caller;
+pub mod fleet;
+pub mod mesh;
 pub mod move_fleet;
 pub mod operator;
 
