Judge in time linear in endpoints; bound the evidence kept

Reports of endpoints that had gone were kept for as long as the move.

Ruled out: judging only when evidence came (a candidate polls as often as it judges); folding old slices (a CUSUM needs each stratum); keeping results from one judgement to the next (the old version's past rate and quantile change what earlier strata weigh).

Change: endpoints and routes by index, counts of a slice in one array with latencies summed from above, one sum for all endpoints and the rest as that sum less the calls of one. At most 256 endpoints and 1024 reports; the longest silent give way, and one that comes back counts as new.

--- a/coltsfootweir/src/evidence.rs
+++ b/coltsfootweir/src/evidence.rs
@@ -174,6 +174,16 @@
         let surplus = self.crashes.len().saturating_sub(CRASHES_KEPT);
         self.crashes.drain(..surplus);
     }
+
+    /// Returns about how many bytes the evidence occupies.
+    #[must_use]
+    pub fn stored_bytes(&self) -> usize {
+        let routes = self.routes.len() * (size_of::<RouteName>() + size_of::<RouteCounts>());
+        let crashes = self.crashes.iter().map(|crash| {
+            size_of::<CrashRecord>() + crash.running.capacity() * size_of::<Fingerprint>()
+        });
+        size_of::<EndpointEvidence>() + routes + crashes.sum::<usize>()
+    }
 }
 
 /// Counts the calls of the upstream beside a daemon.
--- a/coltsfootweir/src/evidence_pool.rs
+++ b/coltsfootweir/src/evidence_pool.rs
@@ -8,9 +8,14 @@
 use crate::evidence::CrashRecord;
 use crate::evidence::EndpointEvidence;
 use crate::evidence::RouteCounts;
+use crate::evidence_slice::CountKey;
+use crate::evidence_slice::EvidenceSlice;
+use crate::evidence_slice::VersionSide;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
+use crate::ids::MemberIndex;
+use crate::ids::RouteIndex;
 use crate::ids::RouteName;
 use crate::ids::ServiceName;
 use crate::ids::VersionName;
@@ -25,39 +30,14 @@
 /// Time after which an endpoint that sent no evidence counts as gone.
 pub const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Crashes kept for each version, the latest ones.
-const CRASHES_KEPT: usize = 64;
-
-/// Side of a comparison.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum VersionSide {
-    /// The version that serves before the move.
-    Old,
-    /// The version that serves after the move.
-    New,
-}
+/// Endpoints kept; the ones that were silent for longest give way to others.
+const MEMBERS_KEPT: usize = 256;
 
-/// Counts of one endpoint on one route in one slice.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct CountKey {
-    /// Side of the endpoint's version.
-    pub side: VersionSide,
-    /// The route.
-    pub route: RouteName,
-    /// The endpoint's daemon.
-    pub member: MemberId,
-}
+/// Reports kept, one for each run of a daemon and version.
+const REPORTS_KEPT: usize = 1024;
 
-/// What the counts grew by in one slice of time.
-#[derive(Clone, Debug)]
-pub struct EvidenceSlice {
-    /// Number of the slice, counted from the daemon's start.
-    pub number: u64,
-    /// Growth of the counts.
-    pub counts: BTreeMap<CountKey, RouteCounts>,
-    /// Endpoints that crashed in the slice.
-    pub crashed: BTreeSet<MemberId>,
-}
+/// Crashes kept for each version, the latest ones.
+const CRASHES_KEPT: usize = 64;
 
 /// A crash during the move.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -105,6 +85,10 @@
     pub new: VersionTotals,
     /// Slices of time, oldest first.
     pub slices: VecDeque<EvidenceSlice>,
+    /// Name of each route of the slices, by its index.
+    pub route_names: Vec<RouteName>,
+    /// Bound of the indices of the endpoints of the slices.
+    pub member_count: usize,
     /// Time of the view, since the daemon's start.
     pub now: Duration,
 }
@@ -149,6 +133,13 @@
 /// Identity of the counters of one endpoint in one run of its daemon.
 type ReportKey = (MemberId, Incarnation, VersionName);
 
+/// An endpoint that sent evidence.
+#[derive(Clone, Copy, Debug)]
+struct MemberSlot {
+    index: MemberIndex,
+    heard: Duration,
+}
+
 /// Evidence of a move, pooled by one daemon.
 ///
 /// Counters of one member, incarnation and version only grow, so a report may arrive twice, late or
@@ -159,7 +150,8 @@
     from: VersionName,
     to: VersionName,
     reports: BTreeMap<ReportKey, EndpointEvidence>,
-    known: BTreeSet<MemberId>,
+    members: BTreeMap<MemberId, MemberSlot>,
+    free: Vec<MemberIndex>,
     view: PoolView,
 }
 
@@ -172,7 +164,8 @@
             from: record.from.clone(),
             to: record.to.clone(),
             reports: BTreeMap::new(),
-            known: BTreeSet::new(),
+            members: BTreeMap::new(),
+            free: Vec::new(),
             view: PoolView::default(),
         }
     }
@@ -191,7 +184,8 @@
             evidence.version.clone(),
         );
         // Counts of an endpoint that was already there are older than the window.
-        let is_first = self.known.insert(member.clone());
+        let is_first = !self.members.contains_key(&member);
+        let index = self.hear(&member, now);
         let Some(before) = self.reports.get(&key).cloned() else {
             if !is_first {
                 let start = EndpointEvidence {
@@ -199,14 +193,15 @@
                     crashes: Vec::new(),
                     ..evidence.clone()
                 };
-                self.take_growth(side, &start, &evidence, now);
+                self.take_growth(side, index, &start, &evidence, now);
             }
             self.reports.insert(key, evidence);
+            self.shrink();
             return;
         };
         let mut merged = before.clone();
         merged.merge(&evidence);
-        self.take_growth(side, &before, &merged, now);
+        self.take_growth(side, index, &before, &merged, now);
         self.reports.insert(key, merged);
     }
 
@@ -221,6 +216,18 @@
         &self.view
     }
 
+    /// Returns about how many bytes the pool occupies: slices, reports and crashes.
+    #[must_use]
+    pub fn stored_bytes(&self) -> usize {
+        let slices = self.view.slices.iter().map(EvidenceSlice::stored_bytes);
+        let reports = self.reports.values().map(EndpointEvidence::stored_bytes);
+        let crashes = self.view.old.crashes.iter().chain(&self.view.new.crashes);
+        let crashes = crashes.map(|crash| {
+            size_of::<PooledCrash>() + crash.running.capacity() * size_of::<Fingerprint>()
+        });
+        slices.chain(reports).chain(crashes).sum()
+    }
+
     fn side(&self, evidence: &EndpointEvidence) -> Option<VersionSide> {
         if evidence.service != self.service {
             return None;
@@ -238,9 +245,54 @@
         }
     }
 
+    /// Notes that an endpoint sent evidence; returns its index.
+    fn hear(&mut self, member: &MemberId, now: Duration) -> MemberIndex {
+        if let Some(slot) = self.members.get_mut(member) {
+            slot.heard = now;
+            return slot.index;
+        }
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.view.member_count += 1;
+            (self.view.member_count - 1) as MemberIndex
+        });
+        let slot = MemberSlot { index, heard: now };
+        self.members.insert(member.clone(), slot);
+        index
+    }
+
+    /// Forgets the endpoints that were silent for longest until the rest fits; one that comes back
+    /// counts as new.
+    fn shrink(&mut self) {
+        while self.members.len() > MEMBERS_KEPT || self.reports.len() > REPORTS_KEPT {
+            let silent = self.members.iter().min_by_key(|(_, slot)| slot.heard);
+            let Some((member, slot)) = silent.map(|(member, slot)| (member.clone(), *slot)) else {
+                return;
+            };
+            self.members.remove(&member);
+            self.reports.retain(|(other, _, _), _| *other != member);
+            self.view.old.members.remove(&member);
+            self.view.new.members.remove(&member);
+            for slice in &mut self.view.slices {
+                slice.forget(slot.index);
+            }
+            self.free.push(slot.index);
+        }
+    }
+
+    fn route_index(&mut self, route: &RouteName) -> RouteIndex {
+        let names = &mut self.view.route_names;
+        let known = names.iter().position(|name| name == route);
+        let index = known.unwrap_or_else(|| {
+            names.push(route.clone());
+            names.len() - 1
+        });
+        index as RouteIndex
+    }
+
     fn take_growth(
         &mut self,
         side: VersionSide,
+        member: MemberIndex,
         before: &EndpointEvidence,
         after: &EndpointEvidence,
         now: Duration,
@@ -255,32 +307,24 @@
             totals
                 .or_insert_with(|| RouteCounts::new(counts.class))
                 .add(&growth);
+            let route = self.route_index(route);
             let key = CountKey {
                 side,
-                route: route.clone(),
-                member: after.member.clone(),
+                member,
+                route,
             };
-            let slice = self.slice(now).counts.entry(key);
-            slice
-                .or_insert_with(|| RouteCounts::new(counts.class))
-                .add(&growth);
+            self.slice(now).add(key, &growth);
         }
         let newest = before.crashes.last().map_or(0, |crash| crash.number);
         for crash in &after.crashes {
             if crash.number > newest {
-                self.take_crash(side, &after.member, crash, now);
+                self.slice(now).crashed.push(member);
+                self.take_crash(side, &after.member, crash);
             }
         }
     }
 
-    fn take_crash(
-        &mut self,
-        side: VersionSide,
-        member: &MemberId,
-        crash: &CrashRecord,
-        now: Duration,
-    ) {
-        self.slice(now).crashed.insert(member.clone());
+    fn take_crash(&mut self, side: VersionSide, member: &MemberId, crash: &CrashRecord) {
         let crashes = &mut self.totals_mut(side).crashes;
         crashes.push(PooledCrash {
             member: member.clone(),
@@ -295,10 +339,13 @@
         let number = slice_number(now);
         let newest = self.view.slices.back().map(|slice| slice.number);
         if newest.is_none_or(|newest| newest < number) {
+            // No more endpoints report in a closed slice.
+            if let Some(closed) = self.view.slices.back_mut() {
+                closed.cells.shrink_to_fit();
+            }
             self.view.slices.push_back(EvidenceSlice {
                 number,
-                counts: BTreeMap::new(),
-                crashed: BTreeSet::new(),
+                ..EvidenceSlice::default()
             });
         }
         if self.view.slices.len() > SLICES_KEPT {
--- a/coltsfootweir/src/ids.rs
+++ b/coltsfootweir/src/ids.rs
@@ -38,3 +38,9 @@
 
 /// Hash of a request's method, path and body.
 pub type Fingerprint = u64;
+
+/// Position of a member among those that sent evidence.
+pub type MemberIndex = u32;
+
+/// Position of a route among those that have evidence.
+pub type RouteIndex = u32;
--- a/coltsfootweir/src/sequential.rs
+++ b/coltsfootweir/src/sequential.rs
@@ -5,22 +5,25 @@
 //! likelihood ratio against an odds ratio above one, with its normaliser bounded by the binomial
 //! one, is summed over strata and reset at zero (CUSUM), so that a fault which shows late is not
 //! diluted by what went well before. A cause common to both versions cancels out in each stratum.
+//!
+//! The calls are added up once. The evidence without one endpoint is that sum less its own calls,
+//! so the cost grows linearly in endpoints.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::evidence::RouteCounts;
-use crate::evidence_pool::CountKey;
 use crate::evidence_pool::PoolView;
-use crate::evidence_pool::SLICE_LENGTH;
-use crate::evidence_pool::VersionSide;
 use crate::evidence_pool::slice_number;
-use crate::ids::MemberId;
+use crate::evidence_slice::SliceCell;
+use crate::evidence_slice::SliceCounts;
+use crate::evidence_slice::VersionSide;
 use crate::ids::RouteName;
-
-/// Odds ratios that are tested against one.
-const ODDS_RATIOS: [f64; 4] = [2.5, 6.0, 16.0, 40.0];
+use crate::quiet_slices::QuietSlices;
+use crate::stratum::RouteSlice;
+use crate::stratum::StratumGain;
+use crate::stratum::join_routes;
+use crate::stratum::route_gains;
+use crate::stratum::total_weight;
 
 /// Weight from which all endpoints together condemn, in natural logarithms of the likelihood ratio.
 const FULL_WEIGHT: f64 = 9.0;
@@ -31,37 +34,54 @@
 /// Strength below which evidence is not looked at more closely.
 const LEAST_STRENGTH: f64 = 0.5;
 
-/// Calls that close a stratum.
-const STRATUM_CALLS: f64 = 20.0;
-
-/// Slices that close a stratum with fewer calls.
-const STRATUM_SLICES: u64 = 15;
-
-/// Old calls per new call below which the old version's past takes the place of its present.
-const LEAST_CONTROL: f64 = 0.05;
-
-/// Factor on evidence that rests on the past of the old version.
-const PAST_FACTOR: f64 = 0.5;
-
-/// Failure rate assumed of an old version without any calls.
-const UNKNOWN_RATE: f64 = 0.02;
-
 /// Delay after which a slice holds the reports of every endpoint that answers.
 const REPORT_DELAY: Duration = Duration::from_millis(1200);
 
 /// Calls of the new version above which a silent endpoint is no longer waited for.
 const WAIT_CALLS: u64 = 30;
 
-/// What counts as a bad call.
-pub trait BadMeasure {
+/// Which calls of a route are bad.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BadCalls {
+    /// Those that failed.
+    Failed,
+    /// Those that did not fail and lie in this latency bucket or a higher one.
+    Slower(usize),
+}
+
+impl BadCalls {
     /// Returns the calls that can be compared and the bad ones among them.
-    fn split(&self, route: &RouteName, counts: &RouteCounts) -> (u64, u64);
+    #[must_use]
+    pub fn split(self, counts: &RouteCounts) -> (u64, u64) {
+        match self {
+            BadCalls::Failed => (counts.calls, counts.failures),
+            BadCalls::Slower(first) => {
+                let calls = counts.latency.iter().sum();
+                (calls, counts.latency[first..].iter().sum())
+            }
+        }
+    }
 
-    /// Extra share of bad calls that does not matter.
-    fn tolerance(&self) -> f64;
+    fn split_slice(self, counts: &SliceCounts) -> (f64, f64) {
+        match self {
+            BadCalls::Failed => (f64::from(counts.calls), f64::from(counts.failures)),
+            BadCalls::Slower(first) => {
+                let bad = counts.at_least.get(first).copied().unwrap_or(0);
+                (f64::from(counts.at_least[0]), f64::from(bad))
+            }
+        }
+    }
+}
 
-    /// Returns whether counts of an endpoint in a slice take no part.
-    fn is_excluded(&self, key: &CountKey, slice: u64) -> bool;
+/// What counts as a bad call.
+#[derive(Clone, Debug)]
+pub struct BadMeasure {
+    /// Bad calls of each route of the view; `None` for a route that cannot be compared.
+    pub by_route: Vec<Option<BadCalls>>,
+    /// Extra share of bad calls that does not matter.
+    pub tolerance: f64,
+    /// Counts that take no part.
+    pub quiet: QuietSlices,
 }
 
 /// Result of a comparison.
@@ -73,262 +93,163 @@
     pub strength: f64,
 }
 
-/// Calls and bad calls of both versions.
-#[derive(Clone, Copy, Debug, Default)]
-struct SideCounts {
-    new_calls: f64,
-    new_bad: f64,
-    old_calls: f64,
-    old_bad: f64,
-}
-
-impl SideCounts {
-    fn add(&mut self, other: &SideCounts) {
-        self.new_calls += other.new_calls;
-        self.new_bad += other.new_bad;
-        self.old_calls += other.old_calls;
-        self.old_bad += other.old_bad;
-    }
-
-    /// Returns the old version's rate of bad calls, less one standard deviation of their count.
-    fn burst_rate(&self) -> f64 {
-        if self.old_calls < 1.0 {
-            return 0.0;
-        }
-        (self.old_bad - self.old_bad.sqrt()) / self.old_calls
-    }
-}
-
-/// Counts of each route by slice.
-type RouteSlices<'a> = BTreeMap<&'a RouteName, BTreeMap<u64, SideCounts>>;
-
 /// Compares the versions on each route and on all routes together; returns the strongest result.
 #[must_use]
-pub fn compare(view: &PoolView, measure: &dyn BadMeasure) -> Option<ComparisonResult> {
-    let slices = collect(view, measure, None);
+pub fn compare(view: &PoolView, measure: &BadMeasure) -> Option<ComparisonResult> {
+    let sums = CallSums::collect(view, measure);
     // Later slices lack reports yet; they only show bursts that reach over an edge.
     let end = slice_number(view.now.saturating_sub(REPORT_DELAY));
-    let mut scopes: Vec<Option<RouteName>> =
-        slices.keys().map(|name| Some((*name).clone())).collect();
+    let all = sums.gains(end, measure.tolerance);
+    let order = route_order(view);
+    let mut scopes: Vec<Option<usize>> = order.iter().copied().map(Some).collect();
     scopes.push(None);
-    let rests = rest_members(view);
-    let mut rest_slices: Vec<RouteSlices<'_>> = Vec::new();
-    let mut strongest: Option<ComparisonResult> = None;
-    for route in scopes {
-        let mut strength = weight(&slices, route.as_ref(), measure, end) / FULL_WEIGHT;
-        let floor = strongest
-            .as_ref()
-            .map_or(LEAST_STRENGTH, |result| result.strength);
-        if strength <= floor {
-            continue;
-        }
-        if rest_slices.is_empty() {
-            rest_slices = rests
-                .iter()
-                .map(|left| collect(view, measure, Some(left)))
-                .collect();
-        }
-        for rest in &rest_slices {
-            strength = strength.min(weight(rest, route.as_ref(), measure, end) / REST_WEIGHT);
+    let rests = rest_members(view, &sums);
+    let mut rest_gains: Vec<Option<RouteGains>> = vec![None; rests.len()];
+    let mut strongest: Option<(Option<usize>, f64)> = None;
+    for scope in scopes {
+        let mut strength = weight(&all, scope, &order) / FULL_WEIGHT;
+        let floor = strongest.map_or(LEAST_STRENGTH, |(_, strength)| strength);
+        for (member, gains) in rests.iter().zip(&mut rest_gains) {
+            if strength <= floor {
+                break;
+            }
+            let gains =
+                gains.get_or_insert_with(|| sums.without(*member).gains(end, measure.tolerance));
+            strength = strength.min(weight(gains, scope, &order) / REST_WEIGHT);
         }
         if strength > floor {
-            strongest = Some(ComparisonResult { route, strength });
+            strongest = Some((scope, strength));
         }
     }
-    strongest
+    strongest.map(|(scope, strength)| ComparisonResult {
+        route: scope.map(|route| view.route_names[route].clone()),
+        strength,
+    })
+}
+
+/// Returns the routes in the order of their names, so that sums do not depend on arrival.
+fn route_order(view: &PoolView) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..view.route_names.len()).collect();
+    order.sort_by_key(|route| &view.route_names[*route]);
+    order
 }
 
 /// Returns the endpoints without each of which the evidence must hold.
-fn rest_members(view: &PoolView) -> Vec<MemberId> {
-    let mut called: BTreeSet<MemberId> = BTreeSet::new();
-    for slice in &view.slices {
-        let keys = slice
-            .counts
-            .keys()
-            .filter(|key| key.side == VersionSide::New);
-        called.extend(keys.map(|key| key.member.clone()));
-    }
+fn rest_members(view: &PoolView, sums: &CallSums) -> Vec<usize> {
+    let called: Vec<usize> = (0..view.member_count)
+        .filter(|member| sums.called[*member])
+        .collect();
     let live = view.new_members().count();
     if called.len() >= 2 || (live >= 2 && view.new.calls() < WAIT_CALLS) {
-        return called.into_iter().collect();
+        return called;
     }
     Vec::new()
 }
 
-fn collect<'a>(
-    view: &'a PoolView,
-    measure: &dyn BadMeasure,
-    left_out: Option<&MemberId>,
-) -> RouteSlices<'a> {
-    let mut slices = RouteSlices::new();
-    for slice in &view.slices {
-        for (key, counts) in &slice.counts {
-            let is_left = key.side == VersionSide::New && left_out == Some(&key.member);
-            if is_left || measure.is_excluded(key, slice.number) {
-                continue;
-            }
-            let (calls, bad) = measure.split(&key.route, counts);
-            let sides = slices.entry(&key.route).or_default();
-            let sides = sides.entry(slice.number).or_default();
-            match key.side {
-                VersionSide::New => {
-                    sides.new_calls += calls as f64;
-                    sides.new_bad += bad as f64;
-                }
-                VersionSide::Old => {
-                    sides.old_calls += calls as f64;
-                    sides.old_bad += bad as f64;
-                }
-            }
-        }
-    }
-    slices
-}
+/// Gains of the strata of each route.
+type RouteGains = Vec<Vec<StratumGain>>;
 
 /// Returns the weight of the evidence on one route or on all, at least 0.
-fn weight(
-    slices: &RouteSlices<'_>,
-    scope: Option<&RouteName>,
-    measure: &dyn BadMeasure,
-    end: u64,
-) -> f64 {
-    let mut strata: Vec<(u64, Stratum)> = Vec::new();
-    for (route, slices) in slices {
-        if scope.is_some_and(|scope| scope != *route) {
-            continue;
-        }
-        strata.extend(stratify(slices, end));
+fn weight(gains: &RouteGains, scope: Option<usize>, order: &[usize]) -> f64 {
+    if let Some(route) = scope {
+        return total_weight(&gains[route]);
     }
-    strata.sort_by_key(|(slice, _)| *slice);
-    let mut heaviest = 0.0_f64;
-    for ratio in ODDS_RATIOS {
-        let mut sum = 0.0_f64;
-        for (_, stratum) in &strata {
-            sum = (sum + stratum.weight(ratio, measure.tolerance())).max(0.0);
-        }
-        heaviest = heaviest.max(sum);
-    }
-    heaviest
+    let routes = order.iter().map(|route| gains[*route].as_slice());
+    total_weight(&join_routes(routes))
 }
 
-/// Calls of one route at about the same time.
+/// Calls of one endpoint of the new version on one route in one slice.
 #[derive(Clone, Copy, Debug)]
-struct Stratum {
-    counts: SideCounts,
-    factor: f64,
-}
-
-impl Stratum {
-    fn weight(&self, ratio: f64, tolerance: f64) -> f64 {
-        let counts = &self.counts;
-        let calls = counts.new_calls + counts.old_calls;
-        if calls <= 0.0 {
-            return 0.0;
-        }
-        let share = counts.new_calls / calls;
-        let bad = counts.new_bad + counts.old_bad;
-        let gain = counts.new_bad * ratio.ln() - bad * (1.0 + share * (ratio - 1.0)).ln();
-        self.factor * (gain - counts.new_calls * tolerance * (ratio - 1.0))
-    }
+struct CallPart {
+    route: usize,
+    position: usize,
+    calls: f64,
+    bad: f64,
 }
 
-/// Joins slices of one route into strata with enough calls; gives each its last slice.
-fn stratify(slices: &BTreeMap<u64, SideCounts>, end: u64) -> Vec<(u64, Stratum)> {
-    let past_rate = past_rate(slices);
-    let last = slices.range(..end).next_back().map(|(last, _)| *last);
-    let mut strata = Vec::new();
-    let mut joined = SideCounts::default();
-    let mut first = None;
-    for (number, counts) in slices.range(..end) {
-        joined.add(counts);
-        let start = *first.get_or_insert(*number);
-        let calls = joined.new_calls + joined.old_calls;
-        let is_closed = calls >= STRATUM_CALLS || number - start >= STRATUM_SLICES;
-        if !is_closed && last != Some(*number) {
-            continue;
-        }
-        let near = slices.range(start.saturating_sub(1)..=number + 1);
-        let burst = near.map(|(_, near)| near.burst_rate()).fold(0.0, f64::max);
-        joined.old_bad = joined.old_bad.max(joined.old_calls * burst);
-        let stratum = with_control(joined, is_closed, past_rate);
-        strata.push((*number, stratum));
-        joined = SideCounts::default();
-        first = None;
-    }
-    strata
+/// Calls of all endpoints by route and slice, and what each endpoint of the new version adds.
+#[derive(Clone, Debug)]
+struct CallSums {
+    routes: Vec<Vec<RouteSlice>>,
+    parts: Vec<Vec<CallPart>>,
+    called: Vec<bool>,
 }
 
-/// Puts the old version's past in place of its present where it has next to no calls any more.
-fn with_control(mut counts: SideCounts, is_closed: bool, past_rate: f64) -> Stratum {
-    if !is_closed || counts.old_calls >= counts.new_calls * LEAST_CONTROL {
-        return Stratum {
-            counts,
-            factor: 1.0,
+impl CallSums {
+    fn collect(view: &PoolView, measure: &BadMeasure) -> CallSums {
+        let mut sums = CallSums {
+            routes: vec![Vec::with_capacity(view.slices.len()); view.route_names.len()],
+            parts: vec![Vec::new(); view.member_count],
+            called: vec![false; view.member_count],
         };
-    }
-    counts.old_calls += counts.new_calls;
-    counts.old_bad += counts.new_calls * past_rate;
-    Stratum {
-        counts,
-        factor: PAST_FACTOR,
-    }
-}
-
-/// Returns the highest rate of bad calls that the old version showed, over all or in one slice.
-fn past_rate(slices: &BTreeMap<u64, SideCounts>) -> f64 {
-    let mut total = SideCounts::default();
-    let mut highest = 0.0_f64;
-    for counts in slices.values() {
-        total.add(counts);
-        if counts.old_calls >= STRATUM_CALLS {
-            highest = highest.max(counts.burst_rate());
-        }
-    }
-    if total.old_calls < STRATUM_CALLS {
-        return UNKNOWN_RATE;
-    }
-    highest.max(total.old_bad / total.old_calls)
-}
-
-/// Slices in which endpoints restart, during which their counts say nothing of their version.
-#[derive(Clone, Debug, Default)]
-pub struct QuietSlices {
-    quiet: BTreeMap<MemberId, BTreeSet<u64>>,
-}
-
-impl QuietSlices {
-    /// Adds the slices around each crash, `after` of them behind it.
-    pub fn add_crashes(&mut self, view: &PoolView, after: Duration) {
-        for slice in &view.slices {
-            for member in &slice.crashed {
-                self.add(member, slice.number.saturating_sub(1), after + SLICE_LENGTH);
-            }
-        }
-    }
-
-    /// Adds the first slices in which each endpoint of the new version has calls.
-    pub fn add_starts(&mut self, view: &PoolView, after: Duration) {
-        let mut started: BTreeSet<MemberId> = BTreeSet::new();
         for slice in &view.slices {
-            for key in slice.counts.keys() {
-                if key.side == VersionSide::New && !started.contains(&key.member) {
-                    started.insert(key.member.clone());
-                    self.add(&key.member, slice.number, after);
+            for cell in &slice.cells {
+                let member = cell.key.member;
+                if cell.key.side == VersionSide::New {
+                    sums.called[member as usize] = true;
+                }
+                let Some(bad) = measure.by_route[cell.key.route as usize] else {
+                    continue;
+                };
+                if !measure.quiet.contains(member, slice.number) {
+                    sums.add(slice.number, cell, bad);
                 }
             }
         }
+        sums
+    }
+
+    fn add(&mut self, number: u64, cell: &SliceCell, bad: BadCalls) {
+        let route = cell.key.route as usize;
+        let (calls, bad) = bad.split_slice(&cell.counts);
+        let slices = &mut self.routes[route];
+        if slices.last().is_none_or(|last| last.number != number) {
+            slices.push(RouteSlice {
+                number,
+                ..RouteSlice::default()
+            });
+        }
+        let position = slices.len() - 1;
+        let slice = &mut slices[position];
+        slice.cells += 1;
+        if cell.key.side == VersionSide::Old {
+            slice.counts.old_calls += calls;
+            slice.counts.old_bad += bad;
+            return;
+        }
+        slice.counts.new_calls += calls;
+        slice.counts.new_bad += bad;
+        self.parts[cell.key.member as usize].push(CallPart {
+            route,
+            position,
+            calls,
+            bad,
+        });
+    }
+
+    /// Returns the sums without the calls of one endpoint of the new version.
+    fn without(&self, member: usize) -> CallSums {
+        let mut routes = self.routes.clone();
+        for part in &self.parts[member] {
+            let slice = &mut routes[part.route][part.position];
+            slice.counts.new_calls -= part.calls;
+            slice.counts.new_bad -= part.bad;
+            slice.cells -= 1;
+        }
+        for slices in &mut routes {
+            slices.retain(|slice| slice.cells > 0);
+        }
+        CallSums {
+            routes,
+            parts: Vec::new(),
+            called: Vec::new(),
+        }
     }
 
-    /// Returns whether the counts of an endpoint in a slice say nothing.
-    #[must_use]
-    pub fn contains(&self, member: &MemberId, slice: u64) -> bool {
-        self.quiet
-            .get(member)
-            .is_some_and(|slices| slices.contains(&slice))
-    }
-
-    fn add(&mut self, member: &MemberId, first: u64, length: Duration) {
-        let slices = self.quiet.entry(member.clone()).or_default();
-        slices.extend(first..=first + slice_number(length));
+    fn gains(&self, end: u64, tolerance: f64) -> RouteGains {
+        self.routes
+            .iter()
+            .map(|slices| route_gains(slices, end, tolerance))
+            .collect()
     }
 }
--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -1,21 +1,19 @@
 //! The rules that come with the library: failures, slowness and crashes.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::evidence::LATENCY_BUCKETS;
 use crate::evidence::RouteCounts;
-use crate::evidence_pool::CountKey;
 use crate::evidence_pool::PoolView;
 use crate::evidence_pool::PooledCrash;
 use crate::evidence_pool::VersionTotals;
 use crate::ids::Fingerprint;
 use crate::ids::MemberId;
-use crate::ids::RouteName;
+use crate::quiet_slices::QuietSlices;
+use crate::sequential::BadCalls;
 use crate::sequential::BadMeasure;
 use crate::sequential::ComparisonResult;
-use crate::sequential::QuietSlices;
 use crate::sequential::compare;
 use crate::verdict::CONDEMN_STRENGTH;
 use crate::verdict::SUSPECT_STRENGTH;
@@ -56,9 +54,13 @@
     }
 
     fn judge(&self, view: &PoolView) -> Option<VerdictFinding> {
-        let mut quiet = QuietSlices::default();
+        let mut quiet = QuietSlices::new(view);
         quiet.add_crashes(view, CRASH_TIME);
-        let measure = FailureMeasure { quiet };
+        let measure = BadMeasure {
+            by_route: vec![Some(BadCalls::Failed); view.route_names.len()],
+            tolerance: FAILURE_TOLERANCE,
+            quiet,
+        };
         let result = compare(view, &measure)?;
         let seen = figures(view, &result, &measure);
         Some(VerdictFinding {
@@ -71,24 +73,6 @@
 
 inventory::submit! { VerdictPlugin { rule: &FailureRule } }
 
-struct FailureMeasure {
-    quiet: QuietSlices,
-}
-
-impl BadMeasure for FailureMeasure {
-    fn split(&self, _route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
-        (counts.calls, counts.failures)
-    }
-
-    fn tolerance(&self) -> f64 {
-        FAILURE_TOLERANCE
-    }
-
-    fn is_excluded(&self, key: &CountKey, slice: u64) -> bool {
-        self.quiet.contains(&key.member, slice)
-    }
-}
-
 /// Compares the shares of calls that are slow by the old version's measure.
 struct SlownessRule;
 
@@ -98,11 +82,14 @@
     }
 
     fn judge(&self, view: &PoolView) -> Option<VerdictFinding> {
-        let mut quiet = QuietSlices::default();
+        let mut quiet = QuietSlices::new(view);
         quiet.add_crashes(view, WARM_UP);
         quiet.add_starts(view, WARM_UP);
-        let first = slow_buckets(view);
-        let measure = SlowMeasure { first, quiet };
+        let measure = BadMeasure {
+            by_route: slow_calls(view),
+            tolerance: SLOW_TOLERANCE,
+            quiet,
+        };
         let result = compare(view, &measure)?;
         let seen = figures(view, &result, &measure);
         Some(VerdictFinding {
@@ -115,38 +102,14 @@
 
 inventory::submit! { VerdictPlugin { rule: &SlownessRule } }
 
-struct SlowMeasure<'a> {
-    first: BTreeMap<&'a RouteName, usize>,
-    quiet: QuietSlices,
-}
-
-impl BadMeasure for SlowMeasure<'_> {
-    fn split(&self, route: &RouteName, counts: &RouteCounts) -> (u64, u64) {
-        let Some(first) = self.first.get(route) else {
-            return (0, 0);
-        };
-        let calls = counts.latency.iter().sum();
-        (calls, counts.latency[*first..].iter().sum())
-    }
-
-    fn tolerance(&self) -> f64 {
-        SLOW_TOLERANCE
-    }
-
-    fn is_excluded(&self, key: &CountKey, slice: u64) -> bool {
-        self.quiet.contains(&key.member, slice)
+/// Returns the slow calls of each route whose old latency is known.
+fn slow_calls(view: &PoolView) -> Vec<Option<BadCalls>> {
+    let mut calls = Vec::new();
+    for route in &view.route_names {
+        let bucket = view.old.routes.get(route).and_then(slow_bucket);
+        calls.push(bucket.map(BadCalls::Slower));
     }
-}
-
-/// Returns the first slow bucket of each route whose old latency is known.
-fn slow_buckets(view: &PoolView) -> BTreeMap<&RouteName, usize> {
-    let mut buckets = BTreeMap::new();
-    for (route, counts) in &view.old.routes {
-        if let Some(bucket) = slow_bucket(counts) {
-            buckets.insert(route, bucket);
-        }
-    }
-    buckets
+    calls
 }
 
 /// Returns the first bucket that counts as slow: one past the bucket after the old quantile's, so
@@ -168,14 +131,17 @@
 }
 
 /// Describes bad and all calls of both versions.
-fn figures(view: &PoolView, result: &ComparisonResult, measure: &dyn BadMeasure) -> Box<str> {
+fn figures(view: &PoolView, result: &ComparisonResult, measure: &BadMeasure) -> Box<str> {
     let sum = |totals: &VersionTotals| {
         let mut sum = (0, 0);
-        for (route, counts) in &totals.routes {
+        for (route, bad) in view.route_names.iter().zip(&measure.by_route) {
             if result.route.as_ref().is_some_and(|scope| scope != route) {
                 continue;
             }
-            let (calls, bad) = measure.split(route, counts);
+            let (Some(bad), Some(counts)) = (bad, totals.routes.get(route)) else {
+                continue;
+            };
+            let (calls, bad) = bad.split(counts);
             sum = (sum.0 + calls, sum.1 + bad);
         }
         sum
--- /dev/null
+++ b/coltsfootweir/tests/evidence_bound.rs
@@ -0,0 +1,107 @@
+//! The evidence that a candidate keeps is bounded, however long a move runs and endpoints change.
+
+use std::time::Duration;
+use std::time::SystemTime;
+
+use coltsfootweir::evidence::EvidenceRecorder;
+use coltsfootweir::evidence_pool::EvidencePool;
+use coltsfootweir::record::MovePhase;
+use coltsfootweir::record::MoveRecord;
+use coltsfootweir::record::RouteClass;
+use coltsfootweir::record::TrafficShare;
+
+/// Seconds in an hour.
+const HOUR: u64 = 3600;
+
+/// Routes of the service.
+const ROUTES: u64 = 5;
+
+/// Bytes that the evidence of 8 endpoints on 5 routes may occupy after an hour.
+const HOUR_BYTES: usize = 2_100_000;
+
+/// Bytes that the evidence may occupy where each endpoint lives for a few seconds.
+const CHURN_BYTES: usize = 1_000_000;
+
+fn record() -> MoveRecord {
+    MoveRecord {
+        name: "spring".into(),
+        service: "stalls".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        done_by: SystemTime::UNIX_EPOCH,
+        phase: MovePhase::Climbing,
+        share: TrafficShare::default(),
+        reason: "".into(),
+    }
+}
+
+fn recorder(member: u64, incarnation: u64) -> EvidenceRecorder {
+    let name = format!("10.1.0.{member}:7000").into();
+    let mut recorder = EvidenceRecorder::new(name, incarnation);
+    let version = if member.is_multiple_of(2) { "v1" } else { "v2" };
+    recorder.set_version("stalls".into(), version.into());
+    recorder
+}
+
+fn serve(recorder: &mut EvidenceRecorder) {
+    for route in 0..ROUTES {
+        let name = format!("route-{route}").into();
+        recorder.on_call(&name, RouteClass::Check, false, Duration::from_millis(8));
+    }
+}
+
+#[test]
+fn an_hour_of_eight_endpoints_fits() {
+    let mut pool = EvidencePool::new(&record());
+    let mut recorders: Vec<_> = (0..8).map(|member| recorder(member, 1)).collect();
+    for second in 0..HOUR {
+        for (member, own) in recorders.iter_mut().enumerate() {
+            // Each daemon is replaced at its address every ten minutes and crashes once a minute.
+            if second % 600 == 75 * member as u64 {
+                *own = recorder(member as u64, second + 2);
+            }
+            if second % 60 == 7 * member as u64 {
+                own.on_crash((0..9).collect());
+            }
+            serve(own);
+            pool.offer(own.report(), Duration::from_secs(second));
+        }
+    }
+    let bytes = pool.stored_bytes();
+    println!("8 endpoints, {ROUTES} routes, one hour: {bytes} bytes");
+    assert!(bytes <= HOUR_BYTES, "{bytes} bytes");
+}
+
+#[test]
+fn endpoints_that_come_and_go_do_not_pile_up() {
+    let mut pool = EvidencePool::new(&record());
+    for second in 0..2 * HOUR {
+        let mut own = recorder(second, 1);
+        let now = Duration::from_secs(second);
+        pool.offer(own.report(), now);
+        serve(&mut own);
+        pool.offer(own.report(), now);
+    }
+    let bytes = pool.stored_bytes();
+    println!("an endpoint a second, two hours: {bytes} bytes");
+    assert!(bytes <= CHURN_BYTES, "{bytes} bytes");
+    assert!(pool.view().member_count <= 300, "slots are used again");
+}
+
+#[test]
+fn an_endpoint_that_comes_back_is_not_counted_again() {
+    let mut pool = EvidencePool::new(&record());
+    let mut first = recorder(1, 1);
+    for _ in 0..100 {
+        serve(&mut first);
+    }
+    pool.offer(first.report(), Duration::ZERO);
+    for member in 2..400 {
+        pool.offer(recorder(member, 1).report(), Duration::from_secs(member));
+    }
+    pool.offer(first.report(), Duration::from_secs(500));
+    assert_eq!(pool.view().new.calls(), 0);
+    serve(&mut first);
+    pool.offer(first.report(), Duration::from_secs(501));
+    assert_eq!(pool.view().new.calls(), ROUTES);
+}
--- /dev/null
+++ b/coltsfootweir/tests/verdict_cost.rs
@@ -0,0 +1,103 @@
+//! Cost of a judgement by endpoints, with ten minutes of evidence on five routes.
+//!
+//! Prints figures: `cargo test --release -p coltsfootweir --test verdict_cost -- --ignored --nocapture`.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use coltsfootweir::evidence::EvidenceRecorder;
+use coltsfootweir::evidence_pool::EvidencePool;
+use coltsfootweir::record::MovePhase;
+use coltsfootweir::record::MoveRecord;
+use coltsfootweir::record::RouteClass;
+use coltsfootweir::record::TrafficShare;
+use coltsfootweir::verdict::judge;
+
+/// Routes of the service.
+const ROUTES: usize = 5;
+
+/// Seconds of evidence.
+const SECONDS: u64 = 600;
+
+/// Calls of each endpoint in a second.
+const CALLS: usize = 12;
+
+/// Judgements that are timed.
+const JUDGEMENTS: u32 = 20;
+
+/// What fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FaultKind {
+    Nothing,
+    OneEndpoint,
+}
+
+fn record() -> MoveRecord {
+    MoveRecord {
+        name: "spring".into(),
+        service: "stalls".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        done_by: SystemTime::UNIX_EPOCH,
+        phase: MovePhase::Climbing,
+        share: TrafficShare::default(),
+        reason: "".into(),
+    }
+}
+
+fn recorders(endpoints: usize) -> Vec<EvidenceRecorder> {
+    let mut recorders = Vec::new();
+    for index in 0..2 * endpoints {
+        let mut recorder = EvidenceRecorder::new(format!("10.1.0.{index}:7000").into(), 1);
+        let version = if index < endpoints { "v1" } else { "v2" };
+        recorder.set_version("stalls".into(), version.into());
+        recorders.push(recorder);
+    }
+    recorders
+}
+
+/// Returns a pool of the last ten minutes of two versions with this many endpoints each.
+fn fill(endpoints: usize, kind: FaultKind) -> EvidencePool {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut recorders = recorders(endpoints);
+    let mut pool = EvidencePool::new(&record());
+    for second in 0..SECONDS {
+        for (index, recorder) in recorders.iter_mut().enumerate() {
+            for _ in 0..CALLS {
+                let route = rng.random_range(0..ROUTES);
+                let is_bad = kind == FaultKind::OneEndpoint && index == endpoints;
+                let failed = rng.random_bool(if is_bad { 0.6 } else { 0.005 });
+                let latency = Duration::from_micros(rng.random_range(2_000..20_000));
+                let name = format!("route-{route}").into();
+                recorder.on_call(&name, RouteClass::Check, failed, latency);
+            }
+            pool.offer(
+                recorder.report(),
+                Duration::from_millis(second * 1000 + 900),
+            );
+        }
+    }
+    pool
+}
+
+#[test]
+#[ignore = "prints figures"]
+fn cost_of_a_judgement() {
+    for endpoints in [1, 2, 4, 8, 16, 40, 80] {
+        for kind in [FaultKind::Nothing, FaultKind::OneEndpoint] {
+            let mut pool = fill(endpoints, kind);
+            let now = Duration::from_secs(SECONDS + 1);
+            let start = Instant::now();
+            for _ in 0..JUDGEMENTS {
+                std::hint::black_box(judge(&mut pool, now));
+            }
+            let each = start.elapsed() / JUDGEMENTS;
+            println!("{endpoints}+{endpoints} endpoints, {kind:?}: {each:?} a judgement");
+        }
+    }
+}
