A common fault at the full share: measured, and the rule kept

Cause: at the full share no call of the old version is left, so a fault of both versions that starts then speaks against the new one. This was untried.

Ruled out: 10% of the checks left on the old version until the last step.

Conclusion: kept. A wrong takeback costs one more move, a bad version that stays every booking.

--- a/coltsfootweir/tests/verdict_rates.rs
+++ b/coltsfootweir/tests/verdict_rates.rs
@@ -2,6 +2,8 @@
 
 mod trial;
 
+use std::cell::Cell;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -29,6 +31,9 @@
 /// The same for a fault that shows at the full share, or to bookings only.
 const LATE_HARM: f64 = 0.07;
 
+/// The same for a fault of both versions at the full share, where all calls of the fault count.
+const COMMON_HARM: f64 = 0.05;
+
 /// The same for a fault that shows after a long good past, at a small share.
 const LONG_HARM: f64 = 0.01;
 
@@ -329,3 +334,37 @@
     });
     assert_good(&runs);
 }
+
+/// Lets calls of both versions fail in these seconds of the full share.
+fn common_at_full_share(trial: &mut MoveTrial, rate: f64, seconds: Range<u64>) {
+    let began = Cell::new(None);
+    trial.fault = Box::new(move |site, rng| {
+        if site.share.bookings < 100 {
+            began.set(None);
+            return WELL;
+        }
+        let start = began.get().unwrap_or(site.second);
+        began.set(Some(start));
+        if seconds.contains(&(site.second - start)) && rng.random_bool(rate) {
+            return FAILED;
+        }
+        WELL
+    });
+}
+
+#[test]
+fn good_with_a_small_common_cause_at_the_full_share() {
+    let runs = repeat("good, both fail 10% for 4 s of 100%", |trial, _| {
+        common_at_full_share(trial, 0.1, 5..9);
+    });
+    assert_good(&runs);
+}
+
+/// No call of the old version is left to tell a common cause from the version's own.
+#[test]
+fn lasting_common_cause_at_the_full_share_is_taken_back() {
+    let runs = repeat("both fail 30% from 5 s of 100%", |trial, _| {
+        common_at_full_share(trial, 0.3, 5..1000);
+    });
+    assert_bad(&runs, COMMON_HARM);
+}
