Moves under way when the regions lose each other

Cause: that a bad version gets no work on either side of a cut, and that a good one is not said done before its end, had no proof at process level.

Change: two regions of daemons in one process with a link that is cut for peers, calls and the store.

--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod move_fleet;
+pub mod region_fleet;
 
 use std::io::BufRead;
 use std::io::BufReader;
@@ -192,6 +193,34 @@
     );
 }
 
+/// Accepts the records of a service with versions v1 and v2.
+pub fn apply_service(platform: SocketAddr, service: &str) {
+    apply(
+        platform,
+        &format!(
+            r#"[
+  {{"kind": "upstream-version", "schema": 1, "service": "{service}", "version": "v1", "share": 100}},
+  {{"kind": "upstream-version", "schema": 1, "service": "{service}", "version": "v2", "share": 0}},
+  {{"kind": "route", "schema": 1, "name": "{service}-check", "service": "{service}",
+    "prefix": "/{service}/check", "class": "check", "timeout_ms": 2000}},
+  {{"kind": "route", "schema": 1, "name": "{service}-book", "service": "{service}",
+    "prefix": "/{service}/book", "class": "booking", "timeout_ms": 2000}}
+]"#
+        ),
+    );
+}
+
+/// Accepts a move from v1 to v2, to be done in `seconds`.
+pub fn apply_move(platform: SocketAddr, service: &str, seconds: u64) {
+    apply(
+        platform,
+        &format!(
+            r#"{{"kind": "move", "schema": 2, "name": "{service}-v2", "service": "{service}",
+                    "from": "v1", "to": "v2", "done_in_seconds": {seconds}}}"#
+        ),
+    );
+}
+
 pub fn read_status(control: SocketAddr) -> Option<DaemonStatus> {
     let response = minreq::get(format!("http://{control}/status"))
         .with_timeout(2)
--- a/programs/tests/common/move_fleet.rs
+++ b/programs/tests/common/move_fleet.rs
@@ -22,7 +22,8 @@
 use super::PATIENCE;
 use super::PlatformProcess;
 use super::UpstreamProcess;
-use super::apply;
+use super::apply_move;
+use super::apply_service;
 use super::call;
 use super::read_status;
 use super::start_daemon_with;
@@ -76,30 +77,12 @@
 
     /// Accepts the records of a service with versions v1 and v2.
     pub fn apply_service(&self, service: &str) {
-        apply(
-            self.platform.address,
-            &format!(
-                r#"[
-  {{"kind": "upstream-version", "schema": 1, "service": "{service}", "version": "v1", "share": 100}},
-  {{"kind": "upstream-version", "schema": 1, "service": "{service}", "version": "v2", "share": 0}},
-  {{"kind": "route", "schema": 1, "name": "{service}-check", "service": "{service}",
-    "prefix": "/{service}/check", "class": "check", "timeout_ms": 2000}},
-  {{"kind": "route", "schema": 1, "name": "{service}-book", "service": "{service}",
-    "prefix": "/{service}/book", "class": "booking", "timeout_ms": 2000}}
-]"#
-            ),
-        );
+        apply_service(self.platform.address, service);
     }
 
     /// Accepts a move from v1 to v2, to be done in `seconds`.
     pub fn apply_move(&self, service: &str, seconds: u64) {
-        apply(
-            self.platform.address,
-            &format!(
-                r#"{{"kind": "move", "schema": 2, "name": "{service}-v2", "service": "{service}",
-                    "from": "v1", "to": "v2", "done_in_seconds": {seconds}}}"#
-            ),
-        );
+        apply_move(self.platform.address, service, seconds);
     }
 
     /// Waits until every daemon serves `generation` and knows every endpoint.
--- /dev/null
+++ b/programs/tests/moves_region_cut.rs
@@ -0,0 +1,136 @@
+//! Moves under way when the regions lose each other.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use coltsfootweir::record::MovePhase;
+
+use common::PATIENCE;
+use common::apply_move;
+use common::apply_service;
+use common::move_fleet::MoveTraffic;
+use common::region_fleet::NORTH;
+use common::region_fleet::RegionFleet;
+use common::region_fleet::SOUTH;
+use common::wait_for;
+
+/// Time after which a fault that shows must be answered on every daemon.
+const REACTION: Duration = Duration::from_secs(19);
+
+/// Time without a request of a version that shows it gets no work.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Time for which a cut lasts: more than it takes to hold the region unreachable and to settle.
+const CUT_TIME: Duration = Duration::from_secs(40);
+
+/// A fleet with a move at its first steps, and callers in both regions.
+struct CutWorld {
+    traffic: Vec<MoveTraffic>,
+    fleet: RegionFleet,
+}
+
+impl CutWorld {
+    fn start(seconds: u64) -> CutWorld {
+        let fleet = RegionFleet::start();
+        let platform: SocketAddr = fleet.platform.address();
+        apply_service(platform, "stalls");
+        fleet.wait_ready(1);
+        let traffic = [NORTH, SOUTH]
+            .map(|region| MoveTraffic::start("stalls", &fleet.call_addresses(region)));
+        apply_move(platform, "stalls", seconds);
+        let world = CutWorld {
+            traffic: traffic.into(),
+            fleet,
+        };
+        wait_for("first steps everywhere", PATIENCE, || {
+            let is_early = world.fleet.read_move().share.checks >= 5;
+            is_early && world.fleet.runs(NORTH) > 0 && world.fleet.runs(SOUTH) > 0
+        });
+        world
+    }
+
+    /// Waits until v2 has run nothing in a region for a while; fails later than `limit` from now.
+    fn wait_no_work(&self, region: &str, limit: Duration) {
+        let mut last = (self.fleet.runs(region), Instant::now());
+        wait_for("no work for the bad version", limit + SILENCE, || {
+            let runs = self.fleet.runs(region);
+            if runs != last.0 {
+                last = (runs, Instant::now());
+            }
+            last.1.elapsed() > SILENCE
+        });
+    }
+
+    fn wait_phase(&self, phase: MovePhase) {
+        wait_for("end of the move", PATIENCE, || {
+            self.fleet.read_move().phase == phase
+        });
+    }
+}
+
+#[test]
+fn bad_version_gets_no_work_on_either_side_of_a_cut() {
+    let world = CutWorld::start(90);
+    world.fleet.set_cut(true);
+    let before = [NORTH, SOUTH].map(|region| world.fleet.runs(region));
+    wait_for("work in both regions, cut", PATIENCE, || {
+        world.fleet.runs(NORTH) > before[0] && world.fleet.runs(SOUTH) > before[1]
+    });
+    world.fleet.spoil(NORTH);
+    world.fleet.spoil(SOUTH);
+    let start = Instant::now();
+    world.wait_no_work(NORTH, REACTION);
+    world.wait_no_work(SOUTH, REACTION.saturating_sub(start.elapsed()));
+    println!(
+        "no work on either side after {:?}",
+        start.elapsed() - SILENCE
+    );
+    world.fleet.set_cut(false);
+    world.wait_phase(MovePhase::TakenBack);
+}
+
+#[test]
+fn fault_that_shows_only_beyond_a_cut_takes_the_move_back_after_it() {
+    let world = CutWorld::start(90);
+    world.fleet.set_cut(true);
+    world.fleet.spoil(SOUTH);
+    let start = Instant::now();
+    world.wait_no_work(SOUTH, REACTION);
+    println!("no work in the south after {:?}", start.elapsed() - SILENCE);
+    let phase = world.fleet.read_move().phase;
+    assert!(!phase.is_ended(), "the north has seen no fault: {phase:?}");
+    world.fleet.set_cut(false);
+    world.wait_phase(MovePhase::TakenBack);
+}
+
+#[test]
+fn good_version_is_done_after_a_cut_and_not_before_its_end() {
+    let world = CutWorld::start(40);
+    world.fleet.set_cut(true);
+    let start = Instant::now();
+    let mut highest = 0;
+    wait_for("the cut lasts", CUT_TIME + PATIENCE, || {
+        let record = world.fleet.read_move();
+        assert!(
+            !record.phase.is_ended(),
+            "{:?} said {:?} into the cut: {}",
+            record.phase,
+            start.elapsed(),
+            record.reason
+        );
+        highest = highest.max(record.share.bookings);
+        start.elapsed() > CUT_TIME
+    });
+    println!("{highest}% of bookings at the end of the cut");
+    world.fleet.set_cut(false);
+    wait_for("end of the move", PATIENCE, || {
+        world.fleet.read_move().phase.is_ended()
+    });
+    let record = world.fleet.read_move();
+    assert_eq!(record.phase, MovePhase::Done, "{}", record.reason);
+    let called = world.traffic.iter().all(|own| !own.seen().is_empty());
+    assert!(called, "callers in both regions got answers");
+}
