A planned stop hands moves over at once

Ruled out: counting a leaving daemon as no candidate. It would also cease to judge while it drains.

Change: a leaving daemon still judges and condemns, gives its leases up and takes none. Where it may hold a lease without knowing its row (just taken, or a lost answer) it reads the row first; a member that is no candidate any more did not do so either and left the lease standing.

Conclusion: the process test found the unsettled row, which the decision tests now hold as well.

--- a/coltsfootweir/src/lease.rs
+++ b/coltsfootweir/src/lease.rs
@@ -125,6 +125,12 @@
         !self.stale && holder == Some(&self.own)
     }
 
+    /// Returns whether a write of this member may have taken the lease without its knowledge.
+    #[must_use]
+    pub fn is_unsettled(&self) -> bool {
+        self.stale && self.seen.is_some()
+    }
+
     /// Returns the lines of the row as it was last seen.
     #[must_use]
     pub fn lines(&self) -> &[DecisionLine] {
--- a/coltsfootweir/src/move_work.rs
+++ b/coltsfootweir/src/move_work.rs
@@ -132,13 +132,17 @@
         }
         let verdict = judge(&mut self.pool, input.now);
         self.condemn(record, &verdict, input, actions);
+        if input.is_leaving {
+            self.resign(input.now, actions);
+            return;
+        }
         if self.is_busy(input.now) {
             return;
         }
         if self.lease.is_held() && self.decide(record, &verdict, input, actions) {
             return;
         }
-        self.keep_lease(input, actions);
+        self.keep_lease(input.now, actions);
     }
 
     /// Marks the step in force when it changed.
@@ -301,19 +305,19 @@
         });
     }
 
-    fn keep_lease(&mut self, input: &MoverInput<'_>, actions: &mut Vec<MoverAction>) {
+    fn keep_lease(&mut self, now: Duration, actions: &mut Vec<MoverAction>) {
         let move_name = self.move_name.clone();
-        match self.lease.next(input.now) {
+        match self.lease.next(now) {
             LeaseNeed::Nothing => {}
             LeaseNeed::Read => {
                 self.pending = Some(PendingWrite {
-                    since: input.now,
+                    since: now,
                     kind: PendingKind::Read,
                 });
                 actions.push(MoverAction::ReadLease { move_name });
             }
             LeaseNeed::Write(condition, row) => {
-                self.write(move_name, condition, row, input.now, actions);
+                self.write(move_name, condition, row, now, actions);
             }
         }
     }
@@ -339,11 +343,15 @@
         });
     }
 
-    /// Releases the lease; returns whether a write of it is still under way.
+    /// Releases the lease; returns whether an operation on its row is still under way.
     pub(crate) fn resign(&mut self, now: Duration, actions: &mut Vec<MoverAction>) -> bool {
         if self.is_busy(now) {
             return true;
         }
+        if self.lease.is_unsettled() {
+            self.keep_lease(now, actions);
+            return true;
+        }
         let Some((condition, row)) = self.lease.release() else {
             return false;
         };
--- a/coltsfootweir/src/mover.rs
+++ b/coltsfootweir/src/mover.rs
@@ -133,6 +133,8 @@
     pub generation: Generation,
     /// Every condemned version that is known.
     pub condemned: &'a [CondemnedFact],
+    /// Whether this daemon is in a planned stop; it then gives its leases up and takes none.
+    pub is_leaving: bool,
 }
 
 /// Limits of a mover.
--- a/coltsfootweir/src/mover_task.rs
+++ b/coltsfootweir/src/mover_task.rs
@@ -119,6 +119,7 @@
         live_served: &live_served,
         generation: snapshot.generation,
         condemned: &condemned,
+        is_leaving: context.is_leaving(),
     };
     lock(&context.mover).tick(&input)
 }
--- a/coltsfootweir/tests/move_world/mod.rs
+++ b/coltsfootweir/tests/move_world/mod.rs
@@ -45,6 +45,7 @@
     facts: Vec<CondemnedFact>,
     is_candidate: bool,
     is_frozen: bool,
+    is_leaving: bool,
 }
 
 /// A write that is still under way.
@@ -93,6 +94,7 @@
                 facts: Vec::new(),
                 is_candidate: index < 2,
                 is_frozen: false,
+                is_leaving: false,
             });
         }
         world
@@ -102,6 +104,10 @@
         self.movers[mover].is_frozen = is_frozen;
     }
 
+    pub fn set_leaving(&mut self, mover: usize, is_leaving: bool) {
+        self.movers[mover].is_leaving = is_leaving;
+    }
+
     pub fn set_candidate(&mut self, mover: usize, is_candidate: bool) {
         self.movers[mover].is_candidate = is_candidate;
     }
@@ -165,6 +171,7 @@
         }
         for mover in &mut self.movers {
             mover.is_frozen = false;
+            mover.is_leaving = false;
         }
         self.movers[0].is_candidate = true;
         for _ in 0..500 {
@@ -262,6 +269,7 @@
             live_served: &live_served,
             generation: generation as u64 + 1,
             condemned: &mover.facts,
+            is_leaving: mover.is_leaving,
         });
         for action in actions {
             self.act(index, action);
--- a/coltsfootweir/tests/mover_machine.rs
+++ b/coltsfootweir/tests/mover_machine.rs
@@ -17,6 +17,9 @@
 
 const MOVERS: usize = 3;
 
+/// Seconds in which another member takes the lease of one that leaves: a tick, and a read of the row.
+const HANDOVER: u32 = 4;
+
 /// What happens next in the world.
 #[derive(Clone, Debug)]
 enum WorldEvent {
@@ -24,6 +27,7 @@
     Store(StoreMode),
     LandLate,
     Freeze { mover: usize, is_frozen: bool },
+    Leave { mover: usize, is_leaving: bool },
     Candidate { mover: usize, is_candidate: bool },
     Fail { service: usize, fails: bool },
 }
@@ -53,6 +57,8 @@
             2 => Just(WorldEvent::LandLate),
             2 => (0..MOVERS, any::<bool>())
                 .prop_map(|(mover, is_frozen)| WorldEvent::Freeze { mover, is_frozen }),
+            1 => (0..MOVERS, any::<bool>())
+                .prop_map(|(mover, is_leaving)| WorldEvent::Leave { mover, is_leaving }),
             1 => (0..MOVERS, any::<bool>())
                 .prop_map(|(mover, is_candidate)| WorldEvent::Candidate { mover, is_candidate }),
             1 => (0..2_usize, proptest::bool::weighted(0.3))
@@ -86,6 +92,7 @@
                 world.land_late();
             }
             WorldEvent::Freeze { mover, is_frozen } => world.set_frozen(mover, is_frozen),
+            WorldEvent::Leave { mover, is_leaving } => world.set_leaving(mover, is_leaving),
             WorldEvent::Candidate {
                 mover,
                 is_candidate,
@@ -129,6 +136,50 @@
     world.settle();
 }
 
+#[test]
+fn member_that_leaves_hands_its_lease_over_at_once() {
+    let mut world = MoveWorld::new(MOVERS);
+    pass(&mut world, 10);
+    let holder = world.holder().expect("a holder after ten seconds");
+    world.set_leaving(holder, true);
+    pass(&mut world, HANDOVER);
+    let next = world.holder().expect("a holder after the handover");
+    assert_ne!(next, holder);
+    pass(&mut world, 30);
+    assert_eq!(
+        world.holder(),
+        Some(next),
+        "the leaving member takes no lease"
+    );
+    world.settle();
+}
+
+#[test]
+fn member_that_leaves_right_after_taking_its_lease_hands_it_over() {
+    let mut world = MoveWorld::new(MOVERS);
+    while world.holder().is_none() {
+        pass(&mut world, 1);
+    }
+    let holder = world.holder().expect("a holder");
+    world.set_leaving(holder, true);
+    // The row is read once before it is released.
+    pass(&mut world, HANDOVER + 1);
+    assert!(world.holder().is_some_and(|next| next != holder));
+    world.settle();
+}
+
+#[test]
+fn member_that_leaves_still_condemns() {
+    let mut world = MoveWorld::new(MOVERS);
+    pass(&mut world, 40);
+    world.set_candidate(1, false);
+    world.set_leaving(0, true);
+    world.set_fails(0, true);
+    pass(&mut world, 20);
+    assert!(world.is_condemned(0), "the fault is seen while it leaves");
+    world.settle();
+}
+
 #[test]
 fn bad_version_is_condemned_while_the_store_is_down() {
     let mut world = MoveWorld::new(MOVERS);
--- a/programs/tests/common/region_fleet.rs
+++ b/programs/tests/common/region_fleet.rs
@@ -14,6 +14,9 @@
 use coltsfootweir::daemon::MeshDaemon;
 use coltsfootweir::dialer::PeerDialer;
 use coltsfootweir::http_platform::HttpPlatform;
+use coltsfootweir::ids::MemberId;
+use coltsfootweir::lease::LeaseRow;
+use coltsfootweir::mover::lease_key;
 use coltsfootweir::platform::CommitOutcome;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
@@ -221,6 +224,14 @@
         });
     }
 
+    /// The member that holds the lease of the move.
+    pub fn lease_holder(&self) -> Option<MemberId> {
+        let store = HttpPlatform::new(self.platform.address(), PLATFORM_TIMEOUT);
+        let row = store.read_row(&lease_key("stalls-v2")).ok()??;
+        let row: LeaseRow = serde_json::from_str(&row.value).ok()?;
+        row.holder
+    }
+
     /// The move as accepted.
     pub fn read_move(&self) -> MoveRecord {
         let store = HttpPlatform::new(self.platform.address(), PLATFORM_TIMEOUT);
--- a/programs/tests/moves_region_cut.rs
+++ b/programs/tests/moves_region_cut.rs
@@ -52,7 +52,8 @@
         world
     }
 
-    /// Waits until v2 has run nothing in a region for a while; fails later than `limit` from now.
+    /// Waits until v2 has run nothing in a region for a while and every daemon there holds it
+    /// condemned; fails later than `limit` from now.
     fn wait_no_work(&self, region: &str, limit: Duration) {
         let mut last = (self.fleet.runs(region), Instant::now());
         wait_for("no work for the bad version", limit + SILENCE, || {
@@ -62,6 +63,14 @@
             }
             last.1.elapsed() > SILENCE
         });
+        wait_for("every daemon holds it condemned", limit, || {
+            let mut own = self
+                .fleet
+                .endpoints
+                .iter()
+                .filter(|own| own.region == region);
+            own.all(|own| !own.daemon.status().condemned.is_empty())
+        });
     }
 
     fn wait_phase(&self, phase: MovePhase) {
