--- a/programs/src/demo.rs
+++ b/programs/src/demo.rs
@@ -1,23 +1,30 @@
 //! `demo`: two regions of daemons and upstreams as tasks of this process, a good move and a bad one.
 
-use std::net::SocketAddr;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
-use coltsfootweir::accept::fetch_snapshot;
-use coltsfootweir::accept::read_head;
-use coltsfootweir::record::ConfigRecord;
+use coltsfootweir::ids::Generation;
+use coltsfootweir::platform::PlatformStore;
 use coltsfootweir::record::MovePhase;
 use coltsfootweir::record::MoveRecord;
 use coltsfootweir::schema::parse_records;
+use serde_json::json;
 
+use crate::accepted::read_accepted;
 use crate::apply::accept_records;
-use crate::apply::open_store;
 use crate::demo_fleet::DemoFleet;
 use crate::demo_traffic::DemoTraffic;
 use crate::failure::CommandFailure;
-use crate::failure::CommandResult;
+use crate::failure::InputFault;
+use crate::output::CommandOutput;
+use crate::output::CommandResult;
+use crate::output::print_text;
+use crate::patient_store::PatientStore;
+
+/// Time a platform operation may take.
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time in which the fleet must serve its first configuration.
 const START_LIMIT: Duration = Duration::from_secs(15);
@@ -46,52 +53,55 @@
 /// Runs the demo and tells what happened.
 ///
 /// # Errors
-/// [`CommandFailure::TimedOut`] when something did not happen in time, [`CommandFailure::Refused`]
-/// when it ended otherwise than expected.
+/// [`CommandFailure::Unavailable`] when something did not happen in time,
+/// [`CommandFailure::Refused`] when it ended otherwise than expected.
 pub fn run_demo() -> CommandResult {
     let start = Instant::now();
-    let say = |text: &str| println!("{:5.1} s  {text}", start.elapsed().as_secs_f64());
+    let say = |text: &str| {
+        print_text(&format!(
+            "{:5.1} s  {text}\n",
+            start.elapsed().as_secs_f64()
+        ));
+    };
     let mut fleet = DemoFleet::start()?;
     say("platform, 8 daemons and 8 upstreams run in 2 regions");
-    let platform = fleet.platform_address();
-    let generation = accept(platform, RECORDS)?;
+    let store = PatientStore::new(fleet.platform_address(), STORE_TIMEOUT);
+    let generation = accept(&store, RECORDS)?;
     fleet.wait_generation(generation, START_LIMIT)?;
     say("generation 1 is in force on every daemon");
     let traffic = DemoTraffic::start(fleet.call_addresses());
-    run_move(platform, "to-v2", "v1", "v2", MovePhase::Done)?;
+    run_move(&store, "to-v2", "v1", "v2", MovePhase::Done)?;
     say("move to-v2: done");
     fleet.spoil_version("v3");
-    let reason = run_move(platform, "to-v3", "v2", "v3", MovePhase::TakenBack)?;
+    let reason = run_move(&store, "to-v3", "v2", "v3", MovePhase::TakenBack)?;
     say(&format!("move to-v3: taken back: {reason}"));
     let tally = traffic.stop();
     let runs = fleet.count_runs();
     fleet.stop();
     say("every daemon stopped");
-    Ok(format!("{tally}{runs}"))
-}
-
-fn accept(platform: SocketAddr, text: &str) -> Result<u64, CommandFailure> {
-    let records = parse(text)?;
-    Ok(accept_records(platform, &records)?.generation)
+    Ok(CommandOutput::new(
+        format!("{tally}{runs}"),
+        json!({"callers": tally, "runs": runs}),
+    ))
 }
 
-fn parse(text: &str) -> Result<Vec<ConfigRecord>, CommandFailure> {
-    parse_records(text, SystemTime::now()).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        CommandFailure::Refused(lines.join("\n  ").into())
-    })
+fn accept(store: &dyn PlatformStore, text: &str) -> Result<Generation, CommandFailure> {
+    let records = parse_records(text, SystemTime::now()).map_err(|faults| {
+        CommandFailure::Refused(faults.into_iter().map(InputFault::from).collect())
+    })?;
+    Ok(accept_records(store, &records)?.generation)
 }
 
 /// Writes a move and waits for its end; returns the reason given.
 fn run_move(
-    platform: SocketAddr,
+    store: &dyn PlatformStore,
     name: &str,
     from: &str,
     to: &str,
     expected: MovePhase,
 ) -> Result<Box<str>, CommandFailure> {
     accept(
-        platform,
+        store,
         &format!(
             r#"{{"kind": "move", "schema": 2, "name": "{name}", "service": "stalls",
                 "from": "{from}", "to": "{to}", "done_in_seconds": {MOVE_SECONDS}}}"#
@@ -100,34 +110,35 @@
     let start = Instant::now();
     let mut shown = None;
     while start.elapsed() < MOVE_LIMIT {
-        std::thread::sleep(LOOK_INTERVAL);
-        let record = read_move(platform, name)?;
+        thread::sleep(LOOK_INTERVAL);
+        let record = read_move(store, name)?;
         if shown != Some(record.share) {
-            let share = record.share;
-            println!(
-                "         {name}: {} {}% of checks, {}% of bookings",
-                to, share.checks, share.bookings
-            );
-            shown = Some(share);
+            print_text(&share_line(&record));
+            shown = Some(record.share);
         }
         if record.phase == expected {
             return Ok(record.reason);
         }
         if record.phase.is_ended() {
             let text = format!("move {name} ended otherwise: {}", record.reason);
-            return Err(CommandFailure::Refused(text.into()));
+            return Err(CommandFailure::refused(text));
         }
     }
-    Err(CommandFailure::TimedOut(
-        format!("move {name} did not end").into(),
+    Err(CommandFailure::Unavailable(
+        format!("move {name} did not end in time").into(),
     ))
 }
 
-fn read_move(platform: SocketAddr, name: &str) -> Result<MoveRecord, CommandFailure> {
-    let store = open_store(platform);
-    let unavailable = |error: String| CommandFailure::Unavailable(error.into());
-    let mark = read_head(&store).map_err(|error| unavailable(error.to_string()))?;
-    let snapshot = fetch_snapshot(&store, &mark).map_err(|error| unavailable(error.to_string()))?;
+fn share_line(record: &MoveRecord) -> String {
+    let share = record.share;
+    format!(
+        "         {}: {} has {}% of checks, {}% of bookings\n",
+        record.name, record.to, share.checks, share.bookings
+    )
+}
+
+fn read_move(store: &dyn PlatformStore, name: &str) -> Result<MoveRecord, CommandFailure> {
+    let snapshot = read_accepted(store)?;
     let record = snapshot.moves.get(name).cloned();
-    record.ok_or_else(|| unavailable(format!("move {name} is not accepted")))
+    record.ok_or_else(|| CommandFailure::refused(format!("move {name} is not accepted")))
 }
--- a/programs/src/demo_fleet.rs
+++ b/programs/src/demo_fleet.rs
@@ -82,7 +82,7 @@
     /// Waits until every daemon serves `generation` and knows every endpoint.
     ///
     /// # Errors
-    /// [`CommandFailure::TimedOut`].
+    /// [`CommandFailure::Unavailable`] after `limit`.
     pub fn wait_generation(&self, generation: u64, limit: Duration) -> Result<(), CommandFailure> {
         let start = Instant::now();
         while !self
@@ -91,7 +91,9 @@
             .all(|daemon| self.is_ready(daemon, generation))
         {
             if start.elapsed() > limit {
-                return Err(CommandFailure::TimedOut("not every daemon is ready".into()));
+                return Err(CommandFailure::Unavailable(
+                    "not every daemon is ready".into(),
+                ));
             }
             thread::sleep(LOOK_INTERVAL);
         }
@@ -173,7 +175,7 @@
         drain_limit: "10s".into(),
         queue_limit: "18".into(),
         read_timeout: "5s".into(),
-        move_dwell: "1500ms".into(),
-        move_settle: "4s".into(),
+        move_dwell: "900ms".into(),
+        move_settle: "3s".into(),
     }
 }
