--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -1,7 +1,28 @@
 //! Configuration distribution for a service mesh.
 //!
 //! One daemon stands beside each upstream VM. Together the daemons route calls, guard the upstreams
-//! and carry out moves of traffic from one upstream version to another.
+//! and carry out moves of traffic from one upstream version to another. [`MeshDaemon`] is a whole
+//! daemon; the modules below it hold its decisions, which are pure and driven by tests as well.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::SystemTime;
+//!
+//! use coltsfootweir::ConfigSnapshot;
+//! use coltsfootweir::RouteTable;
+//! use coltsfootweir::parse_records;
+//!
+//! let text = r#"[
+//!   {"kind": "upstream-version", "schema": 1, "service": "stalls", "version": "v1", "share": 100},
+//!   {"kind": "route", "schema": 1, "name": "free", "service": "stalls", "prefix": "/stalls",
+//!    "class": "check", "timeout_ms": 2000}
+//! ]"#;
+//! let records = parse_records(text, SystemTime::now()).expect("records are well formed");
+//! let snapshot = ConfigSnapshot::default().with_records(records).expect("references resolve");
+//! let table = RouteTable::compile(&snapshot).expect("the snapshot is closed");
+//! assert_eq!(&*table.find("/stalls/free").expect("a route").name, "free");
+//! ```
 
 pub mod accept;
 pub mod announce;
@@ -66,8 +87,8 @@
 pub mod peer_lists;
 pub mod platform;
 pub mod poison;
-pub mod quiet_slices;
 pub mod pull_message;
+pub mod quiet_slices;
 pub mod rank;
 pub mod record;
 pub mod record_fault;
@@ -97,3 +118,13 @@
 pub mod verdict;
 pub mod verdict_rules;
 pub mod view;
+
+pub use crate::accept::accept_change;
+pub use crate::daemon::MeshDaemon;
+pub use crate::http_platform::HttpPlatform;
+pub use crate::platform::PlatformStore;
+pub use crate::route_table::RouteTable;
+pub use crate::schema::parse_records;
+pub use crate::settings::DaemonArgs;
+pub use crate::settings::DaemonSettings;
+pub use crate::snapshot::ConfigSnapshot;
