A crash is seen when the listener outlives the connections

After a broken answer the daemon probed by a connect; while the dying process still held its listener that succeeded, so the crash counted as one failed call. Ruled out: an old crash that shares a fingerprint (distinct causes add up as the common request completes); poison refusals (they count no call). Change: the probe connection must also stay open for 50 ms.

--- a/coltsfootweir/src/guard_call.rs
+++ b/coltsfootweir/src/guard_call.rs
@@ -45,6 +45,9 @@
 /// Time a connection attempt to an upstream that broke a connection may take.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which a new connection must stay open to show that the upstream lives.
+const CRASH_WATCH_TIME: Duration = Duration::from_millis(50);
+
 /// Runs a call at the own upstream.
 pub(crate) async fn run_guarded(
     context: &Arc<DaemonContext>,
@@ -339,10 +342,22 @@
     lock(&context.recorder).on_call(&route.name, route.class, failed, latency);
 }
 
+/// Returns whether a new connection to the upstream is made and stays open for a while. The listener of
+/// a process that ends can outlive its connections, and takes a connection that is reset soon after.
+async fn is_alive(address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    let Ok(Ok(stream)) = tokio::time::timeout(CRASH_PROBE_TIMEOUT, connecting).await else {
+        return false;
+    };
+    let mut byte = [0];
+    tokio::time::timeout(CRASH_WATCH_TIME, stream.peek(&mut byte))
+        .await
+        .is_err()
+}
+
 /// Finds out whether the upstream crashed, and spreads it when it did.
 async fn note_if_crashed(context: &Arc<DaemonContext>, address: SocketAddr) -> bool {
-    let probe = TcpStream::connect(address);
-    if let Ok(Ok(_)) = tokio::time::timeout(CRASH_PROBE_TIMEOUT, probe).await {
+    if is_alive(address).await {
         return false;
     }
     context.upstream.pool.forget(address);
