One comparison serves the failure and the slowness rule

Cause: both rules ended in the same lines: compare, describe, make a finding. Change: find_difference; no verdict, text or bound changes. Result: verdict_rates 28 of 28 and evidence_merge 2 of 2 pass; fmt, style and clippy of the crate are clean. The whole suite was not run again.

--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -61,13 +61,7 @@
             tolerance: FAILURE_TOLERANCE,
             quiet,
         };
-        let result = compare(view, &measure)?;
-        let seen = figures(view, &result, &measure);
-        Some(VerdictFinding {
-            rule: self.name(),
-            strength: result.strength,
-            seen: format!("failed calls, {seen}").into(),
-        })
+        find_difference(self.name(), "failed calls", view, &measure)
     }
 }
 
@@ -90,18 +84,28 @@
             tolerance: SLOW_TOLERANCE,
             quiet,
         };
-        let result = compare(view, &measure)?;
-        let seen = figures(view, &result, &measure);
-        Some(VerdictFinding {
-            rule: self.name(),
-            strength: result.strength,
-            seen: format!("slow calls, {seen}").into(),
-        })
+        find_difference(self.name(), "slow calls", view, &measure)
     }
 }
 
 inventory::submit! { VerdictPlugin { rule: &SlownessRule } }
 
+/// Compares both versions by a measure and tells what was seen.
+fn find_difference(
+    rule: &'static str,
+    label: &str,
+    view: &PoolView,
+    measure: &BadMeasure,
+) -> Option<VerdictFinding> {
+    let result = compare(view, measure)?;
+    let seen = figures(view, &result, measure);
+    Some(VerdictFinding {
+        rule,
+        strength: result.strength,
+        seen: format!("{label}, {seen}").into(),
+    })
+}
+
 /// Returns the slow calls of each route whose old latency is known.
 fn slow_calls(view: &PoolView) -> Vec<Option<BadCalls>> {
     let mut calls = Vec::new();
