Test ports are held from choice to the end of the test

`free_address` bound a port of 10000..30000, gave it up and named it; it took for granted that the system hands out none of these by itself, which holds on one machine and not on another. Ruled out: two tests of one process naming the same port (one counter serves all). Change: `free_address` keeps the stand-ins' `PortHolder` (bound, never listening) for the life of the test's process, so that no connection or listener is given the port, while a daemon may listen on it again and again. The fleet of the call proofs takes its control addresses there too; before, a restart bound a port that had been free for a moment.

--- a/programs/tests/common/fleet.rs
+++ b/programs/tests/common/fleet.rs
@@ -23,6 +23,7 @@
 use super::caller::CallSpec;
 use super::caller::WholeAnswer;
 use super::caller::call_once;
+use super::free_address;
 use super::read_status;
 use super::start_daemon;
 use super::start_platform;
@@ -56,7 +57,7 @@
         let mut fleet = TestFleet::empty();
         fleet.upstream_flags = upstream_flags.iter().map(ToString::to_string).collect();
         for _ in 0..count {
-            let daemon = start_daemon(&fleet.daemon_spec("127.0.0.1:0"));
+            let daemon = start_daemon(&fleet.daemon_spec(free_address()));
             let upstream = start_upstream_with(daemon.control, &fleet.upstream_flags);
             fleet.daemons.push(daemon);
             fleet.upstreams.push(upstream);
@@ -69,7 +70,7 @@
     pub fn start_logged(count: usize, settings: &UpstreamSettings) -> TestFleet {
         let mut fleet = TestFleet::empty();
         for _ in 0..count {
-            let daemon = start_daemon(&fleet.daemon_spec("127.0.0.1:0"));
+            let daemon = start_daemon(&fleet.daemon_spec(free_address()));
             let mut settings = settings.clone();
             settings.daemon = Some(daemon.control);
             let server = UpstreamServer::start(settings).expect("upstream starts");
@@ -95,9 +96,9 @@
         self
     }
 
-    fn daemon_spec(&self, control: &str) -> DaemonSpec {
+    fn daemon_spec(&self, control: SocketAddr) -> DaemonSpec {
         let mut spec = DaemonSpec::new(self.platform.address, "north", "zaandam");
-        spec.control = control.into();
+        spec.control = control.to_string();
         spec.seeds = self.daemons.iter().map(|daemon| daemon.control).collect();
         spec
     }
@@ -124,9 +125,9 @@
     /// Kills a daemon and starts it again at the same control address; its upstream stays.
     pub fn restart_daemon(&mut self, index: usize) {
         self.daemons[index].process.kill();
-        let control = self.daemons[index].control.to_string();
-        let mut spec = self.daemon_spec(&control);
-        spec.seeds.retain(|seed| seed.to_string() != control);
+        let control = self.daemons[index].control;
+        let mut spec = self.daemon_spec(control);
+        spec.seeds.retain(|seed| *seed != control);
         self.daemons[index] = start_daemon(&spec);
     }
 
--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -17,10 +17,12 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use coltsfootweir::reports::DaemonStatus;
+use standins::port_holder::PortHolder;
 
 /// Longest time any condition of a test may take.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -276,21 +278,13 @@
     })
 }
 
-/// Ports that the operating system gives to no socket by itself.
-const FIXED_PORTS: std::ops::Range<u16> = 10_000..30_000;
-
-/// A loopback address that nothing listens on and that stays free while its daemon is down.
+/// A loopback address that nothing listens on and that no other socket is given while the test's
+/// process lives; a daemon may listen on it.
 pub fn free_address() -> SocketAddr {
-    use std::sync::atomic::AtomicU32;
-    use std::sync::atomic::Ordering;
-    static TAKEN: AtomicU32 = AtomicU32::new(0);
-    let span = u32::from(FIXED_PORTS.end - FIXED_PORTS.start);
-    let first = std::process::id().wrapping_mul(64);
-    loop {
-        let number = first.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed)) % span;
-        let port = FIXED_PORTS.start + u16::try_from(number).expect("a port");
-        if let Ok(listener) = std::net::TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("its address");
-        }
-    }
+    static HELD: Mutex<Vec<PortHolder>> = Mutex::new(Vec::new());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let holder = PortHolder::bind(any).expect("a port is free");
+    let address = holder.address();
+    HELD.lock().expect("ports are held").push(holder);
+    address
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod millis;
 pub mod platform_faults;
 pub mod platform_server;
-mod port_holder;
+pub mod port_holder;
 pub mod relay;
 mod relay_pump;
 pub mod run_log;
