--- a/coltsfootweir/src/config_pull.rs
+++ b/coltsfootweir/src/config_pull.rs
@@ -16,6 +16,7 @@
 use crate::context::DaemonContext;
 use crate::context::lock;
 use crate::control_client::ExchangeRoute;
+use crate::ids::Generation;
 use crate::link::LinkCause;
 use crate::logging::CONFIG;
 use crate::pull_message::PULL_PATH;
@@ -38,6 +39,8 @@
     failed_rounds: usize,
     /// When the first of them began, or when the store was last asked instead.
     failing_since: Option<Duration>,
+    /// Generation whose format this build does not know, and when it was found so.
+    unknown: Option<(Generation, Duration)>,
 }
 
 impl PullSchedule {
@@ -49,6 +52,13 @@
         }
     }
 
+    /// Returns whether asking for the generation has to wait: no peer gives it in another format.
+    fn is_paused(&self, generation: Generation, now: Duration) -> bool {
+        self.unknown.is_some_and(|(unknown, found)| {
+            unknown == generation && now.saturating_sub(found) < STORE_FALLBACK
+        })
+    }
+
     /// Notes a round without an answer; returns whether the store is to be asked instead.
     fn on_failure(&mut self, now: Duration) -> bool {
         self.failed_rounds += 1;
@@ -68,6 +78,9 @@
         *pulls = PullSchedule::default();
         return;
     };
+    if pulls.is_paused(mark.generation, context.now()) {
+        return;
+    }
     pulls.order(&mut holders);
     for holder in holders.iter().take(HOLDERS_ASKED) {
         if pull_from(context, *holder, &mark) {
@@ -79,6 +92,15 @@
     if is_fallback || reads_store(context) {
         fetch_from_store(context, &mark);
     }
+    if has_unknown_format(context, mark.generation) {
+        pulls.unknown = Some((mark.generation, context.now()));
+    }
+}
+
+fn has_unknown_format(context: &DaemonContext, generation: Generation) -> bool {
+    lock(&context.config).refused().is_some_and(|refused| {
+        refused.generation == generation && matches!(refused.error, SnapshotError::UnknownFormat(_))
+    })
 }
 
 /// Asks a peer for the head `wanted`; returns whether the daemon is up to date with it.
--- a/coltsfootweir/src/config_state.rs
+++ b/coltsfootweir/src/config_state.rs
@@ -26,6 +26,15 @@
     Older,
 }
 
+/// A higher generation that was offered and refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RefusedOffer {
+    /// Its generation.
+    pub generation: Generation,
+    /// Why it was refused.
+    pub error: SnapshotError,
+}
+
 /// Configuration in force, and the floor below which a daemon takes no calls.
 #[derive(Debug, Default)]
 pub struct ConfigState {
@@ -35,6 +44,7 @@
     floor: Generation,
     floor_settled: bool,
     earlier: VecDeque<(HeadMark, Arc<ConfigSnapshot>)>,
+    refused: Option<RefusedOffer>,
 }
 
 impl ConfigState {
@@ -83,8 +93,9 @@
         if let Some(outcome) = self.compare(mark)? {
             return Ok(outcome);
         }
-        let snapshot = ConfigSnapshot::decode(bytes, mark)?;
-        self.apply(snapshot, mark)
+        let applied =
+            ConfigSnapshot::decode(bytes, mark).and_then(|snapshot| self.apply(snapshot, mark));
+        self.note_refusal(mark, applied)
     }
 
     /// Offers an encoded delta that leads to `mark`.
@@ -100,6 +111,37 @@
         if let Some(outcome) = self.compare(mark)? {
             return Ok(outcome);
         }
+        let applied = self.apply_delta(bytes, mark);
+        self.note_refusal(mark, applied)
+    }
+
+    /// Returns the last offer refused, while its generation is above the one in force.
+    #[must_use]
+    pub fn refused(&self) -> Option<&RefusedOffer> {
+        self.refused
+            .as_ref()
+            .filter(|refused| refused.generation > self.mark.generation)
+    }
+
+    fn note_refusal(
+        &mut self,
+        mark: &HeadMark,
+        applied: Result<OfferOutcome, SnapshotError>,
+    ) -> Result<OfferOutcome, SnapshotError> {
+        if let Err(error) = &applied {
+            self.refused = Some(RefusedOffer {
+                generation: mark.generation,
+                error: error.clone(),
+            });
+        }
+        applied
+    }
+
+    fn apply_delta(
+        &mut self,
+        bytes: &[u8],
+        mark: &HeadMark,
+    ) -> Result<OfferOutcome, SnapshotError> {
         let delta = SnapshotDelta::decode(bytes)?;
         if delta.result.generation != mark.generation {
             let found = delta.result.generation;
--- a/coltsfootweir/src/config_task.rs
+++ b/coltsfootweir/src/config_task.rs
@@ -21,6 +21,7 @@
 use crate::kernel::StopSignal;
 use crate::kernel::TaskPlugin;
 use crate::logging::CONFIG;
+use crate::message_format::decode_message;
 use crate::pull_message::EncodedBytes;
 use crate::pull_message::PULL_PATH;
 use crate::pull_message::PullAnswer;
@@ -46,7 +47,7 @@
     }
 
     fn answer(&self, context: &Arc<DaemonContext>, body: &[u8]) -> ControlAnswer {
-        let request: PullRequest = match rmp_serde::from_slice(body) {
+        let request: PullRequest = match decode_message(body) {
             Ok(request) => request,
             Err(error) => return ControlAnswer::BadRequest(error.to_string().into()),
         };
--- a/coltsfootweir/src/control_client.rs
+++ b/coltsfootweir/src/control_client.rs
@@ -13,6 +13,8 @@
 use crate::dialer::PeerDialer;
 use crate::link::LinkCause;
 use crate::link::LinkMeter;
+use crate::message_format::decode_message;
+use crate::message_format::encode_message;
 
 /// Time one exchange may take, in seconds.
 const EXCHANGE_TIMEOUT_SECONDS: u64 = 2;
@@ -97,7 +99,7 @@
         let Some(address) = self.dialer.dial(route.peer) else {
             bail!(ControlError::NoAnswer);
         };
-        let body = rmp_serde::to_vec(message).change_context(ControlError::BadMessage)?;
+        let body = encode_message(message).change_context(ControlError::BadMessage)?;
         let sent = body.len();
         let response = minreq::post(format!("http://{address}{path}"))
             .with_header("Connection", "close")
@@ -122,5 +124,5 @@
     if response.status_code != 200 {
         bail!(ControlError::Refused);
     }
-    rmp_serde::from_slice(response.as_bytes()).change_context(ControlError::BadMessage)
+    decode_message(response.as_bytes()).change_context(ControlError::BadMessage)
 }
--- a/coltsfootweir/src/control_server.rs
+++ b/coltsfootweir/src/control_server.rs
@@ -23,6 +23,7 @@
 use crate::kernel::StopSignal;
 use crate::kernel::TaskPlugin;
 use crate::logging::DAEMON;
+use crate::message_format::encode_message;
 
 /// Longest body taken, in bytes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
@@ -56,7 +57,7 @@
 impl ControlAnswer {
     /// Encodes a message for a daemon.
     pub fn message(message: &impl Serialize) -> ControlAnswer {
-        match rmp_serde::to_vec(message) {
+        match encode_message(message) {
             Ok(body) => ControlAnswer::Message(body),
             Err(error) => ControlAnswer::BadRequest(error.to_string().into()),
         }
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -21,6 +21,7 @@
 use crate::kernel::TaskPlugin;
 use crate::link::LinkCause;
 use crate::logging::MEMBERS;
+use crate::message_format::decode_message;
 
 /// Path of gossip exchanges.
 const GOSSIP_PATH: &str = "/gossip";
@@ -117,7 +118,7 @@
     }
 
     fn answer(&self, context: &Arc<DaemonContext>, body: &[u8]) -> ControlAnswer {
-        let message: GossipMessage = match rmp_serde::from_slice(body) {
+        let message: GossipMessage = match decode_message(body) {
             Ok(message) => message,
             Err(error) => return ControlAnswer::BadRequest(error.to_string().into()),
         };
--- a/coltsfootweir/src/offer.rs
+++ b/coltsfootweir/src/offer.rs
@@ -11,6 +11,8 @@
 use crate::control_server::ControlAnswer;
 use crate::control_server::ControlHandler;
 use crate::control_server::HandlerPlugin;
+use crate::message_format::decode_message;
+use crate::message_format::encode_message;
 use crate::snapshot::ConfigSnapshot;
 use crate::snapshot::HeadMark;
 
@@ -40,7 +42,7 @@
     /// Never: numbers, text and bytes encode.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec(self).expect("an offer encodes")
+        encode_message(self).expect("an offer encodes")
     }
 }
 
@@ -54,7 +56,7 @@
     }
 
     fn answer(&self, context: &Arc<DaemonContext>, body: &[u8]) -> ControlAnswer {
-        let offer: AcceptedOffer = match rmp_serde::from_slice(body) {
+        let offer: AcceptedOffer = match decode_message(body) {
             Ok(offer) => offer,
             Err(error) => return ControlAnswer::BadRequest(error.to_string().into()),
         };
--- a/coltsfootweir/src/reports.rs
+++ b/coltsfootweir/src/reports.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config_state::RefusedOffer;
 use crate::context::DaemonContext;
 use crate::context::lock;
 use crate::control_server::ControlAnswer;
@@ -46,6 +47,9 @@
     /// Regions that nothing was heard of lately; empty from a daemon that does not tell.
     #[serde(default)]
     pub unreachable: BTreeSet<RegionName>,
+    /// Higher generation that the daemon was offered last and refused, with the reason.
+    #[serde(default)]
+    pub refused: Option<Box<str>>,
     /// Versions found bad.
     pub condemned: Vec<CondemnedFact>,
 }
@@ -84,6 +88,7 @@
         let config = lock(&self.config);
         let (generation, floor) = (config.mark().generation, config.floor());
         let is_serving = config.is_serving();
+        let refused = config.refused().map(describe_refusal);
         drop(config);
         let gossip = lock(&self.gossip);
         DaemonStatus {
@@ -99,11 +104,20 @@
                 .load(std::sync::atomic::Ordering::Relaxed),
             members: gossip.view().entries().cloned().collect(),
             unreachable: unreachable_regions(&gossip, self.now()),
+            refused,
             condemned: gossip.condemned().cloned().collect(),
         }
     }
 }
 
+fn describe_refusal(refused: &RefusedOffer) -> Box<str> {
+    format!(
+        "generation {} refused: {}",
+        refused.generation, refused.error
+    )
+    .into()
+}
+
 fn unreachable_regions(gossip: &GossipState, now: Duration) -> BTreeSet<RegionName> {
     let mut regions = BTreeSet::new();
     for entry in gossip.view().entries() {
--- a/coltsfootweir/src/snapshot.rs
+++ b/coltsfootweir/src/snapshot.rs
@@ -25,6 +25,10 @@
 use crate::record_fault::write_faults;
 pub use crate::snapshot_delta::SnapshotDelta;
 
+/// Format of encoded snapshots and deltas, the first byte of each. It rises with every change of their
+/// encoding; `tests/snapshot_format.rs` holds the bytes of the present one.
+pub const SNAPSHOT_FORMAT: u8 = 1;
+
 /// Every record of one generation.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigSnapshot {
@@ -43,6 +47,8 @@
 pub enum SnapshotError {
     /// The bytes end too early.
     Truncated,
+    /// The format is one that this build does not know.
+    UnknownFormat(u8),
     /// The bytes are not an encoded snapshot or delta.
     Unreadable(Box<str>),
     /// The digest is not the one in the mark.
@@ -74,6 +80,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             SnapshotError::Truncated => f.write_str("truncated"),
+            SnapshotError::UnknownFormat(format) => write!(
+                f,
+                "format {format} is not known to this build, which reads format {SNAPSHOT_FORMAT}"
+            ),
             SnapshotError::Unreadable(reason) => write!(f, "unreadable: {reason}"),
             SnapshotError::WrongDigest { expected, found } => {
                 write!(f, "wrong digest: expected {expected}, found {found}")
@@ -172,12 +182,19 @@
 
 /// Encodes a value of this module's formats.
 pub(crate) fn encode_value(value: &impl Serialize) -> Vec<u8> {
-    rmp_serde::to_vec(value).expect("records encode")
+    let mut bytes = vec![SNAPSHOT_FORMAT];
+    rmp_serde::encode::write(&mut bytes, value).expect("records encode");
+    bytes
 }
 
 /// Decodes a value of this module's formats.
 pub(crate) fn decode_value<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, SnapshotError> {
-    match rmp_serde::from_slice(bytes) {
+    let body = match bytes.split_first() {
+        Some((&SNAPSHOT_FORMAT, body)) => body,
+        Some((&format, _)) => return Err(SnapshotError::UnknownFormat(format)),
+        None => return Err(SnapshotError::Truncated),
+    };
+    match rmp_serde::from_slice(body) {
         Ok(value) => Ok(value),
         Err(DecodeError::InvalidMarkerRead(error) | DecodeError::InvalidDataRead(error))
             if error.kind() == ErrorKind::UnexpectedEof =>
--- a/coltsfootweir/src/snapshot_delta.rs
+++ b/coltsfootweir/src/snapshot_delta.rs
@@ -69,7 +69,8 @@
     /// Decodes a delta; it is verified when it is applied.
     ///
     /// # Errors
-    /// [`SnapshotError::Truncated`] or [`SnapshotError::Unreadable`].
+    /// [`SnapshotError::Truncated`], [`SnapshotError::UnknownFormat`] or
+    /// [`SnapshotError::Unreadable`].
     pub fn decode(bytes: &[u8]) -> Result<SnapshotDelta, SnapshotError> {
         decode_value(bytes)
     }
--- a/programs/src/status.rs
+++ b/programs/src/status.rs
@@ -88,6 +88,9 @@
     text.push_str(&render_members(status, newest).to_string());
     text.push('\n');
     text.push_str(&render_endpoints(counts).to_string());
+    if let Some(refused) = &status.refused {
+        text.push_str(&format!("{refused}\n"));
+    }
     for region in &status.unreachable {
         text.push_str(&format!("region {region} is unreachable\n"));
     }
--- a/programs/tests/config_peers.rs
+++ b/programs/tests/config_peers.rs
@@ -378,6 +378,12 @@
         let status = daemon.status();
         assert!(status.is_serving && status.generation == 2, "{status:?}");
     }
+    wait_for("the status of who read it names it", LOCAL_TARGET, || {
+        fleet.daemons.iter().any(|daemon| {
+            let refused = daemon.status().refused.unwrap_or_default();
+            refused.starts_with("generation 3 refused: not closed")
+        })
+    });
     let right = other_snapshot(4);
     RouteTable::compile(&right).expect("closed");
     publish(&right);
