--- a/programs/tests/calls_answers.rs
+++ b/programs/tests/calls_answers.rs
@@ -14,15 +14,15 @@
 use standins::relay::RelayMode;
 use standins::relay::TcpRelay;
 
+use common::call_checks::assert_own;
 use common::caller::CallEnd;
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
-use common::fleet::StopOnDrop;
-use common::fleet::TestFleet;
-use common::fleet::assert_own;
-use common::fleet::pause;
-use common::fleet::run_callers;
+use common::caller_threads::StopOnDrop;
+use common::caller_threads::pause;
+use common::caller_threads::run_callers;
+use common::process_fleet::ProcessFleet;
 
 const CALLERS: usize = 24;
 
@@ -67,7 +67,7 @@
 #[test]
 fn crossed_late_and_truncated_answers_reach_no_other_caller() {
     let flags = ["--work-us=8000", "--work-jitter-percent=100", "--seed=7"];
-    let fleet = TestFleet::start(3, &flags);
+    let fleet = ProcessFleet::start_serving(3, &flags);
     fleet.set_upstream_faults(r#"{"truncate_percent": 20}"#);
     let good = run_callers(CALLERS, |caller| {
         call_until(&fleet.calls(), caller, |number| number == 60)
@@ -79,7 +79,7 @@
 #[test]
 fn killed_upstreams_and_daemons_leave_no_short_or_foreign_answer() {
     let flags = ["--work-us=10000", "--work-jitter-percent=100", "--seed=8"];
-    let mut fleet = TestFleet::start(4, &flags);
+    let mut fleet = ProcessFleet::start_serving(4, &flags);
     let stop = AtomicBool::new(false);
     let good = AtomicUsize::new(0);
     let addresses = fleet.calls();
@@ -107,7 +107,7 @@
 
 #[test]
 fn answers_that_a_relay_ends_half_way_are_errors() {
-    let fleet = TestFleet::start(2, &["--seed=9"]);
+    let fleet = ProcessFleet::start_serving(2, &["--seed=9"]);
     // The daemons meet their upstreams through relays: the announcements name the relay.
     let relays: Vec<TcpRelay> = fleet
         .upstreams
--- a/programs/tests/calls_behind.rs
+++ b/programs/tests/calls_behind.rs
@@ -7,23 +7,18 @@
 use common::apply;
 use common::call;
 use common::read_status;
+use common::records::one_route;
 use common::start_daemon;
 use common::start_platform;
 use common::start_upstream;
 use common::wait_for;
 
-const RECORDS: &str = r#"[
-  {"kind": "upstream-version", "schema": 1, "service": "stalls", "version": "v1", "share": 100},
-  {"kind": "route", "schema": 1, "name": "free", "service": "stalls", "prefix": "/stalls",
-   "class": "check", "timeout_ms": 2000}
-]"#;
-
 #[test]
 fn call_passed_on_to_a_daemon_without_its_route_may_be_tried_elsewhere() {
     let platform = start_platform();
     let daemon = start_daemon(&DaemonSpec::new(platform.address, "north", "zaandam"));
     let _upstream = start_upstream(daemon.control, "stalls", "v1");
-    apply(platform.address, RECORDS);
+    apply(platform.address, &one_route("stalls"));
     wait_for("daemon serves", PATIENCE, || {
         read_status(daemon.control).is_some_and(|status| status.generation == 1)
     });
--- a/programs/tests/calls_crash.rs
+++ b/programs/tests/calls_crash.rs
@@ -16,6 +16,7 @@
 use common::apply;
 use common::call;
 use common::read_status;
+use common::records::one_route;
 use common::start_daemon;
 use common::start_platform;
 use common::wait_for;
@@ -23,12 +24,6 @@
 /// Time for which the listener outlives the connections.
 const LISTENER_TIME: Duration = Duration::from_millis(15);
 
-const RECORDS: &str = r#"[
-  {"kind": "upstream-version", "schema": 1, "service": "stalls", "version": "v1", "share": 100},
-  {"kind": "route", "schema": 1, "name": "free", "service": "stalls", "prefix": "/stalls",
-   "class": "check", "timeout_ms": 2000}
-]"#;
-
 /// An upstream that ends without an answer when it is called: first the connection, then the listener.
 fn crash_when_called(listener: TcpListener) {
     let (mut stream, _) = listener.accept().expect("a connection");
@@ -76,7 +71,7 @@
 fn crash_is_known_when_the_listener_outlives_the_connections() {
     let platform = start_platform();
     let daemon = start_daemon(&DaemonSpec::new(platform.address, "north", "zaandam"));
-    apply(platform.address, RECORDS);
+    apply(platform.address, &one_route("stalls"));
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
     let address = listener.local_addr().expect("an address");
     let upstream = std::thread::spawn(move || crash_when_called(listener));
--- a/programs/tests/calls_cut.rs
+++ b/programs/tests/calls_cut.rs
@@ -3,86 +3,34 @@
 
 mod common;
 
-use std::collections::HashMap;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::RwLock;
 use std::time::Duration;
 
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-use standins::upstream_settings::UpstreamSettings;
-
-use common::caller::CallSpec;
-use common::caller::KeptCaller;
+use common::booking_callers::BookingCallers;
+use common::booking_callers::assert_once;
+use common::booking_callers::book;
+use common::booking_callers::upstream_settings;
+use common::call_checks::assert_at_most_once;
+use common::call_checks::mint_key;
 use common::caller::call_once;
-use common::fleet::StopOnDrop;
-use common::fleet::assert_at_most_once;
-use common::fleet::mint_key;
-use common::fleet::pause;
-use common::fleet::run_counts;
-use common::mesh::CutKind;
-use common::mesh::TestMesh;
-
-const CALLERS: usize = 16;
-
-/// Longest wait of a caller for one answer before it sends again.
-const IMPATIENCE: Duration = Duration::from_millis(500);
-
-fn upstream_settings() -> UpstreamSettings {
-    let mut settings = UpstreamSettings::new("stalls", "v1");
-    settings.work = Duration::from_millis(20);
-    settings.work_jitter_percent = 100;
-    settings
-}
-
-fn book(key: &str) -> CallSpec {
-    CallSpec::post("/bookings/stall", "stall 4").with("idempotency-key", key)
-}
+use common::caller_threads::pause;
+use common::local_fleet::LocalFleet;
+use common::test_net::CutKind;
 
-type FirstAnswers = Mutex<HashMap<String, Vec<u8>>>;
-
-fn book_until_stopped(mesh: &TestMesh, caller: usize, stop: &AtomicBool, first: &FirstAnswers) {
-    let mut rng = ChaCha8Rng::seed_from_u64(caller as u64);
-    let addresses = mesh.calls();
-    for number in 0.. {
-        if stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let minter = addresses[rng.random_range(0..addresses.len())];
-        let minted = (number % 2 == 0).then(|| mint_key(minter)).flatten();
-        let key = minted.unwrap_or_else(|| format!("own-{caller}-{number}"));
-        for _ in 0..4 {
-            let mut sender = KeptCaller::new(addresses[rng.random_range(0..addresses.len())]);
-            sender.timeout = IMPATIENCE;
-            let Some(answer) = sender.call(&book(&key)).whole() else {
-                continue;
-            };
-            if !answer.is_good() {
-                continue;
-            }
-            let mut first = first.lock().expect("answers");
-            let kept = first
-                .entry(key.clone())
-                .or_insert_with(|| answer.body.clone());
-            assert_eq!(*kept, answer.body, "{key}: a repeat got a different answer");
-        }
-    }
-}
+/// Callers that resend to any daemon of both regions, also when they were answered.
+const CALLERS: BookingCallers = BookingCallers {
+    count: 16,
+    sends: 4,
+    impatience: Duration::from_millis(500),
+    repeat_percent: 100,
+};
 
 #[test]
 fn bookings_run_once_while_both_regions_are_cut_and_heal() {
     let regions = ["north", "north", "south", "south"];
-    let mesh = TestMesh::start(&regions, &upstream_settings());
-    let stop = AtomicBool::new(false);
-    let first = FirstAnswers::default();
-    std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        for caller in 0..CALLERS {
-            let (mesh, stop, first) = (&mesh, &stop, &first);
-            scope.spawn(move || book_until_stopped(mesh, caller, stop, first));
-        }
+    let mesh = LocalFleet::start_for_calls(&regions, &upstream_settings());
+    let addresses = RwLock::new(mesh.calls());
+    let first = CALLERS.book_while(&addresses, || {
         let kinds = [CutKind::Everything, CutKind::Nothing, CutKind::Control];
         for kind in kinds.iter().cycle().take(9) {
             pause(Duration::from_millis(900));
@@ -90,25 +38,17 @@
         }
         mesh.set_cut(CutKind::Nothing);
         pause(Duration::from_millis(900));
-        drop(stopper);
     });
-    let runs = mesh.runs();
-    assert_at_most_once(&runs);
-    let first = first.into_inner().expect("answers");
-    let counts = run_counts(&runs);
-    for key in first.keys() {
-        assert!(counts.contains_key(key), "{key} was answered and never ran");
-    }
-    assert!(first.len() > 50, "only {} bookings done", first.len());
+    assert_once(&first, &mesh.runs());
 }
 
 #[test]
 fn booking_run_before_the_cut_does_not_run_in_the_other_region() {
-    let mesh = TestMesh::start(&["north", "south"], &upstream_settings());
+    let mesh = LocalFleet::start_for_calls(&["north", "south"], &upstream_settings());
     let calls = mesh.calls();
     for number in 0..10 {
         mesh.set_cut(CutKind::Nothing);
-        mesh.wait_ready();
+        mesh.wait_ready(1);
         let key = match number % 2 {
             0 => mint_key(calls[number / 2 % 2]).expect("a key"),
             _ => format!("cut-{number}"),
--- a/programs/tests/calls_input.rs
+++ b/programs/tests/calls_input.rs
@@ -21,17 +21,17 @@
 use common::caller::call_once;
 use common::caller::read_answer;
 use common::caller::send_raw;
-use common::fleet::TestFleet;
+use common::process_fleet::ProcessFleet;
 use common::wait_for;
 
 /// Longest time a quick check may take on a busy machine while others misbehave.
 const QUICK: Duration = Duration::from_secs(1);
 
-fn start_fleet(count: usize) -> TestFleet {
-    TestFleet::start_logged(count, &UpstreamSettings::new("stalls", "v1"))
+fn start_fleet(count: usize) -> ProcessFleet {
+    ProcessFleet::start_logged(count, &UpstreamSettings::new("stalls", "v1"))
 }
 
-fn slow_work(fleet: &TestFleet, delay: Duration) {
+fn slow_work(fleet: &ProcessFleet, delay: Duration) {
     for server in &fleet.servers {
         server.set_faults(UpstreamFaults {
             delay,
@@ -40,7 +40,7 @@
     }
 }
 
-fn find_run(fleet: &TestFleet, id: &str) -> Option<RunEntry> {
+fn find_run(fleet: &ProcessFleet, id: &str) -> Option<RunEntry> {
     let mut runs = fleet.runs().into_iter();
     runs.find(|run| run.request.request_id.as_deref() == Some(id))
 }
@@ -53,7 +53,7 @@
 }
 
 /// Sends a request, waits until it runs and hangs up.
-fn hang_up(fleet: &TestFleet, daemon: usize, head: &str, id: &str) {
+fn hang_up(fleet: &ProcessFleet, daemon: usize, head: &str, id: &str) {
     let bytes = format!(
         "{head} HTTP/1.1\r\nhost: test\r\nx-request-id: {id}\r\nidempotency-key: key-{id}\r\n\
          x-coltsfootweir-deadline-ms: 30000\r\ncontent-length: 0\r\n\r\n"
@@ -113,7 +113,7 @@
     let mut settings = UpstreamSettings::new("stalls", "v1");
     settings.slots = 1;
     settings.work = Duration::from_millis(700);
-    let fleet = TestFleet::start_logged(1, &settings);
+    let fleet = ProcessFleet::start_logged(1, &settings);
     let calls = fleet.daemons[0].calls;
     let send = |id: &str| {
         let bytes = format!(
@@ -129,7 +129,7 @@
     });
     let second = send("second");
     let third = send("third");
-    common::fleet::pause(Duration::from_millis(200));
+    common::caller_threads::pause(Duration::from_millis(200));
     drop(second);
     drop(third);
     drop(first);
@@ -206,7 +206,7 @@
         let answer = expect_whole(other.call(&CallSpec::get("/stalls/free")));
         assert!(answer.is_good(), "{}", answer.text());
         assert!(asked.elapsed() < QUICK, "{:?}", asked.elapsed());
-        common::fleet::pause(Duration::from_millis(500));
+        common::caller_threads::pause(Duration::from_millis(500));
     }
     for stream in &mut slow {
         let answer = expect_whole(read_answer(stream));
--- a/programs/tests/calls_leave.rs
+++ b/programs/tests/calls_leave.rs
@@ -17,11 +17,11 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::send_raw;
-use common::fleet::StopOnDrop;
-use common::fleet::TestFleet;
-use common::fleet::pause;
-use common::mesh::CutKind;
-use common::mesh::TestMesh;
+use common::caller_threads::StopOnDrop;
+use common::caller_threads::pause;
+use common::local_fleet::LocalFleet;
+use common::process_fleet::ProcessFleet;
+use common::test_net::CutKind;
 use common::wait_for;
 
 /// Longest time after its notice at which a leaving upstream may get new work: as long as a daemon
@@ -93,7 +93,7 @@
 
 #[test]
 fn leaving_upstream_gets_no_new_work_from_a_daemon_that_was_frozen() {
-    let fleet = TestFleet::start_logged(4, &upstream_settings());
+    let fleet = ProcessFleet::start_logged(4, &upstream_settings());
     let good = call_while(&fleet.calls(), || {
         pause(Duration::from_secs(1));
         fleet.daemons[3].process.signal("STOP");
@@ -108,7 +108,7 @@
 
 #[test]
 fn leaving_upstream_gets_no_new_work_when_the_daemon_beside_it_was_frozen() {
-    let fleet = TestFleet::start_logged(2, &upstream_settings());
+    let fleet = ProcessFleet::start_logged(2, &upstream_settings());
     let daemon = &fleet.daemons[0].process;
     let calls = fleet.calls();
     let good = call_while(&calls, || {
@@ -131,7 +131,8 @@
 
 #[test]
 fn leaving_upstream_gets_no_new_work_from_daemons_that_miss_the_news() {
-    let mesh = TestMesh::start(&["north", "north", "south", "south"], &upstream_settings());
+    let mesh =
+        LocalFleet::start_for_calls(&["north", "north", "south", "south"], &upstream_settings());
     let south = &mesh.calls()[2..];
     let good = call_while(south, || {
         pause(Duration::from_secs(1));
--- a/programs/tests/calls_not_run.rs
+++ b/programs/tests/calls_not_run.rs
@@ -15,12 +15,12 @@
 use rand_chacha::ChaCha8Rng;
 use standins::upstream_settings::UpstreamSettings;
 
+use common::call_checks::run_ids;
 use common::caller::CallSpec;
 use common::caller::call_once;
-use common::fleet::StopOnDrop;
-use common::fleet::TestFleet;
-use common::fleet::pause;
-use common::fleet::run_ids;
+use common::caller_threads::StopOnDrop;
+use common::caller_threads::pause;
+use common::process_fleet::ProcessFleet;
 
 /// Callers at once: four times what the slots of the fleet hold, and more than queue.
 const CALLERS: usize = 72;
@@ -82,7 +82,10 @@
 }
 
 /// Calls while `fail` breaks parts of the fleet, then holds every refusal against the run logs.
-fn prove_refusals(fleet: &mut TestFleet, mut fail: impl FnMut(&mut TestFleet)) -> SeenAnswers {
+fn prove_refusals(
+    fleet: &mut ProcessFleet,
+    mut fail: impl FnMut(&mut ProcessFleet),
+) -> SeenAnswers {
     let addresses = RwLock::new(fleet.calls());
     let stop = AtomicBool::new(false);
     let seen = Mutex::new(SeenAnswers::default());
@@ -130,7 +133,7 @@
 fn refusals_are_true_under_overload_short_deadlines_and_broken_answers() {
     let mut settings = slow_upstream();
     settings.faults.truncate_percent = 20;
-    let mut fleet = TestFleet::start_logged(3, &settings);
+    let mut fleet = ProcessFleet::start_logged(3, &settings);
     let seen = prove_refusals(&mut fleet, |_| {});
     assert_seen(&seen, "overloaded");
     assert_seen(&seen, "deadline-passed");
@@ -138,7 +141,7 @@
 
 #[test]
 fn refusals_are_true_while_upstreams_crash_and_come_back() {
-    let mut fleet = TestFleet::start_logged(3, &slow_upstream());
+    let mut fleet = ProcessFleet::start_logged(3, &slow_upstream());
     let mut next = 0;
     let seen = prove_refusals(&mut fleet, |fleet| {
         let server = &fleet.servers[next % 3];
@@ -152,11 +155,11 @@
 
 #[test]
 fn refusals_are_true_while_daemons_die_and_an_upstream_leaves() {
-    let mut fleet = TestFleet::start_logged(4, &slow_upstream());
+    let mut fleet = ProcessFleet::start_logged(4, &slow_upstream());
     let mut next = 0;
     let seen = prove_refusals(&mut fleet, |fleet| {
         match next {
-            0 | 2 => fleet.restart_daemon(next),
+            0 | 2 => fleet.restart_joined(next),
             1 => fleet.servers[3].leave(),
             _ => fleet.daemons[1].process.kill(),
         }
--- a/programs/tests/calls_once.rs
+++ b/programs/tests/calls_once.rs
@@ -3,12 +3,7 @@
 
 mod common;
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,143 +12,62 @@
 use rand_chacha::ChaCha8Rng;
 use standins::relay::RelayMode;
 use standins::relay::TcpRelay;
-use standins::upstream_settings::UpstreamSettings;
 
 use common::PATIENCE;
+use common::booking_callers::BookingCallers;
+use common::booking_callers::assert_once;
+use common::booking_callers::book;
+use common::booking_callers::upstream_settings;
+use common::call_checks::assert_at_most_once;
+use common::call_checks::mint_key;
+use common::call_checks::run_counts;
 use common::caller::CallEnd;
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::WholeAnswer;
 use common::caller::call_once;
-use common::fleet::StopOnDrop;
-use common::fleet::TestFleet;
-use common::fleet::assert_at_most_once;
-use common::fleet::mint_key;
-use common::fleet::pause;
-use common::fleet::run_callers;
-use common::fleet::run_counts;
+use common::caller_threads::pause;
+use common::caller_threads::run_callers;
+use common::process_fleet::ProcessFleet;
 use common::wait_for;
 
-const CALLERS: usize = 24;
-
-/// Times a caller sends each booking at most.
-const SENDS: usize = 5;
-
-/// Longest wait of a caller for one answer before it sends again.
-const IMPATIENCE: Duration = Duration::from_millis(400);
+/// Callers that resend to any daemon, a third of the time also when they were answered.
+const CALLERS: BookingCallers = BookingCallers {
+    count: 24,
+    sends: 5,
+    impatience: Duration::from_millis(400),
+    repeat_percent: 33,
+};
 
 /// Longest time a refusal may take on a busy machine when its deadline is 100 ms.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(1500);
 
-fn upstream_settings() -> UpstreamSettings {
-    let mut settings = UpstreamSettings::new("stalls", "v1");
-    settings.work = Duration::from_millis(20);
-    settings.work_jitter_percent = 100;
-    settings
-}
-
-fn book(key: &str) -> CallSpec {
-    CallSpec::post("/bookings/stall", "stall 4").with("idempotency-key", key)
-}
-
-/// Answers by key: the body of the first good one.
-type FirstAnswers = Mutex<HashMap<String, Vec<u8>>>;
-
-/// Fails the test when a good answer is not the first one to its key.
-fn check_first(first: &FirstAnswers, key: &str, answer: &WholeAnswer) {
-    let mut first = first.lock().expect("answers");
-    let kept = first
-        .entry(key.into())
-        .or_insert_with(|| answer.body.clone());
-    assert_eq!(*kept, answer.body, "{key}: a repeat got a different answer");
-}
-
-struct CallerView<'a> {
-    addresses: &'a RwLock<Vec<SocketAddr>>,
-    stop: &'a AtomicBool,
-    first: &'a FirstAnswers,
-}
-
-fn book_until_stopped(caller: usize, view: &CallerView<'_>) {
-    let mut rng = ChaCha8Rng::seed_from_u64(caller as u64);
-    let mut pick = || {
-        let addresses = view.addresses.read().expect("addresses");
-        let index = rng.random_range(0..addresses.len());
-        (addresses[index], rng.random_range(0..3) == 0)
-    };
-    for number in 0.. {
-        if view.stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let minted = if number % 2 == 0 {
-            mint_key(pick().0)
-        } else {
-            None
-        };
-        let key = minted.unwrap_or_else(|| format!("own-{caller}-{number}"));
-        for _ in 0..SENDS {
-            let (address, repeats_answered) = pick();
-            let mut sender = KeptCaller::new(address);
-            sender.timeout = IMPATIENCE;
-            let Some(answer) = sender.call(&book(&key)).whole() else {
-                continue;
-            };
-            if answer.is_good() {
-                check_first(view.first, &key, &answer);
-                if !repeats_answered {
-                    break;
-                }
-            }
-        }
-    }
-}
-
 /// Books through the whole fleet while `fail` breaks parts of it, then holds the logs to the rule.
-fn prove_once(fleet: &mut TestFleet, mut fail: impl FnMut(&mut TestFleet, usize)) {
+fn prove_once(fleet: &mut ProcessFleet, mut fail: impl FnMut(&mut ProcessFleet, usize)) {
     let addresses = RwLock::new(fleet.calls());
-    let stop = AtomicBool::new(false);
-    let first = FirstAnswers::default();
-    let view = CallerView {
-        addresses: &addresses,
-        stop: &stop,
-        first: &first,
-    };
-    std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        let view = &view;
-        for caller in 0..CALLERS {
-            scope.spawn(move || book_until_stopped(caller, view));
-        }
+    let first = CALLERS.book_while(&addresses, || {
         for round in 0..8 {
             pause(Duration::from_millis(400));
             fail(fleet, round);
             *addresses.write().expect("addresses") = fleet.calls();
         }
         pause(Duration::from_millis(400));
-        drop(stopper);
     });
-    let runs = fleet.runs();
-    assert_at_most_once(&runs);
-    let good = first.into_inner().expect("answers");
-    let counts = run_counts(&runs);
-    for key in good.keys() {
-        assert!(counts.contains_key(key), "{key} was answered and never ran");
-    }
-    assert!(good.len() > 50, "only {} bookings done", good.len());
+    assert_once(&first, &fleet.runs());
 }
 
 #[test]
 fn bookings_run_once_while_daemons_die_at_random() {
-    let mut fleet = TestFleet::start_logged(4, &upstream_settings());
+    let mut fleet = ProcessFleet::start_logged(4, &upstream_settings());
     let mut rng = ChaCha8Rng::seed_from_u64(41);
     prove_once(&mut fleet, |fleet, _| {
-        fleet.restart_daemon(rng.random_range(0..4));
+        fleet.restart_joined(rng.random_range(0..4));
     });
 }
 
 #[test]
 fn minted_key_of_a_daemon_that_died_is_in_doubt_and_runs_no_more() {
-    let mut fleet = TestFleet::start_logged(2, &upstream_settings());
+    let mut fleet = ProcessFleet::start_logged(2, &upstream_settings());
     let mut keys = Vec::new();
     for number in 0..10 {
         let calls = fleet.daemons[number % 2].calls;
@@ -162,8 +76,8 @@
         assert!(answer.is_good(), "{}", answer.text());
         keys.push(key);
     }
-    (0..2).for_each(|index| fleet.restart_daemon(index));
-    fleet.wait_ready();
+    (0..2).for_each(|index| fleet.restart_joined(index));
+    fleet.wait_ready(1);
     for number in 0..40 {
         // Counts of the new keys pass those of the old ones.
         mint_key(fleet.daemons[number % 2].calls).expect("a key");
@@ -182,7 +96,7 @@
 
 #[test]
 fn bookings_run_once_while_daemons_freeze_and_resume_late() {
-    let mut fleet = TestFleet::start_logged(4, &upstream_settings());
+    let mut fleet = ProcessFleet::start_logged(4, &upstream_settings());
     let mut rng = ChaCha8Rng::seed_from_u64(42);
     let mut frozen = Vec::new();
     prove_once(&mut fleet, |fleet, round| {
@@ -204,7 +118,7 @@
 
 #[test]
 fn bookings_run_once_while_claims_lose_their_answers() {
-    let mut fleet = TestFleet::start_logged(3, &upstream_settings());
+    let mut fleet = ProcessFleet::start_logged(3, &upstream_settings());
     prove_once(&mut fleet, |fleet, round| {
         let faults = match round % 4 {
             0 => r#"{"lose_answers": 8}"#,
@@ -212,16 +126,16 @@
             2 => r#"{"delay": 300, "lose_answers": 4, "lose_requests": 4}"#,
             _ => "{}",
         };
-        fleet.set_platform_faults(faults);
+        fleet.set_faults(faults);
     });
 }
 
 #[test]
 fn claim_whose_answer_was_lost_is_settled_by_a_resend_through_another_daemon() {
-    let fleet = TestFleet::start_logged(3, &upstream_settings());
+    let fleet = ProcessFleet::start_logged(3, &upstream_settings());
     for number in 0..12_usize {
         let key = format!("lost-claim-{number}");
-        fleet.set_platform_faults(r#"{"lose_answers": 1}"#);
+        fleet.set_faults(r#"{"lose_answers": 1}"#);
         let mut answers = Vec::new();
         wait_for("booking is done", PATIENCE, || {
             let daemon = &fleet.daemons[(number + answers.len()) % 3];
@@ -239,8 +153,8 @@
 
 #[test]
 fn minted_keys_go_on_and_callers_keys_are_refused_truly_while_the_store_is_down() {
-    let fleet = TestFleet::start_logged(3, &upstream_settings());
-    fleet.set_platform_faults(r#"{"outage": true}"#);
+    let fleet = ProcessFleet::start_logged(3, &upstream_settings());
+    fleet.set_faults(r#"{"outage": true}"#);
     for number in 0..30 {
         let key = mint_key(fleet.daemons[number % 3].calls).expect("a key");
         let other = fleet.daemons[(number + 1) % 3].calls;
@@ -259,7 +173,7 @@
         ran.keys().all(|key| !key.starts_with("own-")),
         "a refused booking ran"
     );
-    fleet.set_platform_faults("{}");
+    fleet.set_faults("{}");
     for number in 0..30 {
         let key = format!("own-{number}");
         wait_for("refused booking is done", PATIENCE, || {
@@ -273,7 +187,7 @@
 
 #[test]
 fn booking_whose_answer_was_lost_gets_the_first_answer_through_another_daemon() {
-    let fleet = TestFleet::start_logged(3, &upstream_settings());
+    let fleet = ProcessFleet::start_logged(3, &upstream_settings());
     let relay = TcpRelay::start(fleet.daemons[0].calls).expect("relay starts");
     for number in 0..20_usize {
         let key = match number % 2 {
@@ -301,8 +215,8 @@
 
 #[test]
 fn claims_that_wait_for_a_slow_store_do_not_hold_up_other_calls() {
-    let fleet = TestFleet::start_logged(1, &upstream_settings());
-    fleet.set_platform_faults(r#"{"delay": 2500}"#);
+    let fleet = ProcessFleet::start_logged(1, &upstream_settings());
+    fleet.set_faults(r#"{"delay": 2500}"#);
     let calls = fleet.daemons[0].calls;
     let longest = run_callers(160, |caller| {
         let mut sender = KeptCaller::new(calls);
--- a/programs/tests/calls_poison.rs
+++ b/programs/tests/calls_poison.rs
@@ -17,9 +17,9 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
-use common::fleet::StopOnDrop;
-use common::fleet::TestFleet;
-use common::fleet::pause;
+use common::caller_threads::StopOnDrop;
+use common::caller_threads::pause;
+use common::process_fleet::ProcessFleet;
 
 const DAEMONS: usize = 5;
 
@@ -40,7 +40,7 @@
     failed: AtomicUsize,
 }
 
-fn call_others(fleet: &TestFleet, caller: usize, stop: &AtomicBool, calls: &OtherCalls) {
+fn call_others(fleet: &ProcessFleet, caller: usize, stop: &AtomicBool, calls: &OtherCalls) {
     let mut kept = KeptCaller::new(fleet.daemons[caller % DAEMONS].calls);
     for number in 0.. {
         if stop.load(Ordering::Relaxed) {
@@ -58,7 +58,7 @@
     }
 }
 
-fn crash_count(fleet: &TestFleet) -> usize {
+fn crash_count(fleet: &ProcessFleet) -> usize {
     let runs = fleet.runs();
     let is_poison = |path: &str| path.contains("poison");
     let crashed = runs
@@ -68,7 +68,7 @@
 }
 
 /// Restarts what crashed, until stopped.
-fn restart_crashed(fleet: &TestFleet, stop: &AtomicBool) {
+fn restart_crashed(fleet: &ProcessFleet, stop: &AtomicBool) {
     let mut restarted = vec![0; DAEMONS];
     while !stop.load(Ordering::Relaxed) {
         for (server, done) in fleet.servers.iter().zip(&mut restarted) {
@@ -85,7 +85,7 @@
     }
 }
 
-fn send_poison(fleet: &TestFleet, make_copy: impl Fn(usize) -> CallSpec) -> usize {
+fn send_poison(fleet: &ProcessFleet, make_copy: impl Fn(usize) -> CallSpec) -> usize {
     let start = Instant::now();
     let mut refused = 0;
     for copy in 0.. {
@@ -109,7 +109,7 @@
         crash_on_body: Some("poison".into()),
         ..UpstreamFaults::default()
     };
-    let fleet = TestFleet::start_logged(DAEMONS, &settings);
+    let fleet = ProcessFleet::start_logged(DAEMONS, &settings);
     let calls = OtherCalls {
         good: AtomicUsize::new(0),
         failed: AtomicUsize::new(0),
--- a/programs/tests/calls_stop.rs
+++ b/programs/tests/calls_stop.rs
@@ -18,15 +18,15 @@
 
 use common::DaemonProcess;
 use common::PATIENCE;
+use common::call_checks::assert_own;
 use common::caller::CallEnd;
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::read_answer;
 use common::caller::send_raw;
-use common::fleet::StopOnDrop;
-use common::fleet::TestFleet;
-use common::fleet::assert_own;
-use common::fleet::pause;
+use common::caller_threads::StopOnDrop;
+use common::caller_threads::pause;
+use common::process_fleet::ProcessFleet;
 use common::wait_for;
 
 const CALLERS: usize = 40;
@@ -94,7 +94,7 @@
 
 /// Stops the first `count` of four daemons at once under load.
 fn stop_under_load(count: usize) {
-    let mut fleet = TestFleet::start_logged(4, &upstream_settings(10));
+    let mut fleet = ProcessFleet::start_logged(4, &upstream_settings(10));
     let addresses = fleet.calls();
     let (stop, cuts) = (AtomicBool::new(false), Mutex::new(Vec::new()));
     let good: usize = std::thread::scope(|scope| {
@@ -137,7 +137,7 @@
 
 #[test]
 fn planned_stop_answers_requests_on_connections_just_made() {
-    let mut fleet = TestFleet::start_logged(2, &upstream_settings(10));
+    let mut fleet = ProcessFleet::start_logged(2, &upstream_settings(10));
     let daemon = &fleet.daemons[0];
     daemon.process.signal("TERM");
     pause(Duration::from_secs(1));
@@ -162,7 +162,7 @@
 
 #[test]
 fn planned_stop_finishes_a_booking_whose_caller_hung_up() {
-    let mut fleet = TestFleet::start_logged(1, &upstream_settings(10));
+    let mut fleet = ProcessFleet::start_logged(1, &upstream_settings(10));
     let faults = standins::upstream_faults::UpstreamFaults {
         delay: Duration::from_secs(4),
         ..Default::default()
--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -2,12 +2,24 @@
 
 #![allow(dead_code)]
 
+pub mod booking_callers;
+pub mod call_checks;
+pub mod call_fleet;
 pub mod caller;
-pub mod fleet;
-pub mod mesh;
+pub mod caller_threads;
+pub mod generation_watch;
+pub mod json_http;
+pub mod local_fleet;
+pub mod member_counts;
 pub mod move_fleet;
+pub mod move_reads;
+pub mod move_traffic;
+pub mod net_store;
 pub mod operator;
-pub mod region_fleet;
+pub mod process_fleet;
+pub mod records;
+pub mod region_moves;
+pub mod test_net;
 
 use std::io::BufRead;
 use std::io::BufReader;
@@ -27,6 +39,9 @@
 /// Longest time any condition of a test may take.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Time within which an accepted configuration is in force on every live daemon.
+pub const CONVERGENCE_TARGET: Duration = Duration::from_secs(19);
+
 /// Time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -98,6 +113,7 @@
 pub struct UpstreamProcess {
     pub process: TestProcess,
     pub address: SocketAddr,
+    pub flags: Vec<String>,
 }
 
 /// A platform process.
@@ -160,14 +176,22 @@
 }
 
 pub fn start_upstream(daemon: SocketAddr, service: &str, version: &str) -> UpstreamProcess {
-    let arguments = [
-        format!("--daemon={daemon}"),
+    let flags = [
         format!("--service={service}"),
         format!("--version={version}"),
     ];
+    start_upstream_with(daemon, &flags)
+}
+
+pub fn start_upstream_with(daemon: SocketAddr, flags: &[String]) -> UpstreamProcess {
+    let mut arguments = vec![format!("--daemon={daemon}")];
+    arguments.extend_from_slice(flags);
     let process = TestProcess::start("standin-upstream", &arguments);
-    let address = process.addresses()[0];
-    UpstreamProcess { process, address }
+    UpstreamProcess {
+        address: process.addresses()[0],
+        process,
+        flags: flags.to_vec(),
+    }
 }
 
 /// Runs the operator's program to its end.
@@ -247,6 +271,15 @@
     start.elapsed()
 }
 
+/// Lets `time` pass while the condition is checked to hold all along.
+pub fn hold_for(what: &str, time: Duration, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    wait_for(what, time * 2, || {
+        assert!(condition(), "{what}: did not hold");
+        start.elapsed() >= time
+    });
+}
+
 /// Answer to a call, as the caller sees it.
 #[derive(Debug)]
 pub struct CallAnswer {
--- a/programs/tests/common/operator.rs
+++ b/programs/tests/common/operator.rs
@@ -1,6 +1,4 @@
-//! Runs the operator's program and sets the faults of stand-ins.
-
-use std::net::SocketAddr;
+//! Runs the operator's program.
 
 use serde_json::Value;
 
@@ -37,20 +35,3 @@
     assert_eq!(run.code, 0, "{run:?}");
     run.json()
 }
-
-pub fn post_json(address: SocketAddr, path: &str, body: &str) {
-    let response = minreq::post(format!("http://{address}{path}"))
-        .with_body(body)
-        .with_timeout(5)
-        .send()
-        .expect("an answer");
-    assert_eq!(response.status_code, 200, "{path} {body}");
-}
-
-pub fn get_json(address: SocketAddr, path: &str) -> Value {
-    let response = minreq::get(format!("http://{address}{path}"))
-        .with_timeout(5)
-        .send()
-        .expect("an answer");
-    serde_json::from_slice(response.as_bytes()).expect("JSON")
-}
--- a/programs/tests/config_changes.rs
+++ b/programs/tests/config_changes.rs
@@ -2,7 +2,6 @@
 //! racing operators is in force everywhere, once.
 
 mod common;
-mod fleet;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -26,15 +25,15 @@
 use coltsfootweir::schema::parse_records;
 use coltsfootweir::snapshot::ConfigSnapshot;
 
+use common::CONVERGENCE_TARGET;
 use common::PATIENCE;
 use common::UpstreamProcess;
 use common::apply;
 use common::call;
+use common::generation_watch::GenerationWatch;
+use common::process_fleet::ProcessFleet;
 use common::start_upstream;
 use common::wait_for;
-use fleet::CONVERGENCE_TARGET;
-use fleet::GenerationWatch;
-use fleet::ProcessFleet;
 
 /// Changes that each operator makes.
 const CHANGES: usize = 12;
--- a/programs/tests/config_fleet.rs
+++ b/programs/tests/config_fleet.rs
@@ -1,7 +1,6 @@
 //! Accepted configurations reach every live daemon in time, never go back, and cost few bytes.
 
 mod common;
-mod fleet;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -9,12 +8,12 @@
 use coltsfootweir::link::LinkCause;
 use coltsfootweir::reports::LinkReport;
 
+use common::CONVERGENCE_TARGET;
 use common::apply;
+use common::generation_watch::GenerationWatch;
+use common::hold_for;
+use common::process_fleet::ProcessFleet;
 use common::wait_for;
-use fleet::CONVERGENCE_TARGET;
-use fleet::GenerationWatch;
-use fleet::ProcessFleet;
-use fleet::hold_for;
 
 /// Daemons of a fleet, half of them in each region.
 const FLEET_SIZE: usize = 12;
--- a/programs/tests/config_floor.rs
+++ b/programs/tests/config_floor.rs
@@ -2,8 +2,6 @@
 //! a region that was cut off catches up.
 
 mod common;
-mod fleet;
-mod local;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,17 +18,18 @@
 use tiny_http::Response;
 use tiny_http::Server;
 
+use common::CONVERGENCE_TARGET;
 use common::PATIENCE;
 use common::apply;
 use common::free_address;
+use common::generation_watch::GenerationWatch;
+use common::hold_for;
+use common::local_fleet::LocalFleet;
+use common::process_fleet::ProcessFleet;
+use common::process_fleet::region_of;
+use common::records::one_route;
+use common::test_net::CutKind;
 use common::wait_for;
-use fleet::CONVERGENCE_TARGET;
-use fleet::GenerationWatch;
-use fleet::ProcessFleet;
-use fleet::hold_for;
-use local::LOCAL_TARGET;
-use local::LocalFleet;
-use local::one_route;
 
 /// Time for which only a peer with an older generation can be reached.
 const LAG: Duration = Duration::from_secs(8);
@@ -61,10 +60,8 @@
 
 fn start_at_generation_one(count: usize) -> ProcessFleet {
     let mut fleet = ProcessFleet::empty();
-    let mut seeds = Vec::new();
     for _ in 0..count {
-        let index = fleet.add("north", &seeds);
-        seeds.push(fleet.control(index));
+        fleet.add_joined("north");
     }
     let all: Vec<usize> = (0..count).collect();
     fleet.wait_members(&all, PATIENCE);
@@ -84,7 +81,7 @@
 #[test]
 fn restarted_daemon_waits_for_peers_that_know_better_while_the_store_is_down() {
     let mut fleet = start_at_generation_one(4);
-    let addresses: Vec<_> = (0..4).map(|index| fleet.control(index)).collect();
+    let addresses = fleet.controls();
     let watch = GenerationWatch::start([addresses[0]]);
     fleet.daemons[3].process.signal("STOP");
     accept_unoffered(fleet.platform.address, &one_route("fodder"));
@@ -113,19 +110,8 @@
 /// The only peer in reach never heard of the later generation.
 #[test]
 fn restarted_daemon_does_not_trust_the_first_older_answer() {
-    let mut fleet = LocalFleet::new();
-    for _ in 0..4 {
-        fleet.add("north");
-    }
-    let all = [0, 1, 2, 3];
-    wait_for("membership", PATIENCE, || {
-        all.iter().all(|i| fleet.live_count(*i) == 4)
-    });
-    fleet.accept(&one_route("stalls"));
-    wait_for("generation 1", LOCAL_TARGET, || {
-        all.iter().all(|i| fleet.serves(*i, 1))
-    });
-    let addresses: Vec<_> = all.iter().map(|index| fleet.control(*index)).collect();
+    let mut fleet = LocalFleet::start_with(&["north"; 4], &[one_route("stalls")]);
+    let addresses: Vec<_> = (0..4).map(|index| fleet.control(index)).collect();
     let dead_end = free_address();
     let cut = |from: usize, to: usize| {
         fleet
@@ -140,7 +126,7 @@
     }
     fleet.net.set_store_lost(addresses[0], true);
     fleet.accept(&one_route("fodder"));
-    wait_for("generation 2", LOCAL_TARGET, || {
+    wait_for("generation 2", CONVERGENCE_TARGET, || {
         [1, 2, 3].iter().all(|i| fleet.serves(*i, 2))
     });
     fleet.platform.set_faults(PlatformFaults {
@@ -158,7 +144,7 @@
         fleet.daemons[0].status().generation == 1
     });
     fleet.net.clear_detours();
-    wait_for("it serves", FLOOR_SETTLE + LOCAL_TARGET, || {
+    wait_for("it serves", FLOOR_SETTLE + CONVERGENCE_TARGET, || {
         restarted.status().is_serving
     });
     assert_eq!(restarted.status().generation, 2);
@@ -209,26 +195,17 @@
 
 #[test]
 fn region_that_was_cut_off_catches_up_and_is_not_forgotten() {
-    let mut fleet = LocalFleet::new();
-    for number in 0..8 {
-        fleet.add(fleet::region_of(number));
-    }
+    let regions: Vec<&str> = (0..8).map(region_of).collect();
+    let fleet = LocalFleet::start_with(&regions, &[one_route("stalls")]);
     let all: Vec<usize> = (0..8).collect();
-    wait_for("membership", PATIENCE, || {
-        all.iter().all(|i| fleet.live_count(*i) == 8)
-    });
-    fleet.accept(&one_route("stalls"));
-    wait_for("generation 1", LOCAL_TARGET, || {
-        all.iter().all(|i| fleet.serves(*i, 1))
-    });
-    fleet.net.set_cut(true);
+    fleet.set_cut(CutKind::Everything);
     fleet.accept(&one_route("fodder"));
     let north = [0, 2, 4, 6];
-    wait_for("generation 2 in the north", LOCAL_TARGET, || {
+    wait_for("generation 2 in the north", CONVERGENCE_TARGET, || {
         north.iter().all(|i| fleet.serves(*i, 2))
     });
     fleet.accept(&one_route("farriers"));
-    wait_for("generation 3 in the north", LOCAL_TARGET, || {
+    wait_for("generation 3 in the north", CONVERGENCE_TARGET, || {
         north.iter().all(|i| fleet.serves(*i, 3))
     });
     hold_for("the cut", LONG_CUT, || {
@@ -238,8 +215,8 @@
     for index in [1, 3, 5, 7] {
         assert_eq!(fleet.daemons[index].status().generation, 1);
     }
-    fleet.net.set_cut(false);
-    let healed = wait_for("generation 3 everywhere", LOCAL_TARGET, || {
+    fleet.set_cut(CutKind::Nothing);
+    let healed = wait_for("generation 3 everywhere", CONVERGENCE_TARGET, || {
         all.iter().all(|i| fleet.serves(*i, 3))
     });
     println!("in force {healed:?} after the cut");
@@ -249,19 +226,8 @@
 /// A daemon that knows its floor but does not stand at it must not count as a peer that answers.
 #[test]
 fn peer_below_its_own_floor_does_not_settle_the_floor_of_another() {
-    let mut fleet = LocalFleet::new();
-    for _ in 0..4 {
-        fleet.add("north");
-    }
-    let all = [0, 1, 2, 3];
-    wait_for("membership", PATIENCE, || {
-        all.iter().all(|i| fleet.live_count(*i) == 4)
-    });
-    fleet.accept(&one_route("stalls"));
-    wait_for("generation 1", LOCAL_TARGET, || {
-        all.iter().all(|i| fleet.serves(*i, 1))
-    });
-    let addresses: Vec<_> = all.iter().map(|index| fleet.control(*index)).collect();
+    let mut fleet = LocalFleet::start_with(&["north"; 4], &[one_route("stalls")]);
+    let addresses: Vec<_> = (0..4).map(|index| fleet.control(index)).collect();
     fleet.platform.set_faults(PlatformFaults {
         outage: true,
         ..PlatformFaults::default()
@@ -299,7 +265,7 @@
     });
     assert_eq!(first.status().floor, 1);
     fleet.platform.set_faults(PlatformFaults::default());
-    wait_for("both serve again", LOCAL_TARGET, || {
+    wait_for("both serve again", CONVERGENCE_TARGET, || {
         let standing = [first.status(), second.status()];
         standing
             .iter()
--- a/programs/tests/config_peers.rs
+++ b/programs/tests/config_peers.rs
@@ -2,7 +2,6 @@
 //! from elsewhere.
 
 mod common;
-mod local;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -28,11 +27,11 @@
 use tiny_http::Response;
 use tiny_http::Server;
 
+use common::CONVERGENCE_TARGET;
 use common::PATIENCE;
+use common::local_fleet::LocalFleet;
+use common::records::one_route;
 use common::wait_for;
-use local::LOCAL_TARGET;
-use local::LocalFleet;
-use local::one_route;
 
 /// Time for which broken answers alone arrive.
 const BROKEN_TIME: Duration = Duration::from_secs(2);
@@ -236,20 +235,10 @@
         log::set_logger(&LINES).expect("the only logger");
         log::set_max_level(log::LevelFilter::Info);
     });
-    let mut fleet = LocalFleet::new();
-    fleet.add("north");
-    for _ in 0..south {
-        fleet.add("south");
-    }
     let count = south + 1;
-    wait_for("membership", PATIENCE, || {
-        (0..count).all(|i| fleet.live_count(i) == count)
-    });
-    fleet.accept(&one_route("stalls"));
-    fleet.accept(&one_route("stock"));
-    wait_for("generation 2", LOCAL_TARGET, || {
-        (0..count).all(|i| fleet.serves(i, 2))
-    });
+    let mut regions = vec!["south"; count];
+    regions[0] = "north";
+    let fleet = LocalFleet::start_with(&regions, &["stalls", "stock"].map(one_route));
     let victim = count - 1;
     let mut proxies = Vec::new();
     for index in 0..victim {
@@ -282,7 +271,7 @@
         proxies[0].set_fault(fault);
         let before = proxies[0].pulls();
         fleet.accept(&one_route(&format!("yard{number}")));
-        wait_for("generation in the north", LOCAL_TARGET, || {
+        wait_for("generation in the north", CONVERGENCE_TARGET, || {
             fleet.serves(0, generation)
         });
         wait_for("three broken answers", PATIENCE, || {
@@ -300,7 +289,7 @@
             assert!(logged(&line), "{fault:?}: no line with {line:?}");
         }
         proxies[0].set_fault(PullFault::Whole);
-        wait_for("the right one", LOCAL_TARGET, || {
+        wait_for("the right one", CONVERGENCE_TARGET, || {
             fleet.serves(victim, generation)
         });
     }
@@ -331,7 +320,9 @@
             proxy.set_fault(PullFault::Whole);
         }
     }
-    let took = wait_for("the right one", LOCAL_TARGET, || fleet.serves(victim, 3));
+    let took = wait_for("the right one", CONVERGENCE_TARGET, || {
+        fleet.serves(victim, 3)
+    });
     println!(
         "in force after {took:?} beside {} broken peers",
         broken.len()
@@ -345,7 +336,7 @@
         proxy.set_fault(PullFault::Truncated);
     }
     fleet.accept(&one_route("fodder"));
-    let took = wait_for("the right one", LOCAL_TARGET, || fleet.serves(2, 3));
+    let took = wait_for("the right one", CONVERGENCE_TARGET, || fleet.serves(2, 3));
     println!("in force after {took:?} without a sound peer");
 }
 
@@ -371,23 +362,27 @@
             .expect("committed");
     };
     publish(&unclosed_snapshot(3));
-    wait_for("it is refused and named", LOCAL_TARGET, || {
+    wait_for("it is refused and named", CONVERGENCE_TARGET, || {
         logged("generation 3 refused: not closed") && logged("route/other")
     });
     for daemon in &fleet.daemons {
         let status = daemon.status();
         assert!(status.is_serving && status.generation == 2, "{status:?}");
     }
-    wait_for("the status of who read it names it", LOCAL_TARGET, || {
-        fleet.daemons.iter().any(|daemon| {
-            let refused = daemon.status().refused.unwrap_or_default();
-            refused.starts_with("generation 3 refused: not closed")
-        })
-    });
+    wait_for(
+        "the status of who read it names it",
+        CONVERGENCE_TARGET,
+        || {
+            fleet.daemons.iter().any(|daemon| {
+                let refused = daemon.status().refused.unwrap_or_default();
+                refused.starts_with("generation 3 refused: not closed")
+            })
+        },
+    );
     let right = other_snapshot(4);
     RouteTable::compile(&right).expect("closed");
     publish(&right);
-    wait_for("generation 4", LOCAL_TARGET, || {
+    wait_for("generation 4", CONVERGENCE_TARGET, || {
         (0..2).all(|index| fleet.serves(index, 4))
     });
 }
--- a/programs/tests/members_fleet.rs
+++ b/programs/tests/members_fleet.rs
@@ -2,26 +2,25 @@
 //! apart.
 
 mod common;
-mod fleet;
-mod local;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use common::CONVERGENCE_TARGET;
 use common::DaemonProcess;
 use common::PATIENCE;
 use common::UpstreamProcess;
 use common::apply;
 use common::call;
 use common::free_address;
+use common::hold_for;
+use common::local_fleet::LocalFleet;
+use common::member_counts::live_ids;
+use common::process_fleet::ProcessFleet;
+use common::process_fleet::region_of;
+use common::records::one_route;
 use common::start_upstream;
 use common::wait_for;
-use fleet::CONVERGENCE_TARGET;
-use fleet::ProcessFleet;
-use fleet::hold_for;
-use fleet::live_ids;
-use fleet::region_of;
-use local::LocalFleet;
 
 /// Time within which daemons find one another once the platform can be reached.
 const JOIN_TARGET: Duration = Duration::from_secs(20);
@@ -32,12 +31,6 @@
 /// Time within which groups that started apart are one.
 const MERGE_TARGET: Duration = Duration::from_secs(30);
 
-const RECORDS: &str = r#"[
-  {"kind": "upstream-version", "schema": 1, "service": "stalls", "version": "v1", "share": 100},
-  {"kind": "route", "schema": 1, "name": "stalls", "service": "stalls", "prefix": "/stalls",
-   "class": "check", "timeout_ms": 2000}
-]"#;
-
 #[test]
 fn daemons_that_started_in_an_outage_join_and_a_replaced_region_takes_over() {
     let mut fleet = ProcessFleet::empty();
@@ -54,7 +47,7 @@
     });
     fleet.set_outage(false);
     let joined = fleet.wait_members(&[0, 1, 2, 3, 4, 5, 6, 7], JOIN_TARGET);
-    apply(fleet.platform.address, RECORDS);
+    apply(fleet.platform.address, &one_route("stalls"));
     fleet.wait_generation(&[0, 1, 2, 3, 4, 5, 6, 7], 1, CONVERGENCE_TARGET);
 
     for index in [1, 3, 5, 7] {
@@ -129,7 +122,7 @@
     for daemon in &fleet.daemons {
         upstreams.push(start_upstream(daemon.control, "stalls", "v1"));
     }
-    apply(fleet.platform.address, RECORDS);
+    apply(fleet.platform.address, &one_route("stalls"));
     fleet.wait_generation(&[0, 1, 2, 3], 1, CONVERGENCE_TARGET);
     for index in 0..4 {
         wait_for("every endpoint known", PATIENCE, || {
--- a/programs/tests/members_ports.rs
+++ b/programs/tests/members_ports.rs
@@ -1,7 +1,6 @@
 //! Wrong settings are named all at once, and what strangers send to a control port harms nothing.
 
 mod common;
-mod fleet;
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -12,13 +11,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::CONVERGENCE_TARGET;
 use common::apply;
+use common::hold_for;
+use common::member_counts::live_ids;
+use common::process_fleet::ProcessFleet;
 use common::program_path;
 use common::read_status;
-use fleet::CONVERGENCE_TARGET;
-use fleet::ProcessFleet;
-use fleet::hold_for;
-use fleet::live_ids;
+use common::records::one_route;
 
 /// Senders that stop half-way, beside each daemon.
 const SLOW_SENDERS: usize = 8;
@@ -29,12 +29,6 @@
 /// Longest body the control port takes, in bytes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
 
-const RECORDS: &str = r#"[
-  {"kind": "upstream-version", "schema": 1, "service": "stalls", "version": "v1", "share": 100},
-  {"kind": "route", "schema": 1, "name": "stalls", "service": "stalls", "prefix": "/stalls",
-   "class": "check", "timeout_ms": 2000}
-]"#;
-
 fn run_daemon(arguments: &[&str]) -> (Output, String) {
     let output = Command::new(program_path("coltsfootweird"))
         .args(arguments)
@@ -195,7 +189,7 @@
                 status.is_some_and(|status| live_ids(&status).len() == all.len())
             })
     });
-    apply(fleet.platform.address, RECORDS);
+    apply(fleet.platform.address, &one_route("stalls"));
     fleet.wait_generation(&all, 1, CONVERGENCE_TARGET);
     drop(held);
 }
--- a/programs/tests/moves_planned_stop.rs
+++ b/programs/tests/moves_planned_stop.rs
@@ -13,7 +13,8 @@
 use common::PATIENCE;
 use common::apply_move;
 use common::apply_service;
-use common::region_fleet::RegionFleet;
+use common::local_fleet::LocalFleet;
+use common::test_net::NORTH;
 use common::wait_for;
 
 /// Time until another member holds the lease; well below the lease's own timeout.
@@ -22,8 +23,8 @@
 #[test]
 fn lease_of_a_member_that_stops_is_taken_over_at_once() {
     assert!(HANDOVER < LEASE_TIMEOUT);
-    let mut fleet = RegionFleet::start();
-    let platform = fleet.platform.address();
+    let mut fleet = LocalFleet::start_versions();
+    let platform = fleet.platform_address(NORTH);
     apply_service(platform, "stalls");
     fleet.wait_ready(1);
     apply_move(platform, "stalls", 30);
@@ -33,13 +34,13 @@
         holder.is_some()
     });
     let position = fleet
-        .endpoints
+        .daemons
         .iter()
-        .position(|own| Some(own.daemon.id()) == holder.as_ref())
+        .position(|own| Some(own.id()) == holder.as_ref())
         .expect("a member of the fleet");
-    let leaving = fleet.endpoints.remove(position);
+    let leaving = fleet.daemons.remove(position);
     let start = Instant::now();
-    let stop = thread::spawn(move || leaving.daemon.stop());
+    let stop = thread::spawn(move || leaving.stop());
     wait_for("another holder", PATIENCE, || {
         let next = fleet.lease_holder();
         next.is_some() && next != holder
--- a/programs/tests/moves_region_cut.rs
+++ b/programs/tests/moves_region_cut.rs
@@ -11,10 +11,11 @@
 use common::PATIENCE;
 use common::apply_move;
 use common::apply_service;
-use common::move_fleet::MoveTraffic;
-use common::region_fleet::NORTH;
-use common::region_fleet::RegionFleet;
-use common::region_fleet::SOUTH;
+use common::local_fleet::LocalFleet;
+use common::move_traffic::MoveTraffic;
+use common::test_net::CutKind;
+use common::test_net::NORTH;
+use common::test_net::SOUTH;
 use common::wait_for;
 
 /// Time after which a fault that shows must be answered on every daemon.
@@ -29,17 +30,17 @@
 /// A fleet with a move at its first steps, and callers in both regions.
 struct CutWorld {
     traffic: Vec<MoveTraffic>,
-    fleet: RegionFleet,
+    fleet: LocalFleet,
 }
 
 impl CutWorld {
     fn start(seconds: u64) -> CutWorld {
-        let fleet = RegionFleet::start();
-        let platform: SocketAddr = fleet.platform.address();
+        let fleet = LocalFleet::start_versions();
+        let platform: SocketAddr = fleet.platform_address(NORTH);
         apply_service(platform, "stalls");
         fleet.wait_ready(1);
-        let traffic = [NORTH, SOUTH]
-            .map(|region| MoveTraffic::start("stalls", &fleet.call_addresses(region)));
+        let traffic =
+            [NORTH, SOUTH].map(|region| MoveTraffic::start("stalls", &fleet.calls_in(region)));
         apply_move(platform, "stalls", seconds);
         let world = CutWorld {
             traffic: traffic.into(),
@@ -47,7 +48,7 @@
         };
         wait_for("first steps everywhere", PATIENCE, || {
             let is_early = world.fleet.read_move().share.checks >= 5;
-            is_early && world.fleet.runs(NORTH) > 0 && world.fleet.runs(SOUTH) > 0
+            is_early && world.fleet.version_runs(NORTH) > 0 && world.fleet.version_runs(SOUTH) > 0
         });
         world
     }
@@ -55,21 +56,17 @@
     /// Waits until v2 has run nothing in a region for a while and every daemon there holds it
     /// condemned; fails later than `limit` from now.
     fn wait_no_work(&self, region: &str, limit: Duration) {
-        let mut last = (self.fleet.runs(region), Instant::now());
+        let mut last = (self.fleet.version_runs(region), Instant::now());
         wait_for("no work for the bad version", limit + SILENCE, || {
-            let runs = self.fleet.runs(region);
+            let runs = self.fleet.version_runs(region);
             if runs != last.0 {
                 last = (runs, Instant::now());
             }
             last.1.elapsed() > SILENCE
         });
         wait_for("every daemon holds it condemned", limit, || {
-            let mut own = self
-                .fleet
-                .endpoints
-                .iter()
-                .filter(|own| own.region == region);
-            own.all(|own| !own.daemon.status().condemned.is_empty())
+            let mut own = self.fleet.daemons_in(region);
+            own.all(|own| !own.status().condemned.is_empty())
         });
     }
 
@@ -83,10 +80,10 @@
 #[test]
 fn bad_version_gets_no_work_on_either_side_of_a_cut() {
     let world = CutWorld::start(90);
-    world.fleet.set_cut(true);
-    let before = [NORTH, SOUTH].map(|region| world.fleet.runs(region));
+    world.fleet.set_cut(CutKind::Everything);
+    let before = [NORTH, SOUTH].map(|region| world.fleet.version_runs(region));
     wait_for("work in both regions, cut", PATIENCE, || {
-        world.fleet.runs(NORTH) > before[0] && world.fleet.runs(SOUTH) > before[1]
+        world.fleet.version_runs(NORTH) > before[0] && world.fleet.version_runs(SOUTH) > before[1]
     });
     world.fleet.spoil(NORTH);
     world.fleet.spoil(SOUTH);
@@ -97,28 +94,28 @@
         "no work on either side after {:?}",
         start.elapsed() - SILENCE
     );
-    world.fleet.set_cut(false);
+    world.fleet.set_cut(CutKind::Nothing);
     world.wait_phase(MovePhase::TakenBack);
 }
 
 #[test]
 fn fault_that_shows_only_beyond_a_cut_takes_the_move_back_after_it() {
     let world = CutWorld::start(90);
-    world.fleet.set_cut(true);
+    world.fleet.set_cut(CutKind::Everything);
     world.fleet.spoil(SOUTH);
     let start = Instant::now();
     world.wait_no_work(SOUTH, REACTION);
     println!("no work in the south after {:?}", start.elapsed() - SILENCE);
     let phase = world.fleet.read_move().phase;
     assert!(!phase.is_ended(), "the north has seen no fault: {phase:?}");
-    world.fleet.set_cut(false);
+    world.fleet.set_cut(CutKind::Nothing);
     world.wait_phase(MovePhase::TakenBack);
 }
 
 #[test]
 fn good_version_is_done_after_a_cut_and_not_before_its_end() {
     let world = CutWorld::start(40);
-    world.fleet.set_cut(true);
+    world.fleet.set_cut(CutKind::Everything);
     let start = Instant::now();
     let mut highest = 0;
     wait_for("the cut lasts", CUT_TIME + PATIENCE, || {
@@ -134,7 +131,7 @@
         start.elapsed() > CUT_TIME
     });
     println!("{highest}% of bookings at the end of the cut");
-    world.fleet.set_cut(false);
+    world.fleet.set_cut(CutKind::Nothing);
     wait_for("end of the move", PATIENCE, || {
         world.fleet.read_move().phase.is_ended()
     });
--- a/programs/tests/moves_under_failure.rs
+++ b/programs/tests/moves_under_failure.rs
@@ -9,10 +9,10 @@
 use coltsfootweir::record::MovePhase;
 
 use common::PATIENCE;
-use common::move_fleet::MoveFleet;
-use common::move_fleet::MoveTraffic;
-use common::move_fleet::SeenAnswer;
-use common::move_fleet::set_faults;
+use common::json_http::post_json;
+use common::move_traffic::MoveTraffic;
+use common::move_traffic::SeenAnswer;
+use common::process_fleet::ProcessFleet;
 use common::wait_for;
 
 /// Time after which a fault that shows must be answered on every daemon.
@@ -48,61 +48,55 @@
     );
 }
 
+/// Starts three endpoints of each version of `stalls` and others, and accepts their services.
+fn start_fleet(others: &[&str], services: &[&str]) -> ProcessFleet {
+    let mut endpoints = vec!["stalls/v1"; 3];
+    endpoints.extend(["stalls/v2"; 3]);
+    endpoints.extend(others);
+    let fleet = ProcessFleet::start_versions(&endpoints);
+    services.iter().for_each(|own| fleet.apply_service(own));
+    fleet.wait_ready(services.len() as u64);
+    fleet
+}
+
+fn is_silent(traffic: &MoveTraffic, version: &str) -> bool {
+    let silence = traffic.since_last(version);
+    silence.is_some_and(|silence| silence > SILENCE)
+}
+
+fn wait_phase(fleet: &ProcessFleet, service: &str, phase: MovePhase) {
+    wait_for(&format!("{service} {phase:?}"), PATIENCE, || {
+        let record = fleet.read_move(service);
+        record.is_some_and(|record| record.phase == phase)
+    });
+}
+
 #[test]
 fn bad_version_is_taken_back_with_the_store_down_while_another_move_ends_done() {
-    let fleet = MoveFleet::start(&[
-        "stalls/v1",
-        "stalls/v1",
-        "stalls/v1",
-        "stalls/v2",
-        "stalls/v2",
-        "stalls/v2",
-        "horses/v1",
-        "horses/v1",
-        "horses/v2",
-        "horses/v2",
-    ]);
-    fleet.apply_service("stalls");
-    fleet.apply_service("horses");
-    fleet.wait_ready(2);
-    let stalls = MoveTraffic::start("stalls", &fleet.call_addresses());
-    let horses = MoveTraffic::start("horses", &fleet.call_addresses());
+    let horses = ["horses/v1", "horses/v1", "horses/v2", "horses/v2"];
+    let fleet = start_fleet(&horses, &["stalls", "horses"]);
+    let stalls = MoveTraffic::start("stalls", &fleet.calls());
+    let horses = MoveTraffic::start("horses", &fleet.calls());
     fleet.apply_move("stalls", 40);
     fleet.wait_share("stalls", 5);
     fleet.set_outage(true);
-    assert_eq!(fleet.set_faults("stalls/v2", FAILING), 3);
+    assert_eq!(fleet.spoil("stalls", "v2", FAILING), 3);
     wait_for(
         "no work for the bad version, store down",
         REACTION + SILENCE,
-        || {
-            stalls
-                .since_last("v2")
-                .is_some_and(|silence| silence > SILENCE)
-        },
+        || is_silent(&stalls, "v2"),
     );
     assert!(fleet.read_move("stalls").is_none(), "the store is down");
     assert_small_share(&stalls);
     fleet.set_outage(false);
-    wait_for("move taken back", PATIENCE, || {
-        fleet
-            .read_move("stalls")
-            .is_some_and(|record| record.phase == MovePhase::TakenBack)
-    });
+    wait_phase(&fleet, "stalls", MovePhase::TakenBack);
     let record = fleet.read_move("stalls").expect("move is accepted");
     assert!(!record.reason.is_empty());
     fleet.apply_move("horses", ASKED.as_secs());
     let start = Instant::now();
-    wait_for("good move done", PATIENCE, || {
-        fleet
-            .read_move("horses")
-            .is_some_and(|record| record.phase == MovePhase::Done)
-    });
+    wait_phase(&fleet, "horses", MovePhase::Done);
     assert!(start.elapsed() <= ASKED, "done after {:?}", start.elapsed());
-    assert!(
-        stalls
-            .since_last("v2")
-            .is_some_and(|silence| silence > SILENCE)
-    );
+    assert!(is_silent(&stalls, "v2"));
     assert!(
         horses
             .since_last("v1")
@@ -112,17 +106,7 @@
 
 #[test]
 fn frozen_acting_member_neither_delays_nor_revives_a_bad_move() {
-    let fleet = MoveFleet::start(&[
-        "stalls/v1",
-        "stalls/v1",
-        "stalls/v1",
-        "stalls/v2",
-        "stalls/v2",
-        "stalls/v2",
-        "none/v1",
-    ]);
-    fleet.apply_service("stalls");
-    fleet.wait_ready(1);
+    let fleet = start_fleet(&["none/v1"], &["stalls"]);
     fleet.apply_move("stalls", 60);
     fleet.wait_share("stalls", 1);
     let holder = fleet
@@ -142,17 +126,11 @@
     let traffic = MoveTraffic::start("stalls", &live);
     fleet.wait_share("stalls", 5);
     frozen.process.signal("STOP");
-    fleet.set_faults("stalls/v2", FAILING);
+    fleet.spoil("stalls", "v2", FAILING);
     wait_for("no work for the bad version", REACTION + SILENCE, || {
-        traffic
-            .since_last("v2")
-            .is_some_and(|silence| silence > SILENCE)
-    });
-    wait_for("move taken back by another member", PATIENCE, || {
-        fleet
-            .read_move("stalls")
-            .is_some_and(|record| record.phase == MovePhase::TakenBack)
+        is_silent(&traffic, "v2")
     });
+    wait_phase(&fleet, "stalls", MovePhase::TakenBack);
     frozen.process.signal("CONT");
     let resumed = Instant::now();
     wait_for(
@@ -165,29 +143,20 @@
             resumed.elapsed() > Duration::from_secs(6)
         },
     );
-    assert!(
-        traffic
-            .since_last("v2")
-            .is_some_and(|silence| silence > SILENCE)
-    );
+    assert!(is_silent(&traffic, "v2"));
     assert_small_share(&traffic);
 }
 
 #[test]
 fn good_version_with_one_bad_endpoint_is_not_taken_back() {
-    let fleet = MoveFleet::start(&[
-        "stalls/v1",
-        "stalls/v1",
-        "stalls/v1",
-        "stalls/v2",
-        "stalls/v2",
-        "stalls/v2",
-    ]);
-    fleet.apply_service("stalls");
-    fleet.wait_ready(1);
-    let bad = &fleet.upstreams[4].1;
-    set_faults(bad, r#"{"fail_percent": 60, "misleading_health": true}"#);
-    let _traffic = MoveTraffic::start("stalls", &fleet.call_addresses());
+    let fleet = start_fleet(&[], &["stalls"]);
+    let bad = fleet.upstreams[4].address;
+    post_json(
+        bad,
+        "/standin/faults",
+        r#"{"fail_percent": 60, "misleading_health": true}"#,
+    );
+    let _traffic = MoveTraffic::start("stalls", &fleet.calls());
     fleet.apply_move("stalls", 45);
     wait_for("move ended", PATIENCE, || {
         fleet
--- a/programs/tests/operator_moves.rs
+++ b/programs/tests/operator_moves.rs
@@ -21,10 +21,10 @@
 
 use common::PATIENCE;
 use common::apply;
+use common::json_http::post_json;
 use common::operator::OperatorRun;
 use common::operator::operate;
 use common::operator::operate_json;
-use common::operator::post_json;
 use common::start_platform;
 use common::wait_for;
 
@@ -35,6 +35,11 @@
   {"kind": "upstream-version", "schema": 1, "service": "crew", "version": "v2", "share": 0}
 ]"#;
 
+fn two_moves() -> String {
+    let (first, second) = (move_record("m1", "stalls"), move_record("m2", "crew"));
+    format!("[{first}, {second}]")
+}
+
 fn move_record(name: &str, service: &str) -> String {
     format!(
         r#"{{"kind": "move", "schema": 2, "name": "{name}", "service": "{service}", "from": "v1",
@@ -116,11 +121,7 @@
     let platform = start_platform();
     let address = platform.address;
     apply(address, BASE);
-    let input = format!(
-        "[{}, {}]",
-        move_record("m1", "stalls"),
-        move_record("m2", "crew")
-    );
+    let input = two_moves();
     let run = wait_in_background(address, input);
     step(
         address,
@@ -161,11 +162,7 @@
     let platform = start_platform();
     let address = platform.address;
     apply(address, BASE);
-    let input = format!(
-        "[{}, {}]",
-        move_record("m1", "stalls"),
-        move_record("m2", "crew")
-    );
+    let input = two_moves();
     apply(address, &input);
     step(address, "m1", MovePhase::Climbing, "");
     step(address, "m2", MovePhase::TakenBack, "slow calls");
--- a/programs/tests/store_outage.rs
+++ b/programs/tests/store_outage.rs
@@ -8,12 +8,9 @@
 use coltsfootweir::platform::PlatformStore;
 use coltsfootweir::schema::parse_records;
 use coltsfootweir::seed_row::SEED_PREFIX;
-use common::DaemonProcess;
-use common::DaemonSpec;
 use common::PATIENCE;
-use common::read_status;
-use common::start_daemon;
-use common::start_platform;
+use common::process_fleet::ProcessFleet;
+use common::process_fleet::region_of;
 use common::wait_for;
 use programs::apply::accept_records;
 
@@ -37,40 +34,27 @@
 
 #[test]
 fn accepted_configuration_spreads_while_the_store_is_down() {
-    let platform = start_platform();
-    let mut daemons: Vec<DaemonProcess> = Vec::new();
+    let mut fleet = ProcessFleet::empty();
     for number in 0..4 {
-        let region = if number % 2 == 0 { "north" } else { "south" };
-        let mut spec = DaemonSpec::new(platform.address, region, "zaandam");
-        spec.seeds = daemons.iter().map(|daemon| daemon.control).collect();
-        daemons.push(start_daemon(&spec));
+        fleet.add_joined(region_of(number));
     }
+    let platform = fleet.platform.address;
     let accept = |text: &str| {
         let records = parse_records(text, std::time::SystemTime::now()).expect("well formed");
-        let snapshot = accept_records(
-            &HttpPlatform::new(platform.address, PLATFORM_TIMEOUT),
-            &records,
-        )
-        .expect("accepted");
+        let snapshot = accept_records(&HttpPlatform::new(platform, PLATFORM_TIMEOUT), &records)
+            .expect("accepted");
         snapshot.generation
     };
     let wait_all = |generation: u64| {
-        for daemon in &daemons {
+        for index in 0..4 {
             wait_for("the generation in force", PATIENCE, || {
-                read_status(daemon.control).is_some_and(|status| status.generation == generation)
+                let status = fleet.status(index);
+                status.is_some_and(|status| status.generation == generation)
             });
         }
     };
-    let set_outage = |outage: bool| {
-        let body = format!(r#"{{"outage": {outage}}}"#);
-        let answer = minreq::post(format!("http://{}/faults", platform.address))
-            .with_body(body)
-            .send()
-            .expect("the platform stand-in answers");
-        assert_eq!(answer.status_code, 200);
-    };
     wait_all(accept(RECORDS));
-    let store = HttpPlatform::new(platform.address, PLATFORM_TIMEOUT);
+    let store = HttpPlatform::new(platform, PLATFORM_TIMEOUT);
     wait_for("seeds of both regions", PATIENCE, || {
         store
             .list_rows(SEED_PREFIX)
@@ -78,8 +62,8 @@
     });
     for number in 0..CHANGE_COUNT {
         let generation = accept(&route(number));
-        set_outage(true);
+        fleet.set_outage(true);
         wait_all(generation);
-        set_outage(false);
+        fleet.set_outage(false);
     }
 }
