State machines, proptest settings and records of tests have one home

Cause: twelve tests wrote the fixed proptest settings again, four state machines the same model without state, six files the same move record.

Ruled out: one world type for the machines; only their frame is the same.

Change: coltsfootweir/tests/common has records, fake_store and step_test (StepWorld, StepTest); fixed_config is used everywhere with the seeds and case numbers as they were. config_state and gossip_machine keep their models. Evidence tests take the shared move record: the pool reads only service and versions of it.

Result: the 23 touched test files pass (verdict_cost is ignored as before); the 110 listed names are the same.

--- a/coltsfootweir/tests/bookings.rs
+++ b/coltsfootweir/tests/bookings.rs
@@ -1,14 +1,13 @@
 //! State machine: several daemons' ledgers and a claim store against a count of runs per key.
 
+mod common;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
 use coltsfootweir::answer_cache::CacheLimits;
@@ -22,6 +21,10 @@
 use coltsfootweir::outcome::DoubtReason;
 use coltsfootweir::outcome::RefusalReason;
 
+use common::fixed_config;
+use common::step_test::StepTest;
+use common::step_test::StepWorld;
+
 const MEMBERS: usize = 3;
 
 /// Looks like a key of the second member's first run, which never minted it.
@@ -383,17 +386,14 @@
     }
 }
 
-struct StepSource;
+impl StepWorld for World {
+    type Step = Step;
 
-impl ReferenceStateMachine for StepSource {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn start() -> World {
+        World::new()
     }
 
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+    fn steps() -> BoxedStrategy<Step> {
         let index = 0..MEMBERS;
         let pick = 0..64_usize;
         let fate = prop_oneof![
@@ -423,43 +423,20 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Step) {}
-}
-
-struct BookingTest;
-
-impl StateMachineTest for BookingTest {
-    type SystemUnderTest = World;
-    type Reference = StepSource;
-
-    fn init_test((): &()) -> World {
-        World::new()
-    }
-
-    fn apply(mut world: World, (): &(), step: Step) -> World {
-        world.step(step);
-        world
+    fn apply_step(&mut self, step: Step) {
+        self.step(step);
     }
 
-    fn check_invariants(world: &World, (): &()) {
-        world.check_bounds();
-    }
-}
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 600,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x0b00),
-        ..ProptestConfig::default()
+    fn check_step(&self) {
+        self.check_bounds();
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0x0b00, 600))]
 
     #[test]
-    fn bookings_run_at_most_once(sequential 20..160 => BookingTest);
+    fn bookings_run_at_most_once(sequential 20..160 => StepTest<World>);
 }
 
 /// A claim that took effect while its answer was lost does not keep the booking from running.
--- a/coltsfootweir/tests/call_values.rs
+++ b/coltsfootweir/tests/call_values.rs
@@ -1,10 +1,11 @@
 //! Values that calls carry: keys, deadlines, loads and kept answers.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use coltsfootweir::answer_cache::AnswerCache;
 use coltsfootweir::answer_cache::CacheLimits;
@@ -18,16 +19,10 @@
 use coltsfootweir::deadline::RETURN_MARGIN;
 use coltsfootweir::load_report::LoadReport;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0xca11),
-        ..ProptestConfig::default()
-    }
-}
+use common::fixed_config;
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0xca11, 256))]
 
     #[test]
     fn keys_read_back_as_written(text in "(cw1~)?[ -~]{0,140}", incarnation: u64) {
--- a/coltsfootweir/tests/config_accept.rs
+++ b/coltsfootweir/tests/config_accept.rs
@@ -26,11 +26,11 @@
 use coltsfootweir::record::RouteRecord;
 use coltsfootweir::snapshot::ConfigSnapshot;
 
-use common::FakeStore;
-use common::StoreFault;
-use common::first_snapshot;
+use common::fake_store::FakeStore;
+use common::fake_store::StoreFault;
 use common::fixed_config;
-use common::route;
+use common::records::first_snapshot;
+use common::records::route;
 
 /// Acceptances after which the head row may have forgotten a write.
 const REMEMBERED_WRITES: u8 = 16;
--- a/coltsfootweir/tests/config_records.rs
+++ b/coltsfootweir/tests/config_records.rs
@@ -18,7 +18,7 @@
 use coltsfootweir::schema::render_record;
 
 use common::fixed_config;
-use common::move_record;
+use common::records::move_record;
 
 const NOW: SystemTime = SystemTime::UNIX_EPOCH;
 
--- a/coltsfootweir/tests/config_routes.rs
+++ b/coltsfootweir/tests/config_routes.rs
@@ -14,11 +14,11 @@
 use coltsfootweir::snapshot::ConfigSnapshot;
 use coltsfootweir::snapshot::SnapshotError;
 
-use common::first_snapshot;
 use common::fixed_config;
-use common::move_record;
-use common::route;
-use common::version;
+use common::records::first_snapshot;
+use common::records::move_record;
+use common::records::route;
+use common::records::version;
 
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 
--- a/coltsfootweir/tests/config_state.rs
+++ b/coltsfootweir/tests/config_state.rs
@@ -18,10 +18,10 @@
 use coltsfootweir::snapshot::HeadMark;
 use coltsfootweir::snapshot::SnapshotError;
 
-use common::first_snapshot;
 use common::fixed_config;
-use common::move_record;
-use common::route;
+use common::records::first_snapshot;
+use common::records::move_record;
+use common::records::route;
 
 /// Damage to an offer on its way.
 #[derive(Clone, Copy, Debug)]
--- a/coltsfootweir/tests/endpoint_choice.rs
+++ b/coltsfootweir/tests/endpoint_choice.rs
@@ -1,9 +1,10 @@
 //! Choice of endpoints: nearest first, spill, cap on ejection, no endpoint starved.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -17,6 +18,8 @@
 use coltsfootweir::ids::MemberId;
 use coltsfootweir::load_report::LoadReport;
 
+use common::fixed_config;
+
 const SLOTS: u16 = 9;
 
 /// Endpoints by zone and region.
@@ -62,17 +65,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 300,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0xba1),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0xba1, 300))]
 
     #[test]
     fn ejection_is_capped_and_some_endpoint_is_chosen(
--- a/coltsfootweir/tests/entry_merge.rs
+++ b/coltsfootweir/tests/entry_merge.rs
@@ -1,5 +1,6 @@
 //! Merging entries gives the same result in any order.
 
+mod common;
 mod support;
 
 use std::time::Duration;
@@ -11,20 +12,10 @@
 use coltsfootweir::member::member_hash;
 use coltsfootweir::member::run_hash;
 use coltsfootweir::view::MemberView;
+use common::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use support::entry_of;
 
-fn config() -> Config {
-    Config {
-        cases: 2_000,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x5eed),
-        ..Config::default()
-    }
-}
-
 fn state() -> impl Strategy<Value = MemberState> {
     prop_oneof![
         Just(MemberState::Alive),
@@ -104,7 +95,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0x5eed, 2_000))]
 
     #[test]
     fn entries_merge_in_any_order(mut a in entry(), mut b in entry(), mut c in entry()) {
--- a/coltsfootweir/tests/evidence_bound.rs
+++ b/coltsfootweir/tests/evidence_bound.rs
@@ -1,14 +1,14 @@
 //! The evidence that a candidate keeps is bounded, however long a move runs and endpoints change.
 
+mod common;
+
 use std::time::Duration;
-use std::time::SystemTime;
 
 use coltsfootweir::evidence::EvidenceRecorder;
 use coltsfootweir::evidence_pool::EvidencePool;
-use coltsfootweir::record::MovePhase;
-use coltsfootweir::record::MoveRecord;
 use coltsfootweir::record::RouteClass;
-use coltsfootweir::record::TrafficShare;
+
+use common::records::move_record;
 
 /// Seconds in an hour.
 const HOUR: u64 = 3600;
@@ -22,19 +22,6 @@
 /// Bytes that the evidence may occupy where each endpoint lives for a few seconds.
 const CHURN_BYTES: usize = 1_000_000;
 
-fn record() -> MoveRecord {
-    MoveRecord {
-        name: "spring".into(),
-        service: "stalls".into(),
-        from: "v1".into(),
-        to: "v2".into(),
-        done_by: SystemTime::UNIX_EPOCH,
-        phase: MovePhase::Climbing,
-        share: TrafficShare::default(),
-        reason: "".into(),
-    }
-}
-
 fn recorder(member: u64, incarnation: u64) -> EvidenceRecorder {
     let name = format!("10.1.0.{member}:7000").into();
     let mut recorder = EvidenceRecorder::new(name, incarnation);
@@ -52,7 +39,7 @@
 
 #[test]
 fn an_hour_of_eight_endpoints_fits() {
-    let mut pool = EvidencePool::new(&record());
+    let mut pool = EvidencePool::new(&move_record("spring", "v1", "v2"));
     let mut recorders: Vec<_> = (0..8).map(|member| recorder(member, 1)).collect();
     for second in 0..HOUR {
         for (member, own) in recorders.iter_mut().enumerate() {
@@ -74,7 +61,7 @@
 
 #[test]
 fn endpoints_that_come_and_go_do_not_pile_up() {
-    let mut pool = EvidencePool::new(&record());
+    let mut pool = EvidencePool::new(&move_record("spring", "v1", "v2"));
     for second in 0..2 * HOUR {
         let mut own = recorder(second, 1);
         let now = Duration::from_secs(second);
@@ -90,7 +77,7 @@
 
 #[test]
 fn an_endpoint_that_comes_back_is_not_counted_again() {
-    let mut pool = EvidencePool::new(&record());
+    let mut pool = EvidencePool::new(&move_record("spring", "v1", "v2"));
     let mut first = recorder(1, 1);
     for _ in 0..100 {
         serve(&mut first);
--- a/coltsfootweir/tests/evidence_merge.rs
+++ b/coltsfootweir/tests/evidence_merge.rs
@@ -1,18 +1,18 @@
 //! Pooled evidence counts every call once, whatever is delivered twice, late or across restarts.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 
 use coltsfootweir::evidence::EndpointEvidence;
 use coltsfootweir::evidence::EvidenceRecorder;
 use coltsfootweir::evidence_pool::EvidencePool;
-use coltsfootweir::record::MovePhase;
-use coltsfootweir::record::MoveRecord;
 use coltsfootweir::record::RouteClass;
-use coltsfootweir::record::TrafficShare;
+
+use common::fixed_config;
+use common::records::move_record;
 
 const MEMBERS: usize = 3;
 
@@ -50,19 +50,6 @@
     recorder
 }
 
-fn record() -> MoveRecord {
-    MoveRecord {
-        name: "spring".into(),
-        service: "stalls".into(),
-        from: "v1".into(),
-        to: "v2".into(),
-        done_by: std::time::SystemTime::UNIX_EPOCH,
-        phase: MovePhase::Climbing,
-        share: TrafficShare::default(),
-        reason: "".into(),
-    }
-}
-
 /// Plain sums of what happened since the pool began.
 #[derive(Debug, Default, Eq, PartialEq)]
 struct PlainSums {
@@ -83,12 +70,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 256,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(42),
-        .. Config::default()
-    })]
+    #![proptest_config(fixed_config(42, 256))]
 
     #[test]
     fn pool_counts_each_call_once(
@@ -103,7 +85,7 @@
         for (member, failed) in early {
             recorders[member].on_call(&route, RouteClass::Booking, failed, Duration::ZERO);
         }
-        let mut pool = EvidencePool::new(&record());
+        let mut pool = EvidencePool::new(&move_record("spring", "v1", "v2"));
         let mut sent: Vec<EndpointEvidence> = Vec::new();
         let mut late: Vec<EndpointEvidence> = Vec::new();
         let mut sums = PlainSums::default();
--- a/coltsfootweir/tests/gossip_machine.rs
+++ b/coltsfootweir/tests/gossip_machine.rs
@@ -1,13 +1,13 @@
 //! Generated steps against members that exchange messages, with a simple oracle.
 
+mod common;
 mod support;
 
 use std::collections::BTreeSet;
 
 use coltsfootweir::member::MemberState;
+use common::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -202,12 +202,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 40,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x5eed),
-        ..Config::default()
-    })]
+    #![proptest_config(fixed_config(0x5eed, 40))]
 
     #[test]
     fn any_cut_heals(sides in any::<[bool; MEMBERS]>(), rounds in 1..40usize) {
@@ -228,12 +223,9 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config {
-        cases: 64,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x5eed),
+    #![proptest_config(ProptestConfig {
         max_shrink_iters: 2_000,
-        ..Config::default()
+        ..fixed_config(0x5eed, 64)
     })]
 
     #[test]
--- a/coltsfootweir/tests/guard_admission.rs
+++ b/coltsfootweir/tests/guard_admission.rs
@@ -1,12 +1,11 @@
 //! State machine: slots and queue of an upstream against a plain account of each request.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
 use coltsfootweir::guard::AdmitDecision;
@@ -16,6 +15,10 @@
 use coltsfootweir::member::EndpointPhase;
 use coltsfootweir::outcome::RefusalReason;
 
+use common::fixed_config;
+use common::step_test::StepTest;
+use common::step_test::StepWorld;
+
 const SLOTS: u16 = 3;
 const QUEUE_LIMIT: usize = 5;
 
@@ -196,17 +199,14 @@
     }
 }
 
-struct StepSource;
+impl StepWorld for Account {
+    type Step = Step;
 
-impl ReferenceStateMachine for StepSource {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn start() -> Account {
+        Account::new()
     }
 
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+    fn steps() -> BoxedStrategy<Step> {
         let phase = prop_oneof![
             3 => Just(EndpointPhase::Ready),
             1 => Just(EndpointPhase::Leaving),
@@ -224,45 +224,22 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Step) {}
-}
-
-struct GuardTest;
-
-impl StateMachineTest for GuardTest {
-    type SystemUnderTest = Account;
-    type Reference = StepSource;
-
-    fn init_test((): &()) -> Account {
-        Account::new()
-    }
-
-    fn apply(mut account: Account, (): &(), step: Step) -> Account {
-        account.step(step);
-        account
+    fn apply_step(&mut self, step: Step) {
+        self.step(step);
     }
 
-    fn check_invariants(account: &Account, (): &()) {
-        account.check();
+    fn check_step(&self) {
+        self.check();
     }
 
-    fn teardown(account: Account, (): ()) {
-        account.drain();
-    }
-}
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 300,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x9a4d),
-        ..ProptestConfig::default()
+    fn finish(self) {
+        self.drain();
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0x9a4d, 300))]
 
     #[test]
-    fn each_request_gets_one_true_decision(sequential 20..150 => GuardTest);
+    fn each_request_gets_one_true_decision(sequential 20..150 => StepTest<Account>);
 }
--- a/coltsfootweir/tests/job_rank.rs
+++ b/coltsfootweir/tests/job_rank.rs
@@ -1,5 +1,6 @@
 //! Jobs fall evenly on the members, and churn moves few of them.
 
+mod common;
 mod support;
 
 use std::collections::BTreeMap;
@@ -8,9 +9,8 @@
 use coltsfootweir::member::MemberEntry;
 use coltsfootweir::rank::holds_job;
 use coltsfootweir::rank::rank_members;
+use common::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use support::entry_of;
 
 fn members(count: usize) -> Vec<MemberEntry> {
@@ -42,12 +42,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 1_000,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x5eed),
-        ..Config::default()
-    })]
+    #![proptest_config(fixed_config(0x5eed, 1_000))]
 
     #[test]
     fn churn_leaves_the_order_of_the_others(
--- a/coltsfootweir/tests/mesh/mod.rs
+++ b/coltsfootweir/tests/mesh/mod.rs
@@ -22,10 +22,10 @@
 use coltsfootweir::route_table::RouteTable;
 use coltsfootweir::snapshot::ConfigSnapshot;
 
-use super::common::FakeStore;
-use super::common::StoreFault;
-use super::common::first_snapshot;
-use super::common::route;
+use super::common::fake_store::FakeStore;
+use super::common::fake_store::StoreFault;
+use super::common::records::first_snapshot;
+use super::common::records::route;
 
 /// Members; even ones stand in the region of the store.
 pub const MEMBERS: usize = 6;
--- a/coltsfootweir/tests/mesh_machine.rs
+++ b/coltsfootweir/tests/mesh_machine.rs
@@ -5,14 +5,14 @@
 mod common;
 mod mesh;
 
-use common::StoreFault;
+use common::fake_store::StoreFault;
 use common::fixed_config;
+use common::step_test::StepTest;
+use common::step_test::StepWorld;
 use mesh::MEMBERS;
 use mesh::MemberMode;
 use mesh::MeshWorld;
 use proptest::prelude::*;
-use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
 /// Rounds of one second in which everything heals.
@@ -38,10 +38,6 @@
     },
 }
 
-/// The steps need no model: the oracle is what each address served and what the store accepted.
-#[derive(Clone, Debug)]
-struct NoModel;
-
 fn store_fault() -> impl Strategy<Value = StoreFault> {
     prop_oneof![
         6 => Just(StoreFault::None),
@@ -53,15 +49,15 @@
     ]
 }
 
-impl ReferenceStateMachine for NoModel {
-    type State = NoModel;
-    type Transition = MeshStep;
+/// The oracle is what each address served and what the store accepted.
+impl StepWorld for MeshWorld {
+    type Step = MeshStep;
 
-    fn init_state() -> BoxedStrategy<NoModel> {
-        Just(NoModel).boxed()
+    fn start() -> MeshWorld {
+        MeshWorld::new()
     }
 
-    fn transitions(_: &NoModel) -> BoxedStrategy<MeshStep> {
+    fn steps() -> BoxedStrategy<MeshStep> {
         let mode = prop_oneof![
             3 => Just(MemberMode::Running),
             2 => Just(MemberMode::Frozen),
@@ -83,57 +79,41 @@
         .boxed()
     }
 
-    fn apply(state: NoModel, _: &MeshStep) -> NoModel {
-        state
-    }
-}
-
-struct MeshTest;
-
-impl StateMachineTest for MeshTest {
-    type SystemUnderTest = MeshWorld;
-    type Reference = NoModel;
-
-    fn init_test(_: &NoModel) -> MeshWorld {
-        MeshWorld::new()
-    }
-
-    fn apply(mut world: MeshWorld, _: &NoModel, step: MeshStep) -> MeshWorld {
+    fn apply_step(&mut self, step: MeshStep) {
         match step {
-            MeshStep::Round => world.pass_round(),
-            MeshStep::SetMode(member, mode) => world.set_mode(member, mode),
-            MeshStep::Restart(member) => world.restart(member),
-            MeshStep::SetCut(cut) => world.is_cut = cut,
-            MeshStep::SetStore(is_up) => world.is_store_up = is_up,
-            MeshStep::LoseMessages(count) => world.lose = count,
-            MeshStep::DamagePulls(count) => world.damage = count,
-            MeshStep::CrossPull(member, holder) => world.cross_pull(member, holder),
+            MeshStep::Round => self.pass_round(),
+            MeshStep::SetMode(member, mode) => self.set_mode(member, mode),
+            MeshStep::Restart(member) => self.restart(member),
+            MeshStep::SetCut(cut) => self.is_cut = cut,
+            MeshStep::SetStore(is_up) => self.is_store_up = is_up,
+            MeshStep::LoseMessages(count) => self.lose = count,
+            MeshStep::DamagePulls(count) => self.damage = count,
+            MeshStep::CrossPull(member, holder) => self.cross_pull(member, holder),
             MeshStep::Operate {
                 name,
                 script,
                 rivals,
-            } => world.operate(name, &script, rivals),
+            } => self.operate(name, &script, rivals),
         }
-        world
     }
 
-    fn check_invariants(world: &MeshWorld, _: &NoModel) {
-        world.check_invariants();
+    fn check_step(&self) {
+        self.check_invariants();
     }
 
-    fn teardown(mut world: MeshWorld, _: NoModel) {
-        world.heal();
+    fn finish(mut self) {
+        self.heal();
         for _ in 0..HEAL_ROUNDS {
-            world.pass_round();
-            world.check_invariants();
+            self.pass_round();
+            self.check_invariants();
         }
-        world.operate(0, &[], false);
+        self.operate(0, &[], false);
         for _ in 0..CONVERGE_ROUNDS {
-            world.pass_round();
-            world.check_invariants();
+            self.pass_round();
+            self.check_invariants();
         }
-        world.check_converged();
-        world.check_accepted_once();
+        self.check_converged();
+        self.check_accepted_once();
     }
 }
 
@@ -141,5 +121,5 @@
     #![proptest_config(fixed_config(0x6d65_7368, 48))]
 
     #[test]
-    fn mesh_holds_under_mixed_failures(sequential 60..160 => MeshTest);
+    fn mesh_holds_under_mixed_failures(sequential 60..160 => StepTest<MeshWorld>);
 }
--- a/coltsfootweir/tests/move_world/mod.rs
+++ b/coltsfootweir/tests/move_world/mod.rs
@@ -26,6 +26,7 @@
 use coltsfootweir::record::TrafficShare;
 
 use self::service::Service;
+use crate::common::records::move_record;
 
 /// How the store answers writes and reads.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -480,13 +481,8 @@
 
 fn record(service: &str) -> MoveRecord {
     MoveRecord {
-        name: format!("move-{service}").into(),
         service: service.into(),
-        from: "v1".into(),
-        to: "v2".into(),
         done_by: SystemTime::UNIX_EPOCH + Duration::from_secs(150),
-        phase: MovePhase::Waiting,
-        share: TrafficShare::default(),
-        reason: "".into(),
+        ..move_record(&format!("move-{service}"), "v1", "v2")
     }
 }
--- a/coltsfootweir/tests/mover_machine.rs
+++ b/coltsfootweir/tests/mover_machine.rs
@@ -1,12 +1,9 @@
 //! State machine over movers: leases, steps and takebacks under faults of the store and of versions.
 
+mod common;
 mod move_world;
 
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
 use coltsfootweir::mover::WriteResult;
@@ -14,6 +11,9 @@
 
 use crate::move_world::MoveWorld;
 use crate::move_world::StoreMode;
+use common::fixed_config;
+use common::step_test::StepTest;
+use common::step_test::StepWorld;
 
 const MOVERS: usize = 3;
 
@@ -32,18 +32,14 @@
     Fail { service: usize, fails: bool },
 }
 
-/// Generator of events; the oracle stands beside the table.
-struct EventSource;
+impl StepWorld for MoveWorld {
+    type Step = WorldEvent;
 
-impl ReferenceStateMachine for EventSource {
-    type State = ();
-    type Transition = WorldEvent;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn start() -> MoveWorld {
+        MoveWorld::new(MOVERS)
     }
 
-    fn transitions((): &()) -> BoxedStrategy<WorldEvent> {
+    fn steps() -> BoxedStrategy<WorldEvent> {
         let modes = prop_oneof![
             3 => Just(StoreMode::Up),
             1 => Just(StoreMode::Down),
@@ -67,45 +63,31 @@
         .boxed()
     }
 
-    fn apply((): (), _: &WorldEvent) {}
-}
-
-struct WorldTest;
-
-impl StateMachineTest for WorldTest {
-    type SystemUnderTest = MoveWorld;
-    type Reference = EventSource;
-
-    fn init_test((): &()) -> MoveWorld {
-        MoveWorld::new(MOVERS)
-    }
-
-    fn apply(mut world: MoveWorld, (): &(), event: WorldEvent) -> MoveWorld {
+    fn apply_step(&mut self, event: WorldEvent) {
         match event {
             WorldEvent::Seconds { count, spreads } => {
                 for _ in 0..count {
-                    world.second(spreads);
+                    self.second(spreads);
                 }
             }
-            WorldEvent::Store(mode) => world.mode = mode,
+            WorldEvent::Store(mode) => self.mode = mode,
             WorldEvent::LandLate => {
-                world.land_late();
+                self.land_late();
             }
-            WorldEvent::Freeze { mover, is_frozen } => world.set_frozen(mover, is_frozen),
-            WorldEvent::Leave { mover, is_leaving } => world.set_leaving(mover, is_leaving),
+            WorldEvent::Freeze { mover, is_frozen } => self.set_frozen(mover, is_frozen),
+            WorldEvent::Leave { mover, is_leaving } => self.set_leaving(mover, is_leaving),
             WorldEvent::Candidate {
                 mover,
                 is_candidate,
             } => {
-                world.set_candidate(mover, is_candidate);
+                self.set_candidate(mover, is_candidate);
             }
-            WorldEvent::Fail { service, fails } => world.set_fails(service, fails),
+            WorldEvent::Fail { service, fails } => self.set_fails(service, fails),
         }
-        world
     }
 
-    fn teardown(mut world: MoveWorld, (): ()) {
-        world.settle();
+    fn finish(mut self) {
+        self.settle();
     }
 }
 
@@ -199,14 +181,11 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config {
-        cases: 48,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_204),
+    #![proptest_config(ProptestConfig {
         max_shrink_iters: 200,
-        .. Config::default()
+        ..fixed_config(20_261_204, 48)
     })]
 
     #[test]
-    fn movers_keep_the_rules(sequential 1..40 => WorldTest);
+    fn movers_keep_the_rules(sequential 1..40 => StepTest<MoveWorld>);
 }
--- a/coltsfootweir/tests/pace_steps.rs
+++ b/coltsfootweir/tests/pace_steps.rs
@@ -1,10 +1,10 @@
 //! The pace keeps its time for good versions and holds bookings back until there is evidence.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 
 use coltsfootweir::pace::MovePace;
 use coltsfootweir::pace::PaceAdvice;
@@ -15,6 +15,8 @@
 use coltsfootweir::record::TrafficShare;
 use coltsfootweir::verdict::Verdict;
 
+use common::fixed_config;
+
 /// Bookings that may be on the new version without evidence, in percent, in the first half of the
 /// time before the settle time.
 const UNPROVEN_BOOKINGS: u8 = 25;
@@ -78,12 +80,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 256,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(41),
-        .. Config::default()
-    })]
+    #![proptest_config(fixed_config(41, 256))]
 
     #[test]
     fn good_versions_are_done_in_time(
--- a/coltsfootweir/tests/poison_bound.rs
+++ b/coltsfootweir/tests/poison_bound.rs
@@ -1,9 +1,10 @@
 //! A caller that sends a poison request through every daemon brings few upstreams down.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +15,8 @@
 use coltsfootweir::poison::POISON_TIMEOUT;
 use coltsfootweir::poison::PoisonTable;
 
+use common::fixed_config;
+
 const DAEMONS: usize = 10;
 
 const POISON: Fingerprint = 1;
@@ -79,17 +82,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 20,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x9015),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0x9015, 20))]
 
     #[test]
     fn upstreams_brought_down_are_bounded(
--- a/coltsfootweir/tests/restart_floor.rs
+++ b/coltsfootweir/tests/restart_floor.rs
@@ -1,5 +1,6 @@
 //! A restarted member learns a floor that is not below what its address served.
 
+mod common;
 mod support;
 
 use std::time::Duration;
@@ -8,9 +9,8 @@
 use coltsfootweir::floor::FloorState;
 use coltsfootweir::gossip_message::FloorAnswer;
 use coltsfootweir::ids::MemberId;
+use common::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use support::address_of;
 use support::machine::GossipMachine;
 use support::machine::MEMBERS;
@@ -105,12 +105,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 60,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x5eed),
-        ..Config::default()
-    })]
+    #![proptest_config(fixed_config(0x5eed, 60))]
 
     #[test]
     fn one_delivered_push_is_enough_without_the_store(
--- a/coltsfootweir/tests/retry_rule.rs
+++ b/coltsfootweir/tests/retry_rule.rs
@@ -1,9 +1,10 @@
 //! Retries stay inside their budget, their deadline and the top of a chain.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use coltsfootweir::outcome::CallOutcome;
 use coltsfootweir::outcome::DOUBT_REASONS;
@@ -18,16 +19,9 @@
 use coltsfootweir::retry::RetryDecision;
 use coltsfootweir::retry::RetryRule;
 
-const CHAIN_DEPTH: u32 = 7;
+use common::fixed_config;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 60,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(0x7e7),
-        ..ProptestConfig::default()
-    }
-}
+const CHAIN_DEPTH: u32 = 7;
 
 fn any_outcome() -> impl Strategy<Value = CallOutcome> {
     prop_oneof![
@@ -94,7 +88,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(0x7e7, 60))]
 
     #[test]
     fn attempts_over_a_chain_are_bounded(
--- a/coltsfootweir/tests/slo_burn.rs
+++ b/coltsfootweir/tests/slo_burn.rs
@@ -1,10 +1,10 @@
 //! Service-level burn against a plain list of calls.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 
 use coltsfootweir::ids::RouteName;
 use coltsfootweir::ids::ServiceName;
@@ -12,6 +12,8 @@
 use coltsfootweir::slo::SloCounts;
 use coltsfootweir::slo::SloRecorder;
 
+use common::fixed_config;
+
 /// A call at a daemon, some time after the one before.
 #[derive(Clone, Debug)]
 struct PlainCall {
@@ -34,12 +36,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 256,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(43),
-        .. Config::default()
-    })]
+    #![proptest_config(fixed_config(43, 256))]
 
     #[test]
     fn windows_hold_what_the_list_holds(
--- a/coltsfootweir/tests/slo_merge.rs
+++ b/coltsfootweir/tests/slo_merge.rs
@@ -1,12 +1,15 @@
 //! Service-level counts: merged reports of several daemons against one daemon that took every call.
 
+mod common;
+
 use std::time::Duration;
 
 use coltsfootweir::slo::SloRecorder;
 use coltsfootweir::slo::SloReport;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+
+use common::fixed_config;
 
 const DAEMONS: usize = 3;
 
@@ -21,11 +24,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(0x736c_6f6d),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_config(0x736c_6f6d, 256))]
 
     #[test]
     fn merged_reports_count_as_one_daemon_would(
--- a/coltsfootweir/tests/snapshot_format.rs
+++ b/coltsfootweir/tests/snapshot_format.rs
@@ -12,8 +12,8 @@
 use coltsfootweir::snapshot::SNAPSHOT_FORMAT;
 use coltsfootweir::snapshot::SnapshotError;
 
-use common::first_snapshot;
-use common::move_record;
+use common::records::first_snapshot;
+use common::records::move_record;
 
 /// The snapshot of this test in format 1. A change of these bytes is a new format.
 const FIXED_BYTES: &[u8] = b"\
--- a/coltsfootweir/tests/trial/mod.rs
+++ b/coltsfootweir/tests/trial/mod.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -18,12 +17,13 @@
 use coltsfootweir::pace::PaceLimits;
 use coltsfootweir::pace::StepCalls;
 use coltsfootweir::record::MovePhase;
-use coltsfootweir::record::MoveRecord;
 use coltsfootweir::record::RouteClass;
 use coltsfootweir::record::TrafficShare;
 use coltsfootweir::verdict::Verdict;
 use coltsfootweir::verdict::judge;
 
+use crate::common::records::move_record;
+
 /// Seconds until a changed share is in force everywhere.
 const CONVERGENCE: usize = 2;
 
@@ -111,25 +111,12 @@
     }
 }
 
-fn move_record(done_by: SystemTime) -> MoveRecord {
-    MoveRecord {
-        name: "spring".into(),
-        service: "stalls".into(),
-        from: "v1".into(),
-        to: "v2".into(),
-        done_by,
-        phase: MovePhase::Waiting,
-        share: TrafficShare::default(),
-        reason: "".into(),
-    }
-}
-
 impl MoveTrial {
     /// Runs the move to its end, or to twice the time allowed.
     pub fn run(&self, seed: u64) -> TrialResult {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut recorders = self.recorders();
-        let record = move_record(SystemTime::UNIX_EPOCH);
+        let record = move_record("spring", "v1", "v2");
         let mut pool = EvidencePool::new(&record);
         let pace = MovePace::new(PaceLimits::default());
         let (mut phase, mut share) = (record.phase, record.share);
--- a/coltsfootweir/tests/verdict_cost.rs
+++ b/coltsfootweir/tests/verdict_cost.rs
@@ -2,9 +2,10 @@
 //!
 //! Prints figures: `cargo test --release -p coltsfootweir --test verdict_cost -- --ignored --nocapture`.
 
+mod common;
+
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -12,12 +13,11 @@
 
 use coltsfootweir::evidence::EvidenceRecorder;
 use coltsfootweir::evidence_pool::EvidencePool;
-use coltsfootweir::record::MovePhase;
-use coltsfootweir::record::MoveRecord;
 use coltsfootweir::record::RouteClass;
-use coltsfootweir::record::TrafficShare;
 use coltsfootweir::verdict::judge;
 
+use common::records::move_record;
+
 /// Routes of the service.
 const ROUTES: usize = 5;
 
@@ -37,19 +37,6 @@
     OneEndpoint,
 }
 
-fn record() -> MoveRecord {
-    MoveRecord {
-        name: "spring".into(),
-        service: "stalls".into(),
-        from: "v1".into(),
-        to: "v2".into(),
-        done_by: SystemTime::UNIX_EPOCH,
-        phase: MovePhase::Climbing,
-        share: TrafficShare::default(),
-        reason: "".into(),
-    }
-}
-
 fn recorders(endpoints: usize) -> Vec<EvidenceRecorder> {
     let mut recorders = Vec::new();
     for index in 0..2 * endpoints {
@@ -65,7 +52,7 @@
 fn fill(endpoints: usize, kind: FaultKind) -> EvidencePool {
     let mut rng = ChaCha8Rng::seed_from_u64(4);
     let mut recorders = recorders(endpoints);
-    let mut pool = EvidencePool::new(&record());
+    let mut pool = EvidencePool::new(&move_record("spring", "v1", "v2"));
     for second in 0..SECONDS {
         for (index, recorder) in recorders.iter_mut().enumerate() {
             for _ in 0..CALLS {
--- a/coltsfootweir/tests/verdict_rates.rs
+++ b/coltsfootweir/tests/verdict_rates.rs
@@ -1,5 +1,6 @@
 //! Error rates of the verdicts over generated good and bad versions, with fixed seeds.
 
+mod common;
 mod trial;
 
 use std::cell::Cell;
