Candidates ask for evidence seldom and are alerted to faults

Cause: four candidates asked each endpoint of a moving service once a second on new connections; 730 of about 1000 bytes a poll are heads and TCP/IP headers. Ruled out: one collecting candidate a region (reckoned: the collector itself spends 9.5 KB/s for 4 endpoints a region, since aggregates carry every report again); kept connections (reckoned: a third of an exchange, and minreq does not pool); slower polls alone (a fault is seen later). Change: the lease's holder polls every 4 s, the other candidates every 8 s, each of all endpoints. The daemon beside an upstream of the new version alerts the candidates when failures, crashes or slow calls are new; an alert, or new faults in the evidence, have them poll each second for 4 s, and a suspicion as long as it lasts. Alerts and the polls they cause have budgets, so that a few failures all the time stay cheap. An endpoint counts as gone after 20 s instead of 10 s without evidence, two polls of a standby candidate. Evidence is in a file of its own (evidence_task), poll and alert decisions are pure.

--- a/coltsfootweir/src/evidence.rs
+++ b/coltsfootweir/src/evidence.rs
@@ -21,6 +21,12 @@
 /// Upper edge of the first latency bucket.
 const FIRST_EDGE: Duration = Duration::from_micros(250);
 
+/// Quantile of the latency that slow calls exceed clearly.
+const SLOW_QUANTILE: f64 = 0.9;
+
+/// Calls of a route from which its quantile counts as known.
+const QUANTILE_CALLS: u64 = 50;
+
 /// Crashes that a report carries, the latest ones.
 const CRASHES_KEPT: usize = 16;
 
@@ -105,6 +111,24 @@
         }
         growth
     }
+
+    /// Returns the first bucket that counts as slow by the measure of these calls: one past the bucket
+    /// after the quantile's, so that a small shift over an edge is not slow.
+    #[must_use]
+    pub fn slow_bucket(&self) -> Option<usize> {
+        let calls: u64 = self.latency.iter().sum();
+        if calls < QUANTILE_CALLS {
+            return None;
+        }
+        let mut below = 0;
+        for (bucket, count) in self.latency.iter().enumerate() {
+            below += count;
+            if below as f64 >= SLOW_QUANTILE * calls as f64 {
+                return Some((bucket + 2).min(LATENCY_BUCKETS));
+            }
+        }
+        None
+    }
 }
 
 /// A crash of an upstream and the requests that were running.
--- a/coltsfootweir/src/evidence_pool.rs
+++ b/coltsfootweir/src/evidence_pool.rs
@@ -28,7 +28,7 @@
 pub const SLICES_KEPT: usize = 300;
 
 /// Time after which an endpoint that sent no evidence counts as gone.
-pub const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(10);
+pub const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Endpoints kept; the ones that were silent for longest give way to others.
 const MEMBERS_KEPT: usize = 256;
@@ -66,6 +66,13 @@
         self.routes.values().map(|counts| counts.calls).sum()
     }
 
+    /// Returns the failed calls and the crashes.
+    #[must_use]
+    pub fn faults(&self) -> u64 {
+        let failures: u64 = self.routes.values().map(|counts| counts.failures).sum();
+        failures + self.crashes.len() as u64
+    }
+
     /// Returns the calls of each route.
     #[must_use]
     pub fn route_calls(&self) -> BTreeMap<RouteName, u64> {
--- /dev/null
+++ b/coltsfootweir/src/evidence_task.rs
@@ -0,0 +1,205 @@
+//! Gives the evidence of the own upstream, asks endpoints for theirs, and carries alerts.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use log::debug;
+
+use crate::context::DaemonContext;
+use crate::context::lock;
+use crate::control_client::ExchangeRoute;
+use crate::control_server::ControlAnswer;
+use crate::control_server::ControlHandler;
+use crate::control_server::HandlerPlugin;
+use crate::evidence::EndpointEvidence;
+use crate::evidence_alert::AlertWatch;
+use crate::ids::MoveName;
+use crate::kernel::DaemonTask;
+use crate::kernel::StopSignal;
+use crate::kernel::TaskPlugin;
+use crate::link::LinkCause;
+use crate::logging::MOVES;
+use crate::member::MemberEntry;
+use crate::mover::lease_key;
+use crate::rank::rank_members;
+
+/// Members of a region that act on a move.
+pub(crate) const CANDIDATE_COUNT: usize = 2;
+
+/// Path at which a daemon gives its evidence.
+const EVIDENCE_PATH: &str = "/evidence";
+
+/// Path at which a candidate takes alerts.
+const ALERT_PATH: &str = "/evidence/alert";
+
+/// Time between two looks at the own counts.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+struct EvidenceHandler;
+
+inventory::submit! { HandlerPlugin { handler: &EvidenceHandler } }
+
+impl ControlHandler for EvidenceHandler {
+    fn path(&self) -> &'static str {
+        EVIDENCE_PATH
+    }
+
+    fn answer(&self, context: &Arc<DaemonContext>, _body: &[u8]) -> ControlAnswer {
+        let reports = vec![lock(&context.recorder).report()];
+        ControlAnswer::message(&reports)
+    }
+}
+
+struct AlertHandler;
+
+inventory::submit! { HandlerPlugin { handler: &AlertHandler } }
+
+impl ControlHandler for AlertHandler {
+    fn path(&self) -> &'static str {
+        ALERT_PATH
+    }
+
+    fn answer(&self, context: &Arc<DaemonContext>, body: &[u8]) -> ControlAnswer {
+        match rmp_serde::from_slice::<MoveName>(body) {
+            Ok(move_name) => {
+                lock(&context.mover).on_alert(&move_name, context.now());
+                ControlAnswer::message(&())
+            }
+            Err(error) => ControlAnswer::BadRequest(error.to_string().into()),
+        }
+    }
+}
+
+struct AlertTask;
+
+inventory::submit! { TaskPlugin { task: &AlertTask } }
+
+impl DaemonTask for AlertTask {
+    fn name(&self) -> &'static str {
+        "alerts"
+    }
+
+    fn run(&self, context: &Arc<DaemonContext>, stop: &StopSignal) {
+        let mut watch = AlertWatch::new();
+        while !stop.wait(LOOK_INTERVAL) {
+            look(context, &mut watch);
+        }
+    }
+}
+
+fn look(context: &DaemonContext, watch: &mut AlertWatch) {
+    let snapshot = lock(&context.config).snapshot();
+    let report = lock(&context.recorder).report();
+    let mut moves = snapshot.moves.values().filter(|record| {
+        !record.phase.is_ended() && record.service == report.service && record.to == report.version
+    });
+    let Some(record) = moves.next() else {
+        watch.rest();
+        return;
+    };
+    if watch.look(report, context.now()) {
+        send_alert(context, &record.name);
+    }
+}
+
+/// Alerts every candidate at once.
+fn send_alert(context: &DaemonContext, move_name: &MoveName) {
+    lock(&context.mover).on_alert(move_name, context.now());
+    let candidates = find_candidates(context, move_name);
+    thread::scope(|scope| {
+        for candidate in candidates {
+            scope.spawn(move || {
+                let told = context
+                    .client
+                    .exchange::<()>(candidate.route(), ALERT_PATH, move_name);
+                if let Err(error) = told {
+                    debug!(target: MOVES, "no alert taken: {error}");
+                }
+            });
+        }
+    });
+}
+
+/// A daemon that is asked for its evidence or alerted.
+struct EvidencePeer {
+    address: SocketAddr,
+    crosses: bool,
+}
+
+impl EvidencePeer {
+    /// Returns a member as a peer, unless it is this daemon or cannot be reached.
+    fn find(context: &DaemonContext, entry: &MemberEntry, is_reachable: bool) -> Option<Self> {
+        if entry.id == context.id || !is_reachable {
+            return None;
+        }
+        Some(EvidencePeer {
+            address: entry.id.parse().ok()?,
+            crosses: entry.region != context.settings.region,
+        })
+    }
+
+    fn route(&self) -> ExchangeRoute {
+        ExchangeRoute {
+            peer: self.address,
+            cause: LinkCause::Evidence,
+            crosses: self.crosses,
+        }
+    }
+}
+
+fn find_candidates(context: &DaemonContext, move_name: &MoveName) -> Vec<EvidencePeer> {
+    let gossip = lock(&context.gossip);
+    let (view, job) = (gossip.view(), lease_key(move_name));
+    let regions: BTreeSet<&str> = view.live().map(|entry| &*entry.region).collect();
+    let mut candidates = Vec::new();
+    for region in regions {
+        let is_reachable = gossip.region_reachable(region, context.now());
+        let ranked = rank_members(&job, view.live_in(region));
+        for entry in ranked.into_iter().take(CANDIDATE_COUNT) {
+            candidates.extend(EvidencePeer::find(context, entry, is_reachable));
+        }
+    }
+    candidates
+}
+
+/// Asks every endpoint of a service at once, so that one that is frozen delays no other.
+pub(crate) fn poll_evidence(context: &Arc<DaemonContext>, service: &str) {
+    let own = vec![lock(&context.recorder).report()];
+    take_evidence(context, service, own);
+    let sources = find_sources(context, service);
+    thread::scope(|scope| {
+        for source in sources {
+            scope.spawn(move || {
+                let reports: Result<Vec<EndpointEvidence>, _> =
+                    context.client.exchange(source.route(), EVIDENCE_PATH, &());
+                match reports {
+                    Ok(reports) => take_evidence(context, service, reports),
+                    Err(error) => debug!(target: MOVES, "no evidence: {error}"),
+                }
+            });
+        }
+    });
+}
+
+fn find_sources(context: &DaemonContext, service: &str) -> Vec<EvidencePeer> {
+    let gossip = lock(&context.gossip);
+    let mut sources = Vec::new();
+    for entry in gossip.view().endpoints_of(service) {
+        let is_reachable = gossip.region_reachable(&entry.region, context.now());
+        sources.extend(EvidencePeer::find(context, entry, is_reachable));
+    }
+    sources
+}
+
+fn take_evidence(context: &DaemonContext, service: &str, reports: Vec<EndpointEvidence>) {
+    let now = context.now();
+    let mut mover = lock(&context.mover);
+    for report in reports {
+        if *report.service == *service {
+            mover.on_evidence(&report, now);
+        }
+    }
+}
--- a/coltsfootweir/src/move_work.rs
+++ b/coltsfootweir/src/move_work.rs
@@ -27,15 +27,14 @@
 use crate::pace::StepCalls;
 use crate::platform::RowCondition;
 use crate::platform::TableRow;
+use crate::poll_pace::PollInput;
+use crate::poll_pace::PollPace;
 use crate::record::MovePhase;
 use crate::record::MoveRecord;
 use crate::record::TrafficShare;
 use crate::verdict::Verdict;
 use crate::verdict::judge;
 
-/// Time between two polls of the evidence.
-const POLL_INTERVAL: Duration = Duration::from_millis(900);
-
 /// Time after which an operation without a result counts as lost.
 const PENDING_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -77,7 +76,7 @@
     lease: LeaseState,
     pace: MovePace,
     step: StepMark,
-    polled_at: Option<Duration>,
+    poll: PollPace,
     pending: Option<PendingWrite>,
     adopting: Option<Duration>,
     finding: Option<CondemnedFact>,
@@ -105,7 +104,7 @@
                 generation: None,
                 calls: BTreeMap::new(),
             },
-            polled_at: None,
+            poll: PollPace::new(),
             pending: None,
             adopting: None,
             finding: None,
@@ -121,17 +120,19 @@
         actions: &mut Vec<MoverAction>,
     ) {
         self.follow(record, input);
-        if self
-            .polled_at
-            .is_none_or(|at| input.now >= at + POLL_INTERVAL)
-        {
-            self.polled_at = Some(input.now);
+        let verdict = judge(&mut self.pool, input.now);
+        self.condemn(record, &verdict, input, actions);
+        let poll_input = PollInput {
+            now: input.now,
+            is_holder: self.lease.is_held(),
+            is_suspect: matches!(verdict, Verdict::Suspect(_)),
+            faults: self.pool.view().new.faults(),
+        };
+        if self.poll.poll(&poll_input) {
             actions.push(MoverAction::PollEvidence {
                 service: record.service.clone(),
             });
         }
-        let verdict = judge(&mut self.pool, input.now);
-        self.condemn(record, &verdict, input, actions);
         if input.is_leaving {
             self.resign(input.now, actions);
             return;
@@ -412,6 +413,10 @@
         self.pool.offer(evidence.clone(), now);
     }
 
+    pub(crate) fn on_alert(&mut self, now: Duration) {
+        self.poll.alert(now);
+    }
+
     pub(crate) fn lines(&self) -> &[DecisionLine] {
         &self.lines
     }
--- a/coltsfootweir/src/mover.rs
+++ b/coltsfootweir/src/mover.rs
@@ -220,6 +220,13 @@
         }
     }
 
+    /// Takes in that an endpoint saw something new speak against the new version of a move.
+    pub fn on_alert(&mut self, move_name: &MoveName, now: Duration) {
+        if let Some(work) = self.works.get_mut(move_name) {
+            work.on_alert(now);
+        }
+    }
+
     /// Returns the lines of a move that this daemon decided on or read, oldest first.
     #[must_use]
     pub fn lines(&self, move_name: &MoveName) -> &[DecisionLine] {
--- a/coltsfootweir/src/mover_task.rs
+++ b/coltsfootweir/src/mover_task.rs
@@ -3,7 +3,6 @@
 //! Writes to the store are made by a thread of their own, so that a slow store never delays the
 //! evidence and the condemning of a bad version.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -11,7 +10,6 @@
 use flume::Receiver;
 use flume::RecvTimeoutError;
 use flume::Sender;
-use log::debug;
 use log::info;
 use log::warn;
 
@@ -19,11 +17,8 @@
 use crate::accept::accept_change;
 use crate::context::DaemonContext;
 use crate::context::lock;
-use crate::control_client::ExchangeRoute;
-use crate::control_server::ControlAnswer;
-use crate::control_server::ControlHandler;
-use crate::control_server::HandlerPlugin;
-use crate::evidence::EndpointEvidence;
+use crate::evidence_task::CANDIDATE_COUNT;
+use crate::evidence_task::poll_evidence;
 use crate::fact::CondemnedFact;
 use crate::ids::Generation;
 use crate::ids::MoveName;
@@ -31,7 +26,6 @@
 use crate::kernel::StopSignal;
 use crate::kernel::TaskPlugin;
 use crate::lease::LeaseRow;
-use crate::link::LinkCause;
 use crate::logging::MOVES;
 use crate::mover::MoveStep;
 use crate::mover::MoverAction;
@@ -49,30 +43,9 @@
 use crate::record_fault::RecordFault;
 use crate::snapshot::ConfigSnapshot;
 
-/// Path at which a daemon gives its evidence.
-const EVIDENCE_PATH: &str = "/evidence";
-
 /// Time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Members of a region that act on a move.
-const CANDIDATE_COUNT: usize = 2;
-
-struct EvidenceHandler;
-
-inventory::submit! { HandlerPlugin { handler: &EvidenceHandler } }
-
-impl ControlHandler for EvidenceHandler {
-    fn path(&self) -> &'static str {
-        EVIDENCE_PATH
-    }
-
-    fn answer(&self, context: &Arc<DaemonContext>, _body: &[u8]) -> ControlAnswer {
-        let reports = vec![lock(&context.recorder).report()];
-        ControlAnswer::message(&reports)
-    }
-}
-
 struct MoverTask;
 
 inventory::submit! { TaskPlugin { task: &MoverTask } }
@@ -142,61 +115,6 @@
     context.push_urgent();
 }
 
-/// An endpoint that is asked for its evidence.
-struct EvidenceSource {
-    address: SocketAddr,
-    crosses: bool,
-}
-
-/// Asks every endpoint of a service at once, so that one that is frozen delays no other.
-fn poll_evidence(context: &Arc<DaemonContext>, service: &str) {
-    let own = vec![lock(&context.recorder).report()];
-    take_evidence(context, service, own);
-    let sources = find_sources(context, service);
-    thread::scope(|scope| {
-        for source in sources {
-            scope.spawn(move || {
-                let route = ExchangeRoute {
-                    peer: source.address,
-                    cause: LinkCause::Evidence,
-                    crosses: source.crosses,
-                };
-                let reports: Result<Vec<EndpointEvidence>, _> =
-                    context.client.exchange(route, EVIDENCE_PATH, &());
-                match reports {
-                    Ok(reports) => take_evidence(context, service, reports),
-                    Err(error) => debug!(target: MOVES, "no evidence: {error}"),
-                }
-            });
-        }
-    });
-}
-
-fn find_sources(context: &DaemonContext, service: &str) -> Vec<EvidenceSource> {
-    let gossip = lock(&context.gossip);
-    let mut sources = Vec::new();
-    for entry in gossip.view().endpoints_of(service) {
-        let crosses = entry.region != context.settings.region;
-        if entry.id == context.id || !gossip.region_reachable(&entry.region, context.now()) {
-            continue;
-        }
-        if let Ok(address) = entry.id.parse() {
-            sources.push(EvidenceSource { address, crosses });
-        }
-    }
-    sources
-}
-
-fn take_evidence(context: &DaemonContext, service: &str, reports: Vec<EndpointEvidence>) {
-    let now = context.now();
-    let mut mover = lock(&context.mover);
-    for report in reports {
-        if *report.service == *service {
-            mover.on_evidence(&report, now);
-        }
-    }
-}
-
 fn make_writes(context: &DaemonContext, writes: &Receiver<MoverAction>, stop: &StopSignal) {
     while !stop.is_set() {
         match writes.recv_timeout(TICK_INTERVAL) {
--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::evidence::LATENCY_BUCKETS;
 use crate::evidence::RouteCounts;
 use crate::evidence_pool::PoolView;
 use crate::evidence_pool::PooledCrash;
@@ -27,12 +26,6 @@
 /// Extra share of slow calls that does not matter.
 const SLOW_TOLERANCE: f64 = 0.05;
 
-/// Quantile of the old version's latency that slow calls exceed clearly.
-const SLOW_QUANTILE: f64 = 0.9;
-
-/// Old calls of a route from which its quantile counts as known.
-const QUANTILE_CALLS: u64 = 50;
-
 /// Time after a crash in which failures of the endpoint belong to the crash.
 const CRASH_TIME: Duration = Duration::from_secs(4);
 
@@ -110,30 +103,16 @@
 fn slow_calls(view: &PoolView) -> Vec<Option<BadCalls>> {
     let mut calls = Vec::new();
     for route in &view.route_names {
-        let bucket = view.old.routes.get(route).and_then(slow_bucket);
+        let bucket = view
+            .old
+            .routes
+            .get(route)
+            .and_then(RouteCounts::slow_bucket);
         calls.push(bucket.map(BadCalls::Slower));
     }
     calls
 }
 
-/// Returns the first bucket that counts as slow: one past the bucket after the old quantile's, so
-/// that a small shift over an edge is not slow.
-fn slow_bucket(old: &RouteCounts) -> Option<usize> {
-    let latency = &old.latency;
-    let calls: u64 = latency.iter().sum();
-    if calls < QUANTILE_CALLS {
-        return None;
-    }
-    let mut below = 0;
-    for (bucket, count) in latency.iter().enumerate() {
-        below += count;
-        if below as f64 >= SLOW_QUANTILE * calls as f64 {
-            return Some((bucket + 2).min(LATENCY_BUCKETS));
-        }
-    }
-    None
-}
-
 /// Describes bad and all calls of both versions.
 fn figures(view: &PoolView, result: &ComparisonResult, measure: &BadMeasure) -> Box<str> {
     let sum = |totals: &VersionTotals| {
