Six separate requests that crash one endpoint condemn the version

The crashing calls of the experiment enter at two daemons of one region, and an endpoint of the own region is chosen. Ruled out: crashes unseen (each was logged with its own request); a fingerprint in common (12 separate causes). Change: six crashes with separate requests condemn also at one endpoint. Crashes without a suspect request, as of a bad VM under ordinary calls, don't; one poison request stays one cause.

--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -35,6 +35,10 @@
 /// Crashes with a request in common that condemn all the same.
 const MANY_CRASHES: usize = 6;
 
+/// Separate requests that crash one endpoint and condemn, however well the others do: a bad VM also
+/// crashes under requests that ran to an end before, and the requests of a fault may all reach one.
+const LONE_CAUSES: usize = 6;
+
 /// Times by which crashes per call must exceed those of the old version.
 const CRASH_RATIO: f64 = 4.0;
 
@@ -157,10 +161,7 @@
             return None;
         }
         let members: BTreeSet<&MemberId> = own.iter().map(|crash| &crash.member).collect();
-        let causes = distinct_causes(&own);
-        let is_spread = members.len() >= 2 || view.new_members().count() < 2;
-        let is_more = exceeds_old(view, own.len());
-        let is_bad = is_spread && is_more && (causes >= 2 || own.len() >= MANY_CRASHES);
+        let causes = distinct_causes(own.iter().copied());
         let seen = format!(
             "crashes: new {} at {} endpoints with {causes} separate causes in {} calls, old {} in {} calls",
             view.new.crashes.len(),
@@ -169,7 +170,7 @@
             view.old.crashes.len(),
             view.old.calls(),
         );
-        let strength = if is_bad {
+        let strength = if blame_version(view, &own, members.len()) {
             CONDEMN_STRENGTH
         } else {
             SUSPECT_STRENGTH / 2.0
@@ -199,7 +200,7 @@
 }
 
 /// Counts crashes of which no two ran a request in common.
-fn distinct_causes(crashes: &[&PooledCrash]) -> usize {
+fn distinct_causes<'a>(crashes: impl Iterator<Item = &'a PooledCrash>) -> usize {
     let mut running = BTreeSet::new();
     let mut causes = 0;
     for crash in crashes {
@@ -211,6 +212,20 @@
     causes
 }
 
+/// Returns whether these crashes, at this many endpoints, speak against the version.
+fn blame_version(view: &PoolView, own: &[&PooledCrash], members: usize) -> bool {
+    if !exceeds_old(view, own.len()) {
+        return false;
+    }
+    let crashes = own.iter().copied();
+    let requested = crashes.clone().filter(|crash| !crash.running.is_empty());
+    if distinct_causes(requested) >= LONE_CAUSES {
+        return true;
+    }
+    let is_spread = members >= 2 || view.new_members().count() < 2;
+    is_spread && (own.len() >= MANY_CRASHES || distinct_causes(crashes) >= 2)
+}
+
 /// Returns whether the new version crashes clearly more often than the old one, call for call.
 fn exceeds_old(view: &PoolView, crashes: usize) -> bool {
     let old_crashes = view.old.crashes.len() as f64;
--- a/coltsfootweir/tests/verdict_rates.rs
+++ b/coltsfootweir/tests/verdict_rates.rs
@@ -227,6 +227,38 @@
     assert_bad(&runs, 0.0);
 }
 
+/// Requests that crash the version reach one endpoint only, such as those of one region.
+#[test]
+fn crashes_where_the_requests_go() {
+    let runs = repeat("crashes every 5 s at one endpoint", |trial, _| {
+        for number in 0..20 {
+            trial.crashes.push(PlannedCrash {
+                second: 20 + 5 * number,
+                is_new: true,
+                endpoint: 0,
+                running: vec![100 + number],
+            });
+        }
+    });
+    assert_bad(&runs, 0.0);
+}
+
+/// Ordinary requests, which ran to an end before, were running at each crash.
+#[test]
+fn good_with_one_endpoint_that_crashes() {
+    let runs = repeat("good, one endpoint crashes every 5 s", |trial, _| {
+        for number in 0..20 {
+            trial.crashes.push(PlannedCrash {
+                second: 20 + 5 * number,
+                is_new: true,
+                endpoint: 0,
+                running: Vec::new(),
+            });
+        }
+    });
+    assert_good(&runs);
+}
+
 #[test]
 fn good() {
     assert_good(&repeat("good", |_, _| {}));
