--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::evidence::LATENCY_BUCKETS;
 use crate::evidence::RouteCounts;
 use crate::evidence_pool::PoolView;
 use crate::evidence_pool::PooledCrash;
@@ -27,12 +26,6 @@
 /// Extra share of slow calls that does not matter.
 const SLOW_TOLERANCE: f64 = 0.05;
 
-/// Quantile of the old version's latency that slow calls exceed clearly.
-const SLOW_QUANTILE: f64 = 0.9;
-
-/// Old calls of a route from which its quantile counts as known.
-const QUANTILE_CALLS: u64 = 50;
-
 /// Time after a crash in which failures of the endpoint belong to the crash.
 const CRASH_TIME: Duration = Duration::from_secs(4);
 
@@ -42,6 +35,10 @@
 /// Crashes with a request in common that condemn all the same.
 const MANY_CRASHES: usize = 6;
 
+/// Separate requests that crash one endpoint and condemn, however well the others do: a bad VM also
+/// crashes under requests that ran to an end before, and the requests of a fault may all reach one.
+const LONE_CAUSES: usize = 6;
+
 /// Times by which crashes per call must exceed those of the old version.
 const CRASH_RATIO: f64 = 4.0;
 
@@ -110,30 +107,16 @@
 fn slow_calls(view: &PoolView) -> Vec<Option<BadCalls>> {
     let mut calls = Vec::new();
     for route in &view.route_names {
-        let bucket = view.old.routes.get(route).and_then(slow_bucket);
+        let bucket = view
+            .old
+            .routes
+            .get(route)
+            .and_then(RouteCounts::slow_bucket);
         calls.push(bucket.map(BadCalls::Slower));
     }
     calls
 }
 
-/// Returns the first bucket that counts as slow: one past the bucket after the old quantile's, so
-/// that a small shift over an edge is not slow.
-fn slow_bucket(old: &RouteCounts) -> Option<usize> {
-    let latency = &old.latency;
-    let calls: u64 = latency.iter().sum();
-    if calls < QUANTILE_CALLS {
-        return None;
-    }
-    let mut below = 0;
-    for (bucket, count) in latency.iter().enumerate() {
-        below += count;
-        if below as f64 >= SLOW_QUANTILE * calls as f64 {
-            return Some((bucket + 2).min(LATENCY_BUCKETS));
-        }
-    }
-    None
-}
-
 /// Describes bad and all calls of both versions.
 fn figures(view: &PoolView, result: &ComparisonResult, measure: &BadMeasure) -> Box<str> {
     let sum = |totals: &VersionTotals| {
@@ -178,10 +161,7 @@
             return None;
         }
         let members: BTreeSet<&MemberId> = own.iter().map(|crash| &crash.member).collect();
-        let causes = distinct_causes(&own);
-        let is_spread = members.len() >= 2 || view.new_members().count() < 2;
-        let is_more = exceeds_old(view, own.len());
-        let is_bad = is_spread && is_more && (causes >= 2 || own.len() >= MANY_CRASHES);
+        let causes = distinct_causes(own.iter().copied());
         let seen = format!(
             "crashes: new {} at {} endpoints with {causes} separate causes in {} calls, old {} in {} calls",
             view.new.crashes.len(),
@@ -190,7 +170,7 @@
             view.old.crashes.len(),
             view.old.calls(),
         );
-        let strength = if is_bad {
+        let strength = if blame_version(view, &own, members.len()) {
             CONDEMN_STRENGTH
         } else {
             SUSPECT_STRENGTH / 2.0
@@ -220,7 +200,7 @@
 }
 
 /// Counts crashes of which no two ran a request in common.
-fn distinct_causes(crashes: &[&PooledCrash]) -> usize {
+fn distinct_causes<'a>(crashes: impl Iterator<Item = &'a PooledCrash>) -> usize {
     let mut running = BTreeSet::new();
     let mut causes = 0;
     for crash in crashes {
@@ -232,6 +212,20 @@
     causes
 }
 
+/// Returns whether these crashes, at this many endpoints, speak against the version.
+fn blame_version(view: &PoolView, own: &[&PooledCrash], members: usize) -> bool {
+    if !exceeds_old(view, own.len()) {
+        return false;
+    }
+    let crashes = own.iter().copied();
+    let requested = crashes.clone().filter(|crash| !crash.running.is_empty());
+    if distinct_causes(requested) >= LONE_CAUSES {
+        return true;
+    }
+    let is_spread = members >= 2 || view.new_members().count() < 2;
+    is_spread && (own.len() >= MANY_CRASHES || distinct_causes(crashes) >= 2)
+}
+
 /// Returns whether the new version crashes clearly more often than the old one, call for call.
 fn exceeds_old(view: &PoolView, crashes: usize) -> bool {
     let old_crashes = view.old.crashes.len() as f64;
