A call's deadline costs no write and no poll of its own

Cause: tokio's timer driver wakes itself through its event descriptor when a timer is set that is due before all others. Between calls the call thread's next timer is the 30 s of idle connections, so the 2 s deadline of every call was the soonest: one write and one more epoll_wait before the request was sent on, in the ingress and in the guard.

Ruled out as causes of the tail: more than two wakes a call (2.0 voluntary switches), new connections, answers in two segments, TCP_NODELAY, background work on the call thread.

Change: a timer that ticks each 500 ms is always set, so deadlines of 500 ms and more come later. Two wakes a second at rest.

--- a/coltsfootweir/src/call_server.rs
+++ b/coltsfootweir/src/call_server.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 
 use crate::call::CallReply;
 use crate::call::CallRequest;
@@ -57,6 +58,12 @@
 /// Time between two looks at what still runs while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time between two ticks of the timer that is always set.
+///
+/// A timer due before all others makes the runtime write to itself and wake once more. With this one
+/// set, the deadlines of calls, which mostly end in time, come later and cost nothing.
+const TIMER_INTERVAL: Duration = Duration::from_millis(500);
+
 struct CallPort;
 
 inventory::submit! { TaskPlugin { task: &CallPort } }
@@ -90,8 +97,11 @@
         }
     };
     let mut connections = JoinSet::new();
+    let mut timer = tokio::time::interval(TIMER_INTERVAL);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
+            _ = timer.tick() => {}
             () = stop.wait_async() => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
