--- a/coltsfootweir/src/call.rs
+++ b/coltsfootweir/src/call.rs
@@ -22,6 +22,7 @@
 use crate::ids::Fingerprint;
 use crate::ids::MemberId;
 use crate::outcome::CallOutcome;
+use crate::outcome::DoubtReason;
 use crate::outcome::RefusalReason;
 
 /// Longest request body, in bytes.
@@ -251,6 +252,16 @@
     }
 }
 
+/// Answer to a request that was not run.
+pub(crate) fn refuse(reason: RefusalReason) -> CallReply {
+    CallReply::told(CallOutcome::NotRun(reason))
+}
+
+/// Answer to a request that may have run.
+pub(crate) fn doubt(reason: DoubtReason) -> CallReply {
+    CallReply::told(CallOutcome::InDoubt(reason))
+}
+
 fn outcome_status(outcome: &CallOutcome) -> StatusCode {
     match outcome {
         CallOutcome::Ran => StatusCode::OK,
--- a/coltsfootweir/src/ingress.rs
+++ b/coltsfootweir/src/ingress.rs
@@ -18,6 +18,8 @@
 use crate::call::OUTCOME;
 use crate::call::OWNER;
 use crate::call::REASON;
+use crate::call::doubt;
+use crate::call::refuse;
 use crate::context::DaemonContext;
 use crate::context::lock;
 use crate::deadline::CallDeadline;
@@ -93,14 +95,6 @@
     reply
 }
 
-fn refuse(reason: RefusalReason) -> CallReply {
-    CallReply::told(CallOutcome::NotRun(reason))
-}
-
-fn doubt(reason: DoubtReason) -> CallReply {
-    CallReply::told(CallOutcome::InDoubt(reason))
-}
-
 impl CallAttempts<'_> {
     async fn run(&mut self) -> CallReply {
         self.budget(|budget| budget.on_call());
