Chain of calls by real processes; retries do not multiply

Cause: the bound on retries over a chain of calls was proved on the decision only.

Ruled out: one endpoint a service (a retry then has nowhere to go and the test cannot turn red); an upstream that answers 500 when its next call fails (such a call ran, so no daemon above retries it and nothing could multiply). The stand-in breaks its own answer instead, the worst case.

--- a/standins/src/bin/standin-upstream.rs
+++ b/standins/src/bin/standin-upstream.rs
@@ -8,6 +8,7 @@
 
 use clap::Parser;
 use standins::upstream::UpstreamServer;
+use standins::upstream_next::NextService;
 use standins::upstream_settings::UpstreamSettings;
 
 /// Exit code after a crash on demand.
@@ -47,6 +48,15 @@
     /// Time of slower work after the start, milliseconds.
     #[arg(long, env = "STANDIN_UPSTREAM_COLD_START_MS", default_value_t = 0)]
     cold_start_ms: u64,
+    /// Address at which it calls the next service of a chain within each request.
+    #[arg(long, env = "STANDIN_UPSTREAM_NEXT")]
+    next: Option<SocketAddr>,
+    /// Path of that call.
+    #[arg(long, env = "STANDIN_UPSTREAM_NEXT_PATH", default_value = "/")]
+    next_path: Box<str>,
+    /// Times it is called until an answer is good.
+    #[arg(long, env = "STANDIN_UPSTREAM_NEXT_ATTEMPTS", default_value_t = 1)]
+    next_attempts: u32,
     /// Seed of the random choices.
     #[arg(long, env = "STANDIN_UPSTREAM_SEED", default_value_t = 0)]
     seed: u64,
@@ -86,6 +96,12 @@
     settings.work = Duration::from_micros(flags.work_us);
     settings.work_jitter_percent = flags.work_jitter_percent;
     settings.cold_start = Duration::from_millis(flags.cold_start_ms);
+    let (path, attempts) = (flags.next_path, flags.next_attempts);
+    settings.next = flags.next.map(|address| NextService {
+        address,
+        path,
+        attempts,
+    });
     settings.seed = flags.seed;
     settings.faults = serde_json::from_str(&flags.faults)?;
     Ok(settings)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -15,6 +15,7 @@
 mod upstream_call;
 pub mod upstream_faults;
 mod upstream_life;
+pub mod upstream_next;
 pub mod upstream_settings;
 mod upstream_state;
 pub mod upstream_stats;
--- a/standins/src/upstream_call.rs
+++ b/standins/src/upstream_call.rs
@@ -57,11 +57,12 @@
     let run_request = read_identity(&request);
     let deadline = read_number(request.headers(), DEADLINE_HEADER);
     let size = read_number(request.headers(), SIZE_HEADER);
+    let headers = request.headers().clone();
     let body = match read_body(request.into_body()).await {
         Ok(body) => body,
         Err(status) => return empty_response(status),
     };
-    let Some(plan) = state.begin_run(run_request.clone(), &body) else {
+    let Some(mut plan) = state.begin_run(run_request.clone(), &body) else {
         return shed_response();
     };
     let mut guard = RunGuard {
@@ -74,6 +75,11 @@
         return future::pending().await;
     }
     let outcome = do_work(plan, deadline.map(Duration::from_millis)).await;
+    if let Some(next) = &state.settings.next
+        && !next.call(&state.pool, &headers).await
+    {
+        plan.truncates = true;
+    }
     guard.outcome = Some(outcome);
     let answer = UpstreamAnswer {
         request_id: run_request.request_id,
--- a/standins/src/upstream_settings.rs
+++ b/standins/src/upstream_settings.rs
@@ -8,6 +8,7 @@
 use coltsfootweir::ids::VersionName;
 
 use crate::upstream_faults::UpstreamFaults;
+use crate::upstream_next::NextService;
 
 /// Settings of one upstream stand-in.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     pub cold_start: Duration,
     /// Age of what the health and load endpoints tell.
     pub health_lag: Duration,
+    /// Service that it calls within each request, after its work.
+    pub next: Option<NextService>,
     /// Seed of the random choices.
     pub seed: u64,
     /// Faults shown from the start.
@@ -62,6 +65,7 @@
             connection_limit: 120,
             cold_start: Duration::ZERO,
             health_lag: Duration::from_secs(2),
+            next: None,
             seed: 0,
             faults: UpstreamFaults::default(),
         }
--- a/standins/src/upstream_state.rs
+++ b/standins/src/upstream_state.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use coltsfootweir::announce::UpstreamAnnouncement;
+use coltsfootweir::http_pool::ConnectionPool;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -37,6 +38,8 @@
 pub struct UpstreamState {
     /// Settings it was started with.
     pub settings: UpstreamSettings,
+    /// Connections to the next service.
+    pub pool: ConnectionPool,
     made: Instant,
     inner: Mutex<StateInner>,
 }
@@ -91,6 +94,7 @@
         };
         UpstreamState {
             settings,
+            pool: ConnectionPool::default(),
             made: now,
             inner: Mutex::new(inner),
         }
