Moves are measured under a store outage, a frozen member and a region cut

Ruled out: relays between daemons for the cut (a daemon announces the address it listens on); a cut of the acting member's region only.

The failure begins with the first share of the new version and ends once every daemon that runs holds it condemned (with a frozen member: once the end of the move is written), or after 60 s. Tables name the seed, the times of the failure and refused bookings.

--- a/measure/src/experiment.rs
+++ b/measure/src/experiment.rs
@@ -14,6 +14,7 @@
 use crate::deployment::DeploymentPreset;
 use crate::failure::MeasureError;
 use crate::failure::MeasureResult;
+use crate::move_failure::FailureKind;
 use crate::report::RunResult;
 use crate::usage::machine_load;
 
@@ -56,6 +57,9 @@
     #[arg(long, value_enum)]
     #[serde(skip)]
     pub deployment: Option<DeploymentPreset>,
+    /// Failure that each move goes through
+    #[arg(long, value_enum)]
+    pub failure: Option<FailureKind>,
     /// Repetitions
     #[arg(long, default_value_t = 1)]
     pub runs: usize,
--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod load;
 mod move_case;
+pub mod move_failure;
 mod move_traffic;
 mod moves;
 mod overload;
--- a/measure/src/moves.rs
+++ b/measure/src/moves.rs
@@ -41,7 +41,10 @@
     }
 
     fn run(&self, settings: &RunSettings) -> MeasureResult<RunResult> {
-        let mut text = String::new();
+        let mut text = match settings.failure {
+            Some(failure) => format!("failure: {failure:?}\n"),
+            None => String::new(),
+        };
         let mut list = Vec::new();
         for deployment in settings.deployments() {
             let cases = run_cases(deployment, settings)?;
@@ -93,11 +96,16 @@
 fn render(deployment: DeploymentPreset, cases: &[CaseResult]) -> String {
     let mut table = TextTable::new(&[
         "case",
+        "seed",
         "right",
         "phase",
         "ended s",
+        "failure from s",
+        "condemned s",
+        "to s",
         "bookings",
         "harmed",
+        "refused",
         "on new",
         "checks",
         "harmed",
@@ -116,11 +124,16 @@
         let (harm, steps) = (&case.harm, &case.step_harm);
         table.push([
             case.case.to_string(),
+            case.seed.to_string(),
             if case.is_right { "yes" } else { "NO" }.to_string(),
             format!("{:?}", case.phase),
             seconds(case.ended),
+            seconds(case.failure.from),
+            seconds(case.failure.condemned),
+            seconds(case.failure.to),
             harm.bookings.to_string(),
             harm.bookings_harmed.to_string(),
+            harm.bookings_refused.to_string(),
             harm.new_bookings.to_string(),
             harm.checks.to_string(),
             harm.checks_harmed.to_string(),
@@ -150,7 +163,7 @@
         let right = list.clone().filter(|case| case.is_right).count();
         format!("{right} of {}", list.count())
     };
-    let harmed = |read: fn(&CaseResult) -> u64| cases.iter().map(read).sum::<u64>();
+    let sum = |read: fn(&CaseResult) -> u64| cases.iter().map(read).sum::<u64>();
     let bytes = cases
         .iter()
         .map(|case| case.used.control_bytes)
@@ -164,8 +177,9 @@
         ),
     };
     format!(
-        "score, {deployment:?}: {first}; bookings harmed {} (fixed steps {})\n\n",
-        harmed(|case| case.harm.bookings_harmed),
-        harmed(|case| case.step_harm.bookings_harmed),
+        "score, {deployment:?}: {first}; bookings harmed {}, of them refused {} (fixed steps {})\n\n",
+        sum(|case| case.harm.bookings_harmed),
+        sum(|case| case.harm.bookings_refused),
+        sum(|case| case.step_harm.bookings_harmed),
     )
 }
--- a/measure/src/process.rs
+++ b/measure/src/process.rs
@@ -14,6 +14,7 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use error_stack::bail;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -111,6 +112,22 @@
         self.child.id()
     }
 
+    /// Sends the process a signal by name, as `STOP`.
+    ///
+    /// # Errors
+    /// [`MeasureError::Start`] when the signal is not sent.
+    pub fn signal(&self, name: &str) -> MeasureResult<()> {
+        let failure = || MeasureError::Start("kill".into());
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status()
+            .change_context_lazy(failure)?;
+        if !status.success() {
+            bail!(failure());
+        }
+        Ok(())
+    }
+
     /// Tells whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         let mut children = running();
