--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod announcer;
 mod call_fleet;
 mod calls;
+mod chain;
 pub mod churn;
 mod convergence;
 mod cost;
--- a/measure/src/move_case.rs
+++ b/measure/src/move_case.rs
@@ -117,6 +117,7 @@
         connection_limit: deployment.connection_limit(),
         seed,
         faults: version_faults(case, is_new, &prefix),
+        flags: Vec::new(),
     };
     let mut plans = Vec::new();
     for (number, daemon) in fleet.daemons.iter().enumerate() {
--- a/measure/src/upstreams.rs
+++ b/measure/src/upstreams.rs
@@ -41,6 +41,8 @@
     pub seed: u64,
     /// Faults it shows.
     pub faults: UpstreamFaults,
+    /// Further flags.
+    pub flags: Vec<String>,
 }
 
 /// Starts an upstream stand-in.
@@ -61,6 +63,7 @@
     if let Some(daemon) = plan.daemon {
         arguments.push(format!("--daemon={daemon}"));
     }
+    arguments.extend_from_slice(&plan.flags);
     ChildProcess::start("standin-upstream", &arguments)
 }
 
--- a/standins/src/bin/standin-upstream.rs
+++ b/standins/src/bin/standin-upstream.rs
@@ -32,6 +32,9 @@
     /// Requests it runs at once.
     #[arg(long, env = "STANDIN_UPSTREAM_SLOTS", default_value_t = 9)]
     slots: u16,
+    /// Have requests wait for a slot without limit, and run them also when their caller has hung up.
+    #[arg(long, env = "STANDIN_UPSTREAM_QUEUE_ALL")]
+    queue_all: bool,
     /// Connections it holds at once.
     #[arg(long, env = "STANDIN_UPSTREAM_CONNECTION_LIMIT", default_value_t = 120)]
     connection_limit: u32,
@@ -92,6 +95,7 @@
     settings.listen = flags.listen;
     settings.daemon = flags.daemon;
     settings.slots = flags.slots;
+    settings.queues_all = flags.queue_all;
     settings.connection_limit = flags.connection_limit;
     settings.work = Duration::from_micros(flags.work_us);
     settings.work_jitter_percent = flags.work_jitter_percent;
--- a/standins/src/upstream_call.rs
+++ b/standins/src/upstream_call.rs
@@ -52,8 +52,20 @@
 /// Answer of an upstream.
 pub type UpstreamResponse = Response<AnswerBody>;
 
-/// Runs a request, or sheds it.
+/// Runs a request, or sheds it, or has it wait.
 pub async fn run_call(state: Arc<UpstreamState>, request: Request<Incoming>) -> UpstreamResponse {
+    if !state.settings.queues_all {
+        return run_now(state, request).await;
+    }
+    let running = tokio::spawn(async move {
+        let _slot = state.queue.acquire().await;
+        run_now(Arc::clone(&state), request).await
+    });
+    let failed = |_| empty_response(StatusCode::INTERNAL_SERVER_ERROR);
+    running.await.unwrap_or_else(failed)
+}
+
+async fn run_now(state: Arc<UpstreamState>, request: Request<Incoming>) -> UpstreamResponse {
     let run_request = read_identity(&request);
     let deadline = read_number(request.headers(), DEADLINE_HEADER);
     let size = read_number(request.headers(), SIZE_HEADER);
--- a/standins/src/upstream_settings.rs
+++ b/standins/src/upstream_settings.rs
@@ -19,8 +19,10 @@
     pub service: ServiceName,
     /// Version it runs.
     pub version: VersionName,
-    /// Requests it runs at once; more are shed.
+    /// Requests it runs at once; more are shed, or wait.
     pub slots: u16,
+    /// Whether requests wait for a slot without limit, and run also when their caller has hung up.
+    pub queues_all: bool,
     /// Control address of the daemon beside it, to which it announces itself.
     pub daemon: Option<SocketAddr>,
     /// Time of work for one request.
@@ -57,6 +59,7 @@
             service: service.into(),
             version: version.into(),
             slots: 9,
+            queues_all: false,
             daemon: None,
             work: Duration::from_millis(2),
             work_jitter_percent: 0,
--- a/standins/src/upstream_state.rs
+++ b/standins/src/upstream_state.rs
@@ -13,6 +13,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::Semaphore;
 
 use crate::load_history::LoadHistory;
 use crate::run_log::RunEntry;
@@ -38,6 +39,8 @@
 pub struct UpstreamState {
     /// Settings it was started with.
     pub settings: UpstreamSettings,
+    /// Slots that requests wait for when all are queued.
+    pub queue: Semaphore,
     /// Connections to the next service.
     pub pool: ConnectionPool,
     made: Instant,
@@ -93,6 +96,7 @@
             stats: UpstreamStats::default(),
         };
         UpstreamState {
+            queue: Semaphore::new(usize::from(settings.slots)),
             settings,
             pool: ConnectionPool::default(),
             made: now,
