--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -110,7 +110,7 @@
 mod running_count;
 mod schedule;
 pub mod schema;
-mod schema_v1;
+pub mod schema_v1;
 mod schema_v2;
 pub mod seed_row;
 mod seed_task;
--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod announcer;
 mod call_fleet;
 mod calls;
+mod chain;
 pub mod churn;
 mod convergence;
 mod cost;
@@ -13,6 +14,7 @@
 pub mod fleet;
 pub mod load;
 mod move_case;
+pub mod move_failure;
 mod move_traffic;
 mod moves;
 mod overload;
--- a/standins/src/upstream_call.rs
+++ b/standins/src/upstream_call.rs
@@ -52,16 +52,29 @@
 /// Answer of an upstream.
 pub type UpstreamResponse = Response<AnswerBody>;
 
-/// Runs a request, or sheds it.
+/// Runs a request, or sheds it, or has it wait.
 pub async fn run_call(state: Arc<UpstreamState>, request: Request<Incoming>) -> UpstreamResponse {
+    if !state.settings.queues_all {
+        return run_now(state, request).await;
+    }
+    let running = tokio::spawn(async move {
+        let _slot = state.queue.acquire().await;
+        run_now(Arc::clone(&state), request).await
+    });
+    let failed = |_| empty_response(StatusCode::INTERNAL_SERVER_ERROR);
+    running.await.unwrap_or_else(failed)
+}
+
+async fn run_now(state: Arc<UpstreamState>, request: Request<Incoming>) -> UpstreamResponse {
     let run_request = read_identity(&request);
     let deadline = read_number(request.headers(), DEADLINE_HEADER);
     let size = read_number(request.headers(), SIZE_HEADER);
+    let headers = request.headers().clone();
     let body = match read_body(request.into_body()).await {
         Ok(body) => body,
         Err(status) => return empty_response(status),
     };
-    let Some(plan) = state.begin_run(run_request.clone(), &body) else {
+    let Some(mut plan) = state.begin_run(run_request.clone(), &body) else {
         return shed_response();
     };
     let mut guard = RunGuard {
@@ -74,6 +87,11 @@
         return future::pending().await;
     }
     let outcome = do_work(plan, deadline.map(Duration::from_millis)).await;
+    if let Some(next) = &state.settings.next
+        && !next.call(&state.pool, &headers).await
+    {
+        plan.truncates = true;
+    }
     guard.outcome = Some(outcome);
     let answer = UpstreamAnswer {
         request_id: run_request.request_id,
--- a/standins/src/upstream_settings.rs
+++ b/standins/src/upstream_settings.rs
@@ -8,6 +8,7 @@
 use coltsfootweir::ids::VersionName;
 
 use crate::upstream_faults::UpstreamFaults;
+use crate::upstream_next::NextService;
 
 /// Settings of one upstream stand-in.
 #[derive(Clone, Debug)]
@@ -18,8 +19,10 @@
     pub service: ServiceName,
     /// Version it runs.
     pub version: VersionName,
-    /// Requests it runs at once; more are shed.
+    /// Requests it runs at once; more are shed, or wait.
     pub slots: u16,
+    /// Whether requests wait for a slot without limit, and run also when their caller has hung up.
+    pub queues_all: bool,
     /// Control address of the daemon beside it, to which it announces itself.
     pub daemon: Option<SocketAddr>,
     /// Time of work for one request.
@@ -36,6 +39,8 @@
     pub cold_start: Duration,
     /// Age of what the health and load endpoints tell.
     pub health_lag: Duration,
+    /// Service that it calls within each request, after its work.
+    pub next: Option<NextService>,
     /// Seed of the random choices.
     pub seed: u64,
     /// Faults shown from the start.
@@ -54,6 +59,7 @@
             service: service.into(),
             version: version.into(),
             slots: 9,
+            queues_all: false,
             daemon: None,
             work: Duration::from_millis(2),
             work_jitter_percent: 0,
@@ -62,6 +68,7 @@
             connection_limit: 120,
             cold_start: Duration::ZERO,
             health_lag: Duration::from_secs(2),
+            next: None,
             seed: 0,
             faults: UpstreamFaults::default(),
         }
--- a/standins/src/upstream_state.rs
+++ b/standins/src/upstream_state.rs
@@ -9,9 +9,11 @@
 use std::time::Instant;
 
 use coltsfootweir::announce::UpstreamAnnouncement;
+use coltsfootweir::http_pool::ConnectionPool;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::Semaphore;
 
 use crate::load_history::LoadHistory;
 use crate::run_log::RunEntry;
@@ -37,6 +39,10 @@
 pub struct UpstreamState {
     /// Settings it was started with.
     pub settings: UpstreamSettings,
+    /// Slots that requests wait for when all are queued.
+    pub queue: Semaphore,
+    /// Connections to the next service.
+    pub pool: ConnectionPool,
     made: Instant,
     inner: Mutex<StateInner>,
 }
@@ -90,7 +96,9 @@
             stats: UpstreamStats::default(),
         };
         UpstreamState {
+            queue: Semaphore::new(usize::from(settings.slots)),
             settings,
+            pool: ConnectionPool::default(),
             made: now,
             inner: Mutex::new(inner),
         }
