--- a/programs/tests/calls_writes.rs
+++ b/programs/tests/calls_writes.rs
@@ -6,7 +6,7 @@
 
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
-use common::fleet::TestFleet;
+use common::process_fleet::ProcessFleet;
 
 const CALLS: u64 = 200;
 
@@ -26,7 +26,7 @@
 
 #[test]
 fn the_deadline_of_a_call_costs_no_write() {
-    let fleet = TestFleet::start(1, &["--work-us=0"]);
+    let fleet = ProcessFleet::start_serving(1, &["--work-us=0"]);
     let process = fleet.daemons[0].process.child.id();
     let mut caller = KeptCaller::new(fleet.daemons[0].calls);
     let spec = CallSpec::get("/stalls/free");
