The floor test stops the earlier run before it opens its line

Cause: restarted_daemon_does_not_trust_the_first_older_answer opened the line between the older peer and the daemon that holds the later generation, and only then stopped that daemon. In between, and while it stopped, it could tell the older peer of the later generation: the test failed with "older peer alone: did not hold" although the daemons did right.

Change: the daemon is dropped first, then the line opens. Nothing is checked less: the older peer must stay at generation 1 and the restarted one must not serve, for the same time.

--- a/programs/tests/config_floor.rs
+++ b/programs/tests/config_floor.rs
@@ -135,9 +135,10 @@
     });
     cut(3, 1);
     cut(3, 2);
+    // Its earlier run knows the later generation and must not meet the older peer.
+    fleet.daemons.truncate(3);
     fleet.net.clear_detour(addresses[0], addresses[3]);
     fleet.net.clear_detour(addresses[3], addresses[0]);
-    fleet.daemons.truncate(3);
     let restarted = fleet.start("north", addresses[3], &[addresses[0], addresses[1]]);
     hold_for("older peer alone", LAG, || {
         assert!(!restarted.status().is_serving, "serves too early");
