Callers that run while a test breaks things start in one place

Cause: six tests of calls wrote the same scope of threads with a stop flag; the tests of the floor and of a local fleet accepted records in the same way; two posted announcements by hand.

Ruled out: one proxy for the tests of pulls and of the floor; they sample their faults at different times.

Change: caller_threads::run_while, records::accept_unoffered, post_json; the table of refused records has one line a case; whole_path starts a ProcessFleet.

--- a/coltsfootweir/tests/bookings.rs
+++ b/coltsfootweir/tests/bookings.rs
@@ -310,12 +310,8 @@
         let Some(attempt) = self.pick(pick, |stage| matches!(stage, Stage::Admitted)) else {
             return;
         };
-        let Attempt {
-            process,
-            key,
-            request,
-            ..
-        } = &self.attempts[attempt];
+        let own = &self.attempts[attempt];
+        let (process, key, request) = (&own.process, &own.key, &own.request);
         assert!(self.processes[*process].ledger.handed_over(key));
         let earlier = self.runs.insert(key.clone(), (*request, None));
         assert!(earlier.is_none(), "second run of {key}");
@@ -340,12 +336,8 @@
         let Some(attempt) = self.pick(pick, |stage| matches!(stage, Stage::Running)) else {
             return;
         };
-        let Attempt {
-            process,
-            key,
-            request,
-            ..
-        } = &self.attempts[attempt];
+        let own = &self.attempts[attempt];
+        let (process, key, request) = (&own.process, &own.key, &own.request);
         let ledger = &mut self.processes[*process].ledger;
         match end {
             RunEnd::RefusedUnrun => {
--- a/coltsfootweir/tests/config_routes.rs
+++ b/coltsfootweir/tests/config_routes.rs
@@ -155,47 +155,18 @@
     let mut later = move_record("m", "v1", "v2");
     later.phase = MovePhase::Done;
     later.share = TrafficShare::ALL;
+    let moved = |name, from, to| ConfigRecord::Move(move_record(name, from, to));
+    let nowhere = ConfigRecord::Route(route("r", "nowhere", 1));
+    let same_prefix = ConfigRecord::Route(same_prefix);
     let cases = [
-        (
-            &base,
-            ConfigRecord::Route(route("r", "nowhere", 1)),
-            "route/r service",
-        ),
-        (
-            &base,
-            ConfigRecord::Route(same_prefix),
-            "route/shared prefix",
-        ),
-        (
-            &base,
-            ConfigRecord::Move(move_record("m", "v1", "v9")),
-            "move/m to",
-        ),
-        (
-            &base,
-            ConfigRecord::Move(move_record("m", "v2", "v1")),
-            "move/m from",
-        ),
-        (
-            &base,
-            ConfigRecord::Move(move_record("m", "v1", "v1")),
-            "move/m to",
-        ),
-        (
-            &started,
-            ConfigRecord::Move(move_record("n", "v1", "v2")),
-            "move/n service",
-        ),
-        (
-            &started,
-            ConfigRecord::Move(move_record("m", "v2", "v1")),
-            "move/m from, move/m to",
-        ),
-        (
-            &ended,
-            ConfigRecord::Move(move_record("m", "v1", "v2")),
-            "move/m name",
-        ),
+        (&base, nowhere, "route/r service"),
+        (&base, same_prefix, "route/shared prefix"),
+        (&base, moved("m", "v1", "v9"), "move/m to"),
+        (&base, moved("m", "v2", "v1"), "move/m from"),
+        (&base, moved("m", "v1", "v1"), "move/m to"),
+        (&started, moved("n", "v1", "v2"), "move/n service"),
+        (&started, moved("m", "v2", "v1"), "move/m from, move/m to"),
+        (&ended, moved("m", "v1", "v2"), "move/m name"),
     ];
     for (snapshot, record, expected) in cases {
         let found = refused(snapshot, record);
--- a/programs/tests/calls_answers.rs
+++ b/programs/tests/calls_answers.rs
@@ -4,7 +4,6 @@
 mod common;
 
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -19,9 +18,10 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
-use common::caller_threads::StopOnDrop;
 use common::caller_threads::pause;
 use common::caller_threads::run_callers;
+use common::caller_threads::run_while;
+use common::json_http::post_json;
 use common::process_fleet::ProcessFleet;
 
 const CALLERS: usize = 24;
@@ -80,18 +80,11 @@
 fn killed_upstreams_and_daemons_leave_no_short_or_foreign_answer() {
     let flags = ["--work-us=10000", "--work-jitter-percent=100", "--seed=8"];
     let mut fleet = ProcessFleet::start_serving(4, &flags);
-    let stop = AtomicBool::new(false);
-    let good = AtomicUsize::new(0);
     let addresses = fleet.calls();
-    std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        for caller in 0..CALLERS {
-            let (stop, good, addresses) = (&stop, &good, &addresses);
-            scope.spawn(move || {
-                let count = call_until(addresses, caller, |_| stop.load(Ordering::Relaxed));
-                good.fetch_add(count, Ordering::Relaxed);
-            });
-        }
+    let call = |caller, stop: &AtomicBool| {
+        call_until(&addresses, caller, |_| stop.load(Ordering::Relaxed))
+    };
+    let good = run_while(CALLERS, call, || {
         for round in 0..4 {
             pause(Duration::from_millis(700));
             fleet.restart_upstream(round % 3);
@@ -99,9 +92,8 @@
         pause(Duration::from_millis(700));
         fleet.daemons[3].process.kill();
         pause(Duration::from_millis(700));
-        drop(stopper);
     });
-    let good = good.load(Ordering::Relaxed);
+    let good: usize = good.iter().sum();
     assert!(good > 200, "only {good} good answers");
 }
 
@@ -119,9 +111,7 @@
             "service": "stalls", "version": "v1", "slots": 9, "leaving": false,
             "address": relays[index].address().to_string(),
         });
-        let url = format!("http://{}/announce", fleet.daemons[index].control);
-        let sent = minreq::post(url).with_body(body.to_string()).send();
-        assert_eq!(sent.expect("announced").status_code, 200);
+        post_json(fleet.daemons[index].control, "/announce", &body.to_string());
     };
     for upstream in &fleet.upstreams {
         upstream.process.signal("STOP");
--- a/programs/tests/calls_crash.rs
+++ b/programs/tests/calls_crash.rs
@@ -13,6 +13,7 @@
 use common::PATIENCE;
 use common::apply;
 use common::call;
+use common::json_http::post_json;
 use common::read_status;
 use common::records::one_route;
 use common::start_daemon;
@@ -38,13 +39,7 @@
         leaving: false,
     };
     let body = serde_json::to_string(&announcement).expect("an announcement encodes");
-    let url = format!("http://{control}/announce");
-    let answer = minreq::post(url)
-        .with_body(body)
-        .with_timeout(2)
-        .send()
-        .expect("an answer");
-    assert_eq!(answer.status_code, 200);
+    post_json(control, "/announce", &body);
 }
 
 fn crashes_at(control: SocketAddr) -> usize {
--- a/programs/tests/calls_leave.rs
+++ b/programs/tests/calls_leave.rs
@@ -17,8 +17,8 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::send_raw;
-use common::caller_threads::StopOnDrop;
 use common::caller_threads::pause;
+use common::caller_threads::run_while;
 use common::local_fleet::LocalFleet;
 use common::process_fleet::ProcessFleet;
 use common::test_net::CutKind;
@@ -56,19 +56,8 @@
 
 /// Calls through every address while `act` goes on; returns the good answers.
 fn call_while(addresses: &[SocketAddr], act: impl FnOnce()) -> usize {
-    let stop = AtomicBool::new(false);
-    std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        let stop = &stop;
-        let mut callers = Vec::new();
-        for caller in 0..16 {
-            callers.push(scope.spawn(move || call_until_stopped(addresses, caller, stop)));
-        }
-        act();
-        drop(stopper);
-        let ends = callers.into_iter().map(|caller| caller.join());
-        ends.map(|end| end.expect("caller ends")).sum()
-    })
+    let call = |caller, stop: &AtomicBool| call_until_stopped(addresses, caller, stop);
+    run_while(16, call, act).iter().sum()
 }
 
 /// Holds a log to the rule: no work after the bound, and all that ran was finished.
--- a/programs/tests/calls_not_run.rs
+++ b/programs/tests/calls_not_run.rs
@@ -18,8 +18,8 @@
 use common::call_checks::run_ids;
 use common::caller::CallSpec;
 use common::caller::call_once;
-use common::caller_threads::StopOnDrop;
 use common::caller_threads::pause;
+use common::caller_threads::run_while;
 use common::process_fleet::ProcessFleet;
 
 /// Callers at once: four times what the slots of the fleet hold, and more than queue.
@@ -87,21 +87,15 @@
     mut fail: impl FnMut(&mut ProcessFleet),
 ) -> SeenAnswers {
     let addresses = RwLock::new(fleet.calls());
-    let stop = AtomicBool::new(false);
     let seen = Mutex::new(SeenAnswers::default());
-    std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        for caller in 0..CALLERS {
-            let (addresses, stop, seen) = (&addresses, &stop, &seen);
-            scope.spawn(move || call_until_stopped(caller, addresses, stop, seen));
-        }
+    let call = |caller, stop: &AtomicBool| call_until_stopped(caller, &addresses, stop, &seen);
+    run_while(CALLERS, call, || {
         for _ in 0..4 {
             pause(Duration::from_millis(600));
             fail(fleet);
             *addresses.write().expect("addresses") = fleet.calls();
         }
         pause(Duration::from_millis(600));
-        drop(stopper);
     });
     let seen = seen.into_inner().expect("answers");
     let ran = run_ids(&fleet.runs());
--- a/programs/tests/calls_poison.rs
+++ b/programs/tests/calls_poison.rs
@@ -17,8 +17,8 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
-use common::caller_threads::StopOnDrop;
 use common::caller_threads::pause;
+use common::caller_threads::run_while;
 use common::process_fleet::ProcessFleet;
 
 const DAEMONS: usize = 5;
@@ -114,17 +114,14 @@
         good: AtomicUsize::new(0),
         failed: AtomicUsize::new(0),
     };
-    let stop = AtomicBool::new(false);
-    let refused = std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        for caller in 0..DAEMONS {
-            let (fleet, stop, calls) = (&fleet, &stop, &calls);
-            scope.spawn(move || call_others(fleet, caller, stop, calls));
-        }
-        scope.spawn(|| restart_crashed(&fleet, &stop));
-        let refused = send_poison(&fleet, make_copy);
-        drop(stopper);
-        refused
+    let mut refused = 0;
+    // One thread more than there are callers restarts what crashed.
+    let work = |number, stop: &AtomicBool| match number {
+        DAEMONS => restart_crashed(&fleet, stop),
+        caller => call_others(&fleet, caller, stop, &calls),
+    };
+    run_while(DAEMONS + 1, work, || {
+        refused = send_poison(&fleet, make_copy);
     });
     let crashes = crash_count(&fleet);
     assert!(crashes <= MAX_CRASHES, "{crashes} upstreams brought down");
--- a/programs/tests/calls_stop.rs
+++ b/programs/tests/calls_stop.rs
@@ -24,8 +24,8 @@
 use common::caller::KeptCaller;
 use common::caller::read_answer;
 use common::caller::send_raw;
-use common::caller_threads::StopOnDrop;
 use common::caller_threads::pause;
+use common::caller_threads::run_while;
 use common::process_fleet::ProcessFleet;
 use common::wait_for;
 
@@ -96,25 +96,16 @@
 fn stop_under_load(count: usize) {
     let mut fleet = ProcessFleet::start_logged(4, &upstream_settings(10));
     let addresses = fleet.calls();
-    let (stop, cuts) = (AtomicBool::new(false), Mutex::new(Vec::new()));
-    let good: usize = std::thread::scope(|scope| {
-        let stopper = StopOnDrop(&stop);
-        let mut callers = Vec::new();
-        for caller in 0..CALLERS {
-            let (addresses, stop, cuts) = (&addresses, &stop, &cuts);
-            callers.push(scope.spawn(move || call_until_stopped(caller, addresses, stop, cuts)));
-        }
+    let cuts = Mutex::new(Vec::new());
+    let call = |caller, stop: &AtomicBool| call_until_stopped(caller, &addresses, stop, &cuts);
+    let good = run_while(CALLERS, call, || {
         pause(Duration::from_secs(1));
         for daemon in &fleet.daemons[..count] {
             daemon.process.signal("TERM");
         }
         fleet.daemons[..count].iter_mut().for_each(wait_exit);
-        drop(stopper);
-        callers
-            .into_iter()
-            .map(|caller| caller.join().expect("caller ends"))
-            .sum()
     });
+    let good: usize = good.iter().sum();
     let cuts = cuts.into_inner().expect("cuts");
     assert!(
         cuts.is_empty(),
--- a/programs/tests/common/booking_callers.rs
+++ b/programs/tests/common/booking_callers.rs
@@ -6,7 +6,6 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -21,7 +20,7 @@
 use super::caller::CallSpec;
 use super::caller::KeptCaller;
 use super::caller::WholeAnswer;
-use super::caller_threads::StopOnDrop;
+use super::caller_threads::run_while;
 
 /// Bookings that a run must have done at least.
 const LEAST_DONE: usize = 50;
@@ -51,13 +50,6 @@
 /// Answers by key: the body of the first good one.
 pub type FirstAnswers = HashMap<String, Vec<u8>>;
 
-/// What the callers share.
-struct SharedView<'a> {
-    addresses: &'a RwLock<Vec<SocketAddr>>,
-    stop: &'a AtomicBool,
-    first: &'a Mutex<FirstAnswers>,
-}
-
 impl BookingCallers {
     /// Books through all addresses while `act` goes on; returns the first good answers. Fails the
     /// test when a good answer is not the first one to its key.
@@ -66,29 +58,24 @@
         addresses: &RwLock<Vec<SocketAddr>>,
         act: impl FnOnce(),
     ) -> FirstAnswers {
-        let stop = AtomicBool::new(false);
         let first = Mutex::new(FirstAnswers::new());
-        let view = SharedView {
-            addresses,
-            stop: &stop,
-            first: &first,
+        let book = |caller, stop: &AtomicBool| {
+            self.book_until_stopped(caller, addresses, stop, &first);
         };
-        thread::scope(|scope| {
-            let stopper = StopOnDrop(&stop);
-            let view = &view;
-            for caller in 0..self.count {
-                scope.spawn(move || self.book_until_stopped(caller, view));
-            }
-            act();
-            drop(stopper);
-        });
+        run_while(self.count, book, act);
         first.into_inner().expect("answers")
     }
 
-    fn book_until_stopped(&self, caller: usize, view: &SharedView<'_>) {
+    fn book_until_stopped(
+        &self,
+        caller: usize,
+        addresses: &RwLock<Vec<SocketAddr>>,
+        stop: &AtomicBool,
+        first: &Mutex<FirstAnswers>,
+    ) {
         let mut rng = ChaCha8Rng::seed_from_u64(caller as u64);
         let mut pick = || {
-            let addresses = view.addresses.read().expect("addresses");
+            let addresses = addresses.read().expect("addresses");
             let index = rng.random_range(0..addresses.len());
             (
                 addresses[index],
@@ -96,7 +83,7 @@
             )
         };
         for number in 0.. {
-            if view.stop.load(Ordering::Relaxed) {
+            if stop.load(Ordering::Relaxed) {
                 return;
             }
             let minted = (number % 2 == 0).then(|| mint_key(pick().0)).flatten();
@@ -109,7 +96,7 @@
                 let Some(answer) = answer.filter(WholeAnswer::is_good) else {
                     continue;
                 };
-                check_first(view.first, &key, &answer);
+                check_first(first, &key, &answer);
                 if !repeats_answered {
                     break;
                 }
--- a/programs/tests/common/caller_threads.rs
+++ b/programs/tests/common/caller_threads.rs
@@ -17,6 +17,27 @@
     })
 }
 
+/// Runs `work` on `count` threads, each with its number, and tells them to stop once `act` is over,
+/// also by a failure of the test; returns what each came to.
+pub fn run_while<T: Send>(
+    count: usize,
+    work: impl Fn(usize, &AtomicBool) -> T + Sync,
+    act: impl FnOnce(),
+) -> Vec<T> {
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let stopper = StopOnDrop(&stop);
+        let (work, stop) = (&work, &stop);
+        let threads: Vec<_> = (0..count)
+            .map(|number| scope.spawn(move || work(number, stop)))
+            .collect();
+        act();
+        drop(stopper);
+        let ends = threads.into_iter().map(|thread| thread.join());
+        ends.map(|end| end.expect("caller ends")).collect()
+    })
+}
+
 /// Paces a caller or a failure.
 pub fn pause(time: Duration) {
     let (_open, ticks) = std::sync::mpsc::channel::<()>();
@@ -24,7 +45,7 @@
 }
 
 /// Tells callers to stop when it is dropped, also by a failure of the test.
-pub struct StopOnDrop<'a>(pub &'a AtomicBool);
+struct StopOnDrop<'a>(&'a AtomicBool);
 
 impl Drop for StopOnDrop<'_> {
     fn drop(&mut self) {
--- a/programs/tests/common/local_fleet.rs
+++ b/programs/tests/common/local_fleet.rs
@@ -3,13 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use coltsfootweir::accept::accept_change;
 use coltsfootweir::daemon::DaemonParts;
 use coltsfootweir::daemon::MeshDaemon;
 use coltsfootweir::ids::Generation;
-use coltsfootweir::schema::parse_records;
 use coltsfootweir::settings::DaemonArgs;
-use coltsfootweir::snapshot::ConfigSnapshot;
 use standins::memory_platform::MemoryPlatform;
 use standins::platform_server::PlatformServer;
 use standins::relay::RelayMode;
@@ -25,6 +22,7 @@
 use super::free_address;
 use super::member_counts::is_ready;
 use super::net_store::NetStore;
+use super::records::accept_unoffered;
 use super::test_net::CutKind;
 use super::test_net::NORTH;
 use super::test_net::NetDialer;
@@ -188,11 +186,7 @@
 
     /// Accepts records; returns the generation.
     pub fn accept(&self, records: &str) -> Generation {
-        let records = parse_records(records, std::time::SystemTime::now()).expect("records");
-        let change = |base: &ConfigSnapshot| base.with_records(records.iter().cloned());
-        let ids = || "local-write".into();
-        let accepted = accept_change(&self.platform, &ids, &change, &[]).expect("accepted");
-        accepted.generation
+        accept_unoffered(&self.platform, records)
     }
 
     /// Whether the daemon serves `generation` or a higher one.
--- a/programs/tests/config_floor.rs
+++ b/programs/tests/config_floor.rs
@@ -7,13 +7,9 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use std::time::SystemTime;
 
-use coltsfootweir::accept::accept_change;
 use coltsfootweir::floor::FLOOR_SETTLE;
 use coltsfootweir::http_platform::HttpPlatform;
-use coltsfootweir::schema::parse_records;
-use coltsfootweir::snapshot::ConfigSnapshot;
 use standins::platform_faults::PlatformFaults;
 use tiny_http::Response;
 use tiny_http::Server;
@@ -27,6 +23,7 @@
 use common::local_fleet::LocalFleet;
 use common::process_fleet::ProcessFleet;
 use common::process_fleet::region_of;
+use common::records::accept_unoffered;
 use common::records::one_route;
 use common::test_net::CutKind;
 use common::wait_for;
@@ -70,21 +67,15 @@
     fleet
 }
 
-/// Accepts records without handing them to a daemon, so that a frozen one finds no offer when it resumes.
-fn accept_unoffered(platform: SocketAddr, text: &str) {
-    let store = HttpPlatform::new(platform, PATIENCE);
-    let records = parse_records(text, SystemTime::now()).expect("records are well formed");
-    let change = |base: &ConfigSnapshot| base.with_records(records.iter().cloned());
-    accept_change(&store, &|| "unoffered".into(), &change, &[]).expect("records are accepted");
-}
-
 #[test]
 fn restarted_daemon_waits_for_peers_that_know_better_while_the_store_is_down() {
     let mut fleet = start_at_generation_one(4);
     let addresses = fleet.controls();
     let watch = GenerationWatch::start([addresses[0]]);
     fleet.daemons[3].process.signal("STOP");
-    accept_unoffered(fleet.platform.address, &one_route("fodder"));
+    // A frozen daemon finds no offer of it when it resumes.
+    let store = HttpPlatform::new(fleet.platform.address, PATIENCE);
+    accept_unoffered(&store, &one_route("fodder"));
     fleet.wait_generation(&[0, 1, 2], 2, CONVERGENCE_TARGET);
     hold_for(
         "the watch sees generation 2",
--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -2,15 +2,10 @@
 
 mod common;
 
-use common::DaemonProcess;
-use common::DaemonSpec;
 use common::PATIENCE;
-use common::UpstreamProcess;
 use common::apply;
 use common::call;
-use common::read_status;
-use common::start_daemon;
-use common::start_platform;
+use common::process_fleet::ProcessFleet;
 use common::start_upstream;
 use common::wait_for;
 
@@ -24,30 +19,15 @@
 
 #[test]
 fn call_is_served_and_outlives_a_daemon_and_an_upstream() {
-    let platform = start_platform();
-    let mut spec = DaemonSpec::new(platform.address, "north", "zaandam");
-    let mut daemons: Vec<DaemonProcess> = Vec::new();
-    let mut upstreams: Vec<UpstreamProcess> = Vec::new();
-    for number in 0..4 {
-        spec.seeds = daemons.iter().map(|daemon| daemon.control).collect();
-        let daemon = start_daemon(&spec);
-        let version = if number == 3 { "v2" } else { "v1" };
-        upstreams.push(start_upstream(daemon.control, "stalls", version));
-        daemons.push(daemon);
+    let mut fleet = ProcessFleet::empty();
+    for version in ["v1", "v1", "v1", "v2"] {
+        let index = fleet.add_joined("north");
+        let upstream = start_upstream(fleet.control(index), "stalls", version);
+        fleet.upstreams.push(upstream);
     }
-    apply(platform.address, RECORDS);
-    for daemon in &daemons {
-        wait_for("generation 1 in force", PATIENCE, || {
-            read_status(daemon.control).is_some_and(|status| {
-                let known = status
-                    .members
-                    .iter()
-                    .filter(|entry| entry.endpoint.is_some());
-                status.generation == 1 && known.count() == 4
-            })
-        });
-    }
-    for daemon in &daemons {
+    apply(fleet.platform.address, RECORDS);
+    fleet.wait_ready(1);
+    for daemon in &fleet.daemons {
         let answer = call(
             daemon.calls,
             "GET",
@@ -66,9 +46,9 @@
         assert_eq!(body["version"], "v1");
         assert_eq!(body["path"], "/stalls/free");
     }
-    daemons[0].process.kill();
-    upstreams[1].process.kill();
-    let survivor = daemons[2].calls;
+    fleet.daemons[0].process.kill();
+    fleet.upstreams[1].process.kill();
+    let survivor = fleet.daemons[2].calls;
     wait_for("calls served again without a failure", PATIENCE, || {
         (0..20).all(|_| {
             let answer = call(survivor, "GET", "/stalls/free", &[]);
