A request that the old version runs to an end excuses no crash

Cause: crashes with a request in common count as one cause, as of a poison request, so a version that crashes on one common request was blamed from the sixth crash on only, while the request is refused after two. Ruled out: a lower count of crashes with a common request (a poison request can crash as many). Change: evidence carries the requests that crashed another upstream and that the own one ran to an end within a minute (at most 16; a new last field, with a default); those of the old version excuse no crash. Before/After (crash_blame): two crashes at two endpoints under a request that the old version runs: suspicion below the threshold before, condemned after; the same request crashing both versions condemns nothing. No process test of this path was run.

--- a/coltsfootweir/src/evidence.rs
+++ b/coltsfootweir/src/evidence.rs
@@ -30,6 +30,9 @@
 /// Crashes that a report carries, the latest ones.
 const CRASHES_KEPT: usize = 16;
 
+/// Survived requests that a report carries.
+pub const SURVIVED_KEPT: usize = 16;
+
 /// Returns the bucket that counts calls of this latency.
 #[must_use]
 pub fn latency_bucket(latency: Duration) -> usize {
@@ -155,6 +158,9 @@
     pub routes: BTreeMap<RouteName, RouteCounts>,
     /// Latest crashes, oldest first.
     pub crashes: Vec<CrashRecord>,
+    /// Requests that the upstream ran to an end of late and under which another crashed.
+    #[serde(default)]
+    pub survived: Vec<Fingerprint>,
 }
 
 impl EndpointEvidence {
@@ -173,6 +179,7 @@
             version,
             routes: BTreeMap::new(),
             crashes: Vec::new(),
+            survived: Vec::new(),
         }
     }
 
@@ -197,6 +204,10 @@
         self.crashes.sort_by_key(|crash| crash.number);
         let surplus = self.crashes.len().saturating_sub(CRASHES_KEPT);
         self.crashes.drain(..surplus);
+        self.survived.extend(&other.survived);
+        self.survived.sort_unstable();
+        self.survived.dedup();
+        self.survived.truncate(SURVIVED_KEPT);
     }
 
     /// Returns about how many bytes the evidence occupies.
--- a/coltsfootweir/src/evidence_pool.rs
+++ b/coltsfootweir/src/evidence_pool.rs
@@ -39,6 +39,9 @@
 /// Crashes kept for each version, the latest ones.
 const CRASHES_KEPT: usize = 64;
 
+/// Survived requests kept for each version.
+const SURVIVED_KEPT: usize = 256;
+
 /// A crash during the move.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PooledCrash {
@@ -55,6 +58,8 @@
     pub routes: BTreeMap<RouteName, RouteCounts>,
     /// Crashes since the window began.
     pub crashes: Vec<PooledCrash>,
+    /// Requests that an endpoint ran to an end and under which another crashed.
+    pub survived: BTreeSet<Fingerprint>,
     /// When each endpoint's daemon last sent evidence.
     pub members: BTreeMap<MemberId, Duration>,
 }
@@ -185,6 +190,7 @@
         self.view.now = self.view.now.max(now);
         let member = evidence.member.clone();
         self.totals_mut(side).members.insert(member.clone(), now);
+        self.take_survived(side, &evidence.survived);
         let key = (
             member.clone(),
             evidence.incarnation,
@@ -331,6 +337,14 @@
         }
     }
 
+    fn take_survived(&mut self, side: VersionSide, requests: &[Fingerprint]) {
+        let survived = &mut self.totals_mut(side).survived;
+        survived.extend(requests);
+        while survived.len() > SURVIVED_KEPT {
+            survived.pop_first();
+        }
+    }
+
     fn take_crash(&mut self, side: VersionSide, member: &MemberId, crash: &CrashRecord) {
         let crashes = &mut self.totals_mut(side).crashes;
         crashes.push(PooledCrash {
--- a/coltsfootweir/src/evidence_task.rs
+++ b/coltsfootweir/src/evidence_task.rs
@@ -15,6 +15,7 @@
 use crate::control_server::ControlHandler;
 use crate::control_server::HandlerPlugin;
 use crate::evidence::EndpointEvidence;
+use crate::evidence::SURVIVED_KEPT;
 use crate::evidence_alert::AlertWatch;
 use crate::ids::MoveName;
 use crate::kernel::DaemonTask;
@@ -23,6 +24,7 @@
 use crate::link::LinkCause;
 use crate::logging::MOVES;
 use crate::member::MemberEntry;
+use crate::message_format::decode_message;
 use crate::mover::lease_key;
 use crate::rank::rank_members;
 
@@ -48,11 +50,16 @@
     }
 
     fn answer(&self, context: &Arc<DaemonContext>, _body: &[u8]) -> ControlAnswer {
-        let reports = vec![lock(&context.recorder).report()];
-        ControlAnswer::message(&reports)
+        ControlAnswer::message(&vec![own_report(context)])
     }
 }
 
+fn own_report(context: &DaemonContext) -> EndpointEvidence {
+    let mut report = lock(&context.recorder).report();
+    report.survived = lock(&context.poison).survived(SURVIVED_KEPT, context.now());
+    report
+}
+
 struct AlertHandler;
 
 inventory::submit! { HandlerPlugin { handler: &AlertHandler } }
@@ -63,7 +70,7 @@
     }
 
     fn answer(&self, context: &Arc<DaemonContext>, body: &[u8]) -> ControlAnswer {
-        match rmp_serde::from_slice::<MoveName>(body) {
+        match decode_message::<MoveName>(body) {
             Ok(move_name) => {
                 lock(&context.mover).on_alert(&move_name, context.now());
                 ControlAnswer::message(&())
@@ -167,8 +174,7 @@
 
 /// Asks every endpoint of a service at once, so that one that is frozen delays no other.
 pub(crate) fn poll_evidence(context: &Arc<DaemonContext>, service: &str) {
-    let own = vec![lock(&context.recorder).report()];
-    take_evidence(context, service, own);
+    take_evidence(context, service, vec![own_report(context)]);
     let sources = find_sources(context, service);
     thread::scope(|scope| {
         for source in sources {
--- a/coltsfootweir/src/poison.rs
+++ b/coltsfootweir/src/poison.rs
@@ -104,6 +104,22 @@
         suspects
     }
 
+    /// Returns requests under which an upstream crashed and that the own upstream ran to an end within
+    /// [`POISON_TIMEOUT`], in order and `limit` at most.
+    #[must_use]
+    pub fn survived(&self, limit: usize, now: Duration) -> Vec<Fingerprint> {
+        let mut survived = Vec::new();
+        for fingerprint in self.marks.keys() {
+            let time = self.completed.get(fingerprint);
+            if time.is_some_and(|time| now < *time + POISON_TIMEOUT) {
+                survived.push(*fingerprint);
+            }
+        }
+        survived.sort_unstable();
+        survived.truncate(limit);
+        survived
+    }
+
     /// Returns whether a request is to be refused.
     #[must_use]
     pub fn is_refused(&self, fingerprint: Fingerprint, now: Duration) -> bool {
--- a/coltsfootweir/src/verdict_rules.rs
+++ b/coltsfootweir/src/verdict_rules.rs
@@ -161,7 +161,7 @@
             return None;
         }
         let members: BTreeSet<&MemberId> = own.iter().map(|crash| &crash.member).collect();
-        let causes = distinct_causes(own.iter().copied());
+        let causes = distinct_causes(own.iter().copied(), &view.old.survived);
         let seen = format!(
             "crashes: new {} at {} endpoints with {causes} separate causes in {} calls, old {} in {} calls",
             view.new.crashes.len(),
@@ -199,15 +199,23 @@
         .any(|fingerprint| running.contains(fingerprint))
 }
 
-/// Counts crashes of which no two ran a request in common.
-fn distinct_causes<'a>(crashes: impl Iterator<Item = &'a PooledCrash>) -> usize {
+/// Counts crashes of which no two ran a request in common, but for those that the old version ran to
+/// an end: they are no poison.
+fn distinct_causes<'a>(
+    crashes: impl Iterator<Item = &'a PooledCrash>,
+    survived: &BTreeSet<Fingerprint>,
+) -> usize {
     let mut running = BTreeSet::new();
     let mut causes = 0;
     for crash in crashes {
         if !shares(crash, &running) {
             causes += 1;
         }
-        running.extend(crash.running.iter().copied());
+        let suspects = crash
+            .running
+            .iter()
+            .filter(|request| !survived.contains(request));
+        running.extend(suspects.copied());
     }
     causes
 }
@@ -217,13 +225,19 @@
     if !exceeds_old(view, own.len()) {
         return false;
     }
+    let survived = &view.old.survived;
+    let is_requested = |crash: &&PooledCrash| {
+        !crash
+            .running
+            .iter()
+            .all(|request| survived.contains(request))
+    };
     let crashes = own.iter().copied();
-    let requested = crashes.clone().filter(|crash| !crash.running.is_empty());
-    if distinct_causes(requested) >= LONE_CAUSES {
+    if distinct_causes(crashes.clone().filter(is_requested), survived) >= LONE_CAUSES {
         return true;
     }
     let is_spread = members >= 2 || view.new_members().count() < 2;
-    is_spread && (own.len() >= MANY_CRASHES || distinct_causes(crashes) >= 2)
+    is_spread && (own.len() >= MANY_CRASHES || distinct_causes(crashes, survived) >= 2)
 }
 
 /// Returns whether the new version crashes clearly more often than the old one, call for call.
--- /dev/null
+++ b/coltsfootweir/tests/crash_blame.rs
@@ -0,0 +1,113 @@
+//! Which crashes speak against a version: not those of one poison request, but those of a request that
+//! the old version runs to an end.
+
+use std::time::Duration;
+use std::time::SystemTime;
+
+use coltsfootweir::evidence::EvidenceRecorder;
+use coltsfootweir::evidence::SURVIVED_KEPT;
+use coltsfootweir::evidence_pool::EvidencePool;
+use coltsfootweir::fact::CrashFact;
+use coltsfootweir::ids::Fingerprint;
+use coltsfootweir::poison::POISON_TIMEOUT;
+use coltsfootweir::poison::PoisonTable;
+use coltsfootweir::record::MovePhase;
+use coltsfootweir::record::MoveRecord;
+use coltsfootweir::record::RouteClass;
+use coltsfootweir::record::TrafficShare;
+use coltsfootweir::verdict::Verdict;
+use coltsfootweir::verdict::judge;
+
+/// Request that was running at every crash.
+const REQUEST: Fingerprint = 7;
+
+/// Endpoints of each version.
+const ENDPOINTS: usize = 2;
+
+fn recorders(version: &str) -> Vec<EvidenceRecorder> {
+    let mut recorders = Vec::new();
+    for number in 0..ENDPOINTS {
+        let mut recorder = EvidenceRecorder::new(format!("{version}-{number}").into(), 1);
+        recorder.set_version("stalls".into(), version.into());
+        for _ in 0..100 {
+            recorder.on_call(
+                &"free".into(),
+                RouteClass::Check,
+                false,
+                Duration::from_millis(5),
+            );
+        }
+        recorders.push(recorder);
+    }
+    recorders
+}
+
+/// Judges a new version whose endpoints crashed once each under the request.
+fn verdict_after_crashes(old_survived: &[Fingerprint], old_crashes: bool) -> Verdict {
+    let (mut old, mut new) = (recorders("v1"), recorders("v2"));
+    let mut pool = EvidencePool::new(&move_record());
+    for second in 0..2 {
+        for recorder in old.iter().chain(&new) {
+            let mut report = recorder.report();
+            if *report.version == *"v1" {
+                report.survived = old_survived.to_vec();
+            }
+            pool.offer(report, Duration::from_secs(second));
+        }
+        for recorder in &mut new {
+            recorder.on_crash(vec![REQUEST]);
+        }
+        if old_crashes {
+            old[0].on_crash(vec![REQUEST]);
+        }
+    }
+    judge(&mut pool, Duration::from_secs(2))
+}
+
+fn move_record() -> MoveRecord {
+    MoveRecord {
+        name: "tried".into(),
+        service: "stalls".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        done_by: SystemTime::UNIX_EPOCH,
+        phase: MovePhase::Climbing,
+        share: TrafficShare::default(),
+        reason: "".into(),
+    }
+}
+
+#[test]
+fn request_survives_for_a_while_after_it_ran_to_an_end() {
+    let mut table = PoisonTable::new();
+    let fact = CrashFact {
+        fingerprint: REQUEST,
+        member: "v2-0".into(),
+        incarnation: 1,
+        number: 1,
+    };
+    table.on_crash(&fact, Duration::ZERO);
+    assert!(table.survived(SURVIVED_KEPT, Duration::ZERO).is_empty());
+    table.on_completed(REQUEST, Duration::ZERO);
+    table.on_completed(REQUEST + 1, Duration::ZERO);
+    assert_eq!(table.survived(SURVIVED_KEPT, Duration::ZERO), [REQUEST]);
+    assert!(table.survived(SURVIVED_KEPT, POISON_TIMEOUT).is_empty());
+}
+
+#[test]
+fn crashes_under_a_request_that_the_old_version_runs_condemn() {
+    let verdict = verdict_after_crashes(&[REQUEST], false);
+    assert!(matches!(verdict, Verdict::Condemn(_)), "{verdict:?}");
+}
+
+#[test]
+fn crashes_under_one_request_that_nobody_ran_to_an_end_condemn_nothing() {
+    let verdict = verdict_after_crashes(&[], false);
+    assert!(!matches!(verdict, Verdict::Condemn(_)), "{verdict:?}");
+}
+
+#[test]
+fn request_that_crashes_both_versions_condemns_nothing() {
+    let verdict = verdict_after_crashes(&[REQUEST], true);
+    assert!(!matches!(verdict, Verdict::Condemn(_)), "{verdict:?}");
+}
