A wrong digest told for a head blocks its generation no more

A region whose only holder gave a wrong digest asked no other.

A digest under which a round gave nothing gives way to the next; after such a round holders of the other region are asked too; the store's head and a configuration in force settle the digest. A daemon that turns to the store reads its head first while only peers told the digest.

Tests: lying_peers (mesh world with members that tell wrong digests; up to two of six, lost and damaged transfers, store down after acceptance; in force within 19 rounds, nothing unaccepted in force). The mesh world got liars, hand_out, and the daemon's new order of asking; its checks are as before.

Left: with the store down nothing tells a made-up closed configuration of a higher generation with its own digest from an accepted one.

--- a/coltsfootweir/src/config_pull.rs
+++ b/coltsfootweir/src/config_pull.rs
@@ -9,6 +9,7 @@
 use log::warn;
 
 use crate::accept::delta_object;
+use crate::accept::read_head;
 use crate::accept::snapshot_object;
 use crate::config_state::ConfigState;
 use crate::config_state::OfferOutcome;
@@ -88,9 +89,12 @@
             return;
         }
     }
+    if !holders.is_empty() {
+        lock(&context.gossip).doubt_head(&mark);
+    }
     let is_fallback = !holders.is_empty() && pulls.on_failure(context.now());
     if is_fallback || reads_store(context) {
-        fetch_from_store(context, &mark);
+        fetch_head(context, &mark);
     }
     if has_unknown_format(context, mark.generation) {
         pulls.unknown = Some((mark.generation, context.now()));
@@ -154,6 +158,22 @@
     }) && mark.generation >= wanted.generation
 }
 
+/// Fetches `told` from the store; where only peers told it, the store's head is read first.
+fn fetch_head(context: &DaemonContext, told: &HeadMark) {
+    if lock(&context.gossip).is_head_settled() {
+        fetch_from_store(context, told);
+        return;
+    }
+    match read_head(context.platform.as_ref()) {
+        Ok(head) => {
+            lock(&context.gossip).note_head(head.clone());
+            let is_current = head.generation >= told.generation;
+            fetch_from_store(context, if is_current { &head } else { told });
+        }
+        Err(error) => debug!(target: CONFIG, "head not read: {error}"),
+    }
+}
+
 fn fetch_from_store(context: &DaemonContext, mark: &HeadMark) {
     if fetch_delta(context, mark) {
         return;
--- a/coltsfootweir/src/exchange.rs
+++ b/coltsfootweir/src/exchange.rs
@@ -6,7 +6,6 @@
 
 use crate::facts_table::FactHash;
 use crate::gossip::GossipState;
-use crate::gossip::KnownHead;
 use crate::gossip_message::FloorAnswer;
 use crate::gossip_message::GossipAction;
 use crate::gossip_message::GossipMessage;
@@ -151,7 +150,7 @@
             region: self.region.clone(),
             incarnation: self.own().incarnation,
             served: self.own().served,
-            head: self.head.mark.clone(),
+            head: self.head.mark().clone(),
             digest: self.digest(),
             entries: Vec::new(),
             served_batches: Vec::new(),
@@ -302,16 +301,9 @@
     }
 
     fn absorb_head(&mut self, message: &GossipMessage) {
-        if message.head.generation <= self.head.mark.generation {
-            return;
-        }
         let serves = message.served >= message.head.generation;
         let teller = serves.then(|| member_hash(&message.from));
-        self.head = KnownHead {
-            mark: message.head.clone(),
-            noted: self.now,
-            teller,
-        };
+        self.head.hear(&message.head, teller, self.now);
     }
 
     fn absorb_facts(&mut self, message: &GossipMessage) {
--- a/coltsfootweir/src/gossip.rs
+++ b/coltsfootweir/src/gossip.rs
@@ -18,6 +18,7 @@
 use crate::fact::CrashFact;
 use crate::facts_table::FactsTable;
 use crate::gossip_limits::GossipLimits;
+use crate::head_claims::HeadClaims;
 use crate::ids::Generation;
 use crate::ids::MemberId;
 use crate::ids::RegionName;
@@ -44,15 +45,6 @@
     pub(crate) link: Option<Duration>,
 }
 
-/// Highest head a member knows.
-#[derive(Clone, Debug)]
-pub(crate) struct KnownHead {
-    pub(crate) mark: HeadMark,
-    pub(crate) noted: Duration,
-    /// Member that serves the head and told of it.
-    pub(crate) teller: Option<MemberHash>,
-}
-
 /// State of what the choice of endpoints depends on.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct IndexBasis {
@@ -70,7 +62,7 @@
     pub(crate) limits: GossipLimits,
     pub(crate) view: MemberView,
     pub(crate) facts: FactsTable,
-    pub(crate) head: KnownHead,
+    pub(crate) head: HeadClaims,
     pub(crate) heard: BTreeMap<RegionName, Duration>,
     pub(crate) entry_queue: SpreadQueues,
     pub(crate) served_queue: SpreadQueues,
@@ -93,17 +85,12 @@
     pub fn new(own: MemberEntry, limits: GossipLimits, seed: u64) -> GossipState {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let facts = FactsTable::new(limits.crash_retention);
-        let head = KnownHead {
-            mark: HeadMark::default(),
-            noted: Duration::ZERO,
-            teller: None,
-        };
         let mut state = GossipState {
             id: own.id.clone(),
             region: own.region.clone(),
             limits,
             facts,
-            head,
+            head: HeadClaims::default(),
             heard: BTreeMap::new(),
             entry_queue: SpreadQueues::new(rng.random()),
             served_queue: SpreadQueues::new(rng.random()),
@@ -173,15 +160,21 @@
         self.note_head(mark);
     }
 
-    /// Notes a head that the member knows but does not serve yet, such as one read from the store.
+    /// Notes a head read from the store, or in force; what peers told of its generation gives way.
     pub fn note_head(&mut self, mark: HeadMark) {
-        if mark.generation > self.head.mark.generation {
-            self.head = KnownHead {
-                mark,
-                noted: self.now,
-                teller: None,
-            };
-        }
+        self.head.settle(mark, self.now);
+    }
+
+    /// Returns whether the digest of the highest head known is the store's word, or in force here.
+    #[must_use]
+    pub fn is_head_settled(&self) -> bool {
+        self.head.is_settled()
+    }
+
+    /// Notes that no peer gave the configuration of `mark`, so that another digest which peers told
+    /// for its generation is tried.
+    pub fn doubt_head(&mut self, mark: &HeadMark) {
+        self.head.doubt(mark);
     }
 
     /// Notes the upstream beside the member.
@@ -240,10 +233,10 @@
     /// the first choice first.
     ///
     /// Members of the own region come first. Members of other regions are named only while none of
-    /// the own region serves the head, and only to a holder of the link job or after
+    /// the own region serves the head, or after those that do gave nothing, and only to a holder of the link job or after
     /// [`GossipLimits::link_fallback`].
     pub fn best_head(&self) -> Option<(HeadMark, Vec<SocketAddr>)> {
-        let mark = &self.head.mark;
+        let mark = self.head.mark();
         if mark.generation <= self.own().served {
             return None;
         }
@@ -254,7 +247,7 @@
             if !entry.state.is_live() || entry.served < mark.generation {
                 continue;
             }
-            let told = self.head.teller == Some(member);
+            let told = self.head.is_teller(member);
             let order = xxh3_64_with_seed(entry.id.as_bytes(), self.view.own_hash());
             let list = if entry.region == self.region {
                 &mut near
@@ -263,13 +256,14 @@
             };
             list.push((!told, order, record.address));
         }
-        let waited = self.now.saturating_sub(self.head.noted) >= self.limits.link_fallback;
+        let waited = self.now.saturating_sub(self.head.noted()) >= self.limits.link_fallback;
         let allowed = self.peers.links || waited;
+        near.sort_unstable();
+        far.sort_unstable();
         let mut holders = near;
-        if holders.is_empty() && allowed {
-            holders = far;
+        if allowed && (holders.is_empty() || self.head.is_doubted()) {
+            holders.extend(far);
         }
-        holders.sort_unstable();
         let addresses = holders.into_iter().map(|(_, _, address)| address).collect();
         Some((mark.clone(), addresses))
     }
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -66,6 +66,7 @@
 mod gossip_task;
 pub mod guard;
 mod guard_call;
+pub mod head_claims;
 mod head_mark;
 pub mod head_row;
 pub mod http_platform;
--- /dev/null
+++ b/coltsfootweir/tests/lying_peers.rs
@@ -0,0 +1,112 @@
+//! Peers that tell a wrong digest with the head's generation keep nobody from the accepted
+//! configuration for long, and nothing else is ever in force.
+
+mod common;
+mod mesh;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use coltsfootweir::head_claims::HeadClaims;
+use coltsfootweir::snapshot::HeadMark;
+
+use common::fixed_config;
+use mesh::MEMBERS;
+use mesh::MeshWorld;
+
+/// Rounds of one second in which an accepted configuration is in force everywhere.
+const CONVERGE_ROUNDS: usize = 19;
+
+/// Rounds in which the members find one another.
+const START_ROUNDS: usize = 40;
+
+/// What happens in one generation.
+#[derive(Clone, Debug)]
+struct Change {
+    liars: Vec<usize>,
+    /// The store goes down right after the acceptance; this member, or the next that is true, was
+    /// handed the configuration.
+    handed_to: Option<usize>,
+    lost: u8,
+    damaged: u8,
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    let liars = prop::collection::vec(0..MEMBERS, 0..3);
+    (liars, prop::option::of(0..MEMBERS), 0..6u8, 0..4u8).prop_map(
+        |(liars, handed_to, lost, damaged)| Change {
+            liars,
+            handed_to,
+            lost,
+            damaged,
+        },
+    )
+}
+
+fn run_change(world: &mut MeshWorld, change: &Change, accepted: &mut BTreeSet<(u64, Box<str>)>) {
+    world.is_store_up = true;
+    world.liars = [false; MEMBERS];
+    for liar in &change.liars {
+        world.liars[*liar] = true;
+    }
+    world.operate(0, &[], false);
+    let head = world.head();
+    accepted.insert((head.generation, head.digest.clone()));
+    if let Some(member) = change.handed_to {
+        let members = (member..member + MEMBERS).map(|member| member % MEMBERS);
+        let honest = members.into_iter().find(|member| !world.liars[*member]);
+        world.hand_out(honest.expect("few members lie"));
+        world.is_store_up = false;
+    }
+    (world.lose, world.damage) = (change.lost, change.damaged);
+    for _ in 0..CONVERGE_ROUNDS {
+        world.pass_round();
+        world.check_invariants();
+        for mark in world.marks() {
+            let known =
+                mark.generation == 0 || accepted.contains(&(mark.generation, mark.digest.clone()));
+            assert!(known, "{mark:?} was never accepted");
+        }
+    }
+    for (member, mark) in world.marks().into_iter().enumerate() {
+        assert_eq!(mark, head, "member {member}, {change:?}");
+    }
+}
+
+#[test]
+fn the_store_decides_on_the_digest() {
+    let mark = |digest: &str| HeadMark {
+        generation: 3,
+        digest: digest.into(),
+    };
+    let mut claims = HeadClaims::default();
+    for teller in 0..4 {
+        claims.hear(&mark("wrong"), Some(teller), Duration::ZERO);
+    }
+    claims.settle(mark("right"), Duration::ZERO);
+    assert_eq!(*claims.mark(), mark("right"));
+    claims.hear(&mark("wrong"), Some(5), Duration::ZERO);
+    claims.doubt(&mark("right"));
+    assert_eq!(*claims.mark(), mark("right"));
+}
+
+proptest! {
+    #![proptest_config(fixed_config(0x11e, 48))]
+
+    #[test]
+    fn the_accepted_configuration_is_in_force_in_time_beside_liars(
+        changes in prop::collection::vec(any_change(), 1..6),
+    ) {
+        let mut world = MeshWorld::new();
+        let head = world.head();
+        let mut accepted = BTreeSet::from([(head.generation, head.digest)]);
+        for _ in 0..START_ROUNDS {
+            world.pass_round();
+        }
+        for change in &changes {
+            run_change(&mut world, change, &mut accepted);
+        }
+    }
+}
--- a/coltsfootweir/tests/mesh/mod.rs
+++ b/coltsfootweir/tests/mesh/mod.rs
@@ -1,5 +1,8 @@
 //! Members with their configuration, driven by hand on one store.
 
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +16,7 @@
 use coltsfootweir::gossip::GossipState;
 use coltsfootweir::gossip_limits::GossipLimits;
 use coltsfootweir::gossip_message::GossipAction;
+use coltsfootweir::ids::Digest;
 use coltsfootweir::ids::Generation;
 use coltsfootweir::ids::WriteId;
 use coltsfootweir::member::MemberEntry;
@@ -21,6 +25,7 @@
 use coltsfootweir::record::ConfigRecord;
 use coltsfootweir::route_table::RouteTable;
 use coltsfootweir::snapshot::ConfigSnapshot;
+use coltsfootweir::snapshot::HeadMark;
 
 use super::common::fake_store::FakeStore;
 use super::common::fake_store::StoreFault;
@@ -61,12 +66,19 @@
     pub is_store_up: bool,
     pub lose: u8,
     pub damage: u8,
+    /// Members that tell a wrong digest with each head; one of an odd number also gives its own
+    /// configuration under it.
+    pub liars: [bool; MEMBERS],
 }
 
 fn address_of(index: usize) -> std::net::SocketAddr {
     std::net::SocketAddr::from(([10, 7, 0, index as u8 + 1], 7000))
 }
 
+fn wrong_digest(member: usize) -> Digest {
+    format!("{:064x}", 0xbad + member).into()
+}
+
 /// Cuts an encoded transfer short, or changes one byte of it.
 fn damage_bytes(bytes: &mut Vec<u8>, number: u8) {
     let place = bytes.len() * (usize::from(number) * 37 % 100) / 100;
@@ -119,6 +131,7 @@
             is_store_up: true,
             lose: 0,
             damage: 0,
+            liars: [false; MEMBERS],
         }
     }
 
@@ -207,7 +220,10 @@
             if limit == 0 {
                 return;
             }
-            let GossipAction::Exchange { to, message, .. } = action;
+            let GossipAction::Exchange {
+                to, mut message, ..
+            } = action;
+            self.lie(from, &mut message.head);
             let target = (0..MEMBERS).find(|index| address_of(*index) == to);
             let Some(target) = target.filter(|target| self.reaches(from, *target)) else {
                 let actions = self.members[from].gossip.on_failure(to, self.now);
@@ -221,7 +237,8 @@
             let _ = self.members[target]
                 .gossip
                 .receive(message.clone(), self.now);
-            let answer = self.members[target].gossip.receive(message, self.now);
+            let mut answer = self.members[target].gossip.receive(message, self.now);
+            self.lie(target, &mut answer.head);
             let pushed = self.members[target].gossip.take_urgent();
             queue.extend(pushed.into_iter().map(|action| (target, action)));
             let actions = if self.lose > 0 {
@@ -237,6 +254,34 @@
         }
     }
 
+    fn lie(&self, member: usize, mark: &mut HeadMark) {
+        if self.liars[member] && mark.generation > 0 {
+            mark.digest = wrong_digest(member);
+        }
+    }
+
+    /// The accepted head.
+    pub fn head(&self) -> HeadMark {
+        read_head(self.store.as_ref()).expect("the store works")
+    }
+
+    /// What is in force at each member.
+    pub fn marks(&self) -> Vec<HeadMark> {
+        let members = self.members.iter();
+        members.map(|member| member.config.mark()).collect()
+    }
+
+    /// Gives the accepted configuration to a member, as `apply` does.
+    pub fn hand_out(&mut self, index: usize) {
+        let mark = self.head();
+        let snapshot = fetch_snapshot(self.store.as_ref(), &mark).expect("the store works");
+        let member = &mut self.members[index];
+        let outcome = member.config.offer(&snapshot.encode(), &mark);
+        if outcome == Ok(OfferOutcome::Applied) {
+            member.gossip.set_served(mark);
+        }
+    }
+
     fn reaches(&self, from: usize, to: usize) -> bool {
         let is_apart = self.is_cut && from % 2 != to % 2;
         !is_apart && self.members[to].mode == MemberMode::Running
@@ -296,7 +341,7 @@
     /// A transfer that crossed others: whatever `holder` has is offered to `index`.
     pub fn cross_pull(&mut self, index: usize, holder: usize) {
         if index != holder && self.members[index].mode == MemberMode::Running {
-            self.pull(index, holder);
+            self.pull(index, holder, None);
             self.note_served(index);
         }
     }
@@ -310,24 +355,38 @@
             let Some(holder) = holder.filter(|holder| self.reaches(index, *holder)) else {
                 continue;
             };
-            if self.pull(index, holder) {
+            if self.pull(index, holder, Some(&mark)) {
                 return;
             }
         }
-        if is_store_up && let Ok(snapshot) = fetch_snapshot(self.store.as_ref(), &mark) {
+        self.members[index].gossip.doubt_head(&mark);
+        if !is_store_up {
+            return;
+        }
+        let mark = self.head();
+        self.members[index].gossip.note_head(mark.clone());
+        if let Ok(snapshot) = fetch_snapshot(self.store.as_ref(), &mark) {
             let outcome = self.members[index].config.offer(&snapshot.encode(), &mark);
             assert!(outcome.is_ok(), "the store's own snapshot is refused");
             self.members[index].gossip.set_served(mark);
         }
     }
 
-    fn pull(&mut self, index: usize, holder: usize) -> bool {
+    fn pull(&mut self, index: usize, holder: usize, wanted: Option<&HeadMark>) -> bool {
         let held = self.members[index].config.mark().generation;
         let source = &self.members[holder].config;
-        let mark = source.mark();
+        let mut mark = source.mark();
         let delta = source.recent_delta(held).map(|delta| delta.encode());
         let is_delta = delta.is_some();
         let mut bytes = delta.unwrap_or_else(|| source.snapshot().encode());
+        if holder % 2 == 1 {
+            self.lie(holder, &mut mark);
+        }
+        if let Some(wanted) = wanted
+            && (wanted.generation == mark.generation && wanted.digest != mark.digest)
+        {
+            return false;
+        }
         let is_damaged = self.damage > 0;
         if is_damaged {
             self.damage -= 1;
