Crashes are learned apart from the endpoint index; one closing check

Cause: DaemonContext::refresh_index also fed crash facts into the poison table, two jobs under one name, and the closing check of with_records and without_records stood there twice.

Ruled out: feeding the poison table at every gossip message: it walks all crashes each time.

Change: learn_crashes, called after gossip when facts were added since the last time; closed_or in snapshot_change.

Seen red by hand: learn_crashes not called (both tests of calls_poison).

Result: config_accept 6, config_records 6, config_removal 3, calls_poison 2 pass (debug).

--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -91,6 +91,8 @@
     pub(crate) table: ArcSwap<RouteTable>,
     pub(crate) index: ArcSwap<EndpointIndex>,
     pub(crate) index_basis: Mutex<IndexBasis>,
+    /// Number of changes of the facts after which the poison table last took the crashes over.
+    pub(crate) facts_learned: Mutex<u64>,
     pub(crate) chooser: Mutex<EndpointChooser>,
     pub(crate) budgets: Mutex<HashMap<RouteName, RetryBudget>>,
     pub(crate) upstream: OwnUpstream,
@@ -167,10 +169,26 @@
 
     /// Brings the call path in line with what gossip brought.
     pub(crate) fn after_gossip(&self) {
+        self.learn_crashes();
         self.refresh_index();
         let _ = self.config_wake.try_send(());
     }
 
+    /// Takes over the crashes that gossip brought, if it brought facts since the last time.
+    fn learn_crashes(&self) {
+        let mut learned = lock(&self.facts_learned);
+        let gossip = lock(&self.gossip);
+        if *learned == gossip.fact_changes() {
+            return;
+        }
+        *learned = gossip.fact_changes();
+        let now = self.now();
+        let mut poison = lock(&self.poison);
+        for fact in gossip.crashes() {
+            poison.on_crash(fact, now);
+        }
+    }
+
     /// Replaces the endpoint index by one of the present view, if that changed.
     pub(crate) fn refresh_index(&self) {
         let now = self.now();
@@ -183,11 +201,6 @@
         *held = basis;
         let is_reachable = |region: &str| gossip.region_reachable(region, now);
         let index = EndpointIndex::build(gossip.view().live(), gossip.condemned(), is_reachable);
-        let mut poison = lock(&self.poison);
-        for fact in gossip.crashes() {
-            poison.on_crash(fact, now);
-        }
-        drop(poison);
         drop(gossip);
         // The basis stays locked, so that an older index does not replace a newer one.
         self.index.store(Arc::new(index));
--- a/coltsfootweir/src/daemon_build.rs
+++ b/coltsfootweir/src/daemon_build.rs
@@ -130,6 +130,7 @@
         table: ArcSwap::from_pointee(RouteTable::default()),
         index: ArcSwap::from_pointee(EndpointIndex::default()),
         index_basis: Mutex::new(IndexBasis::default()),
+        facts_learned: Mutex::new(0),
         chooser: Mutex::new(chooser),
         budgets: Mutex::new(HashMap::new()),
         poison: Mutex::new(PoisonTable::new()),
--- a/coltsfootweir/src/gossip.rs
+++ b/coltsfootweir/src/gossip.rs
@@ -216,6 +216,11 @@
         heard.is_some_and(|heard| now.saturating_sub(*heard) < self.limits.region_timeout)
     }
 
+    /// Number that changes whenever a fact is added.
+    pub(crate) fn fact_changes(&self) -> u64 {
+        self.facts.changes()
+    }
+
     /// What the choice of endpoints depends on; equal while nothing of it changed.
     pub(crate) fn index_basis(&self, now: Duration) -> IndexBasis {
         let mut reachable = Vec::with_capacity(self.heard.len());
--- a/coltsfootweir/src/snapshot_change.rs
+++ b/coltsfootweir/src/snapshot_change.rs
@@ -39,14 +39,7 @@
                 },
             }
         }
-        if let Err(found) = next.check_closure() {
-            faults.extend(found);
-        }
-        if faults.is_empty() {
-            Ok(next)
-        } else {
-            Err(faults)
-        }
+        next.closed_or(faults)
     }
 
     /// Returns the next generation without the records of these labels, such as `route/stalls`,
@@ -62,11 +55,16 @@
                 faults.push(RecordFault::new(label.clone(), "name", reason));
             }
         }
-        if let Err(found) = next.check_closure() {
+        next.closed_or(faults)
+    }
+
+    /// Returns the snapshot, or `faults` and those of its closure.
+    fn closed_or(self, mut faults: Vec<RecordFault>) -> Result<ConfigSnapshot, Vec<RecordFault>> {
+        if let Err(found) = self.check_closure() {
             faults.extend(found);
         }
         if faults.is_empty() {
-            Ok(next)
+            Ok(self)
         } else {
             Err(faults)
         }
