--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod guard;
 mod guard_call;
 mod hand_over;
+pub mod head_claims;
 mod head_mark;
 pub mod head_row;
 pub mod http_platform;
