--- a/coltsfootweir/tests/crash_blame.rs
+++ b/coltsfootweir/tests/crash_blame.rs
@@ -1,8 +1,9 @@
 //! Which crashes speak against a version: not those of one poison request, but those of a request that
 //! the old version runs to an end.
 
+mod common;
+
 use std::time::Duration;
-use std::time::SystemTime;
 
 use coltsfootweir::evidence::EvidenceRecorder;
 use coltsfootweir::evidence::SURVIVED_KEPT;
@@ -11,13 +12,12 @@
 use coltsfootweir::ids::Fingerprint;
 use coltsfootweir::poison::POISON_TIMEOUT;
 use coltsfootweir::poison::PoisonTable;
-use coltsfootweir::record::MovePhase;
-use coltsfootweir::record::MoveRecord;
 use coltsfootweir::record::RouteClass;
-use coltsfootweir::record::TrafficShare;
 use coltsfootweir::verdict::Verdict;
 use coltsfootweir::verdict::judge;
 
+use common::records::move_record;
+
 /// Request that was running at every crash.
 const REQUEST: Fingerprint = 7;
 
@@ -45,7 +45,7 @@
 /// Judges a new version whose endpoints crashed once each under the request.
 fn verdict_after_crashes(old_survived: &[Fingerprint], old_crashes: bool) -> Verdict {
     let (mut old, mut new) = (recorders("v1"), recorders("v2"));
-    let mut pool = EvidencePool::new(&move_record());
+    let mut pool = EvidencePool::new(&move_record("tried", "v1", "v2"));
     for second in 0..2 {
         for recorder in old.iter().chain(&new) {
             let mut report = recorder.report();
@@ -64,19 +64,6 @@
     judge(&mut pool, Duration::from_secs(2))
 }
 
-fn move_record() -> MoveRecord {
-    MoveRecord {
-        name: "tried".into(),
-        service: "stalls".into(),
-        from: "v1".into(),
-        to: "v2".into(),
-        done_by: SystemTime::UNIX_EPOCH,
-        phase: MovePhase::Climbing,
-        share: TrafficShare::default(),
-        reason: "".into(),
-    }
-}
-
 #[test]
 fn request_survives_for_a_while_after_it_ran_to_an_end() {
     let mut table = PoisonTable::new();
--- a/coltsfootweir/tests/evidence_polls.rs
+++ b/coltsfootweir/tests/evidence_polls.rs
@@ -1,10 +1,10 @@
 //! Property tests: few polls and alerts while nothing is wrong, and at once when something is.
 
+mod common;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 
 use coltsfootweir::evidence::EvidenceRecorder;
 use coltsfootweir::evidence_alert::AlertWatch;
@@ -12,21 +12,14 @@
 use coltsfootweir::poll_pace::PollPace;
 use coltsfootweir::record::RouteClass;
 
+use common::fixed_config;
+
 /// Seconds between two polls of a holder and of another candidate while nothing is wrong.
 const QUIET_SECONDS: [u64; 2] = [8, 4];
 
 /// Time of an ordinary call and of a slow one.
 const WORK: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(50)];
 
-fn config() -> Config {
-    Config {
-        cases: 256,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_204),
-        ..Config::default()
-    }
-}
-
 fn input(seconds: u64, is_holder: bool, faults: u64) -> PollInput {
     PollInput {
         now: Duration::from_secs(seconds),
@@ -49,7 +42,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fixed_config(20_261_204, 256))]
 
     #[test]
     fn faults_all_the_time_cost_a_bounded_number_of_polls(
@@ -117,9 +110,7 @@
                 prop_assert!(gap >= Duration::from_secs(3));
                 (alerted, count) = (Some(now), count + 1);
             }
-            if fails && count == 0 {
-                prop_assert!(false, "the first fault was not alerted");
-            }
+            prop_assert!(!fails || count > 0, "the first fault was not alerted");
         }
         prop_assert!(count <= 10 + now.as_secs() / 10);
     }
