--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One daemon stands beside each upstream VM. Together the daemons route calls, guard the upstreams
 //! and carry out moves of traffic from one upstream version to another. [`MeshDaemon`] is a whole
-//! daemon; the modules below it hold its decisions, which are pure and driven by tests as well.
+//! daemon; the modules below it hold its decisions, which are pure. Hidden ones are public for tests only.
 //!
 //! # Example
 //!
@@ -26,18 +26,24 @@
 
 pub mod accept;
 pub mod announce;
+#[doc(hidden)]
 pub mod answer_cache;
+#[doc(hidden)]
 pub mod balance;
+#[doc(hidden)]
 pub mod booking;
 mod booking_call;
+#[doc(hidden)]
 pub mod booking_decision;
+#[doc(hidden)]
 pub mod booking_key;
 mod burst_budget;
 mod call;
 mod call_server;
 mod claim;
-pub mod clock;
+mod clock;
 mod config_pull;
+#[doc(hidden)]
 pub mod config_state;
 mod config_task;
 mod context;
@@ -47,30 +53,45 @@
 pub mod daemon;
 mod daemon_build;
 mod daemon_parts;
+#[doc(hidden)]
 pub mod deadline;
 pub mod decision;
 pub mod dialer;
 mod endpoint_index;
+#[doc(hidden)]
 pub mod endpoint_state;
+#[doc(hidden)]
 pub mod evidence;
+#[doc(hidden)]
 pub mod evidence_alert;
+#[doc(hidden)]
 pub mod evidence_pool;
 mod evidence_slice;
 mod evidence_task;
 mod exchange;
+#[doc(hidden)]
 pub mod fact;
+#[doc(hidden)]
 pub mod facts_table;
+#[doc(hidden)]
 pub mod fingerprint;
+#[doc(hidden)]
 pub mod floor;
+#[doc(hidden)]
 pub mod gossip;
+#[doc(hidden)]
 pub mod gossip_limits;
+#[doc(hidden)]
 pub mod gossip_message;
 mod gossip_task;
+#[doc(hidden)]
 pub mod guard;
 mod guard_call;
 mod hand_over;
+#[doc(hidden)]
 pub mod head_claims;
 mod head_mark;
+#[doc(hidden)]
 pub mod head_row;
 pub mod http_platform;
 pub mod http_pool;
@@ -81,9 +102,11 @@
 mod lenient;
 pub mod link;
 mod listener_close;
+#[doc(hidden)]
 pub mod load_report;
 pub mod logging;
 pub mod member;
+#[doc(hidden)]
 pub mod message_format;
 mod metrics;
 mod metrics_task;
@@ -91,15 +114,22 @@
 pub mod mover;
 mod mover_task;
 pub mod offer;
+#[doc(hidden)]
 pub mod outcome;
+#[doc(hidden)]
 pub mod pace;
+#[doc(hidden)]
 pub mod packed;
 mod peer_lists;
 pub mod platform;
+#[doc(hidden)]
 pub mod poison;
+#[doc(hidden)]
 pub mod poll_pace;
+#[doc(hidden)]
 pub mod pull_message;
 mod quiet_slices;
+#[doc(hidden)]
 pub mod rank;
 pub mod record;
 pub mod record_fault;
@@ -107,6 +137,7 @@
 mod repair;
 pub mod reports;
 pub mod retry;
+#[doc(hidden)]
 pub mod route_table;
 mod running_count;
 mod schedule;
@@ -119,6 +150,7 @@
 pub mod settings;
 pub mod slo;
 pub mod snapshot;
+#[doc(hidden)]
 pub mod snapshot_change;
 mod snapshot_closure;
 mod snapshot_delta;
@@ -126,8 +158,10 @@
 mod stratum;
 mod upstream;
 mod upstream_task;
+#[doc(hidden)]
 pub mod verdict;
 mod verdict_rules;
+#[doc(hidden)]
 pub mod view;
 
 pub use crate::accept::accept_change;
