--- a/coltsfootweir/src/evidence_task.rs
+++ b/coltsfootweir/src/evidence_task.rs
@@ -99,11 +99,17 @@
 
 fn look(context: &DaemonContext, watch: &mut AlertWatch) {
     let snapshot = lock(&context.config).snapshot();
+    if snapshot
+        .moves
+        .values()
+        .all(|record| record.phase.is_ended())
+    {
+        watch.rest();
+        return;
+    }
     let report = lock(&context.recorder).report();
-    let mut moves = snapshot.moves.values().filter(|record| {
-        !record.phase.is_ended() && record.service == report.service && record.to == report.version
-    });
-    let Some(record) = moves.next() else {
+    let own_move = snapshot.unended_move(&report.service);
+    let Some(record) = own_move.filter(|record| record.to == report.version) else {
         watch.rest();
         return;
     };
