--- a/coltsfootweir/src/lenient.rs
+++ b/coltsfootweir/src/lenient.rs
@@ -14,17 +14,17 @@
 use serde::forward_to_deserialize_any;
 
 /// A decoder, visitor, seed or access whose arrays may be longer than the values read from them.
-pub(crate) struct Lenient<T>(pub(crate) T);
+pub(crate) struct LenientReader<T>(pub(crate) T);
 
-impl<'de, D: Deserializer<'de>> Deserializer<'de> for Lenient<D> {
+impl<'de, D: Deserializer<'de>> Deserializer<'de> for LenientReader<D> {
     type Error = D::Error;
 
     fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, D::Error> {
-        self.0.deserialize_any(Lenient(visitor))
+        self.0.deserialize_any(LenientReader(visitor))
     }
 
     fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, D::Error> {
-        self.0.deserialize_option(Lenient(visitor))
+        self.0.deserialize_option(LenientReader(visitor))
     }
 
     fn deserialize_newtype_struct<V: Visitor<'de>>(
@@ -32,7 +32,8 @@
         name: &'static str,
         visitor: V,
     ) -> Result<V::Value, D::Error> {
-        self.0.deserialize_newtype_struct(name, Lenient(visitor))
+        self.0
+            .deserialize_newtype_struct(name, LenientReader(visitor))
     }
 
     fn deserialize_enum<V: Visitor<'de>>(
@@ -41,7 +42,8 @@
         variants: &'static [&'static str],
         visitor: V,
     ) -> Result<V::Value, D::Error> {
-        self.0.deserialize_enum(name, variants, Lenient(visitor))
+        self.0
+            .deserialize_enum(name, variants, LenientReader(visitor))
     }
 
     fn is_human_readable(&self) -> bool {
@@ -54,7 +56,7 @@
     }
 }
 
-impl<'de, V: Visitor<'de>> Visitor<'de> for Lenient<V> {
+impl<'de, V: Visitor<'de>> Visitor<'de> for LenientReader<V> {
     type Value = V::Value;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -98,45 +100,45 @@
     }
 
     fn visit_some<D: Deserializer<'de>>(self, decoder: D) -> Result<V::Value, D::Error> {
-        self.0.visit_some(Lenient(decoder))
+        self.0.visit_some(LenientReader(decoder))
     }
 
     fn visit_newtype_struct<D: Deserializer<'de>>(self, decoder: D) -> Result<V::Value, D::Error> {
-        self.0.visit_newtype_struct(Lenient(decoder))
+        self.0.visit_newtype_struct(LenientReader(decoder))
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, access: A) -> Result<V::Value, A::Error> {
-        let mut access = Lenient(access);
+        let mut access = LenientReader(access);
         let value = self.0.visit_seq(&mut access)?;
         while let Some(IgnoredAny) = access.0.next_element()? {}
         Ok(value)
     }
 
     fn visit_map<A: MapAccess<'de>>(self, access: A) -> Result<V::Value, A::Error> {
-        self.0.visit_map(Lenient(access))
+        self.0.visit_map(LenientReader(access))
     }
 
     fn visit_enum<A: EnumAccess<'de>>(self, access: A) -> Result<V::Value, A::Error> {
-        self.0.visit_enum(Lenient(access))
+        self.0.visit_enum(LenientReader(access))
     }
 }
 
-impl<'de, S: DeserializeSeed<'de>> DeserializeSeed<'de> for Lenient<S> {
+impl<'de, S: DeserializeSeed<'de>> DeserializeSeed<'de> for LenientReader<S> {
     type Value = S::Value;
 
     fn deserialize<D: Deserializer<'de>>(self, decoder: D) -> Result<S::Value, D::Error> {
-        self.0.deserialize(Lenient(decoder))
+        self.0.deserialize(LenientReader(decoder))
     }
 }
 
-impl<'de, A: SeqAccess<'de>> SeqAccess<'de> for Lenient<A> {
+impl<'de, A: SeqAccess<'de>> SeqAccess<'de> for LenientReader<A> {
     type Error = A::Error;
 
     fn next_element_seed<S: DeserializeSeed<'de>>(
         &mut self,
         seed: S,
     ) -> Result<Option<S::Value>, A::Error> {
-        self.0.next_element_seed(Lenient(seed))
+        self.0.next_element_seed(LenientReader(seed))
     }
 
     fn size_hint(&self) -> Option<usize> {
@@ -144,35 +146,35 @@
     }
 }
 
-impl<'de, A: MapAccess<'de>> MapAccess<'de> for Lenient<A> {
+impl<'de, A: MapAccess<'de>> MapAccess<'de> for LenientReader<A> {
     type Error = A::Error;
 
     fn next_key_seed<S: DeserializeSeed<'de>>(
         &mut self,
         seed: S,
     ) -> Result<Option<S::Value>, A::Error> {
-        self.0.next_key_seed(Lenient(seed))
+        self.0.next_key_seed(LenientReader(seed))
     }
 
     fn next_value_seed<S: DeserializeSeed<'de>>(&mut self, seed: S) -> Result<S::Value, A::Error> {
-        self.0.next_value_seed(Lenient(seed))
+        self.0.next_value_seed(LenientReader(seed))
     }
 }
 
-impl<'de, A: EnumAccess<'de>> EnumAccess<'de> for Lenient<A> {
+impl<'de, A: EnumAccess<'de>> EnumAccess<'de> for LenientReader<A> {
     type Error = A::Error;
-    type Variant = Lenient<A::Variant>;
+    type Variant = LenientReader<A::Variant>;
 
     fn variant_seed<S: DeserializeSeed<'de>>(
         self,
         seed: S,
-    ) -> Result<(S::Value, Lenient<A::Variant>), A::Error> {
-        let (value, variant) = self.0.variant_seed(Lenient(seed))?;
-        Ok((value, Lenient(variant)))
+    ) -> Result<(S::Value, LenientReader<A::Variant>), A::Error> {
+        let (value, variant) = self.0.variant_seed(LenientReader(seed))?;
+        Ok((value, LenientReader(variant)))
     }
 }
 
-impl<'de, A: VariantAccess<'de>> VariantAccess<'de> for Lenient<A> {
+impl<'de, A: VariantAccess<'de>> VariantAccess<'de> for LenientReader<A> {
     type Error = A::Error;
 
     fn unit_variant(self) -> Result<(), A::Error> {
@@ -180,7 +182,7 @@
     }
 
     fn newtype_variant_seed<S: DeserializeSeed<'de>>(self, seed: S) -> Result<S::Value, A::Error> {
-        self.0.newtype_variant_seed(Lenient(seed))
+        self.0.newtype_variant_seed(LenientReader(seed))
     }
 
     fn tuple_variant<V: Visitor<'de>>(
@@ -188,7 +190,7 @@
         length: usize,
         visitor: V,
     ) -> Result<V::Value, A::Error> {
-        self.0.tuple_variant(length, Lenient(visitor))
+        self.0.tuple_variant(length, LenientReader(visitor))
     }
 
     fn struct_variant<V: Visitor<'de>>(
@@ -196,6 +198,6 @@
         fields: &'static [&'static str],
         visitor: V,
     ) -> Result<V::Value, A::Error> {
-        self.0.struct_variant(fields, Lenient(visitor))
+        self.0.struct_variant(fields, LenientReader(visitor))
     }
 }
--- a/coltsfootweir/src/message_format.rs
+++ b/coltsfootweir/src/message_format.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::lenient::Lenient;
+use crate::lenient::LenientReader;
 
 /// Highest number of a form; higher first bytes start a message of the present form.
 const HIGHEST_FORM: u8 = 127;
@@ -53,6 +53,6 @@
         return Err(MessageError::UnknownForm(*form));
     }
     let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
-    T::deserialize(Lenient(&mut decoder))
+    T::deserialize(LenientReader(&mut decoder))
         .map_err(|error| MessageError::Unreadable(error.to_string().into()))
 }
