--- a/coltsfootweir/src/evidence_task.rs
+++ b/coltsfootweir/src/evidence_task.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use log::debug;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::context::DaemonContext;
 use crate::context::lock;
@@ -122,16 +124,26 @@
 fn send_alert(context: &DaemonContext, move_name: &MoveName) {
     lock(&context.mover).on_alert(move_name, context.now());
     let candidates = find_candidates(context, move_name);
+    exchange_all(context, &candidates, ALERT_PATH, move_name, |()| {});
+}
+
+/// Exchanges with all peers at once, so that one that is frozen delays no other.
+fn exchange_all<T: DeserializeOwned>(
+    context: &DaemonContext,
+    peers: &[EvidencePeer],
+    path: &str,
+    message: &(impl Serialize + Sync),
+    take: impl Fn(T) + Sync,
+) {
+    let take = &take;
     thread::scope(|scope| {
-        for candidate in candidates {
-            scope.spawn(move || {
-                let told = context
-                    .client
-                    .exchange::<()>(candidate.route(), ALERT_PATH, move_name);
-                if let Err(error) = told {
-                    debug!(target: MOVES, "no alert taken: {error}");
-                }
-            });
+        for peer in peers {
+            scope.spawn(
+                move || match context.client.exchange(peer.route(), path, message) {
+                    Ok(answer) => take(answer),
+                    Err(error) => debug!(target: MOVES, "no answer to {path}: {error}"),
+                },
+            );
         }
     });
 }
@@ -178,21 +190,12 @@
     candidates
 }
 
-/// Asks every endpoint of a service at once, so that one that is frozen delays no other.
-pub(crate) fn poll_evidence(context: &Arc<DaemonContext>, service: &str) {
+/// Asks every endpoint of a service for its evidence.
+pub(crate) fn poll_evidence(context: &DaemonContext, service: &str) {
     take_evidence(context, service, vec![own_report(context)]);
     let sources = find_sources(context, service);
-    thread::scope(|scope| {
-        for source in sources {
-            scope.spawn(move || {
-                let reports: Result<Vec<EndpointEvidence>, _> =
-                    context.client.exchange(source.route(), EVIDENCE_PATH, &());
-                match reports {
-                    Ok(reports) => take_evidence(context, service, reports),
-                    Err(error) => debug!(target: MOVES, "no evidence: {error}"),
-                }
-            });
-        }
+    exchange_all(context, &sources, EVIDENCE_PATH, &(), |reports| {
+        take_evidence(context, service, reports);
     });
 }
 
--- a/coltsfootweir/src/mover.rs
+++ b/coltsfootweir/src/mover.rs
@@ -17,6 +17,8 @@
 use crate::lease::LeaseRow;
 use crate::move_work::MoveWork;
 use crate::pace::PaceLimits;
+use crate::platform::PlatformResult;
+use crate::platform::PlatformStore;
 use crate::platform::RowCondition;
 use crate::platform::TableRow;
 use crate::record::MovePhase;
@@ -29,6 +31,15 @@
     format!("move/{move_name}").into()
 }
 
+/// Reads the lease and the decision lines of a move; `None` without a readable row.
+///
+/// # Errors
+/// Those of [`PlatformStore::read_row`].
+pub fn read_lease(store: &dyn PlatformStore, move_name: &str) -> PlatformResult<Option<LeaseRow>> {
+    let row = store.read_row(&lease_key(move_name))?;
+    Ok(row.and_then(|row| serde_json::from_str(&row.value).ok()))
+}
+
 /// One step of a move, to be accepted as a new configuration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MoveStep {
--- a/measure/src/bin/coltsfootweir-cut-daemon.rs
+++ b/measure/src/bin/coltsfootweir-cut-daemon.rs
@@ -3,7 +3,6 @@
 //! Each region has a loopback address of its own, so a peer at another address is beyond the link.
 
 use std::error::Error;
-use std::io::Write;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -16,12 +15,10 @@
 use coltsfootweir::daemon::MeshDaemon;
 use coltsfootweir::dialer::PeerDialer;
 use coltsfootweir::settings::DaemonArgs;
-use signal_hook::consts::SIGINT;
-use signal_hook::consts::SIGTERM;
+use programs::daemon_run::run_daemon;
 use signal_hook::consts::SIGUSR1;
 use signal_hook::consts::SIGUSR2;
 use signal_hook::flag::register_usize;
-use signal_hook::iterator::Signals;
 
 /// The daemon; SIGUSR1 cuts it off from other loopback addresses, SIGUSR2 mends that.
 #[derive(Parser)]
@@ -58,20 +55,8 @@
     let is_cut = Arc::new(AtomicUsize::new(0));
     register_usize(SIGUSR1, Arc::clone(&is_cut), 1)?;
     register_usize(SIGUSR2, Arc::clone(&is_cut), 0)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let mut parts = DaemonParts::new(&settings);
     let own = settings.control.ip();
     parts.dialer = Arc::new(CutDialer { own, is_cut });
-    let daemon = MeshDaemon::start_with(settings, parts).map_err(|error| format!("{error:?}"))?;
-    let mut out = std::io::stdout();
-    writeln!(
-        out,
-        "control {} calls {}",
-        daemon.id(),
-        daemon.call_address()
-    )?;
-    out.flush()?;
-    signals.forever().next();
-    daemon.stop();
-    Ok(())
+    run_daemon(|| MeshDaemon::start_with(settings, parts))
 }
--- a/measure/src/move_failure.rs
+++ b/measure/src/move_failure.rs
@@ -5,9 +5,7 @@
 
 use clap::ValueEnum;
 use coltsfootweir::http_platform::HttpPlatform;
-use coltsfootweir::lease::LeaseRow;
-use coltsfootweir::mover::lease_key;
-use coltsfootweir::platform::PlatformStore;
+use coltsfootweir::mover::read_lease;
 use coltsfootweir::record::MoveRecord;
 use serde::Serialize;
 use standins::platform_faults::PlatformFaults;
@@ -189,7 +187,6 @@
     if kind != FailureKind::FrozenMember {
         return None;
     }
-    let row = store.read_row(&lease_key(name)).ok()??;
-    let row: LeaseRow = serde_json::from_str(&row.value).ok()?;
+    let row = read_lease(store, name).ok()??;
     row.holder?.parse().ok()
 }
--- a/programs/src/bin/coltsfootweird.rs
+++ b/programs/src/bin/coltsfootweird.rs
@@ -1,15 +1,14 @@
 //! The daemon.
 
-use std::io::Write;
+use std::error::Error;
 use std::process::ExitCode;
 
 use clap::Parser;
 use coltsfootweir::daemon::MeshDaemon;
 use coltsfootweir::logging::start_logging;
 use coltsfootweir::settings::DaemonArgs;
-use signal_hook::consts::SIGINT;
-use signal_hook::consts::SIGTERM;
-use signal_hook::iterator::Signals;
+use coltsfootweir::settings::DaemonSettings;
+use programs::daemon_run::run_daemon;
 
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -39,21 +38,7 @@
     }
 }
 
-fn run(
-    settings: coltsfootweir::settings::DaemonSettings,
-) -> Result<(), Box<dyn std::error::Error>> {
+fn run(settings: DaemonSettings) -> Result<(), Box<dyn Error>> {
     start_logging(settings.log).map_err(|error| error.to_string())?;
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    let daemon = MeshDaemon::start(settings).map_err(|error| format!("{error:?}"))?;
-    let mut out = std::io::stdout();
-    writeln!(
-        out,
-        "control {} calls {}",
-        daemon.id(),
-        daemon.call_address()
-    )?;
-    out.flush()?;
-    signals.forever().next();
-    daemon.stop();
-    Ok(())
+    run_daemon(|| MeshDaemon::start(settings))
 }
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -1,10 +1,11 @@
-//! The operator's commands and the demo, as a library under the programs.
+//! The operator's commands, the demo and the run of a daemon, as a library under the programs.
 
 pub mod accepted;
 pub mod apply;
 pub mod arguments;
 pub mod command;
 pub mod daemon_client;
+pub mod daemon_run;
 pub mod demo;
 mod demo_fleet;
 mod demo_traffic;
--- a/programs/src/moves.rs
+++ b/programs/src/moves.rs
@@ -8,8 +8,7 @@
 use coltsfootweir::ids::MoveName;
 use coltsfootweir::ids::ServiceName;
 use coltsfootweir::ids::VersionName;
-use coltsfootweir::lease::LeaseRow;
-use coltsfootweir::mover::lease_key;
+use coltsfootweir::mover::read_lease;
 use coltsfootweir::platform::PlatformStore;
 use coltsfootweir::record::MovePhase;
 use coltsfootweir::record::MoveRecord;
@@ -149,10 +148,7 @@
     store: &dyn PlatformStore,
     record: &MoveRecord,
 ) -> Result<Vec<DecisionLine>, CommandFailure> {
-    let row = store
-        .read_row(&lease_key(&record.name))
-        .map_err(|report| unavailable(&report))?;
-    let row = row.and_then(|row| serde_json::from_str::<LeaseRow>(&row.value).ok());
+    let row = read_lease(store, &record.name).map_err(|report| unavailable(&report))?;
     Ok(row.map(|row| row.lines).unwrap_or_default())
 }
 
--- a/programs/tests/common/move_reads.rs
+++ b/programs/tests/common/move_reads.rs
@@ -3,8 +3,7 @@
 use coltsfootweir::accept::fetch_snapshot;
 use coltsfootweir::accept::read_head;
 use coltsfootweir::ids::MemberId;
-use coltsfootweir::lease::LeaseRow;
-use coltsfootweir::mover::lease_key;
+use coltsfootweir::mover::read_lease;
 use coltsfootweir::platform::PlatformStore;
 use coltsfootweir::record::MoveRecord;
 
@@ -17,9 +16,6 @@
 
 /// The member that holds the lease of the move to v2.
 pub fn read_holder(store: &dyn PlatformStore, service: &str) -> Option<MemberId> {
-    let row = store
-        .read_row(&lease_key(&format!("{service}-v2")))
-        .ok()??;
-    let row: LeaseRow = serde_json::from_str(&row.value).ok()?;
+    let row = read_lease(store, &format!("{service}-v2")).ok()??;
     row.holder
 }
