The view's tombstones and digests have modules of their own

Change: TombstoneTable (tombstones.rs) and ViewDigests (view_digests.rs); the view keeps the entries. 'Buried' is now the field's word, tombstone. A dropped entry's rank goes through the same door as one that was told (note); it has ended and had no tombstone, so the result is the same.

--- a/coltsfootweir/src/exchange.rs
+++ b/coltsfootweir/src/exchange.rs
@@ -167,8 +167,8 @@
     pub(crate) fn digest(&self) -> StateDigest {
         let sum = |parts: &[u64]| parts.iter().copied().fold(0, u64::wrapping_add);
         StateDigest {
-            table: sum(self.view.rank_digests()),
-            served: sum(self.view.served_digests()),
+            table: sum(self.view.digests().ranks()),
+            served: sum(self.view.digests().served()),
             facts: self.facts.digest(),
         }
     }
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -156,6 +156,7 @@
 mod snapshot_delta;
 mod spread_queue;
 mod stratum;
+mod tombstones;
 mod upstream;
 mod upstream_task;
 #[doc(hidden)]
@@ -163,6 +164,7 @@
 mod verdict_rules;
 #[doc(hidden)]
 pub mod view;
+mod view_digests;
 
 pub use crate::accept::accept_change;
 pub use crate::daemon::MeshDaemon;
--- a/coltsfootweir/src/repair.rs
+++ b/coltsfootweir/src/repair.rs
@@ -20,8 +20,8 @@
 use crate::member::MemberHash;
 use crate::member::RunHash;
 use crate::packed::PackedNumbers;
-use crate::view::VIEW_BUCKETS;
-use crate::view::bucket_of;
+use crate::view_digests::VIEW_BUCKETS;
+use crate::view_digests::bucket_of;
 
 impl GossipState {
     /// Starts a repair with the sender of `answer`, if their digests differ and a repair is due.
@@ -60,11 +60,11 @@
         };
         if table {
             self.last.table_repair = Some(self.now);
-            compare.ranks = low_halves(self.view.rank_digests());
+            compare.ranks = low_halves(self.view.digests().ranks());
         }
         if served {
             self.last.served_repair = Some(self.now);
-            compare.served = low_halves(self.view.served_digests());
+            compare.served = low_halves(self.view.digests().served());
         }
         if facts {
             self.last.facts_repair = Some(self.now);
@@ -87,12 +87,12 @@
                 served,
                 facts,
             } => {
-                let mut buckets = differing(&ranks.0, self.view.rank_digests());
+                let mut buckets = differing(&ranks.0, self.view.digests().ranks());
                 // Different members start at different buckets, so that repairs cover all of them.
                 let start = (self.view.own_hash() % VIEW_BUCKETS as u64) as usize;
                 buckets.sort_by_key(|bucket| (bucket + VIEW_BUCKETS - start) % VIEW_BUCKETS);
                 buckets.truncate(self.limits.repair_buckets);
-                let served_buckets = differing(&served.0, self.view.served_digests());
+                let served_buckets = differing(&served.0, self.view.digests().served());
                 answer
                     .served_batches
                     .extend(self.served_in(&served_buckets, &BTreeMap::new()));
@@ -203,7 +203,7 @@
                 });
             }
         }
-        for (member, rank) in self.view.buried() {
+        for (member, rank) in self.view.tombstones().iter() {
             if buckets.contains(&bucket_of(member)) {
                 rows.push(EntryRow { member, rank });
             }
--- a/coltsfootweir/src/view.rs
+++ b/coltsfootweir/src/view.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::ids::Generation;
 use crate::member::EndpointPhase;
 use crate::member::EntryRank;
@@ -15,12 +13,8 @@
 use crate::member::RunHash;
 use crate::member::member_hash;
 use crate::member::run_hash;
-
-/// Buckets into which the view's digests are split.
-pub const VIEW_BUCKETS: usize = 64;
-
-/// Multiple of the entry retention for which the rank of a dropped entry is kept.
-const BURIED_FACTOR: u32 = 24;
+use crate::tombstones::TombstoneTable;
+use crate::view_digests::ViewDigests;
 
 /// What a merge changed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -42,22 +36,15 @@
     pub(crate) noted: Duration,
 }
 
-#[derive(Clone, Debug)]
-struct BuriedRank {
-    rank: EntryRank,
-    noted: Duration,
-}
-
 /// All members that one member knows, itself among them.
 #[derive(Clone, Debug)]
 pub struct MemberView {
     own: MemberHash,
     records: BTreeMap<MemberHash, ViewRecord>,
     runs: BTreeMap<RunHash, MemberHash>,
-    buried: BTreeMap<MemberHash, BuriedRank>,
+    tombstones: TombstoneTable,
     advertised: BTreeMap<MemberHash, Generation>,
-    ranks: [u64; VIEW_BUCKETS],
-    served: [u64; VIEW_BUCKETS],
+    digests: ViewDigests,
     revision: u64,
     changes: u64,
 }
@@ -69,10 +56,9 @@
             own: member_hash(&own.id),
             records: BTreeMap::new(),
             runs: BTreeMap::new(),
-            buried: BTreeMap::new(),
+            tombstones: TombstoneTable::default(),
             advertised: BTreeMap::new(),
-            ranks: [0; VIEW_BUCKETS],
-            served: [0; VIEW_BUCKETS],
+            digests: ViewDigests::default(),
             revision: 0,
             changes: 0,
         };
@@ -154,7 +140,7 @@
             return self.refute(rank).changed;
         }
         let Some(record) = self.records.get(&member) else {
-            self.bury_rank(member, rank, now);
+            self.tombstones.note(member, rank, now);
             return false;
         };
         if rank.state.is_live() || rank <= record.entry.rank() {
@@ -182,11 +168,11 @@
             return false;
         }
         self.note_advertised(member, generation);
-        self.adjust(member, false);
         if let Some(record) = self.records.get_mut(&member) {
+            self.digests.remove(member, record);
             record.entry.served = generation;
+            self.digests.add(member, record);
         }
-        self.adjust(member, true);
         true
     }
 
@@ -224,24 +210,18 @@
             .and_then(|member| self.records.get(member))
     }
 
-    pub(crate) fn buried(&self) -> impl Iterator<Item = (MemberHash, EntryRank)> {
-        self.buried
-            .iter()
-            .map(|(member, buried)| (*member, buried.rank))
+    pub(crate) fn tombstones(&self) -> &TombstoneTable {
+        &self.tombstones
     }
 
     /// Highest rank known of a member, also after its entry was dropped.
     pub(crate) fn known_rank(&self, member: MemberHash) -> Option<EntryRank> {
         let held = self.records.get(&member).map(|record| record.entry.rank());
-        held.max(self.buried.get(&member).map(|buried| buried.rank))
+        held.max(self.tombstones.get(member))
     }
 
-    pub(crate) fn rank_digests(&self) -> &[u64; VIEW_BUCKETS] {
-        &self.ranks
-    }
-
-    pub(crate) fn served_digests(&self) -> &[u64; VIEW_BUCKETS] {
-        &self.served
+    pub(crate) fn digests(&self) -> &ViewDigests {
+        &self.digests
     }
 
     /// Changes the member's own entry and counts the change.
@@ -295,14 +275,12 @@
             }
         }
         for member in ended {
-            self.bury(member, now);
+            self.drop_entry(member, now);
         }
         for member in &dead {
             self.set_state(*member, MemberState::Suspect, MemberState::Dead, now);
         }
-        let kept = retention * BURIED_FACTOR;
-        self.buried
-            .retain(|_, buried| now.saturating_sub(buried.noted) < kept);
+        self.tombstones.expire(retention, now);
         dead
     }
 
@@ -313,11 +291,10 @@
         now: Duration,
     ) -> MergeOutcome {
         if !entry.state.is_live() {
-            self.bury_rank(member, entry.rank(), now);
+            self.tombstones.note(member, entry.rank(), now);
             return MergeOutcome::default();
         }
-        let known = self.buried.get(&member).map(|buried| buried.rank);
-        if known >= Some(entry.rank()) {
+        if self.tombstones.get(member) >= Some(entry.rank()) {
             return MergeOutcome::default();
         }
         if !self.insert(entry.clone(), now) {
@@ -377,28 +354,26 @@
         let member = member_hash(&entry.id);
         let run = run_hash(&entry.id, entry.incarnation);
         self.note_advertised(member, entry.served);
-        self.buried.remove(&member);
+        self.tombstones.remove(member);
         self.runs.insert(run, member);
-        self.records.insert(
-            member,
-            ViewRecord {
-                entry,
-                address,
-                run,
-                noted: now,
-            },
-        );
-        self.adjust(member, true);
+        let record = ViewRecord {
+            entry,
+            address,
+            run,
+            noted: now,
+        };
+        self.digests.add(member, &record);
+        self.records.insert(member, record);
         self.revision += 1;
         self.changes += 1;
         true
     }
 
     fn replace(&mut self, member: MemberHash, entry: MemberEntry, now: Duration) {
-        self.adjust(member, false);
         let Some(record) = self.records.get_mut(&member) else {
             return;
         };
+        self.digests.remove(member, record);
         if record.entry.state.is_live() != entry.state.is_live() {
             self.revision += 1;
         }
@@ -414,63 +389,24 @@
             self.runs.insert(record.run, member);
         }
         record.entry = entry;
-        self.adjust(member, true);
+        self.digests.add(member, record);
     }
 
-    fn bury(&mut self, member: MemberHash, now: Duration) {
-        self.adjust(member, false);
+    /// Drops the entry of a member that ended; a tombstone keeps its rank.
+    fn drop_entry(&mut self, member: MemberHash, now: Duration) {
         let Some(record) = self.records.remove(&member) else {
             return;
         };
+        self.digests.remove(member, &record);
         self.changes += 1;
         self.runs.remove(&record.run);
-        self.buried.insert(
-            member,
-            BuriedRank {
-                rank: record.entry.rank(),
-                noted: now,
-            },
-        );
-    }
-
-    /// Keeps the rank of a member that ended, so that older entries do not bring it back.
-    fn bury_rank(&mut self, member: MemberHash, rank: EntryRank, now: Duration) {
-        let known = self.buried.get(&member).map(|buried| buried.rank);
-        if rank.state.is_live() || known >= Some(rank) {
-            return;
-        }
-        self.buried.insert(member, BuriedRank { rank, noted: now });
+        self.tombstones.note(member, record.entry.rank(), now);
     }
 
     fn note_advertised(&mut self, member: MemberHash, generation: Generation) {
         let highest = self.advertised.entry(member).or_default();
         *highest = generation.max(*highest);
     }
-
-    /// Adds a live record to the digests, or takes it out.
-    fn adjust(&mut self, member: MemberHash, add: bool) {
-        let record = &self.records[&member];
-        if !record.entry.state.is_live() {
-            return;
-        }
-        let rank = record.entry.rank().digest(member);
-        let served = xxh3_64_with_seed(&record.run.to_le_bytes(), record.entry.served);
-        let bucket = bucket_of(member);
-        let change = |digest: &mut u64, part: u64| {
-            *digest = if add {
-                digest.wrapping_add(part)
-            } else {
-                digest.wrapping_sub(part)
-            };
-        };
-        change(&mut self.ranks[bucket], rank);
-        change(&mut self.served[bucket], served);
-    }
-}
-
-/// Bucket of a member.
-pub(crate) fn bucket_of(member: MemberHash) -> usize {
-    (member % VIEW_BUCKETS as u64) as usize
 }
 
 fn is_urgent(before: Option<&MemberEntry>, after: &MemberEntry) -> bool {
