A route's timeout above two minutes is kept

Cause: records may give a route up to an hour, but a call's deadline was cut to 120 s without a word, at the ingress and again at the guard: two constants for one bound. Ruled out: refusing such records; a configuration that was accepted would then be refused by the next build. Change: one constant, MAX_TIMEOUT, one hour, bounds the record, the header and the guard's reading of it. Proof: every_accepted_timeout_is_waited_out, red before with 120,001 ms.

--- a/coltsfootweir/src/deadline.rs
+++ b/coltsfootweir/src/deadline.rs
@@ -8,8 +8,8 @@
 /// Time kept at a hop to the other region.
 pub const LINK_RETURN_MARGIN: Duration = Duration::from_millis(32);
 
-/// Longest time a request may ask for.
-pub const MAX_TIMEOUT: Duration = Duration::from_secs(120);
+/// Longest time that a route may give a request, or that a request may ask for.
+pub const MAX_TIMEOUT: Duration = Duration::from_secs(3600);
 
 /// Time by which a call must be answered, counted from the daemon's start.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/coltsfootweir/src/record_fields.rs
+++ b/coltsfootweir/src/record_fields.rs
@@ -15,9 +15,6 @@
 /// Longest path prefix, in bytes.
 pub const MAX_PREFIX_BYTES: usize = 1024;
 
-/// Longest timeout of a route, in milliseconds.
-pub const MAX_TIMEOUT_MS: u64 = 3_600_000;
-
 /// Longest relative time of a move, in seconds.
 pub const MAX_DONE_IN_SECONDS: u64 = 366 * 24 * 3600;
 
@@ -142,7 +139,8 @@
     }
 
     /// Reads a duration in whole milliseconds, above zero.
-    pub fn milliseconds(&mut self, field: &'static str, most: u64) -> Duration {
+    pub fn milliseconds(&mut self, field: &'static str, most: Duration) -> Duration {
+        let most = u64::try_from(most.as_millis()).unwrap_or(u64::MAX);
         Duration::from_millis(self.number(field, 1, most))
     }
 
--- a/coltsfootweir/src/schema_v1.rs
+++ b/coltsfootweir/src/schema_v1.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 
+use crate::deadline::MAX_TIMEOUT;
 use crate::record::ConfigRecord;
 use crate::record::MOVE_KIND;
 use crate::record::MovePhase;
@@ -16,7 +17,6 @@
 use crate::record::VersionRecord;
 use crate::record_fault::RecordFault;
 use crate::record_fields::FieldReader;
-use crate::record_fields::MAX_TIMEOUT_MS;
 use crate::schema::RecordSchema;
 use crate::schema::SchemaPlugin;
 
@@ -104,7 +104,7 @@
         service: fields.name("service"),
         prefix: fields.prefix("prefix"),
         class,
-        timeout: fields.milliseconds("timeout_ms", MAX_TIMEOUT_MS),
+        timeout: fields.milliseconds("timeout_ms", MAX_TIMEOUT),
         retry_percent: default_retry_percent(class),
     }
 }
--- a/coltsfootweir/tests/call_values.rs
+++ b/coltsfootweir/tests/call_values.rs
@@ -45,6 +45,17 @@
         prop_assert_eq!(BookingKey::parse(&text).is_ok(), is_plain && counter == "0");
     }
 
+    #[test]
+    fn every_accepted_timeout_is_waited_out(millis in 1..=MAX_TIMEOUT.as_millis() as u64, now in 0..1_000_000_u64) {
+        let now = Duration::from_millis(now);
+        let timeout = Duration::from_millis(millis);
+        let deadline = CallDeadline::on_arrival(None, timeout, now);
+        prop_assert_eq!(deadline.remaining(now), timeout);
+        let header = deadline.header_ms(now).map(|left| left.to_string());
+        let passed_on = CallDeadline::on_arrival(header.as_deref(), MAX_TIMEOUT, now);
+        prop_assert_eq!(passed_on.remaining(now), timeout);
+    }
+
     #[test]
     fn deadlines_only_shrink(header in "[0-9]{0,22}", hops in 1..7_u32, now in 0..1_000_000_u64) {
         let now = Duration::from_millis(now);
