Pages for first steps by hand and for the interfaces

Cause: nothing told an owner of a service how an upstream announces itself, what a caller's answers mean, or what the platform must offer; a system could be started by hand only by reading the tests. Change: docs/FIRST-STEPS.md, its commands and outputs from a run by hand of the release build (two daemons, two upstreams, apply, status, calls, a booking sent twice); docs/INTERFACES.md. operator_docs checks that the commands parse, that every reason is named and that the announcement example is one. Result: operator_docs (5) pass; the two new checks were not seen red by a changed page before this commit.

--- a/programs/tests/operator_docs.rs
+++ b/programs/tests/operator_docs.rs
@@ -1,4 +1,5 @@
-//! The operator's pages against the programs: record examples, flags, commands and exit codes.
+//! The pages against the programs: record examples, flags, commands, exit codes, what callers and
+//! upstreams see.
 
 mod common;
 
@@ -9,6 +10,12 @@
 use clap::Args;
 use clap::Command;
 use clap::CommandFactory;
+use coltsfootweir::announce::UpstreamAnnouncement;
+use coltsfootweir::deadline::MAX_TIMEOUT;
+use coltsfootweir::outcome::DOUBT_REASONS;
+use coltsfootweir::outcome::DoubtReason;
+use coltsfootweir::outcome::REFUSAL_REASONS;
+use coltsfootweir::outcome::RefusalReason;
 use coltsfootweir::settings::DaemonArgs;
 use common::operator::operate;
 use common::operator::operate_json;
@@ -18,8 +25,12 @@
 use serde_json::Value;
 
 fn operations() -> String {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
-    fs::read_to_string(path).expect("the page is there")
+    page("OPERATIONS.md")
+}
+
+fn page(name: &str) -> String {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs");
+    fs::read_to_string(docs.join(name)).expect("the page is there")
 }
 
 /// Texts of the fenced blocks of a language, in order.
@@ -128,3 +139,39 @@
         );
     }
 }
+
+#[test]
+fn commands_of_the_first_steps_are_understood() {
+    let mut understood = 0;
+    for line in page("FIRST-STEPS.md").lines().map(str::trim_start) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let parsed = match words.first() {
+            Some(&"coltsfootweir") => OperatorArgs::command().try_get_matches_from(&words),
+            Some(&"coltsfootweird") => {
+                let daemon = DaemonArgs::augment_args(Command::new("coltsfootweird"));
+                daemon.try_get_matches_from(&words)
+            }
+            _ => continue,
+        };
+        assert!(parsed.is_ok(), "{line}: {parsed:?}");
+        understood += 1;
+    }
+    assert_eq!(understood, 4, "two daemons, apply and status");
+}
+
+#[test]
+fn outcomes_and_announcements_are_documented() {
+    let page = page("INTERFACES.md");
+    let refusals = REFUSAL_REASONS.map(RefusalReason::as_str);
+    let doubts = DOUBT_REASONS.map(DoubtReason::as_str);
+    for reason in refusals.iter().chain(&doubts) {
+        assert!(page.contains(&format!("`{reason}`")), "{reason}");
+    }
+    for example in blocks(&page, "json") {
+        let announcement: UpstreamAnnouncement =
+            serde_json::from_str(&example).expect("announcement");
+        assert_eq!(announcement.slots, 9);
+    }
+    let longest = format!("at most {};", MAX_TIMEOUT.as_millis());
+    assert!(page.contains(&longest), "{longest}");
+}
