Addresses that the control client cannot reach are refused at the start

Cause: a system started by hand on [::1] never served: minreq looks the bracketed number up as a name, so daemons and the operator's program reached neither the platform nor one another, and no setting said so. Change: settings and the operator's flags take IPv4 addresses and say so; a list where one address is wanted is a fault.

--- a/coltsfootweir/src/settings.rs
+++ b/coltsfootweir/src/settings.rs
@@ -1,7 +1,9 @@
 //! Settings of the daemon: flags and environment variables, checked together at the start.
 
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -166,10 +168,10 @@
             calls: checker.own_address("calls", &self.calls),
             region: checker.name("region", &self.region),
             zone: checker.name("zone", &self.zone),
-            platform: checker.parse("platform", &self.platform, ADDRESS, UNSET),
+            platform: checker.address("platform", &self.platform),
             store_region: checker.name("store-region", &self.store_region),
             seeds: checker.addresses("seeds", &self.seeds),
-            statsd: checker.addresses("statsd", &self.statsd).first().copied(),
+            statsd: checker.optional_address("statsd", &self.statsd),
             log: checker.parse("log", &self.log, "a log level", LevelFilter::Info),
             drain_limit: checker.duration("drain-limit", &self.drain_limit),
             queue_limit: checker.parse("queue-limit", &self.queue_limit, "a whole number", 0),
@@ -186,11 +188,11 @@
     }
 }
 
-const ADDRESS: &str = "an address IP:PORT";
+const ADDRESS: &str = "an IPv4 address IP:PORT";
 
-const OWN_ADDRESS: &str = "an address IP:PORT that other machines can connect to";
+const OWN_ADDRESS: &str = "an IPv4 address IP:PORT that other machines can connect to";
 
-const UNSET: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+const UNSET: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
 
 #[derive(Default)]
 struct FaultCollector {
@@ -229,12 +231,23 @@
 
     /// An address to listen on, which is announced to other daemons as it stands.
     fn own_address(&mut self, flag: &'static str, given: &str) -> SocketAddr {
-        match given.parse::<SocketAddr>() {
-            Ok(address) if !address.ip().is_unspecified() => return address,
-            Ok(_) => self.push(flag, given, OWN_ADDRESS),
-            Err(_) => self.push(flag, given, ADDRESS),
+        let address = self.address(flag, given);
+        if given.parse::<SocketAddrV4>().is_ok() && address.ip().is_unspecified() {
+            self.push(flag, given, OWN_ADDRESS);
         }
-        UNSET
+        address
+    }
+
+    /// The client of the control ports and of the platform reaches IPv4 addresses only.
+    fn address(&mut self, flag: &'static str, given: &str) -> SocketAddr {
+        SocketAddr::V4(self.parse(flag, given, ADDRESS, UNSET))
+    }
+
+    fn optional_address(&mut self, flag: &'static str, given: &str) -> Option<SocketAddr> {
+        if given.is_empty() {
+            return None;
+        }
+        Some(self.address(flag, given))
     }
 
     fn addresses(&mut self, flag: &'static str, given: &str) -> Vec<SocketAddr> {
@@ -243,10 +256,7 @@
             if part.is_empty() {
                 continue;
             }
-            match part.parse() {
-                Ok(address) => list.push(address),
-                Err(_) => self.push(flag, part, ADDRESS),
-            }
+            list.push(self.address(flag, part));
         }
         list
     }
--- a/programs/src/arguments.rs
+++ b/programs/src/arguments.rs
@@ -1,6 +1,7 @@
 //! Command line of the operator's program.
 
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -28,11 +29,17 @@
     pub command: OperatorCommand,
 }
 
+/// Reads an address; the client reaches IPv4 addresses only.
+fn parse_address(text: &str) -> Result<SocketAddr, &'static str> {
+    let address: SocketAddrV4 = text.parse().map_err(|_| "not an IPv4 address IP:PORT")?;
+    Ok(address.into())
+}
+
 /// Where the platform is.
 #[derive(Args, Clone, Copy, Debug)]
 pub struct PlatformArgs {
     /// Address of the platform, IP:PORT
-    #[arg(long, env = "COLTSFOOTWEIR_PLATFORM")]
+    #[arg(long, env = "COLTSFOOTWEIR_PLATFORM", value_parser = parse_address)]
     pub platform: SocketAddr,
 }
 
@@ -40,7 +47,7 @@
 #[derive(Args, Clone, Copy, Debug)]
 pub struct ViaArgs {
     /// Control address of any daemon, IP:PORT
-    #[arg(long, env = "COLTSFOOTWEIR_DAEMON")]
+    #[arg(long, env = "COLTSFOOTWEIR_DAEMON", value_parser = parse_address)]
     pub daemon: SocketAddr,
 }
 
@@ -76,7 +83,7 @@
     /// Check record files without accepting them
     Validate {
         /// Address of the platform, IP:PORT; checks the files against the accepted configuration too
-        #[arg(long)]
+        #[arg(long, value_parser = parse_address)]
         platform: Option<SocketAddr>,
         /// Files of records, JSON; - is standard input
         #[arg(required = true)]
