Upstreams cannot say what only daemons may, and callers see no load or owner

Cause: found by hand: a booking that another daemon ran came back with x-coltsfootweir-load; and an upstream that passes on the headers of a call of its own, as one in a chain may, could set reason, load and owner, of which the ingress takes the owner as the daemon to send a booking to. Change: the daemon beside the upstream takes outcome, reason, load and owner out of the upstream's answer; the ingress takes load and owner out of what it gives its caller. Proof: calls_headers, red without either part (x-coltsfootweir-reason was 'overloaded' on an answer that ran).

--- a/coltsfootweir/src/call.rs
+++ b/coltsfootweir/src/call.rs
@@ -71,6 +71,12 @@
     header::PROXY_AUTHENTICATE,
 ];
 
+/// Headers of answers between daemons, which no caller sees.
+const PEER_HEADERS: [HeaderName; 2] = [LOAD, OWNER];
+
+/// Headers of answers that daemons alone may set.
+const DAEMON_HEADERS: [HeaderName; 4] = [OUTCOME, REASON, LOAD, OWNER];
+
 /// Why a request could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadError {
@@ -193,10 +199,14 @@
     }
 }
 
-fn strip_connection_headers(headers: &mut HeaderMap) {
-    for name in CONNECTION_HEADERS {
+fn remove_headers(headers: &mut HeaderMap, names: &[HeaderName]) {
+    for name in names {
         headers.remove(name);
     }
+}
+
+fn strip_connection_headers(headers: &mut HeaderMap) {
+    remove_headers(headers, &CONNECTION_HEADERS);
     headers.remove("keep-alive");
 }
 
@@ -215,7 +225,14 @@
 }
 
 impl CallReply {
-    /// An answer of the upstream.
+    /// An answer as the upstream gave it; what only daemons may say is taken out.
+    #[must_use]
+    pub fn from_upstream(mut response: Response<Bytes>) -> CallReply {
+        remove_headers(response.headers_mut(), &DAEMON_HEADERS);
+        CallReply::ran(response)
+    }
+
+    /// An answer of the upstream, as the daemon beside it passed it on.
     #[must_use]
     pub fn ran(mut response: Response<Bytes>) -> CallReply {
         strip_connection_headers(response.headers_mut());
@@ -250,6 +267,13 @@
         }
         Response::from_parts(head, Full::new(body))
     }
+
+    /// Makes the response for a caller, without what daemons tell one another.
+    #[must_use]
+    pub fn into_caller_response(mut self, id: Option<&HeaderValue>) -> Response<Full<Bytes>> {
+        remove_headers(self.response.headers_mut(), &PEER_HEADERS);
+        self.into_response(id)
+    }
 }
 
 /// Answer to a request that was not run.
--- a/coltsfootweir/src/call_server.rs
+++ b/coltsfootweir/src/call_server.rs
@@ -194,7 +194,7 @@
 async fn run_call(context: &Arc<DaemonContext>, call: &CallRequest) -> Response<Full<Bytes>> {
     let id = call.headers.get(REQUEST_ID);
     let Some(target) = call.header(&TARGET) else {
-        return run_ingress(context, call).await.into_response(id);
+        return run_ingress(context, call).await.into_caller_response(id);
     };
     let reply = if *target == *context.id {
         let deadline = CallDeadline::on_arrival(call.header(&DEADLINE), MAX_TIMEOUT, context.now());
--- a/coltsfootweir/src/hand_over.rs
+++ b/coltsfootweir/src/hand_over.rs
@@ -74,7 +74,7 @@
             let failed = response.status().is_server_error();
             record_call(context, route, failed, latency);
             lock(&context.poison).on_completed(call.fingerprint, context.now());
-            CallReply::ran(response)
+            CallReply::from_upstream(response)
         }
         Ok(Err(SendError::NotConnected)) => {
             note_if_crashed(context, address).await;
