A condemned version is forgotten after its move has ended

Cause: condemned facts stayed for ever. Ruled out: dropping after a time alone (a restarted member brings the fact back), hashes of what was dropped (it has none), dropping when the record is absent (a fact may come before its move). Change: a daemon whose configuration in force has the end of the move leaves the fact out of comparisons, refuses it when it comes anew and drops it after ten minutes. A daemon that lacks the end keeps it. Proof: condemned_end (512 sequences of asserting, passing on, adopting the end, restarts and waits), red with the door open, without the drop, with a drop before the end, and with ended facts compared.

--- a/coltsfootweir/src/gossip.rs
+++ b/coltsfootweir/src/gossip.rs
@@ -21,6 +21,7 @@
 use crate::head_claims::HeadClaims;
 use crate::ids::Generation;
 use crate::ids::MemberId;
+use crate::ids::MoveName;
 use crate::ids::RegionName;
 use crate::member::EndpointEntry;
 use crate::member::MemberEntry;
@@ -200,6 +201,11 @@
         }
     }
 
+    /// Takes over which moves have ended in the configuration in force.
+    pub fn set_ended_moves(&mut self, moves: impl IntoIterator<Item = MoveName>) {
+        self.facts.set_ended_moves(moves, self.now);
+    }
+
     /// Adds a crash of the upstream beside the member.
     pub fn report_crash(&mut self, fact: CrashFact) {
         if let Some(hash) = self.facts.crash(fact, Duration::ZERO, self.now) {
@@ -216,7 +222,7 @@
         heard.is_some_and(|heard| now.saturating_sub(*heard) < self.limits.region_timeout)
     }
 
-    /// Number that changes whenever a fact is added.
+    /// Number that changes whenever a fact is added or a condemned version dropped.
     pub(crate) fn fact_changes(&self) -> u64 {
         self.facts.changes()
     }
--- a/coltsfootweir/src/gossip_task.rs
+++ b/coltsfootweir/src/gossip_task.rs
@@ -16,6 +16,7 @@
 use crate::gossip_limits::GOSSIP_INTERVAL;
 use crate::gossip_message::GossipAction;
 use crate::gossip_message::GossipMessage;
+use crate::ids::Generation;
 use crate::kernel::DaemonTask;
 use crate::kernel::StopSignal;
 use crate::kernel::TaskPlugin;
@@ -46,7 +47,9 @@
             for _ in 0..WORKER_COUNT {
                 scope.spawn(|| make_exchanges(context, &exchanges, stop));
             }
+            let mut generation = 0;
             loop {
+                generation = tell_ended_moves(context, generation);
                 let actions = lock(&context.gossip).tick(context.now());
                 context.queue_exchanges(actions);
                 context.refresh_index();
@@ -58,6 +61,17 @@
     }
 }
 
+/// Tells the gossip which moves have ended, if the generation is another than `told`; returns it.
+fn tell_ended_moves(context: &DaemonContext, told: Generation) -> Generation {
+    let snapshot = lock(&context.config).snapshot();
+    if snapshot.generation != told {
+        let moves = snapshot.moves.values();
+        let ended = moves.filter(|record| record.phase.is_ended());
+        lock(&context.gossip).set_ended_moves(ended.map(|record| record.name.clone()));
+    }
+    snapshot.generation
+}
+
 fn make_exchanges(
     context: &Arc<DaemonContext>,
     exchanges: &Receiver<GossipAction>,
