--- a/coltsfootweir/tests/common/mod.rs
+++ b/coltsfootweir/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test program uses a part of this module.
 #![allow(dead_code)]
 
+pub mod evidence;
 pub mod fake_store;
 pub mod records;
 pub mod step_test;
--- a/coltsfootweir/tests/crash_blame.rs
+++ b/coltsfootweir/tests/crash_blame.rs
@@ -12,10 +12,11 @@
 use coltsfootweir::ids::Fingerprint;
 use coltsfootweir::poison::POISON_TIMEOUT;
 use coltsfootweir::poison::PoisonTable;
-use coltsfootweir::record::RouteClass;
 use coltsfootweir::verdict::Verdict;
 use coltsfootweir::verdict::judge;
 
+use common::evidence::recorder;
+use common::evidence::run_checks;
 use common::records::move_record;
 
 /// Request that was running at every crash.
@@ -24,27 +25,19 @@
 /// Endpoints of each version.
 const ENDPOINTS: usize = 2;
 
-fn recorders(version: &str) -> Vec<EvidenceRecorder> {
-    let mut recorders = Vec::new();
+fn served(version: &str) -> Vec<EvidenceRecorder> {
+    let mut served = Vec::new();
     for number in 0..ENDPOINTS {
-        let mut recorder = EvidenceRecorder::new(format!("{version}-{number}").into(), 1);
-        recorder.set_version("stalls".into(), version.into());
-        for _ in 0..100 {
-            recorder.on_call(
-                &"free".into(),
-                RouteClass::Check,
-                false,
-                Duration::from_millis(5),
-            );
-        }
-        recorders.push(recorder);
+        let mut own = recorder(&format!("{version}-{number}"), 1, version);
+        run_checks(&mut own, "free", 100, false, Duration::from_millis(5));
+        served.push(own);
     }
-    recorders
+    served
 }
 
 /// Judges a new version whose endpoints crashed once each under the request.
 fn verdict_after_crashes(old_survived: &[Fingerprint], old_crashes: bool) -> Verdict {
-    let (mut old, mut new) = (recorders("v1"), recorders("v2"));
+    let (mut old, mut new) = (served("v1"), served("v2"));
     let mut pool = EvidencePool::new(&move_record("tried", "v1", "v2"));
     for second in 0..2 {
         for recorder in old.iter().chain(&new) {
--- a/coltsfootweir/tests/trial/mod.rs
+++ b/coltsfootweir/tests/trial/mod.rs
@@ -22,6 +22,8 @@
 use coltsfootweir::verdict::Verdict;
 use coltsfootweir::verdict::judge;
 
+use crate::common::evidence::recorders;
+use crate::common::evidence::run_checks;
 use crate::common::records::move_record;
 
 /// Seconds until a changed share is in force everywhere.
@@ -115,7 +117,7 @@
     /// Runs the move to its end, or to twice the time allowed.
     pub fn run(&self, seed: u64) -> TrialResult {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut recorders = self.recorders();
+        let mut recorders = recorders(self.endpoints.0, self.endpoints.1);
         let record = move_record("spring", "v1", "v2");
         let mut pool = EvidencePool::new(&record);
         let pace = MovePace::new(PaceLimits::default());
@@ -175,17 +177,6 @@
         result
     }
 
-    fn recorders(&self) -> Vec<EvidenceRecorder> {
-        let mut recorders = Vec::new();
-        for index in 0..self.endpoints.0 + self.endpoints.1 {
-            let version = if index < self.endpoints.0 { "v1" } else { "v2" };
-            let mut recorder = EvidenceRecorder::new(format!("member-{index}").into(), 1);
-            recorder.set_version("stalls".into(), version.into());
-            recorders.push(recorder);
-        }
-        recorders
-    }
-
     fn serve(
         &self,
         second: u64,
@@ -197,18 +188,13 @@
         let calls = (2.0 * self.calls_per_second * rng.random::<f64>()).round() as u64;
         for _ in 0..calls {
             let (route, class, median) = self.pick_route(rng);
-            let percent = if class == RouteClass::Check {
-                share.checks
-            } else {
-                share.bookings
+            let percent = match class {
+                RouteClass::Check => share.checks,
+                RouteClass::Booking => share.bookings,
             };
             let is_new = rng.random_range(0..100) < percent;
-            let count = if is_new {
-                self.endpoints.1
-            } else {
-                self.endpoints.0
-            };
-            let endpoint = rng.random_range(0..count);
+            let (old, new) = self.endpoints;
+            let endpoint = rng.random_range(0..if is_new { new } else { old });
             let site = CallSite {
                 second,
                 is_new,
@@ -220,11 +206,7 @@
             let failed = end.failed || rng.random_bool(self.base_failure);
             let spread = 0.6 + 0.8 * rng.random::<f64>();
             let latency = Duration::from_secs_f64(median * spread * end.latency_factor / 1000.0);
-            let index = if is_new {
-                self.endpoints.0 + endpoint
-            } else {
-                endpoint
-            };
+            let index = self.index_of(is_new, endpoint);
             recorders[index].on_call(&format!("route-{route}").into(), class, failed, latency);
             if class == RouteClass::Booking && second >= LEAD_IN {
                 result.bookings += 1;
@@ -233,20 +215,19 @@
             }
         }
         for crash in self.crashes.iter().filter(|crash| crash.second == second) {
-            let index = if crash.is_new {
-                self.endpoints.0 + crash.endpoint
-            } else {
-                crash.endpoint
-            };
-            recorders[index].on_crash(crash.running.clone());
+            let own = &mut recorders[self.index_of(crash.is_new, crash.endpoint)];
+            own.on_crash(crash.running.clone());
             // The calls that ran end as failed.
-            for _ in 0..crash.running.len() {
-                let latency = Duration::from_millis(5);
-                recorders[index].on_call(&"route-0".into(), RouteClass::Check, true, latency);
-            }
+            let count = crash.running.len() as u32;
+            run_checks(own, "route-0", count, true, Duration::from_millis(5));
         }
     }
 
+    /// Recorder of an endpoint of the old or the new version.
+    fn index_of(&self, is_new: bool, endpoint: usize) -> usize {
+        endpoint + if is_new { self.endpoints.0 } else { 0 }
+    }
+
     fn pick_route(&self, rng: &mut ChaCha8Rng) -> (usize, RouteClass, f64) {
         let mut rest = rng.random::<f64>();
         for (index, (class, weight, median)) in self.routes.iter().enumerate() {
@@ -275,9 +256,8 @@
 
 /// Repeats a trial with fixed seeds and prints what was seen; `TRIAL_RUNS` sets their number.
 pub fn repeat(name: &str, vary: impl Fn(&mut MoveTrial, u64)) -> TrialRuns {
-    let wanted = std::env::var("TRIAL_RUNS")
-        .ok()
-        .and_then(|text| text.parse().ok());
+    let wanted = std::env::var("TRIAL_RUNS").ok();
+    let wanted = wanted.and_then(|text| text.parse().ok());
     let mut sum = TrialRuns {
         runs: wanted.unwrap_or(RUNS),
         ..TrialRuns::default()
--- a/coltsfootweir/tests/verdict_cost.rs
+++ b/coltsfootweir/tests/verdict_cost.rs
@@ -11,11 +11,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use coltsfootweir::evidence::EvidenceRecorder;
 use coltsfootweir::evidence_pool::EvidencePool;
 use coltsfootweir::record::RouteClass;
 use coltsfootweir::verdict::judge;
 
+use common::evidence::recorders;
 use common::records::move_record;
 
 /// Routes of the service.
@@ -37,21 +37,10 @@
     OneEndpoint,
 }
 
-fn recorders(endpoints: usize) -> Vec<EvidenceRecorder> {
-    let mut recorders = Vec::new();
-    for index in 0..2 * endpoints {
-        let mut recorder = EvidenceRecorder::new(format!("10.1.0.{index}:7000").into(), 1);
-        let version = if index < endpoints { "v1" } else { "v2" };
-        recorder.set_version("stalls".into(), version.into());
-        recorders.push(recorder);
-    }
-    recorders
-}
-
 /// Returns a pool of the last ten minutes of two versions with this many endpoints each.
 fn fill(endpoints: usize, kind: FaultKind) -> EvidencePool {
     let mut rng = ChaCha8Rng::seed_from_u64(4);
-    let mut recorders = recorders(endpoints);
+    let mut recorders = recorders(endpoints, endpoints);
     let mut pool = EvidencePool::new(&move_record("spring", "v1", "v2"));
     for second in 0..SECONDS {
         for (index, recorder) in recorders.iter_mut().enumerate() {
