The scripted store of the decision tests keeps its rows in the platform stand-in

Cause: `FakeStore` had a table and an object store of its own beside `standins::MemoryPlatform`, which does the same and is tested against an oracle; the mesh had its own member entries and first store. Ruled out: giving the stand-in scripted faults, rivals and late writes: only these tests need them. Change: `FakeStore` is the script and the log over a `MemoryPlatform`; `first_store` and the entries of `support` serve the mesh too. The unused `faults()` count is gone.

--- a/coltsfootweir/tests/common/fake_store.rs
+++ b/coltsfootweir/tests/common/fake_store.rs
@@ -1,21 +1,25 @@
 //! A platform store in memory with scripted faults.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 
 use error_stack::Report;
 
+use coltsfootweir::accept::accept_change;
 use coltsfootweir::head_row::HEAD_KEY;
 use coltsfootweir::platform::CommitOutcome;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
-use coltsfootweir::platform::RowCondition;
-use coltsfootweir::platform::RowWrite;
 use coltsfootweir::platform::TableRow;
 use coltsfootweir::platform::WriteBatch;
+use coltsfootweir::snapshot::ConfigSnapshot;
+use standins::memory_platform::MemoryPlatform;
+
+use super::records::first_snapshot;
 
 /// What happens to one operation on the store.
 #[derive(Clone, Copy, Debug)]
@@ -38,12 +42,11 @@
 
 #[derive(Default)]
 struct StoreState {
-    rows: BTreeMap<Box<str>, TableRow>,
-    objects: BTreeMap<Box<str>, Vec<u8>>,
+    memory: MemoryPlatform,
+    object_names: BTreeSet<Box<str>>,
     script: VecDeque<StoreFault>,
     late: Vec<(u8, WriteBatch)>,
     log: Vec<(WriteBatch, u64)>,
-    faults: usize,
     rival: Option<RivalHook>,
 }
 
@@ -56,20 +59,14 @@
 impl FakeStore {
     /// Sets the faults of the next operations and what rivals do.
     pub fn load(&self, script: &[StoreFault], rival: Option<RivalHook>) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         state.script = script.iter().copied().collect();
         state.rival = rival;
-        state.faults = 0;
-    }
-
-    /// Returns the number of faults met since the last [`FakeStore::load`].
-    pub fn faults(&self) -> usize {
-        self.state.lock().unwrap().faults
     }
 
     /// Lets every late write arrive.
     pub fn flush(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         for (_, batch) in std::mem::take(&mut state.late) {
             state.write(&batch);
         }
@@ -77,51 +74,61 @@
 
     /// Returns the batches that took effect on the head, with the generation each one set.
     pub fn log(&self) -> Vec<(WriteBatch, u64)> {
-        self.state.lock().unwrap().log.clone()
+        self.lock().log.clone()
     }
 
     /// Replaces the bytes of every object.
     pub fn damage_objects(&self, damage: impl Fn(&mut Vec<u8>)) {
-        self.state
-            .lock()
-            .unwrap()
-            .objects
-            .values_mut()
-            .for_each(damage);
+        let state = self.lock();
+        for name in &state.object_names {
+            let mut body = state.memory.get_object(name).unwrap().unwrap();
+            damage(&mut body);
+            state.memory.put_object(name, &body).unwrap();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap()
     }
 
     fn next_fault(&self) -> StoreFault {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         state.deliver_late();
-        let fault = state.script.pop_front().unwrap_or(StoreFault::None);
-        if !matches!(fault, StoreFault::None) {
-            state.faults += 1;
-        }
-        fault
+        state.script.pop_front().unwrap_or(StoreFault::None)
     }
 
     fn let_rivals_act(&self, count: u8) {
-        let (script, rival) = {
-            let mut state = self.state.lock().unwrap();
-            (std::mem::take(&mut state.script), state.rival.clone())
-        };
+        let script = std::mem::take(&mut self.lock().script);
+        let rival = self.lock().rival.clone();
         for _ in 0..count {
             rival.iter().for_each(|rival| rival(self));
         }
-        self.state.lock().unwrap().script = script;
+        self.lock().script = script;
     }
 
-    /// Returns whether the operation takes effect and whether its answer arrives.
-    fn meet_fault(&self) -> PlatformResult<(bool, bool)> {
-        match self.next_fault() {
+    fn operate<T>(
+        &self,
+        fault: StoreFault,
+        operation: impl FnOnce(&mut StoreState) -> PlatformResult<T>,
+    ) -> PlatformResult<T> {
+        let lost = || Err(Report::new(PlatformError::AnswerLost));
+        match fault {
             StoreFault::Outage => Err(Report::new(PlatformError::Unavailable)),
-            StoreFault::LostBefore | StoreFault::Late(_) => Ok((false, false)),
-            StoreFault::LostAfter => Ok((true, false)),
-            StoreFault::None | StoreFault::Rivals(_) => Ok((true, true)),
+            StoreFault::LostBefore | StoreFault::Late(_) => lost(),
+            StoreFault::LostAfter => operation(&mut self.lock()).and_then(|_| lost()),
+            StoreFault::None | StoreFault::Rivals(_) => operation(&mut self.lock()),
         }
     }
 }
 
+/// Returns a store in which the first snapshot is accepted.
+pub fn first_store() -> Arc<FakeStore> {
+    let store = Arc::new(FakeStore::default());
+    let first = |_: &ConfigSnapshot| Ok(first_snapshot());
+    accept_change(&*store, &|| "first".into(), &first, &[]).expect("the first change is accepted");
+    store
+}
+
 impl StoreState {
     fn deliver_late(&mut self) {
         for (left, batch) in std::mem::take(&mut self.late) {
@@ -133,96 +140,49 @@
     }
 
     fn write(&mut self, batch: &WriteBatch) -> CommitOutcome {
-        for write in &batch.writes {
-            let held = self.rows.get(&write.key).map(|row| row.version);
-            let met = match write.condition {
-                RowCondition::Any => true,
-                RowCondition::Absent => held.is_none(),
-                RowCondition::At(version) => held == Some(version),
-            };
-            if !met {
-                return CommitOutcome::Conflict(write.key.clone());
-            }
+        let outcome = self.memory.commit(batch).expect("no fault is set");
+        if outcome != CommitOutcome::Committed {
+            return outcome;
         }
-        for RowWrite { key, value, .. } in &batch.writes {
-            let version = self.rows.get(key).map_or(1, |row| row.version + 1);
-            let value = value.clone().expect("no test deletes rows");
-            if **key == *HEAD_KEY {
-                let head: serde_json::Value = serde_json::from_str(&value).unwrap();
-                self.log
-                    .push((batch.clone(), head["mark"]["generation"].as_u64().unwrap()));
+        for write in &batch.writes {
+            let value = write.value.as_ref().expect("no test deletes rows");
+            if *write.key == *HEAD_KEY {
+                let head: serde_json::Value = serde_json::from_str(value).unwrap();
+                let generation = head["mark"]["generation"].as_u64().unwrap();
+                self.log.push((batch.clone(), generation));
             }
-            self.rows.insert(
-                key.clone(),
-                TableRow {
-                    key: key.clone(),
-                    version,
-                    value,
-                },
-            );
         }
-        CommitOutcome::Committed
-    }
-}
-
-fn answer<T>(value: T, arrives: bool) -> PlatformResult<T> {
-    if arrives {
-        Ok(value)
-    } else {
-        Err(Report::new(PlatformError::AnswerLost))
+        outcome
     }
 }
 
 impl PlatformStore for FakeStore {
     fn read_row(&self, key: &str) -> PlatformResult<Option<TableRow>> {
-        let (_, arrives) = self.meet_fault()?;
-        answer(self.state.lock().unwrap().rows.get(key).cloned(), arrives)
+        self.operate(self.next_fault(), |state| state.memory.read_row(key))
     }
 
     fn list_rows(&self, prefix: &str) -> PlatformResult<Vec<TableRow>> {
-        let (_, arrives) = self.meet_fault()?;
-        let state = self.state.lock().unwrap();
-        let rows = state
-            .rows
-            .values()
-            .filter(|row| row.key.starts_with(prefix));
-        answer(rows.cloned().collect(), arrives)
+        self.operate(self.next_fault(), |state| state.memory.list_rows(prefix))
     }
 
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
-        match self.next_fault() {
-            StoreFault::Outage => return Err(Report::new(PlatformError::Unavailable)),
-            StoreFault::LostBefore => {}
-            StoreFault::LostAfter => drop(self.state.lock().unwrap().write(batch)),
-            StoreFault::Late(left) => {
-                self.state.lock().unwrap().late.push((left, batch.clone()));
-            }
-            StoreFault::Rivals(count) => {
-                self.let_rivals_act(count);
-                return Ok(self.state.lock().unwrap().write(batch));
-            }
-            StoreFault::None => return Ok(self.state.lock().unwrap().write(batch)),
+        let fault = self.next_fault();
+        match fault {
+            StoreFault::Late(left) => self.lock().late.push((left, batch.clone())),
+            StoreFault::Rivals(count) => self.let_rivals_act(count),
+            _ => {}
         }
-        Err(Report::new(PlatformError::AnswerLost))
+        self.operate(fault, |state| Ok(state.write(batch)))
     }
 
     fn put_object(&self, name: &str, body: &[u8]) -> PlatformResult<()> {
-        let (takes_effect, arrives) = self.meet_fault()?;
-        if takes_effect {
-            self.state
-                .lock()
-                .unwrap()
-                .objects
-                .insert(name.into(), body.to_vec());
-        }
-        answer((), arrives)
+        self.operate(self.next_fault(), |state| {
+            state.object_names.insert(name.into());
+            state.memory.put_object(name, body)
+        })
     }
 
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
-        let (_, arrives) = self.meet_fault()?;
-        answer(
-            self.state.lock().unwrap().objects.get(name).cloned(),
-            arrives,
-        )
+        self.operate(self.next_fault(), |state| state.memory.get_object(name))
     }
 }
--- a/coltsfootweir/tests/config_accept.rs
+++ b/coltsfootweir/tests/config_accept.rs
@@ -28,6 +28,7 @@
 
 use common::fake_store::FakeStore;
 use common::fake_store::StoreFault;
+use common::fake_store::first_store;
 use common::fixed_config;
 use common::records::first_snapshot;
 use common::records::route;
@@ -110,40 +111,28 @@
         let mut accepted: BTreeMap<usize, Vec<(WriteId, u64)>> = BTreeMap::new();
         let mut guard = None;
         for (index, (batch, generation)) in store.log().into_iter().enumerate() {
-            assert_eq!(
-                generation,
-                index as u64 + 1,
-                "each generation is accepted once, in order"
-            );
+            assert_eq!(generation, index as u64 + 1, "accepted once, in order");
             if index == 0 {
                 continue;
             }
             let number: usize = batch.write_id.split('/').next().unwrap().parse().unwrap();
             let route = op_route(number, results[number].0);
             routes.insert(route.name.clone(), route);
-            accepted
-                .entry(number)
-                .or_default()
-                .push((batch.write_id, generation));
+            let writes = accepted.entry(number).or_default();
+            writes.push((batch.write_id, generation));
             if results[number].0 == OpKind::Guarded {
                 guard = Some(number.to_string());
             }
         }
         let head = read_head(store).unwrap();
         let snapshot = fetch_snapshot(store, &head).unwrap();
-        assert_eq!(
-            snapshot.routes, routes,
-            "the head holds every accepted change and no other"
-        );
+        assert_eq!(snapshot.routes, routes, "just the accepted changes");
         assert_eq!(head.generation, store.log().len() as u64);
         let row = store.read_row(GUARD_KEY).unwrap();
         assert_eq!(row.map(|row| String::from(row.value)), guard);
         for (number, (kind, result)) in results.iter().enumerate() {
-            check_result(
-                *kind,
-                result,
-                accepted.get(&number).map_or(&[], Vec::as_slice),
-            );
+            let writes = accepted.get(&number).map_or(&[][..], Vec::as_slice);
+            check_result(*kind, result, writes);
         }
     }
 }
@@ -159,18 +148,13 @@
     };
     match report.current_context() {
         AcceptError::InDoubt(write_id) => {
-            assert!(
-                writes.iter().all(|(found, _)| found == write_id),
-                "{writes:?}"
-            );
-            assert!(writes.len() <= 1);
+            let is_own = writes.iter().all(|(found, _)| found == write_id);
+            assert!(is_own && writes.len() <= 1, "{writes:?}");
         }
         AcceptError::Refused(faults) => {
             assert_eq!(kind, OpKind::Bad);
-            assert_eq!(
-                (&*faults[0].record, &*faults[0].field),
-                ("route/bad", "service")
-            );
+            let named = (&*faults[0].record, &*faults[0].field);
+            assert_eq!(named, ("route/bad", "service"));
             assert!(writes.is_empty());
         }
         AcceptError::Conflict(key) => {
@@ -180,10 +164,7 @@
                 OpKind::Own | OpKind::Bad => "head",
             };
             assert!(**key == *known || &**key == "head", "{key} for {kind:?}");
-            assert!(
-                writes.is_empty(),
-                "a conflict means that nothing took effect"
-            );
+            assert!(writes.is_empty(), "a conflict that took effect");
         }
         AcceptError::Unavailable => assert!(writes.is_empty(), "nothing took effect"),
     }
@@ -194,13 +175,6 @@
     matches!(report.current_context(), AcceptError::InDoubt(_))
 }
 
-fn new_store() -> Arc<FakeStore> {
-    let store = Arc::new(FakeStore::default());
-    let first = |_: &ConfigSnapshot| Ok(first_snapshot());
-    accept_change(&*store, &|| "first".into(), &first, &[]).expect("the first change is accepted");
-    store
-}
-
 fn any_kind() -> impl Strategy<Value = OpKind> {
     prop_oneof![
         5 => Just(OpKind::Own),
@@ -239,7 +213,7 @@
     fn accepted_changes_are_kept_and_counted_once(
         ops in vec((any_kind(), any_script(), any_kind()), 1..8),
     ) {
-        let store = new_store();
+        let store = first_store();
         let journal = Arc::new(Journal::default());
         for (kind, script, rival_kind) in ops {
             let rivals = Arc::clone(&journal);
@@ -262,7 +236,7 @@
         rivals in 0u8..24,
         kind in prop_oneof![Just(OpKind::Own), Just(OpKind::Guarded)],
     ) {
-        let store = new_store();
+        let store = first_store();
         let journal = Arc::new(Journal::default());
         let mut script = vec![StoreFault::None; 4];
         script.extend(&lost);
@@ -295,16 +269,11 @@
 
 #[test]
 fn concurrent_operators_lose_no_change() {
-    let store = new_store();
+    let store = first_store();
     let journal = Journal::default();
     thread::scope(|scope| {
-        for kind in [
-            OpKind::Own,
-            OpKind::Own,
-            OpKind::Shared,
-            OpKind::Guarded,
-            OpKind::Shared,
-        ] {
+        use OpKind::*;
+        for kind in [Own, Own, Shared, Guarded, Shared] {
             let (store, journal) = (&store, &journal);
             scope.spawn(move || (0..40).for_each(|_| journal.run(store, kind, || {})));
         }
@@ -315,42 +284,32 @@
 
 #[test]
 fn a_record_that_another_operator_changed_meanwhile_is_a_conflict() {
-    let store = new_store();
+    let store = first_store();
     let journal = Arc::new(Journal::default());
     let rivals = Arc::clone(&journal);
     let hook = Arc::new(move |store: &FakeStore| rivals.run(store, OpKind::Shared, || {}));
-    let script = [
-        StoreFault::None,
-        StoreFault::None,
-        StoreFault::None,
-        StoreFault::None,
-    ];
-    let script = [&script[..], &[StoreFault::Rivals(1)]].concat();
+    let mut script = vec![StoreFault::None; 4];
+    script.push(StoreFault::Rivals(1));
     journal.run(&store, OpKind::Shared, || store.load(&script, Some(hook)));
     journal.check(&store);
     let results = journal.results.lock().unwrap();
     let report = results[0].1.as_ref().unwrap_err();
-    assert_eq!(
-        *report.current_context(),
-        AcceptError::Conflict("route/shared".into())
-    );
+    let conflict = AcceptError::Conflict("route/shared".into());
+    assert_eq!(*report.current_context(), conflict);
     assert!(results[1].1.is_ok());
 }
 
 #[test]
 fn damaged_snapshots_are_not_built_upon() {
-    let store = new_store();
+    let store = first_store();
     store.damage_objects(|body| body.truncate(body.len() / 2));
-    let result = run_op(&store, OpKind::Own, 0, || {});
-    assert_eq!(
-        *result.unwrap_err().current_context(),
-        AcceptError::Unavailable
-    );
+    let report = run_op(&store, OpKind::Own, 0, || {}).unwrap_err();
+    assert_eq!(*report.current_context(), AcceptError::Unavailable);
 }
 
 #[test]
 fn a_change_of_nothing_writes_nothing() {
-    let store = new_store();
+    let store = first_store();
     let change = |base: &ConfigSnapshot| base.with_records(base.records());
     let kept = accept_change(&*store, &|| "again".into(), &change, &[]).unwrap();
     assert_eq!(kept, first_snapshot());
--- a/coltsfootweir/tests/lying_peers.rs
+++ b/coltsfootweir/tests/lying_peers.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod mesh;
+mod support;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/coltsfootweir/tests/mesh/mod.rs
+++ b/coltsfootweir/tests/mesh/mod.rs
@@ -19,8 +19,6 @@
 use coltsfootweir::ids::Digest;
 use coltsfootweir::ids::Generation;
 use coltsfootweir::ids::WriteId;
-use coltsfootweir::member::MemberEntry;
-use coltsfootweir::member::MemberState;
 use coltsfootweir::rank::holds_job;
 use coltsfootweir::record::ConfigRecord;
 use coltsfootweir::route_table::RouteTable;
@@ -29,14 +27,15 @@
 
 use super::common::fake_store::FakeStore;
 use super::common::fake_store::StoreFault;
-use super::common::records::first_snapshot;
+use super::common::fake_store::first_store;
 use super::common::records::route;
+use super::support::address_of;
+use super::support::entry_of;
+use super::support::region_of;
 
 /// Members; even ones stand in the region of the store.
 pub const MEMBERS: usize = 6;
 
-const REGIONS: [&str; 2] = ["north", "south"];
-
 /// What a member's process does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MemberMode {
@@ -71,10 +70,6 @@
     pub liars: [bool; MEMBERS],
 }
 
-fn address_of(index: usize) -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([10, 7, 0, index as u8 + 1], 7000))
-}
-
 fn wrong_digest(member: usize) -> Digest {
     format!("{:064x}", 0xbad + member).into()
 }
@@ -90,17 +85,7 @@
 }
 
 fn start_member(index: usize, incarnation: u64, now: Duration) -> MeshMember {
-    let entry = MemberEntry {
-        id: address_of(index).to_string().into(),
-        call_address: address_of(index),
-        region: REGIONS[index % 2].into(),
-        zone: "zone".into(),
-        incarnation,
-        counter: 0,
-        state: MemberState::Alive,
-        served: 0,
-        endpoint: None,
-    };
+    let entry = entry_of(index, incarnation);
     let mut gossip = GossipState::new(entry, GossipLimits::default(), incarnation);
     gossip.add_seeds((0..MEMBERS).map(address_of));
     gossip.set_floor_wanted(true);
@@ -116,14 +101,11 @@
 
 impl MeshWorld {
     pub fn new() -> MeshWorld {
-        let store = Arc::new(FakeStore::default());
-        let first = |_: &ConfigSnapshot| Ok(first_snapshot());
-        accept_change(store.as_ref(), &|| "first".into(), &first, &[]).expect("the store works");
         let members =
             (0..MEMBERS).map(|index| start_member(index, index as u64 + 1, Duration::ZERO));
         MeshWorld {
             members: members.collect(),
-            store,
+            store: first_store(),
             now: Duration::ZERO,
             incarnation: 100,
             writes: 0,
@@ -170,19 +152,13 @@
         let rival = move |store: &FakeStore| {
             let write_id: WriteId = format!("rival-{number}-{}", store.log().len()).into();
             let change = |base: &ConfigSnapshot| {
-                base.with_records([ConfigRecord::Route(route(
-                    "rival",
-                    "stalls",
-                    base.generation,
-                ))])
+                let record = route("rival", "stalls", base.generation);
+                base.with_records([ConfigRecord::Route(record)])
             };
             let _ = accept_change(store, &|| write_id.clone(), &change, &[]);
         };
-        if rivals {
-            self.store.load(script, Some(Arc::new(rival)));
-        } else {
-            self.store.load(script, None);
-        }
+        self.store
+            .load(script, rivals.then(|| Arc::new(rival) as _));
         let tries = std::cell::Cell::new(0);
         let write_ids = || {
             tries.set(tries.get() + 1);
@@ -220,26 +196,23 @@
             if limit == 0 {
                 return;
             }
-            let GossipAction::Exchange {
-                to, mut message, ..
-            } = action;
+            let GossipAction::Exchange { to, message, .. } = action;
+            let mut message = message;
             self.lie(from, &mut message.head);
             let target = (0..MEMBERS).find(|index| address_of(*index) == to);
             let Some(target) = target.filter(|target| self.reaches(from, *target)) else {
-                let actions = self.members[from].gossip.on_failure(to, self.now);
-                self.members[from]
-                    .floor
-                    .on_peer_failure(&to.to_string().into());
+                let member = &mut self.members[from];
+                let actions = member.gossip.on_failure(to, self.now);
+                member.floor.on_peer_failure(&to.to_string().into());
                 queue.extend(actions.into_iter().map(|action| (from, action)));
                 continue;
             };
             // The message arrives twice; the first answer may be lost.
-            let _ = self.members[target]
-                .gossip
-                .receive(message.clone(), self.now);
-            let mut answer = self.members[target].gossip.receive(message, self.now);
+            let peer = &mut self.members[target].gossip;
+            let _ = peer.receive(message.clone(), self.now);
+            let mut answer = peer.receive(message, self.now);
+            let pushed = peer.take_urgent();
             self.lie(target, &mut answer.head);
-            let pushed = self.members[target].gossip.take_urgent();
             queue.extend(pushed.into_iter().map(|action| (target, action)));
             let actions = if self.lose > 0 {
                 self.lose -= 1;
@@ -292,18 +265,14 @@
         let is_store_up = self.is_store_up && !(self.is_cut && index % 2 == 1);
         let now = self.now;
         let member = &mut self.members[index];
-        let region = REGIONS[index % 2];
+        let region = region_of(index);
         let id = member.gossip.own().id.clone();
         let is_reader = holds_job("store", &id, 2, member.gossip.view().live_in(region));
         if !member.config.is_serving() || (is_reader && index.is_multiple_of(2)) {
-            let head = if is_store_up {
-                read_head(self.store.as_ref()).ok()
-            } else {
-                None
-            };
-            member
-                .floor
-                .on_store_head(head.as_ref().map(|head| head.generation));
+            let head = is_store_up.then(|| read_head(self.store.as_ref()).ok());
+            let head = head.flatten();
+            let generation = head.as_ref().map(|head| head.generation);
+            member.floor.on_store_head(generation);
             if let Some(head) = head {
                 member.read_store = true;
                 member.gossip.note_head(head);
@@ -329,12 +298,8 @@
             return;
         }
         let generation = member.config.mark().generation;
-        if member.read_store {
-            assert!(
-                generation >= member.served,
-                "member {index} went back to {generation}"
-            );
-        }
+        let is_older = generation < member.served;
+        assert!(!(member.read_store && is_older), "member {index} went back");
         member.served = member.served.max(generation);
     }
 
@@ -412,24 +377,18 @@
     pub fn check_invariants(&self) {
         for member in &self.members {
             let snapshot = member.config.snapshot();
-            assert!(
-                RouteTable::compile(&snapshot).is_ok(),
-                "a table that is not closed"
-            );
+            assert!(RouteTable::compile(&snapshot).is_ok(), "not closed");
             assert_eq!(member.config.table().generation(), snapshot.generation);
             assert_eq!(member.gossip.own().served, member.config.mark().generation);
         }
     }
 
     pub fn check_converged(&self) {
-        let head = read_head(self.store.as_ref()).expect("the store works");
+        let head = self.head();
         for member in &self.members {
-            assert!(
-                member.config.is_serving(),
-                "{} does not serve",
-                member.gossip.own().id
-            );
-            assert_eq!(member.config.mark(), head, "{}", member.gossip.own().id);
+            let id = &member.gossip.own().id;
+            assert!(member.config.is_serving(), "{id} does not serve");
+            assert_eq!(member.config.mark(), head, "{id}");
         }
     }
 
--- a/coltsfootweir/tests/mesh_machine.rs
+++ b/coltsfootweir/tests/mesh_machine.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod mesh;
+mod support;
 
 use common::fake_store::StoreFault;
 use common::fixed_config;
