--- a/coltsfootweir/tests/config_records.rs
+++ b/coltsfootweir/tests/config_records.rs
@@ -67,13 +67,7 @@
         any::<f64>().prop_map(Value::from),
         any_text(),
     ];
-    let keys = prop_oneof![
-        Just("kind"),
-        Just("schema"),
-        Just("name"),
-        Just("shares"),
-        Just("x")
-    ];
+    let keys = prop::sample::select(vec!["kind", "schema", "name", "shares", "x"]);
     leaf.prop_recursive(3, 24, 4, move |inner| {
         let fields = btree_map(keys.clone().prop_map(String::from), inner.clone(), 0..4);
         prop_oneof![
@@ -135,10 +129,8 @@
         panic!("{records:?}");
     };
     assert_eq!((first.retry_percent, second.retry_percent), (10, 3));
-    assert_eq!(
-        (third.share, fourth.share),
-        (TrafficShare::ALL, TrafficShare::NONE)
-    );
+    let shares = (third.share, fourth.share);
+    assert_eq!(shares, (TrafficShare::ALL, TrafficShare::NONE));
     let time = SystemTime::UNIX_EPOCH + Duration::from_secs(1_935_379_800);
     assert_eq!(fifth.done_by, time);
     assert_eq!(sixth.done_by, NOW + Duration::from_secs(60));
@@ -227,8 +219,6 @@
     let fault = parse_records("{\"kind\":", NOW).unwrap_err().remove(0);
     assert_eq!((&*fault.record, &*fault.field), ("body", "json"));
     let twice = json!([samples()[0], samples()[0]]);
-    assert_eq!(
-        faults(&twice),
-        ["record route/a: field name: given twice, again at position 2"]
-    );
+    let expected = "record route/a: field name: given twice, again at position 2";
+    assert_eq!(faults(&twice), [expected]);
 }
--- a/coltsfootweir/tests/config_removal.rs
+++ b/coltsfootweir/tests/config_removal.rs
@@ -31,22 +31,17 @@
 #[test]
 fn removal_keeps_the_configuration_closed() {
     let base = with_text(&ConfigSnapshot::default(), RECORDS);
-    let next = base
-        .without_records(&["upstream-version/stalls/v2".into()])
-        .expect("unused");
+    let next = base.without_records(&["upstream-version/stalls/v2".into()]);
+    let next = next.expect("unused");
     assert_eq!(next.generation, base.generation + 1);
     assert!(!next.versions.contains_key("stalls/v2"));
-    let faults = base
-        .without_records(&["upstream-version/stalls/v1".into()])
-        .expect_err("used");
-    assert!(
-        faults.iter().any(|fault| fault.record.contains("stalls")),
-        "{faults:?}"
-    );
+    let faults = base.without_records(&["upstream-version/stalls/v1".into()]);
+    let faults = faults.expect_err("used");
+    let is_named = faults.iter().any(|fault| fault.record.contains("stalls"));
+    assert!(is_named, "{faults:?}");
     let labels = ["route/free".into(), "route/none".into(), "river/x".into()];
-    let faults = base
-        .without_records(&labels)
-        .expect_err("two labels name nothing");
+    let faults = base.without_records(&labels);
+    let faults = faults.expect_err("two labels name nothing");
     let records: Vec<&str> = faults.iter().map(|fault| &*fault.record).collect();
     assert_eq!(records, ["route/none", "river/x"]);
 }
@@ -57,9 +52,8 @@
     let moving = with_text(&base, &move_text("to-v2", "v1", "v2", 60));
     assert!(moving.without_records(&["move/to-v2".into()]).is_err());
     let share = TrafficShare::default();
-    let ended = moving
-        .with_move_step("to-v2", MovePhase::TakenBack, share, "bad")
-        .expect("ends");
+    let ended = moving.with_move_step("to-v2", MovePhase::TakenBack, share, "bad");
+    let ended = ended.expect("ends");
     assert!(ended.without_records(&["move/to-v2".into()]).is_ok());
 }
 
@@ -74,14 +68,11 @@
             .with_move_step(&name, MovePhase::TakenBack, share, "bad")
             .expect("step is accepted");
     }
-    let running = move_text("last", "v1", "v2", 1);
-    snapshot = with_text(&snapshot, &running);
+    snapshot = with_text(&snapshot, &move_text("last", "v1", "v2", 1));
     assert_eq!(snapshot.moves.len(), ENDED_MOVES_KEPT + 1);
     assert!(snapshot.moves.contains_key("last"));
     assert!(!snapshot.moves.contains_key("move-0"));
     let oldest = snapshot.moves.values().map(|record| record.done_by).min();
-    assert_eq!(
-        oldest,
-        Some(SystemTime::UNIX_EPOCH + Duration::from_secs(1))
-    );
+    let last = SystemTime::UNIX_EPOCH + Duration::from_secs(1);
+    assert_eq!(oldest, Some(last));
 }
--- a/coltsfootweir/tests/config_routes.rs
+++ b/coltsfootweir/tests/config_routes.rs
@@ -23,9 +23,8 @@
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 
 fn with_all(records: Vec<ConfigRecord>) -> ConfigSnapshot {
-    first_snapshot()
-        .with_records(records)
-        .expect("the records are closed")
+    let next = first_snapshot().with_records(records);
+    next.expect("the records are closed")
 }
 
 /// Returns the calls of each version over all points.
@@ -126,21 +125,18 @@
         ("/?shared", "root"),
     ];
     for (path, name) in cases {
-        assert_eq!(
-            table.find(path).map(|route| &*route.name),
-            Some(name),
-            "{path}"
-        );
+        let found = table.find(path).map(|route| &*route.name);
+        assert_eq!(found, Some(name), "{path}");
     }
 }
 
 /// Faults that the change has, or an empty list.
 fn refused(base: &ConfigSnapshot, record: ConfigRecord) -> Vec<String> {
     let faults = base.with_records([record]).err().unwrap_or_default();
-    faults
+    let named = faults
         .iter()
-        .map(|fault| format!("{} {}", fault.record, fault.field))
-        .collect()
+        .map(|fault| format!("{} {}", fault.record, fault.field));
+    named.collect()
 }
 
 #[test]
@@ -170,24 +166,17 @@
     ];
     for (snapshot, record, expected) in cases {
         let found = refused(snapshot, record);
-        assert!(
-            !found.is_empty() && expected.starts_with(&found[0]),
-            "{found:?}, {expected}"
-        );
+        let is_named = !found.is_empty() && expected.starts_with(&found[0]);
+        assert!(is_named, "{found:?}, {expected}");
     }
     let total = refused(&base, ConfigRecord::Version(version("v2", 10, 0)));
     assert_eq!(total, ["upstream-version/stalls shares.checks"]);
     let kept = started.with_records([ConfigRecord::Move(later)]).unwrap();
-    assert_eq!(
-        kept.moves, started.moves,
-        "phase and share stay the system's"
-    );
+    assert_eq!(kept.moves, started.moves, "phase and share are kept");
     let again = ended.with_move_step("m", MovePhase::Done, TrafficShare::ALL, "");
     assert_eq!(&*again.unwrap_err()[0].field, "phase");
     let mut open = base.clone();
     open.versions.clear();
-    assert!(matches!(
-        RouteTable::compile(&open),
-        Err(SnapshotError::NotClosed(_))
-    ));
+    let compiled = RouteTable::compile(&open);
+    assert!(matches!(compiled, Err(SnapshotError::NotClosed(_))));
 }
--- a/coltsfootweir/tests/config_state.rs
+++ b/coltsfootweir/tests/config_state.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::cmp::Ordering;
+
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
@@ -75,17 +77,17 @@
 /// Returns the next accepted snapshot.
 fn next_accepted(last: &ConfigSnapshot, kind: u8) -> ConfigSnapshot {
     let number = last.generation + 1;
-    let current = last
-        .unended_move("stalls")
-        .map(|record| record.name.clone());
-    let serving = last
-        .versions
-        .values()
-        .find(|version| version.share == TrafficShare::ALL);
-    let (from, to) = if &*serving.unwrap().version == "v1" {
-        ("v1", "v2")
-    } else {
-        ("v2", "v1")
+    let current = last.unended_move("stalls");
+    let current = current.map(|record| record.name.clone());
+    let mut versions = last.versions.values();
+    let serving = versions.find(|version| version.share == TrafficShare::ALL);
+    let (from, to) = match &*serving.unwrap().version {
+        "v1" => ("v1", "v2"),
+        _ => ("v2", "v1"),
+    };
+    let step = |name: &str, phase, share, reason| {
+        let next = last.with_move_step(name, phase, share, reason);
+        next.unwrap()
     };
     let record = match (kind, current) {
         (0, _) => ConfigRecord::Route(route("shared", "stalls", number)),
@@ -96,19 +98,11 @@
                 checks: (number * 7 % 101) as u8,
                 bookings: 1,
             };
-            return last
-                .with_move_step(&name, MovePhase::Climbing, share, "")
-                .unwrap();
+            return step(&name, MovePhase::Climbing, share, "");
         }
         (3, Some(name)) => {
-            let phase = if number.is_multiple_of(2) {
-                MovePhase::Done
-            } else {
-                MovePhase::TakenBack
-            };
-            return last
-                .with_move_step(&name, phase, TrafficShare::NONE, "over")
-                .unwrap();
+            let phase = [MovePhase::Done, MovePhase::TakenBack][number as usize % 2];
+            return step(&name, phase, TrafficShare::NONE, "over");
         }
         _ => {
             let mut next = last.clone();
@@ -125,17 +119,17 @@
     match way % 3 {
         0 => drop(snapshot.versions.pop_first()),
         1 => drop(snapshot.routes.insert("x".into(), route("x", "nowhere", 1))),
-        _ => snapshot
-            .versions
-            .values_mut()
-            .for_each(|version| version.share.bookings = 49),
+        _ => {
+            for version in snapshot.versions.values_mut() {
+                version.share.bookings = 49;
+            }
+        }
     }
     snapshot
 }
 
 /// Returns the bytes and the mark of an offer as they arrive.
-fn arriving(bytes: Vec<u8>, mut mark: HeadMark, damage: Damage) -> (Vec<u8>, HeadMark) {
-    let mut bytes = bytes;
+fn arriving(mut bytes: Vec<u8>, mut mark: HeadMark, damage: Damage) -> (Vec<u8>, HeadMark) {
     match damage {
         Damage::Truncate(cut) => bytes.truncate(bytes.len() - 1 - cut % bytes.len()),
         Damage::Flip(bit) => {
@@ -160,21 +154,12 @@
         let marked = generation + usize::from(matches!(damage, Damage::Mark));
         let other_mark = matches!(damage, Damage::Mark)
             || matches!(damage, Damage::Unclose(_)) && generation > 0;
-        if marked < self.held {
-            return Expected::Older;
-        }
-        if marked == self.held {
-            return if other_mark {
-                Expected::Refused
-            } else {
-                Expected::Held
-            };
-        }
         let fits = base.is_none_or(|base| base == self.held);
-        if fits && matches!(damage, Damage::None) {
-            Expected::Applied
-        } else {
-            Expected::Refused
+        match marked.cmp(&self.held) {
+            Ordering::Less => Expected::Older,
+            Ordering::Equal if !other_mark => Expected::Held,
+            Ordering::Greater if fits && matches!(damage, Damage::None) => Expected::Applied,
+            _ => Expected::Refused,
         }
     }
 
@@ -199,16 +184,15 @@
 
     fn init_state() -> BoxedStrategy<Oracle> {
         let history = vec![ConfigSnapshot::default(), first_snapshot()];
-        let expected = Expected::Refused;
-        Just(Oracle {
+        let oracle = Oracle {
             history,
             held: 0,
             floor: 0,
             settled: false,
             served: 0,
-            expected,
-        })
-        .boxed()
+            expected: Expected::Refused,
+        };
+        Just(oracle).boxed()
     }
 
     fn transitions(state: &Oracle) -> BoxedStrategy<Step> {
@@ -249,11 +233,7 @@
             Step::OfferDelta(from, to, damage) => {
                 state.expected = state.expect(to, Some(from), damage);
             }
-            Step::Restart => {
-                state.held = 0;
-                state.floor = 0;
-                state.settled = false;
-            }
+            Step::Restart => (state.held, state.floor, state.settled) = (0, 0, false),
             Step::TellFloor(floor) => state.floor = state.floor.max(floor),
             Step::Settle => {
                 state.floor = state.floor.max(state.served);
@@ -335,25 +315,19 @@
         assert_eq!(*snapshot, *expected, "the snapshot in force is whole");
         assert_eq!(state.mark(), expected.mark());
         assert_eq!(table.generation(), expected.generation);
-        snapshot
-            .check_closure()
-            .expect("the snapshot in force is closed");
+        assert_eq!(snapshot.check_closure(), Ok(()));
         for route in expected.routes.values() {
             assert_eq!(table.find(&format!("{}/x?y", route.prefix)), Some(route));
-            assert!(
-                table
-                    .pick(&route.service, RouteClass::Check, |_| false, 99)
-                    .is_some()
-            );
+            let version = table.pick(&route.service, RouteClass::Check, |_| false, 99);
+            assert!(version.is_some());
         }
         assert_eq!(state.is_serving(), oracle.is_serving());
-        if state.is_serving() {
-            assert!(
-                oracle.held >= oracle.served,
-                "served {} before",
-                oracle.served
-            );
-        }
+        let is_older = oracle.held < oracle.served;
+        assert!(
+            !(state.is_serving() && is_older),
+            "served {}",
+            oracle.served
+        );
         for base in oracle.history.iter().rev().take(KEPT_SNAPSHOTS) {
             let Some(delta) = state.recent_delta(base.generation) else {
                 continue;
--- a/coltsfootweir/tests/entry_merge.rs
+++ b/coltsfootweir/tests/entry_merge.rs
@@ -17,12 +17,8 @@
 use support::entry_of;
 
 fn state() -> impl Strategy<Value = MemberState> {
-    prop_oneof![
-        Just(MemberState::Alive),
-        Just(MemberState::Suspect),
-        Just(MemberState::Dead),
-        Just(MemberState::Left),
-    ]
+    use MemberState::*;
+    prop::sample::select(vec![Alive, Suspect, Dead, Left])
 }
 
 prop_compose! {
--- a/coltsfootweir/tests/job_rank.rs
+++ b/coltsfootweir/tests/job_rank.rs
@@ -35,10 +35,8 @@
     }
     // 200 each on average; the bounds are five standard deviations away.
     assert_eq!(held.len(), 40);
-    assert!(
-        held.values().all(|jobs| (130..=270).contains(jobs)),
-        "{held:?}"
-    );
+    let is_even = held.values().all(|jobs| (130..=270).contains(jobs));
+    assert!(is_even, "{held:?}");
 }
 
 proptest! {
