--- a/programs/tests/common/operator.rs
+++ b/programs/tests/common/operator.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+use super::PlatformProcess;
 use super::run_operator;
 
 /// How a run of the operator's program ended.
@@ -18,6 +19,18 @@
     }
 }
 
+impl PlatformProcess {
+    /// Runs the operator's program on this platform.
+    pub fn operate(&self, arguments: &str, input: &str) -> OperatorRun {
+        operate(&format!("{arguments} --platform {}", self.address), input)
+    }
+
+    /// Runs it on this platform and wants success and JSON.
+    pub fn operate_json(&self, arguments: &str, input: &str) -> Value {
+        operate_json(&format!("{arguments} --platform {}", self.address), input)
+    }
+}
+
 /// Runs the operator's program with arguments separated by blanks.
 pub fn operate(arguments: &str, input: &str) -> OperatorRun {
     let arguments: Vec<&str> = arguments.split_whitespace().collect();
--- a/programs/tests/common/test_net.rs
+++ b/programs/tests/common/test_net.rs
@@ -11,6 +11,8 @@
 
 use coltsfootweir::dialer::PeerDialer;
 
+use super::free_address;
+
 /// Region in which the store stands.
 pub const NORTH: &str = "north";
 
@@ -72,6 +74,13 @@
         detours.insert((from, peer), through);
     }
 
+    /// Keeps two daemons from reaching each other.
+    pub fn part(&self, one: SocketAddr, two: SocketAddr) {
+        let dead_end = free_address();
+        self.set_detour(one, two, dead_end);
+        self.set_detour(two, one, dead_end);
+    }
+
     /// Lets connections of `from` go to `peer` again.
     pub fn clear_detour(&self, from: SocketAddr, peer: SocketAddr) {
         self.detours.lock().expect("detours").remove(&(from, peer));
