Members of the gossip fleet are introduced by a real message; pings through a delay stand apart

Cause: a request of 15 fields was written out to introduce members, and a one-line defect (the delay counted from when a chunk is passed on, not from its arrival) survived the relay's test, since the relay passed all pings on as one chunk; it would have survived the test before as well. Change: the request is what a member with a seed sends; the pings are 5 ms apart. Ruled out: reading each answer before the next ping, which no relay could answer faster.

--- a/coltsfootweir/tests/support/mod.rs
+++ b/coltsfootweir/tests/support/mod.rs
@@ -283,29 +283,11 @@
 fn introduction(entries: &[MemberEntry], member: usize) -> GossipMessage {
     let other = entry_of((member + 2) % entries.len(), 1);
     let mut sender = GossipState::new(other, GossipLimits::default(), 0);
-    let mut message = sender.receive(blank_request(&entries[member]), Duration::ZERO);
+    sender.add_seeds([address_of(member)]);
+    let GossipAction::Exchange { message, .. } = sender.tick(Duration::ZERO).remove(0);
+    let mut message = message;
     message.entries = entries.to_vec();
     let (members, ended) = (PackedNumbers(Vec::new()), Vec::new());
     message.repair = Some(RepairPart::Wanted { members, ended });
     message
 }
-
-fn blank_request(entry: &MemberEntry) -> GossipMessage {
-    GossipMessage {
-        from: entry.id.clone(),
-        region: entry.region.clone(),
-        incarnation: entry.incarnation,
-        served: 0,
-        head: HeadMark::default(),
-        digest: Default::default(),
-        entries: Vec::new(),
-        served_batches: Vec::new(),
-        condemned: Vec::new(),
-        crashes: Vec::new(),
-        regions: Vec::new(),
-        probe: None,
-        floor_wanted: false,
-        floor: None,
-        repair: None,
-    }
-}
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -13,6 +13,7 @@
 use standins::relay::RelayBytes;
 use standins::relay::RelayMode;
 use standins::relay::TcpRelay;
+use standins::wait::wait_until;
 
 /// Bound on anything that is to happen soon.
 const SOON: Duration = Duration::from_secs(3);
@@ -116,8 +117,11 @@
     relay.set_mode(RelayMode::Delay(delay));
     let mut stream = connect(&relay);
     let start = Instant::now();
+    stream.set_nodelay(true).unwrap();
     for _ in 0..40 {
         stream.write_all(b"ping").unwrap();
+        // Apart, or the relay would pass them on as one.
+        wait_until(Duration::from_millis(5), || false);
     }
     let mut bytes = [0; 160];
     stream.read_exact(&mut bytes).unwrap();
