Claims of keys that carry their time are removed once nobody can run them again

Cause: each booking with a caller's key leaves a row for ever. A key that says nothing of its age cannot be told from a new one after its row is gone, so no row could be removed (docs/design/bookings.md).

Ruled out, weighed in docs/design/retention.md: a lifetime set at the platform and a time in the row (a resend after it runs again); a row of the hour removed last, read after each claim (a read and a round trip for each booking); an age limit that operators can raise (keys whose rows went would be claimed anew); "not run" for an expired key (its caller would book again with a new key, while an earlier attempt may have run).

Change: a UUID of version 7 (crate `uuid`, no default features) is claimed only while it is at most 24 h old, by a row sorted by the hour of the key. Its age is judged before the claim and again after the claim's answer, because a claim that lands after the removal would win. An older key asks ledger and row, else is in doubt (`key-expired`); one over an hour ahead likewise, else not run (`key-from-future`). One member of the store's region removes rows older than 48 h, at most 10 pages of 50 rows a second, through a bounded listing that the platform, its HTTP client and the stand-in now have. `--claim-layout both`, the default, also writes the row that earlier builds look for; removal takes both. Counts in metrics and `status`. Keys of other forms: as before.

Clock assumption: two daemons' clocks differ by less than 24 h.

An idle pass is one read, a full pass at most 20 operations (test).

Conclusion: rows of timed keys are bounded; rows of other callers' keys still grow and are counted.

--- a/coltsfootweir/src/booking.rs
+++ b/coltsfootweir/src/booking.rs
@@ -3,7 +3,9 @@
 //! A booking with a minted key runs only at the daemon that minted it, in the incarnation that did.
 //! A booking with a caller's key runs only at the daemon that claimed the key by a table row, in the
 //! incarnation that did. So one ledger in memory decides on every run; when it is gone, the booking
-//! is in doubt and never runs again. Claim rows must outlive every repeat of their key.
+//! is in doubt and never runs again. A claim row must outlive every repeat of its key that would be
+//! claimed anew: the age of a key is looked at before the claim and again after it was written, so
+//! that a claim that took effect after the removal of an earlier one is not run.
 //!
 //! "Not run" speaks of the attempt it answers. Where this ledger knows of an earlier attempt that
 //! ran or may have run, it says so instead.
@@ -12,49 +14,24 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use crate::answer_cache::AnswerCache;
 use crate::answer_cache::StoredAnswer;
 use crate::booking_decision::BookingDecision;
 use crate::booking_decision::ClaimRow;
 use crate::booking_decision::LedgerLimits;
+use crate::booking_entry::BookingEntry;
+use crate::booking_entry::EntryState;
 use crate::booking_key::BookingKey;
+use crate::clock::ClockReading;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
+use crate::key_age::KeyAge;
 use crate::outcome::DoubtReason;
 use crate::outcome::RefusalReason;
 
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum EntryState {
-    /// A claim is being written; the first claim since the entry was made had this ticket.
-    Claiming(u64),
-    /// A claim may have been written; first ticket as above.
-    ClaimUnknown(u64),
-    /// May run here and has not.
-    Held,
-    /// About to be handed over.
-    Admitted,
-    /// Handed over.
-    Running,
-    /// Ran; the cache may have the answer.
-    Done,
-    /// May have run here.
-    Doubtful(DoubtReason),
-    /// May have run in an earlier incarnation, or in this one before the key was forgotten; which
-    /// request it was is not known.
-    Lost(DoubtReason),
-    /// Claimed by a different daemon.
-    Owned(MemberId, Incarnation),
-}
-
-#[derive(Debug)]
-struct BookingEntry {
-    fingerprint: Fingerprint,
-    state: EntryState,
-    number: u64,
-}
-
 /// What one incarnation of a daemon knows of the bookings it may run.
 #[derive(Debug)]
 pub struct BookingLedger {
@@ -117,7 +94,7 @@
         &mut self,
         key: &BookingKey,
         fingerprint: Fingerprint,
-        now: Duration,
+        clock: ClockReading,
     ) -> BookingDecision {
         if let Some(decision) = self.check_owner(key) {
             return decision;
@@ -125,25 +102,31 @@
         match self.entry(key) {
             Some(entry) => {
                 let is_same = entry.fingerprint == fingerprint;
-                self.resume(key, fingerprint, is_same, now)
+                self.resume(key, fingerprint, is_same, clock)
             }
-            None => self.begin_new(key, fingerprint),
+            None => self.begin_new(key, fingerprint, clock.wall),
         }
     }
 
-    /// Reports that the claim was committed.
-    pub fn claimed(&mut self, key: &BookingKey) -> BookingDecision {
+    /// Reports that the claim was committed; `wall` was read after the commit.
+    pub fn claimed(&mut self, key: &BookingKey, wall: SystemTime) -> BookingDecision {
+        let is_expired = self.is_expired(key, wall);
         match self.entry_mut(key) {
             Some(entry) if matches!(entry.state, EntryState::Claiming(_)) => {
-                entry.state = EntryState::Admitted;
-                BookingDecision::Run
+                entry.admit(is_expired)
             }
             _ => BookingDecision::InDoubt(DoubtReason::AnswerDropped),
         }
     }
 
-    /// Reports that the key was claimed before, and by which row.
-    pub fn claim_lost(&mut self, key: &BookingKey, row: &ClaimRow) -> BookingDecision {
+    /// Reports that the key was claimed before, and by which row; `wall` was read after the row.
+    pub fn claim_lost(
+        &mut self,
+        key: &BookingKey,
+        row: &ClaimRow,
+        wall: SystemTime,
+    ) -> BookingDecision {
+        let is_expired = self.is_expired(key, wall);
         let is_member = row.owner == self.member;
         let is_own = is_member && row.incarnation == self.incarnation;
         let Some(entry) = self.entry_mut(key) else {
@@ -157,8 +140,7 @@
             return BookingDecision::Elsewhere(row.owner.clone(), row.incarnation);
         }
         if is_own && row.ticket >= first_ticket {
-            entry.state = EntryState::Admitted;
-            return BookingDecision::Run;
+            return entry.admit(is_expired);
         }
         let reason = if is_own {
             DoubtReason::AnswerDropped
@@ -169,16 +151,26 @@
         BookingDecision::InDoubt(reason)
     }
 
-    /// Reports that it is not known whether the claim was written, or that it was not.
-    pub fn claim_unknown(&mut self, key: &BookingKey) -> BookingDecision {
-        if let Some(entry) = self.entry_mut(key)
-            && let EntryState::Claiming(first_ticket) = entry.state
-        {
-            entry.state = EntryState::ClaimUnknown(first_ticket);
+    /// Reports that it is not known whether the claim was written, or that it was not, or that no
+    /// row could be read.
+    pub fn claim_unknown(&mut self, key: &BookingKey, wall: SystemTime) -> BookingDecision {
+        self.end_claim(key);
+        if self.is_expired(key, wall) {
+            return BookingDecision::InDoubt(DoubtReason::KeyExpired);
         }
         BookingDecision::NotRun(RefusalReason::StoreUnavailable)
     }
 
+    /// Reports that the key has no claim row. Where the row may have been removed, nobody knows
+    /// whether an earlier attempt ran.
+    pub fn claim_missing(&mut self, key: &BookingKey, wall: SystemTime) -> BookingDecision {
+        self.end_claim(key);
+        match self.limits.ages.judge(key, wall) {
+            KeyAge::Early => BookingDecision::NotRun(RefusalReason::KeyFromFuture),
+            _ => BookingDecision::InDoubt(DoubtReason::KeyExpired),
+        }
+    }
+
     /// Notes the hand-over to the upstream; when this returns `false` the booking must not be
     /// handed over.
     #[must_use]
@@ -212,7 +204,7 @@
             return;
         };
         match entry.state {
-            EntryState::Claiming(first) => entry.state = EntryState::ClaimUnknown(first),
+            EntryState::Claiming(_) => entry.end_claim(),
             EntryState::Admitted | EntryState::Running => entry.state = EntryState::Held,
             _ => {}
         }
@@ -248,7 +240,7 @@
             | EntryState::Doubtful(_)
             | EntryState::Lost(_) => {
                 let is_same = entry.fingerprint == fingerprint;
-                Some(self.resume(key, fingerprint, is_same, now))
+                Some(self.recall(key, is_same, now))
             }
             _ => None,
         }
@@ -294,7 +286,12 @@
         None
     }
 
-    fn begin_new(&mut self, key: &BookingKey, fingerprint: Fingerprint) -> BookingDecision {
+    fn begin_new(
+        &mut self,
+        key: &BookingKey,
+        fingerprint: Fingerprint,
+        wall: SystemTime,
+    ) -> BookingDecision {
         let number = self.next_number;
         self.next_number += 1;
         let mut entry = BookingEntry {
@@ -315,7 +312,7 @@
                 self.callers.insert(text.clone(), entry);
                 self.caller_order.push_back((number, text.clone()));
                 self.forget_callers();
-                BookingDecision::Claim(self.claim_row(number))
+                self.claim(key, number, wall)
             }
         }
     }
@@ -325,38 +322,69 @@
         key: &BookingKey,
         fingerprint: Fingerprint,
         is_same: bool,
-        now: Duration,
+        clock: ClockReading,
     ) -> BookingDecision {
         let ticket = self.next_number;
-        let row = self.claim_row(ticket);
         let Some(entry) = self.entry_mut(key) else {
             return BookingDecision::InDoubt(DoubtReason::AnswerDropped);
         };
-        match entry.state.clone() {
+        match entry.state {
             EntryState::ClaimUnknown(first_ticket) => {
                 entry.fingerprint = fingerprint;
                 entry.state = EntryState::Claiming(first_ticket);
                 self.next_number += 1;
-                BookingDecision::Claim(row)
+                self.claim(key, ticket, clock.wall)
             }
             EntryState::Held => {
                 entry.fingerprint = fingerprint;
                 entry.state = EntryState::Admitted;
                 BookingDecision::Run
             }
-            EntryState::Owned(owner, incarnation) => BookingDecision::Elsewhere(owner, incarnation),
-            EntryState::Lost(reason) => BookingDecision::InDoubt(reason),
+            _ => self.recall(key, is_same, clock.now),
+        }
+    }
+
+    /// Says what is known of a key that has an entry, without an attempt to run it.
+    fn recall(&mut self, key: &BookingKey, is_same: bool, now: Duration) -> BookingDecision {
+        let Some(entry) = self.entry(key) else {
+            return BookingDecision::InDoubt(DoubtReason::AnswerDropped);
+        };
+        match &entry.state {
+            EntryState::Owned(owner, incarnation) => {
+                BookingDecision::Elsewhere(owner.clone(), *incarnation)
+            }
+            EntryState::Lost(reason) => BookingDecision::InDoubt(*reason),
             // Until the claim is settled, this very request may have run at a different daemon.
-            EntryState::Claiming(_) => BookingDecision::InDoubt(DoubtReason::StillRunning),
+            EntryState::Claiming(_) | EntryState::ClaimUnknown(_) => {
+                BookingDecision::InDoubt(DoubtReason::StillRunning)
+            }
             _ if !is_same => BookingDecision::NotRun(RefusalReason::KeyReused),
-            EntryState::Admitted | EntryState::Running => {
+            EntryState::Held | EntryState::Admitted | EntryState::Running => {
                 BookingDecision::InDoubt(DoubtReason::StillRunning)
             }
-            EntryState::Doubtful(reason) => BookingDecision::InDoubt(reason),
+            EntryState::Doubtful(reason) => BookingDecision::InDoubt(*reason),
             EntryState::Done => self.replay(key, now),
         }
     }
 
+    /// Decides how to settle whose key it is: by a claim, or by a look where a claim is too late.
+    fn claim(&self, key: &BookingKey, ticket: u64, wall: SystemTime) -> BookingDecision {
+        match self.limits.ages.judge(key, wall) {
+            KeyAge::Untimed | KeyAge::Current => BookingDecision::Claim(self.claim_row(ticket)),
+            KeyAge::Expired | KeyAge::Early => BookingDecision::ReadClaim,
+        }
+    }
+
+    fn is_expired(&self, key: &BookingKey, wall: SystemTime) -> bool {
+        self.limits.ages.judge(key, wall) == KeyAge::Expired
+    }
+
+    fn end_claim(&mut self, key: &BookingKey) {
+        if let Some(entry) = self.entry_mut(key) {
+            entry.end_claim();
+        }
+    }
+
     fn replay(&mut self, key: &BookingKey, now: Duration) -> BookingDecision {
         match self.answers.get(key, now) {
             Some(answer) => BookingDecision::Replay(answer.clone()),
@@ -420,12 +448,3 @@
         }
     }
 }
-
-impl BookingEntry {
-    fn is_in_flight(&self) -> bool {
-        matches!(
-            self.state,
-            EntryState::Claiming(_) | EntryState::Admitted | EntryState::Running
-        )
-    }
-}
--- a/coltsfootweir/src/booking_call.rs
+++ b/coltsfootweir/src/booking_call.rs
@@ -8,7 +8,6 @@
 
 use crate::answer_cache::StoredAnswer;
 use crate::booking_decision::BookingDecision;
-use crate::booking_decision::ClaimRow;
 use crate::booking_key::BookingKey;
 use crate::call::BOOKING_KEY;
 use crate::call::CallReply;
@@ -18,6 +17,7 @@
 use crate::call::refuse;
 use crate::claim::ClaimOutcome;
 use crate::claim::ClaimRequest;
+use crate::claim::ClaimWork;
 use crate::context::DaemonContext;
 use crate::context::lock;
 use crate::deadline::CallDeadline;
@@ -64,9 +64,15 @@
     let running = RunningCount::start(&context.bookings_running);
     let task = tokio::spawn(async move {
         let _running = running;
-        let decision = lock(&context.ledger).begin(&key, call.fingerprint, context.now());
+        let decision = lock(&context.ledger).begin(&key, call.fingerprint, context.clock_reading());
         let decision = match decision {
-            BookingDecision::Claim(row) => claim_key(&context, &route, deadline, &key, row).await,
+            BookingDecision::Claim(row) => {
+                let work = ClaimWork::Write(row);
+                settle_claim(&context, &route, deadline, &key, work).await
+            }
+            BookingDecision::ReadClaim => {
+                settle_claim(&context, &route, deadline, &key, ClaimWork::Read).await
+            }
             decision => decision,
         };
         follow_decision(&context, &call, &route, deadline, &key, decision).await
@@ -93,23 +99,26 @@
         BookingDecision::InDoubt(reason) => doubt(reason),
         BookingDecision::NotRun(reason) => refuse(reason),
         BookingDecision::Elsewhere(owner, _) => point_to(&owner),
-        BookingDecision::Claim(_) => refuse(RefusalReason::StoreUnavailable),
+        BookingDecision::Claim(_) | BookingDecision::ReadClaim => {
+            refuse(RefusalReason::StoreUnavailable)
+        }
     }
 }
 
-async fn claim_key(
+/// Has the claim row written or read, and reports to the ledger what came of it.
+async fn settle_claim(
     context: &Arc<DaemonContext>,
     route: &RouteRecord,
     deadline: CallDeadline,
     key: &BookingKey,
-    row: ClaimRow,
+    work: ClaimWork,
 ) -> BookingDecision {
     let (answer, outcome) = flume::bounded(1);
     let service = route.service.clone();
     let request = ClaimRequest {
         service,
         key: key.to_string().into(),
-        row,
+        work,
         answer,
     };
     // A full queue drops the request, and with it the sender: the claim is then unknown at once.
@@ -119,11 +128,14 @@
         Ok(Ok(outcome)) => outcome,
         _ => ClaimOutcome::Unknown,
     };
+    // Read after the outcome, so that a claim written too late is seen as such.
+    let wall = context.clock.wall();
     let mut ledger = lock(&context.ledger);
     match outcome {
-        ClaimOutcome::Claimed => ledger.claimed(key),
-        ClaimOutcome::Taken(row) => ledger.claim_lost(key, &row),
-        ClaimOutcome::Unknown => ledger.claim_unknown(key),
+        ClaimOutcome::Claimed => ledger.claimed(key, wall),
+        ClaimOutcome::Taken(row) => ledger.claim_lost(key, &row, wall),
+        ClaimOutcome::Missing => ledger.claim_missing(key, wall),
+        ClaimOutcome::Unknown => ledger.claim_unknown(key, wall),
     }
 }
 
--- a/coltsfootweir/src/booking_decision.rs
+++ b/coltsfootweir/src/booking_decision.rs
@@ -7,6 +7,7 @@
 use crate::answer_cache::StoredAnswer;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
+use crate::key_age::KeyAgeLimits;
 use crate::outcome::DoubtReason;
 use crate::outcome::RefusalReason;
 
@@ -30,6 +31,9 @@
     /// Write this claim row first, then report what became of the write: `claimed`, `claim_lost` or
     /// `claim_unknown`; `not_run` when the attempt is given up meanwhile.
     Claim(ClaimRow),
+    /// Read the claim row of a key that must not be claimed now, then report it: `claim_lost`,
+    /// `claim_missing` or `claim_unknown`; `not_run` as above.
+    ReadClaim,
     /// Give the caller the first answer.
     Replay(StoredAnswer),
     /// It may have run.
@@ -49,6 +53,8 @@
     pub callers: usize,
     /// Bounds of the answers kept.
     pub answers: CacheLimits,
+    /// Ages at which callers' keys are claimed.
+    pub ages: KeyAgeLimits,
 }
 
 impl Default for LedgerLimits {
@@ -57,6 +63,7 @@
             minted: 65_536,
             callers: 65_536,
             answers: CacheLimits::default(),
+            ages: KeyAgeLimits::default(),
         }
     }
 }
--- a/coltsfootweir/src/booking_key.rs
+++ b/coltsfootweir/src/booking_key.rs
@@ -1,6 +1,13 @@
 //! Keys of bookings, carried in `idempotency-key`.
 
 use std::fmt;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use uuid::Uuid;
+use uuid::Variant;
+use uuid::Version;
 
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
@@ -65,6 +72,25 @@
             .filter(|key| key.to_string() == text)
             .ok_or(KeyError::NotMinted)
     }
+
+    /// Returns the time that a caller's key carries.
+    #[must_use]
+    pub fn time(&self) -> Option<SystemTime> {
+        match self {
+            BookingKey::Minted { .. } => None,
+            BookingKey::Caller(text) => key_time(text),
+        }
+    }
+}
+
+/// Returns the time in the text of a caller's key, which it carries when it is a UUID of version 7.
+#[must_use]
+pub fn key_time(text: &str) -> Option<SystemTime> {
+    let uuid = Uuid::try_parse(text).ok()?;
+    let is_timed =
+        uuid.get_version() == Some(Version::SortRand) && uuid.get_variant() == Variant::RFC4122;
+    let (seconds, nanos) = uuid.get_timestamp().filter(|_| is_timed)?.to_unix();
+    Some(UNIX_EPOCH + Duration::new(seconds, nanos))
 }
 
 fn is_key_byte(byte: u8) -> bool {
--- a/coltsfootweir/src/call.rs
+++ b/coltsfootweir/src/call.rs
@@ -266,7 +266,9 @@
     match outcome {
         CallOutcome::Ran => StatusCode::OK,
         CallOutcome::NotRun(RefusalReason::NoRoute) => StatusCode::NOT_FOUND,
-        CallOutcome::NotRun(RefusalReason::BadKey) => StatusCode::BAD_REQUEST,
+        CallOutcome::NotRun(RefusalReason::BadKey | RefusalReason::KeyFromFuture) => {
+            StatusCode::BAD_REQUEST
+        }
         CallOutcome::NotRun(RefusalReason::KeyReused) => StatusCode::CONFLICT,
         CallOutcome::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
         CallOutcome::InDoubt(_) => StatusCode::BAD_GATEWAY,
--- a/coltsfootweir/src/claim.rs
+++ b/coltsfootweir/src/claim.rs
@@ -11,6 +11,9 @@
 use log::warn;
 
 use crate::booking_decision::ClaimRow;
+use crate::claim_row::ClaimLayout;
+use crate::claim_row::ClaimRowKeys;
+use crate::claim_row::ClaimValue;
 use crate::context::DaemonContext;
 use crate::ids::Incarnation;
 use crate::ids::ServiceName;
@@ -23,6 +26,7 @@
 use crate::platform::RowCondition;
 use crate::platform::RowWrite;
 use crate::platform::WriteBatch;
+use crate::retention_tally::RetentionTally;
 
 /// Claims written in one batch.
 const BATCH_LIMIT: usize = 64;
@@ -37,19 +41,30 @@
     Claimed,
     /// The key was claimed before, by this row.
     Taken(ClaimRow),
-    /// It is not known whether the row was written.
+    /// No row claims the key; told only of a read.
+    Missing,
+    /// It is not known whether the row was written, or the row could not be read.
     Unknown,
 }
 
-/// A claim to be written.
+/// What is to be done about a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimWork {
+    /// Write this row when there is none.
+    Write(ClaimRow),
+    /// Only read the row.
+    Read,
+}
+
+/// A claim to be written or read.
 #[derive(Debug)]
 pub struct ClaimRequest {
     /// Service of the booking.
     pub service: ServiceName,
     /// Key that the caller made.
     pub key: Box<str>,
-    /// Row to write when there is none.
-    pub row: ClaimRow,
+    /// What to do.
+    pub work: ClaimWork,
     /// Gets the outcome.
     pub answer: Sender<ClaimOutcome>,
 }
@@ -67,12 +82,18 @@
         let Some(requests) = context.take_claim_queue() else {
             return;
         };
+        let table = ClaimTable {
+            store: context.platform.as_ref(),
+            incarnation: context.incarnation,
+            layout: context.settings.claim_layout,
+            tally: &context.retention,
+        };
         while !stop.is_set() {
             let batch = collect_batch(&requests);
             if batch.is_empty() {
                 continue;
             }
-            write_claims(context.platform.as_ref(), context.incarnation, batch);
+            table.settle(batch);
         }
     }
 }
@@ -95,75 +116,132 @@
     batch
 }
 
-/// Writes a batch; when a key of it was claimed before, each claim is written by itself.
-fn write_claims(store: &dyn PlatformStore, incarnation: Incarnation, batch: Vec<ClaimRequest>) {
-    let writes = batch.iter().map(claim_write).collect();
-    match commit(store, incarnation, writes) {
-        Ok(CommitOutcome::Committed) => {
-            for request in batch {
-                let _ = request.answer.send(ClaimOutcome::Claimed);
+/// The table as claims are written to it.
+struct ClaimTable<'a> {
+    store: &'a dyn PlatformStore,
+    incarnation: Incarnation,
+    layout: ClaimLayout,
+    tally: &'a RetentionTally,
+}
+
+impl ClaimTable<'_> {
+    /// Settles a batch of requests: writes together, then reads one by one.
+    fn settle(&self, batch: Vec<ClaimRequest>) {
+        let mut claims = Vec::new();
+        let mut looks = Vec::new();
+        for request in batch {
+            match request.work {
+                ClaimWork::Write(_) => claims.push(request),
+                ClaimWork::Read => looks.push(request),
             }
         }
-        Ok(CommitOutcome::Conflict(_)) => {
-            for request in batch {
-                let outcome = write_one(store, incarnation, &request);
-                let _ = request.answer.send(outcome);
+        if !claims.is_empty() {
+            self.write_claims(claims);
+        }
+        for request in looks {
+            if request.answer.is_disconnected() {
+                continue;
             }
+            let _ = request
+                .answer
+                .send(self.read_claim(&self.row_keys(&request)));
         }
-        Err(()) => {
-            for request in batch {
-                let _ = request.answer.send(ClaimOutcome::Unknown);
+    }
+
+    /// Writes a batch; when a key of it was claimed before, each claim is written by itself.
+    fn write_claims(&self, batch: Vec<ClaimRequest>) {
+        let writes = batch.iter().flat_map(|request| self.claim_writes(request));
+        match self.commit(writes.collect()) {
+            Ok(CommitOutcome::Committed) => {
+                for request in batch {
+                    self.tell_claimed(&request);
+                }
+            }
+            Ok(CommitOutcome::Conflict(_)) => {
+                for request in batch {
+                    self.write_one(&request);
+                }
+            }
+            Err(()) => {
+                for request in batch {
+                    let _ = request.answer.send(ClaimOutcome::Unknown);
+                }
             }
         }
     }
-}
 
-fn write_one(
-    store: &dyn PlatformStore,
-    incarnation: Incarnation,
-    request: &ClaimRequest,
-) -> ClaimOutcome {
-    match commit(store, incarnation, vec![claim_write(request)]) {
-        Ok(CommitOutcome::Committed) => ClaimOutcome::Claimed,
-        Ok(CommitOutcome::Conflict(key)) => read_claim(store, &key),
-        Err(()) => ClaimOutcome::Unknown,
+    fn write_one(&self, request: &ClaimRequest) {
+        let outcome = match self.commit(self.claim_writes(request)) {
+            Ok(CommitOutcome::Committed) => return self.tell_claimed(request),
+            Ok(CommitOutcome::Conflict(_)) => match self.read_claim(&self.row_keys(request)) {
+                // The row was removed since the conflict.
+                ClaimOutcome::Missing => ClaimOutcome::Unknown,
+                outcome => outcome,
+            },
+            Err(()) => ClaimOutcome::Unknown,
+        };
+        let _ = request.answer.send(outcome);
     }
-}
 
-fn read_claim(store: &dyn PlatformStore, key: &str) -> ClaimOutcome {
-    let Ok(Some(row)) = store.read_row(key) else {
-        return ClaimOutcome::Unknown;
-    };
-    match serde_json::from_str(&row.value) {
-        Ok(row) => ClaimOutcome::Taken(row),
-        Err(error) => {
-            warn!(target: CALLS, "claim row {key} not understood: {error}");
-            ClaimOutcome::Unknown
+    fn tell_claimed(&self, request: &ClaimRequest) {
+        self.tally.add_claim(self.row_keys(request).timed.is_some());
+        let _ = request.answer.send(ClaimOutcome::Claimed);
+    }
+
+    /// Reads whichever row claims the key.
+    fn read_claim(&self, keys: &ClaimRowKeys) -> ClaimOutcome {
+        for key in keys.iter() {
+            let row = match self.store.read_row(key) {
+                Ok(Some(row)) => row,
+                Ok(None) => continue,
+                Err(_) => return ClaimOutcome::Unknown,
+            };
+            let value: Result<ClaimValue, _> = serde_json::from_str(&row.value);
+            return match value {
+                Ok(value) => ClaimOutcome::Taken(value.row),
+                Err(error) => {
+                    warn!(target: CALLS, "claim row {key} not understood: {error}");
+                    ClaimOutcome::Unknown
+                }
+            };
         }
+        ClaimOutcome::Missing
     }
-}
 
-fn claim_write(request: &ClaimRequest) -> RowWrite {
-    let value = serde_json::to_string(&request.row).unwrap_or_default();
-    RowWrite {
-        key: format!("claim/{}/{}", request.service, request.key).into(),
-        condition: RowCondition::Absent,
-        value: Some(value.into()),
+    fn row_keys(&self, request: &ClaimRequest) -> ClaimRowKeys {
+        ClaimRowKeys::of(&request.service, &request.key, self.layout)
     }
-}
 
-fn commit(
-    store: &dyn PlatformStore,
-    incarnation: Incarnation,
-    writes: Vec<RowWrite>,
-) -> Result<CommitOutcome, ()> {
-    static COUNTER: AtomicU64 = AtomicU64::new(0);
-    let count = COUNTER.fetch_add(1, Ordering::Relaxed);
-    let batch = WriteBatch {
-        write_id: format!("claim-{incarnation}-{count}").into(),
-        writes,
-    };
-    store.commit(&batch).map_err(|error| {
-        warn!(target: CALLS, "claims not written: {error}");
-    })
+    fn claim_writes(&self, request: &ClaimRequest) -> Vec<RowWrite> {
+        let ClaimWork::Write(row) = &request.work else {
+            return Vec::new();
+        };
+        let keys = self.row_keys(request);
+        let value = ClaimValue {
+            row: row.clone(),
+            is_paired: keys.is_paired(),
+        };
+        let text = serde_json::to_string(&value).unwrap_or_default();
+        let mut writes = Vec::new();
+        for key in keys.iter() {
+            writes.push(RowWrite {
+                key: key.into(),
+                condition: RowCondition::Absent,
+                value: Some(text.as_str().into()),
+            });
+        }
+        writes
+    }
+
+    fn commit(&self, writes: Vec<RowWrite>) -> Result<CommitOutcome, ()> {
+        static COUNTER: AtomicU64 = AtomicU64::new(0);
+        let count = COUNTER.fetch_add(1, Ordering::Relaxed);
+        let batch = WriteBatch {
+            write_id: format!("claim-{}-{count}", self.incarnation).into(),
+            writes,
+        };
+        self.store.commit(&batch).map_err(|error| {
+            warn!(target: CALLS, "claims not written: {error}");
+        })
+    }
 }
--- a/coltsfootweir/src/clock.rs
+++ b/coltsfootweir/src/clock.rs
@@ -13,6 +13,15 @@
     fn wall(&self) -> SystemTime;
 }
 
+/// Both times of a clock at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct ClockReading {
+    /// Time since the clock was made.
+    pub now: Duration,
+    /// Time of day.
+    pub wall: SystemTime,
+}
+
 /// The operating system's clock.
 #[derive(Debug)]
 pub struct SystemClock {
--- a/coltsfootweir/src/context.rs
+++ b/coltsfootweir/src/context.rs
@@ -21,6 +21,7 @@
 use crate::balance::EndpointChooser;
 use crate::booking::BookingLedger;
 use crate::claim::ClaimRequest;
+use crate::clock::ClockReading;
 use crate::clock::DaemonClock;
 use crate::config_state::ConfigState;
 use crate::control_client::ControlClient;
@@ -41,6 +42,7 @@
 use crate::mover::MoverState;
 use crate::platform::PlatformStore;
 use crate::poison::PoisonTable;
+use crate::retention_tally::RetentionTally;
 use crate::retry::RetryBudget;
 use crate::route_table::RouteTable;
 use crate::settings::DaemonSettings;
@@ -80,6 +82,7 @@
     /// Bookings now in progress, with those whose callers hung up.
     pub bookings_running: Arc<AtomicU64>,
     pub(crate) tally: CallTally,
+    pub(crate) retention: RetentionTally,
     pub(crate) write_count: AtomicU64,
     pub(crate) handoff: Mutex<TaskHandoff>,
     pub(crate) config_wake: Sender<()>,
@@ -110,6 +113,14 @@
         self.clock.now()
     }
 
+    /// Reads both times.
+    pub(crate) fn clock_reading(&self) -> ClockReading {
+        ClockReading {
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+        }
+    }
+
     /// Returns whether calls may be taken, without waiting for a change of configuration.
     pub(crate) fn is_serving(&self) -> bool {
         self.serving.load(Ordering::Acquire)
--- a/coltsfootweir/src/daemon_build.rs
+++ b/coltsfootweir/src/daemon_build.rs
@@ -18,6 +18,7 @@
 
 use crate::balance::EndpointChooser;
 use crate::booking::BookingLedger;
+use crate::booking_decision::LedgerLimits;
 use crate::config_state::ConfigState;
 use crate::context::DaemonContext;
 use crate::context::TaskHandoff;
@@ -31,7 +32,9 @@
 use crate::gossip::IndexBasis;
 use crate::gossip_limits::GossipLimits;
 use crate::http_pool::ConnectionPool;
+use crate::ids::Incarnation;
 use crate::ids::MemberId;
+use crate::key_age::KeyAgeLimits;
 use crate::member::MemberEntry;
 use crate::member::MemberState;
 use crate::metrics::open_metrics;
@@ -41,6 +44,7 @@
 use crate::pace::PaceLimits;
 use crate::poison::POISON_TIMEOUT;
 use crate::poison::PoisonTable;
+use crate::retention_tally::RetentionTally;
 use crate::route_table::RouteTable;
 use crate::settings::DaemonSettings;
 use crate::slo::SloRecorder;
@@ -107,7 +111,7 @@
         gossip: Mutex::new(make_gossip(own, &settings)),
         floor: Mutex::new(FloorState::new(clock.now())),
         upstream: OwnUpstream::new(settings.queue_limit, Arc::clone(&clock)),
-        ledger: Mutex::new(BookingLedger::new(id.clone(), incarnation)),
+        ledger: Mutex::new(make_ledger(&id, incarnation, &settings)),
         recorder: Mutex::new(EvidenceRecorder::new(id.clone(), incarnation)),
         mover: Mutex::new(MoverState::new(id.clone(), make_mover_limits(&settings))),
         id,
@@ -122,6 +126,7 @@
         calls_running: Arc::default(),
         bookings_running: Arc::default(),
         tally: CallTally::default(),
+        retention: RetentionTally::default(),
         write_count: AtomicU64::new(0),
         handoff: Mutex::new(handoff),
         config_wake,
@@ -169,6 +174,22 @@
     gossip
 }
 
+fn make_ledger(
+    id: &MemberId,
+    incarnation: Incarnation,
+    settings: &DaemonSettings,
+) -> BookingLedger {
+    let ages = KeyAgeLimits {
+        age: settings.key_age_limit,
+        ..KeyAgeLimits::default()
+    };
+    let limits = LedgerLimits {
+        ages,
+        ..LedgerLimits::default()
+    };
+    BookingLedger::with_limits(id.clone(), incarnation, limits)
+}
+
 fn make_mover_limits(settings: &DaemonSettings) -> MoverLimits {
     let pace = PaceLimits {
         min_dwell: settings.move_dwell,
--- a/coltsfootweir/src/http_platform.rs
+++ b/coltsfootweir/src/http_platform.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::platform::CommitOutcome;
+use crate::platform::KeyRange;
 use crate::platform::PlatformError;
 use crate::platform::PlatformResult;
 use crate::platform::PlatformStore;
@@ -106,6 +107,10 @@
         self.post("/list", &prefix)
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.post("/list-range", range)
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.post("/commit", batch)
     }
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -35,13 +35,19 @@
 mod booking_call;
 #[doc(hidden)]
 pub mod booking_decision;
+mod booking_entry;
 #[doc(hidden)]
 pub mod booking_key;
 mod burst_budget;
 mod call;
 mod call_server;
 mod claim;
-mod clock;
+#[doc(hidden)]
+pub mod claim_removal;
+#[doc(hidden)]
+pub mod claim_row;
+#[doc(hidden)]
+pub mod clock;
 mod config_pull;
 #[doc(hidden)]
 pub mod config_state;
@@ -98,6 +104,8 @@
 pub mod ids;
 mod ingress;
 mod kernel;
+#[doc(hidden)]
+pub mod key_age;
 pub mod lease;
 mod lenient;
 pub mod link;
@@ -136,6 +144,9 @@
 mod record_fields;
 mod repair;
 pub mod reports;
+#[doc(hidden)]
+pub mod retention_tally;
+mod retention_task;
 pub mod retry;
 #[doc(hidden)]
 pub mod route_table;
--- a/coltsfootweir/src/logging.rs
+++ b/coltsfootweir/src/logging.rs
@@ -19,6 +19,9 @@
 /// Prefix of the lines on moves.
 pub const MOVES: &str = "moves";
 
+/// Prefix of the lines on the removal of what the platform need not keep.
+pub const RETENTION: &str = "retention";
+
 /// Prefix of the lines on the own upstream.
 pub const UPSTREAM: &str = "upstream";
 
@@ -56,6 +59,7 @@
         .level_for(CONFIG, level)
         .level_for(MEMBERS, level)
         .level_for(MOVES, level)
+        .level_for(RETENTION, level)
         .level_for(UPSTREAM, level)
         .level_for(DAEMON, level)
         .chain(std::io::stderr())
--- a/coltsfootweir/src/metrics_task.rs
+++ b/coltsfootweir/src/metrics_task.rs
@@ -53,6 +53,7 @@
         while !stop.wait(REPORT_INTERVAL) {
             report_calls(context);
             report_standing(context);
+            report_retention(context);
         }
     }
 }
@@ -95,3 +96,16 @@
         let _ = context.metrics.gauge(&name, usage.link_bytes);
     }
 }
+
+fn report_retention(context: &DaemonContext) {
+    let counts = context.retention.counts();
+    let gauges = [
+        ("claims.timed", counts.claims_timed),
+        ("claims.kept", counts.claims_kept),
+        ("claims.removed", counts.claims_removed),
+        ("objects.removed", counts.objects_removed),
+    ];
+    for (name, value) in gauges {
+        let _ = context.metrics.gauge(name, value);
+    }
+}
--- a/coltsfootweir/src/outcome.rs
+++ b/coltsfootweir/src/outcome.rs
@@ -40,6 +40,8 @@
     BadKey,
     /// The booking key belongs to a different request.
     KeyReused,
+    /// The time in the booking key lies too far ahead, and nobody has claimed the key.
+    KeyFromFuture,
     /// The caller gave up before the hand-over.
     Cancelled,
     /// The request could not be read whole.
@@ -63,10 +65,13 @@
     AnswerDropped,
     /// An earlier attempt with the same key has not ended.
     StillRunning,
+    /// The time in the booking key lies so far back that it is no longer known whether an earlier
+    /// attempt ran. This attempt was not run.
+    KeyExpired,
 }
 
 /// Every refusal reason, for parsing and for reports.
-pub const REFUSAL_REASONS: [RefusalReason; 15] = [
+pub const REFUSAL_REASONS: [RefusalReason; 16] = [
     RefusalReason::NoRoute,
     RefusalReason::NoEndpoint,
     RefusalReason::Overloaded,
@@ -79,19 +84,21 @@
     RefusalReason::UpstreamDown,
     RefusalReason::BadKey,
     RefusalReason::KeyReused,
+    RefusalReason::KeyFromFuture,
     RefusalReason::Cancelled,
     RefusalReason::Unreadable,
     RefusalReason::VersionOff,
 ];
 
 /// Every doubt reason, for parsing and for reports.
-pub const DOUBT_REASONS: [DoubtReason; 6] = [
+pub const DOUBT_REASONS: [DoubtReason; 7] = [
     DoubtReason::UpstreamCrashed,
     DoubtReason::AnswerBroken,
     DoubtReason::Timeout,
     DoubtReason::OwnerGone,
     DoubtReason::AnswerDropped,
     DoubtReason::StillRunning,
+    DoubtReason::KeyExpired,
 ];
 
 impl CallOutcome {
@@ -144,6 +151,7 @@
             RefusalReason::UpstreamDown => "upstream-down",
             RefusalReason::BadKey => "bad-key",
             RefusalReason::KeyReused => "key-reused",
+            RefusalReason::KeyFromFuture => "key-from-future",
             RefusalReason::Cancelled => "cancelled",
             RefusalReason::Unreadable => "unreadable",
             RefusalReason::VersionOff => "version-off",
@@ -158,6 +166,12 @@
             .find(|reason| reason.as_str() == text)
     }
 
+    /// Returns whether the caller's key alone is why the attempt was refused.
+    #[must_use]
+    pub fn is_fault_of_caller(self) -> bool {
+        matches!(self, RefusalReason::BadKey | RefusalReason::KeyFromFuture)
+    }
+
     /// Returns whether another endpoint may take what this one refused.
     #[must_use]
     pub fn is_curable(self) -> bool {
@@ -184,6 +198,7 @@
             DoubtReason::OwnerGone => "owner-gone",
             DoubtReason::AnswerDropped => "answer-dropped",
             DoubtReason::StillRunning => "still-running",
+            DoubtReason::KeyExpired => "key-expired",
         }
     }
 
--- a/coltsfootweir/src/platform.rs
+++ b/coltsfootweir/src/platform.rs
@@ -51,6 +51,17 @@
     pub writes: Vec<RowWrite>,
 }
 
+/// A bounded part of the keys or names with one prefix, in their order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KeyRange {
+    /// Start of every key.
+    pub prefix: Box<str>,
+    /// Only keys above this one; empty for all.
+    pub after: Box<str>,
+    /// Most keys wanted.
+    pub limit: usize,
+}
+
 /// Answer to a batch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CommitOutcome {
@@ -101,6 +112,13 @@
     /// Any [`PlatformError`].
     fn list_rows(&self, prefix: &str) -> PlatformResult<Vec<TableRow>>;
 
+    /// Lists the first rows of a range, in key order; fewer than its limit only when there are no
+    /// more.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`].
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>>;
+
     /// Writes all rows of the batch, or none.
     ///
     /// # Errors
--- a/coltsfootweir/src/reports.rs
+++ b/coltsfootweir/src/reports.rs
@@ -22,6 +22,7 @@
 use crate::ids::RegionName;
 use crate::link::LinkUsage;
 use crate::member::MemberEntry;
+use crate::retention_tally::RetentionCounts;
 
 /// Standing of one daemon and its view of the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -52,6 +53,9 @@
     pub refused: Option<Box<str>>,
     /// Versions found bad.
     pub condemned: Vec<CondemnedFact>,
+    /// What the daemon left in the platform and removed from it; zeros from one that does not tell.
+    #[serde(default)]
+    pub retention: RetentionCounts,
 }
 
 /// Bytes by cause of one daemon.
@@ -106,6 +110,7 @@
             unreachable: unreachable_regions(&gossip, self.now()),
             refused,
             condemned: gossip.condemned().cloned().collect(),
+            retention: self.retention.counts(),
         }
     }
 }
--- a/coltsfootweir/src/settings.rs
+++ b/coltsfootweir/src/settings.rs
@@ -8,8 +8,10 @@
 use clap::Args;
 use log::LevelFilter;
 
+use crate::claim_row::ClaimLayout;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
+use crate::key_age::MAX_KEY_AGE;
 
 /// Longest region or availability zone name, in bytes.
 const NAME_LIMIT: usize = 64;
@@ -79,6 +81,13 @@
     /// Time after the last step of a move in which late faults are watched for, such as 30s
     #[arg(long, env = "COLTSFOOTWEIR_MOVE_SETTLE", default_value = "30s")]
     pub move_settle: String,
+    /// Longest age at which a caller's key that carries its time is taken, such as 24h; 24h at most
+    #[arg(long, env = "COLTSFOOTWEIR_KEY_AGE_LIMIT", default_value = "24h")]
+    pub key_age_limit: String,
+    /// Rows that claim a key that carries its time: both, or timed when no daemon of an earlier
+    /// build runs
+    #[arg(long, env = "COLTSFOOTWEIR_CLAIM_LAYOUT", default_value = "both")]
+    pub claim_layout: String,
 }
 
 /// A setting that cannot be used.
@@ -152,6 +161,10 @@
     pub move_dwell: Duration,
     /// Time after the last step of a move in which late faults are watched for.
     pub move_settle: Duration,
+    /// Longest age at which a caller's key that carries its time is taken.
+    pub key_age_limit: Duration,
+    /// Rows that claim a key that carries its time.
+    pub claim_layout: ClaimLayout,
 }
 
 impl DaemonArgs {
@@ -176,6 +189,13 @@
             read_timeout: checker.duration("read-timeout", &self.read_timeout),
             move_dwell: checker.duration("move-dwell", &self.move_dwell),
             move_settle: checker.duration("move-settle", &self.move_settle),
+            key_age_limit: checker.key_age("key-age-limit", &self.key_age_limit),
+            claim_layout: checker.parse(
+                "claim-layout",
+                &self.claim_layout,
+                "both or timed",
+                ClaimLayout::Both,
+            ),
         };
         if !checker.faults.is_empty() {
             return Err(SettingsError {
@@ -260,4 +280,14 @@
             }
         }
     }
+    /// A longer age than this would let a key be claimed again after its claim was removed.
+    fn key_age(&mut self, flag: &'static str, given: &str) -> Duration {
+        match humantime::parse_duration(given) {
+            Ok(age) if !age.is_zero() && age <= MAX_KEY_AGE => age,
+            _ => {
+                self.push(flag, given, "a duration of at most 24h");
+                MAX_KEY_AGE
+            }
+        }
+    }
 }
--- a/coltsfootweir/tests/common/fake_store.rs
+++ b/coltsfootweir/tests/common/fake_store.rs
@@ -9,6 +9,7 @@
 
 use coltsfootweir::head_row::HEAD_KEY;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -189,6 +190,13 @@
         answer(rows.cloned().collect(), arrives)
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        let mut rows = self.list_rows(&range.prefix)?;
+        rows.retain(|row| row.key > range.after);
+        rows.truncate(range.limit);
+        Ok(rows)
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         match self.next_fault() {
             StoreFault::Outage => return Err(Report::new(PlatformError::Unavailable)),
--- a/coltsfootweir/tests/common/mod.rs
+++ b/coltsfootweir/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod fake_store;
 pub mod records;
 pub mod step_test;
+pub mod timed_keys;
 
 use proptest::prelude::ProptestConfig;
 use proptest::test_runner::RngSeed;
--- a/programs/src/demo_fleet.rs
+++ b/programs/src/demo_fleet.rs
@@ -177,5 +177,7 @@
         read_timeout: "5s".into(),
         move_dwell: "900ms".into(),
         move_settle: "3s".into(),
+        key_age_limit: "24h".into(),
+        claim_layout: "timed".into(),
     }
 }
--- a/programs/src/patient_store.rs
+++ b/programs/src/patient_store.rs
@@ -8,6 +8,7 @@
 
 use coltsfootweir::http_platform::HttpPlatform;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -59,6 +60,10 @@
         self.repeat(|| self.inner.list_rows(prefix))
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.repeat(|| self.inner.list_range(range))
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.inner.commit(batch)
     }
--- a/programs/src/status.rs
+++ b/programs/src/status.rs
@@ -11,6 +11,7 @@
 use coltsfootweir::member::EndpointPhase;
 use coltsfootweir::member::MemberEntry;
 use coltsfootweir::reports::DaemonStatus;
+use coltsfootweir::retention_tally::RetentionCounts;
 use serde_json::Value;
 use serde_json::json;
 
@@ -75,7 +76,8 @@
     let lagging = status.members.iter().filter(|entry| lags(entry, newest));
     let mut text = format!(
         "daemon {}: generation {}, floor {}, {}, {} calls running\n\
-         {} members, {} live, {} behind generation {newest}\n\n",
+         {} members, {} live, {} behind generation {newest}\n\
+         {}\n\n",
         status.id,
         status.generation,
         status.floor,
@@ -84,6 +86,7 @@
         status.members.len(),
         live.count(),
         lagging.count(),
+        render_retention(&status.retention),
     );
     text.push_str(&render_members(status, newest).to_string());
     text.push('\n');
@@ -103,6 +106,13 @@
     text
 }
 
+fn render_retention(counts: &RetentionCounts) -> String {
+    format!(
+        "claims {} timed, {} kept, {} removed; {} objects removed",
+        counts.claims_timed, counts.claims_kept, counts.claims_removed, counts.objects_removed
+    )
+}
+
 fn render_members(status: &DaemonStatus, newest: Generation) -> TextTable<6> {
     let heading = [
         "REGION",
--- a/programs/tests/common/local_fleet.rs
+++ b/programs/tests/common/local_fleet.rs
@@ -225,5 +225,7 @@
         read_timeout: "5s".into(),
         move_dwell: "1500ms".into(),
         move_settle: "4s".into(),
+        key_age_limit: "24h".into(),
+        claim_layout: "both".into(),
     }
 }
--- a/programs/tests/common/net_store.rs
+++ b/programs/tests/common/net_store.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -39,6 +40,10 @@
         self.reach()?.list_rows(prefix)
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.reach()?.list_range(range)
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.reach()?.commit(batch)
     }
--- a/standins/src/memory_platform.rs
+++ b/standins/src/memory_platform.rs
@@ -11,6 +11,7 @@
 
 use coltsfootweir::ids::RowVersion;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -105,6 +106,10 @@
         self.operate(OperationKind::Read, |state| state.list_rows(prefix))
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.operate(OperationKind::Read, |state| state.list_range(range))
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.operate(OperationKind::Write, |state| state.commit(batch))
     }
@@ -139,6 +144,23 @@
         rows
     }
 
+    fn list_range(&mut self, range: &KeyRange) -> Vec<TableRow> {
+        self.stats.reads += 1;
+        let start = range.after.as_ref().max(&range.prefix);
+        let mut rows = Vec::new();
+        for (key, stored) in self.rows.range::<str, _>((Included(start), Unbounded)) {
+            if !key.starts_with(&*range.prefix) || rows.len() >= range.limit {
+                break;
+            }
+            if *key == range.after {
+                continue;
+            }
+            self.stats.bytes_out += byte_count(key.len() + stored.value.len());
+            rows.push(table_row(key, stored));
+        }
+        rows
+    }
+
     fn commit(&mut self, batch: &WriteBatch) -> CommitOutcome {
         self.stats.writes += 1;
         for write in &batch.writes {
--- a/standins/src/platform_server.rs
+++ b/standins/src/platform_server.rs
@@ -1,7 +1,7 @@
 //! The platform stand-in over HTTP, on `tiny_http`.
 //!
 //! `POST /read` and `POST /list` take a JSON string (a key, a prefix) and answer a row or `null`, or
-//! the rows. `GET /rows/KEY` and `GET /rows?prefix=PREFIX` do the same for keys that need no
+//! the rows; `POST /list-range` takes a `KeyRange` and answers its rows. `GET /rows/KEY` and `GET /rows?prefix=PREFIX` do the same for keys that need no
 //! escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes.
 //! `GET` and `POST /faults` show and replace the faults, `GET /stats` the counts.
 //! A refusal is a 503. A lost answer is a connection that ends without one, at once for a client
@@ -18,6 +18,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -203,6 +204,9 @@
     match (request.method(), url) {
         (Method::Post, "/read") => json_answer(&platform.read_row(&read_json::<Box<str>>(body)?)?),
         (Method::Post, "/list") => json_answer(&platform.list_rows(&read_json::<Box<str>>(body)?)?),
+        (Method::Post, "/list-range") => {
+            json_answer(&platform.list_range(&read_json::<KeyRange>(body)?)?)
+        }
         (Method::Post, "/commit") => {
             json_answer(&platform.commit(&read_json::<WriteBatch>(body)?)?)
         }
