Objects of generations that are old by number and by age are removed

Ruled out, weighed in docs/design/retention.md: a row for each generation (none for changes that lost their race), a row of how far the removal came (misses what a slow command puts in behind it), walking the deltas back from the head (breaks at the first gap).

Change: the platform lists and deletes objects. One member of the store's region notes the head each 6 h in the row `head-history` and each hour removes generations more than 1,000 below the head and replaced over 7 days ago, 20 a second. Counts in metrics and `status`.

A pass deletes 40 objects and lists one page (test).

Tests: new `object_sweep` (state machine: two removers, unlike clocks, faults, restarts, operators meanwhile) and `objects_retention` (processes); `platform_http` got a test of ranges and deletions, the fake store the new operations.

Conclusion: objects are bounded by the larger of 7 days of changes and 1,000 generations. Rows of moves stay.

--- a/coltsfootweir/src/accept.rs
+++ b/coltsfootweir/src/accept.rs
@@ -92,6 +92,9 @@
     Ok(HeadRow::read(store)?.find(write_id))
 }
 
+/// Prefix of the names of deltas.
+pub const DELTA_PREFIX: &str = "delta/";
+
 /// Returns the name of the object that holds a snapshot.
 #[must_use]
 pub fn snapshot_object(mark: &HeadMark) -> String {
@@ -103,7 +106,17 @@
 /// The name has the digest, so that a change that loses a race overwrites nothing.
 #[must_use]
 pub fn delta_object(mark: &HeadMark) -> String {
-    format!("delta/{}/{}", mark.generation, mark.digest)
+    format!("{DELTA_PREFIX}{}/{}", mark.generation, mark.digest)
+}
+
+/// Returns the mark that the name of a delta tells.
+#[must_use]
+pub fn parse_delta_object(name: &str) -> Option<HeadMark> {
+    let (generation, digest) = name.strip_prefix(DELTA_PREFIX)?.split_once('/')?;
+    Some(HeadMark {
+        generation: generation.parse().ok()?,
+        digest: digest.into(),
+    })
 }
 
 /// Reads and verifies the snapshot of a mark.
@@ -207,11 +220,12 @@
 ) -> Result<HeadMark, Report<AcceptError>> {
     let delta = next.delta_from(base);
     let mark = delta.result.clone();
+    // The delta goes first: by its name the snapshot is found when both are to be removed.
     store
-        .put_object(&snapshot_object(&mark), &next.encode())
+        .put_object(&delta_object(&mark), &delta.encode())
         .change_context(AcceptError::Unavailable)?;
     store
-        .put_object(&delta_object(&mark), &delta.encode())
+        .put_object(&snapshot_object(&mark), &next.encode())
         .change_context(AcceptError::Unavailable)?;
     Ok(mark)
 }
--- a/coltsfootweir/src/http_platform.rs
+++ b/coltsfootweir/src/http_platform.rs
@@ -131,6 +131,17 @@
         }
         Ok(Some(response.into_bytes()))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.post("/list-objects", range)
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        let url = format!("{}/objects/{name}", self.base_url);
+        let sent = request_len(&url, 0);
+        self.exchange(minreq::delete(url), sent)?;
+        Ok(())
+    }
 }
 
 fn check_response(response: Response) -> PlatformResult<Response> {
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -96,6 +96,8 @@
 mod hand_over;
 #[doc(hidden)]
 pub mod head_claims;
+#[doc(hidden)]
+pub mod head_history;
 mod head_mark;
 #[doc(hidden)]
 pub mod head_row;
@@ -121,6 +123,9 @@
 mod move_work;
 pub mod mover;
 mod mover_task;
+#[doc(hidden)]
+pub mod object_sweep;
+mod object_task;
 pub mod offer;
 #[doc(hidden)]
 pub mod outcome;
--- a/coltsfootweir/src/platform.rs
+++ b/coltsfootweir/src/platform.rs
@@ -136,4 +136,17 @@
     /// # Errors
     /// Any [`PlatformError`].
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>>;
+
+    /// Lists the first names of a range of objects, in their order; fewer than its limit only when
+    /// there are no more.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`].
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>>;
+
+    /// Deletes an object; one that does not exist counts as deleted.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`].
+    fn delete_object(&self, name: &str) -> PlatformResult<()>;
 }
--- a/coltsfootweir/src/retention_task.rs
+++ b/coltsfootweir/src/retention_task.rs
@@ -1,4 +1,4 @@
-//! Removes from the platform what nobody needs any more.
+//! Removes old claims from the platform.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 use crate::rank::holds_job;
 
 /// Time from the start until the first look, in which the daemon learns of others.
-const START_WAIT: Duration = Duration::from_secs(20);
+pub(crate) const START_WAIT: Duration = Duration::from_secs(20);
 
 /// Members of the store's region that remove.
 const REMOVER_COUNT: usize = 1;
@@ -38,7 +38,7 @@
     fn run(&self, context: &Arc<DaemonContext>, stop: &StopSignal) {
         let mut rest = START_WAIT;
         while !stop.wait(rest) {
-            if !is_remover(context) {
+            if !is_remover(context, "claims") {
                 rest = IDLE_INTERVAL;
                 continue;
             }
@@ -50,16 +50,16 @@
     }
 }
 
-/// Returns whether this daemon removes: few do, in the store's region. Two that both think so cost
+/// Returns whether this daemon does a job of removal: few do, in the store's region. Two that both think so cost
 /// operations of the store and nothing else.
-fn is_remover(context: &DaemonContext) -> bool {
+pub(crate) fn is_remover(context: &DaemonContext, job: &str) -> bool {
     let settings = &context.settings;
     if !context.is_serving() || settings.region != settings.store_region {
         return false;
     }
     let gossip = lock(&context.gossip);
     let live = gossip.view().live_in(&settings.region);
-    holds_job("retention", &context.id, REMOVER_COUNT, live)
+    holds_job(job, &context.id, REMOVER_COUNT, live)
 }
 
 /// Carries out one pass; returns the time until the next.
--- a/coltsfootweir/tests/common/fake_store.rs
+++ b/coltsfootweir/tests/common/fake_store.rs
@@ -233,4 +233,21 @@
             arrives,
         )
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        let (_, arrives) = self.meet_fault()?;
+        let state = self.state.lock().unwrap();
+        let mut names: Vec<Box<str>> = state.objects.keys().cloned().collect();
+        names.retain(|name| name.starts_with(&*range.prefix) && *name > range.after);
+        names.truncate(range.limit);
+        answer(names, arrives)
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        let (takes_effect, arrives) = self.meet_fault()?;
+        if takes_effect {
+            self.state.lock().unwrap().objects.remove(name);
+        }
+        answer((), arrives)
+    }
 }
--- a/programs/src/patient_store.rs
+++ b/programs/src/patient_store.rs
@@ -75,4 +75,12 @@
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
         self.repeat(|| self.inner.get_object(name))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.repeat(|| self.inner.list_objects(range))
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        self.repeat(|| self.inner.delete_object(name))
+    }
 }
--- a/programs/tests/common/net_store.rs
+++ b/programs/tests/common/net_store.rs
@@ -55,4 +55,12 @@
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
         self.reach()?.get_object(name)
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.reach()?.list_objects(range)
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        self.reach()?.delete_object(name)
+    }
 }
--- a/standins/src/memory_platform.rs
+++ b/standins/src/memory_platform.rs
@@ -121,6 +121,14 @@
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
         self.operate(OperationKind::Read, |state| state.get_object(name))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.operate(OperationKind::Read, |state| state.list_objects(range))
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        self.operate(OperationKind::Write, |state| state.delete_object(name))
+    }
 }
 
 impl PlatformState {
@@ -146,15 +154,9 @@
 
     fn list_range(&mut self, range: &KeyRange) -> Vec<TableRow> {
         self.stats.reads += 1;
-        let start = range.after.as_ref().max(&range.prefix);
         let mut rows = Vec::new();
-        for (key, stored) in self.rows.range::<str, _>((Included(start), Unbounded)) {
-            if !key.starts_with(&*range.prefix) || rows.len() >= range.limit {
-                break;
-            }
-            if *key == range.after {
-                continue;
-            }
+        for key in keys_in(&self.rows, range) {
+            let stored = &self.rows[key];
             self.stats.bytes_out += byte_count(key.len() + stored.value.len());
             rows.push(table_row(key, stored));
         }
@@ -215,6 +217,39 @@
         self.stats.bytes_out += byte_count(body.len());
         Some(body.clone())
     }
+
+    fn list_objects(&mut self, range: &KeyRange) -> Vec<Box<str>> {
+        self.stats.object_listings += 1;
+        let mut names = Vec::new();
+        for name in keys_in(&self.objects, range) {
+            self.stats.bytes_out += byte_count(name.len());
+            names.push(name.into());
+        }
+        names
+    }
+
+    fn delete_object(&mut self, name: &str) {
+        self.stats.objects_deleted += 1;
+        self.objects.remove(name);
+    }
+}
+
+/// The first keys of a range.
+fn keys_in<'m, T>(map: &'m BTreeMap<Box<str>, T>, range: &KeyRange) -> Vec<&'m str> {
+    let start = range.after.as_ref().max(&range.prefix);
+    let mut keys = Vec::new();
+    for key in map
+        .range::<str, _>((Included(start), Unbounded))
+        .map(|(key, _)| key)
+    {
+        if !key.starts_with(&*range.prefix) || keys.len() >= range.limit {
+            break;
+        }
+        if **key != *range.after {
+            keys.push(&**key);
+        }
+    }
+    keys
 }
 
 fn table_row(key: &str, stored: &StoredRow) -> TableRow {
--- a/standins/src/platform_faults.rs
+++ b/standins/src/platform_faults.rs
@@ -35,6 +35,10 @@
     pub objects_read: u64,
     /// Objects stored.
     pub objects_written: u64,
+    /// Listings of objects served.
+    pub object_listings: u64,
+    /// Deletions of objects served.
+    pub objects_deleted: u64,
     /// Bytes of keys, values and objects taken.
     pub bytes_in: u64,
     /// Bytes of keys, values and objects given out.
--- a/standins/src/platform_server.rs
+++ b/standins/src/platform_server.rs
@@ -2,7 +2,8 @@
 //!
 //! `POST /read` and `POST /list` take a JSON string (a key, a prefix) and answer a row or `null`, or
 //! the rows; `POST /list-range` takes a `KeyRange` and answers its rows. `GET /rows/KEY` and `GET /rows?prefix=PREFIX` do the same for keys that need no
-//! escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes.
+//! escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes,
+//! `DELETE /objects/NAME` deletes, `POST /list-objects` answers the names of a `KeyRange`.
 //! `GET` and `POST /faults` show and replace the faults, `GET /stats` the counts.
 //! A refusal is a 503. A lost answer is a connection that ends without one, at once for a client
 //! that sent `Connection: close`. `tiny_http` has no read timeout: a few slow senders hold up nobody,
@@ -207,6 +208,9 @@
         (Method::Post, "/list-range") => {
             json_answer(&platform.list_range(&read_json::<KeyRange>(body)?)?)
         }
+        (Method::Post, "/list-objects") => {
+            json_answer(&platform.list_objects(&read_json::<KeyRange>(body)?)?)
+        }
         (Method::Post, "/commit") => {
             json_answer(&platform.commit(&read_json::<WriteBatch>(body)?)?)
         }
@@ -235,6 +239,10 @@
             Some(body) => Ok(whole_answer(body)),
             None => Ok(empty_answer(404)),
         },
+        Method::Delete => {
+            platform.delete_object(name)?;
+            Ok(empty_answer(200))
+        }
         _ => Ok(empty_answer(405)),
     }
 }
--- a/standins/tests/platform_http.rs
+++ b/standins/tests/platform_http.rs
@@ -14,6 +14,7 @@
 use coltsfootweir::http_platform::ByteCounter;
 use coltsfootweir::http_platform::HttpPlatform;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -78,6 +79,35 @@
     assert_eq!(client.get_object("snapshot/none").unwrap(), None);
 }
 
+#[test]
+fn ranges_are_listed_in_order_and_in_bounds_and_objects_are_deleted() {
+    let (_server, client) = start();
+    for name in ["a/1", "b/1", "b/2", "b/3", "b/4", "c/1"] {
+        client.put_object(name, b"x").unwrap();
+        let create = batch(name, vec![write(name, RowCondition::Absent, Some("1"))]);
+        client.commit(&create).unwrap();
+    }
+    client.delete_object("b/3").unwrap();
+    client.delete_object("b/3").unwrap();
+    assert_eq!(client.get_object("b/3").unwrap(), None);
+    for (after, limit, rows, objects) in [
+        ("", 2, "b/1 b/2", "b/1 b/2"),
+        ("b/1", 2, "b/2 b/3", "b/2 b/4"),
+        ("b/2", 9, "b/3 b/4", "b/4"),
+        ("c", 9, "", ""),
+    ] {
+        let range = KeyRange {
+            prefix: "b/".into(),
+            after: after.into(),
+            limit,
+        };
+        let listed = client.list_range(&range).unwrap();
+        let listed: Vec<Box<str>> = listed.into_iter().map(|row| row.key).collect();
+        assert_eq!(listed.join(" "), rows);
+        assert_eq!(client.list_objects(&range).unwrap().join(" "), objects);
+    }
+}
+
 #[test]
 fn batch_takes_effect_whole_or_not_at_all() {
     let (_server, client) = start();
