--- a/coltsfootweir/src/http_platform.rs
+++ b/coltsfootweir/src/http_platform.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::platform::CommitOutcome;
+use crate::platform::KeyRange;
 use crate::platform::PlatformError;
 use crate::platform::PlatformResult;
 use crate::platform::PlatformStore;
@@ -106,6 +107,10 @@
         self.post("/list", &prefix)
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.post("/list-range", range)
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.post("/commit", batch)
     }
@@ -126,6 +131,17 @@
         }
         Ok(Some(response.into_bytes()))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.post("/list-objects", range)
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        let url = format!("{}/objects/{name}", self.base_url);
+        let sent = request_len(&url, 0);
+        self.exchange(minreq::delete(url), sent)?;
+        Ok(())
+    }
 }
 
 fn check_response(response: Response) -> PlatformResult<Response> {
--- a/coltsfootweir/src/platform.rs
+++ b/coltsfootweir/src/platform.rs
@@ -51,6 +51,17 @@
     pub writes: Vec<RowWrite>,
 }
 
+/// A bounded part of the keys or names with one prefix, in their order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KeyRange {
+    /// Start of every key.
+    pub prefix: Box<str>,
+    /// Only keys above this one; empty for all.
+    pub after: Box<str>,
+    /// Most keys wanted.
+    pub limit: usize,
+}
+
 /// Answer to a batch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CommitOutcome {
@@ -101,6 +112,13 @@
     /// Any [`PlatformError`].
     fn list_rows(&self, prefix: &str) -> PlatformResult<Vec<TableRow>>;
 
+    /// Lists the first rows of a range, in key order; fewer than its limit only when there are no
+    /// more.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`].
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>>;
+
     /// Writes all rows of the batch, or none.
     ///
     /// # Errors
@@ -118,4 +136,17 @@
     /// # Errors
     /// Any [`PlatformError`].
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>>;
+
+    /// Lists the first names of a range of objects, in their order; fewer than its limit only when
+    /// there are no more.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`].
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>>;
+
+    /// Deletes an object; one that does not exist counts as deleted.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`].
+    fn delete_object(&self, name: &str) -> PlatformResult<()>;
 }
--- a/coltsfootweir/tests/common/fake_store.rs
+++ b/coltsfootweir/tests/common/fake_store.rs
@@ -11,6 +11,7 @@
 use coltsfootweir::accept::accept_change;
 use coltsfootweir::head_row::HEAD_KEY;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -165,6 +166,13 @@
         self.operate(self.next_fault(), |state| state.memory.list_rows(prefix))
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        let mut rows = self.list_rows(&range.prefix)?;
+        rows.retain(|row| row.key > range.after);
+        rows.truncate(range.limit);
+        Ok(rows)
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         let fault = self.next_fault();
         match fault {
@@ -185,4 +193,21 @@
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
         self.operate(self.next_fault(), |state| state.memory.get_object(name))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        let (_, arrives) = self.meet_fault()?;
+        let state = self.state.lock().unwrap();
+        let mut names: Vec<Box<str>> = state.objects.keys().cloned().collect();
+        names.retain(|name| name.starts_with(&*range.prefix) && *name > range.after);
+        names.truncate(range.limit);
+        answer(names, arrives)
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        let (takes_effect, arrives) = self.meet_fault()?;
+        if takes_effect {
+            self.state.lock().unwrap().objects.remove(name);
+        }
+        answer((), arrives)
+    }
 }
--- a/programs/src/patient_store.rs
+++ b/programs/src/patient_store.rs
@@ -8,6 +8,7 @@
 
 use coltsfootweir::http_platform::HttpPlatform;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -59,6 +60,10 @@
         self.repeat(|| self.inner.list_rows(prefix))
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.repeat(|| self.inner.list_range(range))
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.inner.commit(batch)
     }
@@ -70,4 +75,12 @@
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
         self.repeat(|| self.inner.get_object(name))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.repeat(|| self.inner.list_objects(range))
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        self.repeat(|| self.inner.delete_object(name))
+    }
 }
--- a/standins/src/memory_platform.rs
+++ b/standins/src/memory_platform.rs
@@ -11,6 +11,7 @@
 
 use coltsfootweir::ids::RowVersion;
 use coltsfootweir::platform::CommitOutcome;
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -105,6 +106,10 @@
         self.operate(OperationKind::Read, |state| state.list_rows(prefix))
     }
 
+    fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
+        self.operate(OperationKind::Read, |state| state.list_range(range))
+    }
+
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
         self.operate(OperationKind::Write, |state| state.commit(batch))
     }
@@ -116,6 +121,14 @@
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
         self.operate(OperationKind::Read, |state| state.get_object(name))
     }
+
+    fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
+        self.operate(OperationKind::Read, |state| state.list_objects(range))
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformResult<()> {
+        self.operate(OperationKind::Write, |state| state.delete_object(name))
+    }
 }
 
 impl PlatformState {
@@ -139,6 +152,17 @@
         rows
     }
 
+    fn list_range(&mut self, range: &KeyRange) -> Vec<TableRow> {
+        self.stats.reads += 1;
+        let mut rows = Vec::new();
+        for key in keys_in(&self.rows, range) {
+            let stored = &self.rows[key];
+            self.stats.bytes_out += byte_count(key.len() + stored.value.len());
+            rows.push(table_row(key, stored));
+        }
+        rows
+    }
+
     fn commit(&mut self, batch: &WriteBatch) -> CommitOutcome {
         self.stats.writes += 1;
         for write in &batch.writes {
@@ -193,6 +217,39 @@
         self.stats.bytes_out += byte_count(body.len());
         Some(body.clone())
     }
+
+    fn list_objects(&mut self, range: &KeyRange) -> Vec<Box<str>> {
+        self.stats.object_listings += 1;
+        let mut names = Vec::new();
+        for name in keys_in(&self.objects, range) {
+            self.stats.bytes_out += byte_count(name.len());
+            names.push(name.into());
+        }
+        names
+    }
+
+    fn delete_object(&mut self, name: &str) {
+        self.stats.objects_deleted += 1;
+        self.objects.remove(name);
+    }
+}
+
+/// The first keys of a range.
+fn keys_in<'m, T>(map: &'m BTreeMap<Box<str>, T>, range: &KeyRange) -> Vec<&'m str> {
+    let start = range.after.as_ref().max(&range.prefix);
+    let mut keys = Vec::new();
+    for key in map
+        .range::<str, _>((Included(start), Unbounded))
+        .map(|(key, _)| key)
+    {
+        if !key.starts_with(&*range.prefix) || keys.len() >= range.limit {
+            break;
+        }
+        if **key != *range.after {
+            keys.push(&**key);
+        }
+    }
+    keys
 }
 
 fn table_row(key: &str, stored: &StoredRow) -> TableRow {
--- a/standins/src/platform_server.rs
+++ b/standins/src/platform_server.rs
@@ -1,8 +1,9 @@
 //! The platform stand-in over HTTP, on `tiny_http`.
 //!
 //! `POST /read` and `POST /list` take a JSON string (a key, a prefix) and answer a row or `null`, or
-//! the rows. `GET /rows/KEY` and `GET /rows?prefix=PREFIX` do the same for keys that need no
-//! escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes.
+//! the rows; `POST /list-range` takes a `KeyRange` and answers its rows. `GET /rows/KEY` and `GET /rows?prefix=PREFIX` do the same for keys that need no
+//! escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes,
+//! `DELETE /objects/NAME` deletes, `POST /list-objects` answers the names of a `KeyRange`.
 //! `GET` and `POST /faults` show and replace the faults, `GET /stats` the counts.
 //! A refusal is a 503. A lost answer is a connection that ends without one, at once for a client
 //! that sent `Connection: close`. `tiny_http` has no read timeout: a few slow senders hold up nobody,
@@ -18,6 +19,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use coltsfootweir::platform::KeyRange;
 use coltsfootweir::platform::PlatformError;
 use coltsfootweir::platform::PlatformResult;
 use coltsfootweir::platform::PlatformStore;
@@ -203,6 +205,12 @@
     match (request.method(), url) {
         (Method::Post, "/read") => json_answer(&platform.read_row(&read_json::<Box<str>>(body)?)?),
         (Method::Post, "/list") => json_answer(&platform.list_rows(&read_json::<Box<str>>(body)?)?),
+        (Method::Post, "/list-range") => {
+            json_answer(&platform.list_range(&read_json::<KeyRange>(body)?)?)
+        }
+        (Method::Post, "/list-objects") => {
+            json_answer(&platform.list_objects(&read_json::<KeyRange>(body)?)?)
+        }
         (Method::Post, "/commit") => {
             json_answer(&platform.commit(&read_json::<WriteBatch>(body)?)?)
         }
@@ -231,6 +239,10 @@
             Some(body) => Ok(whole_answer(body)),
             None => Ok(empty_answer(404)),
         },
+        Method::Delete => {
+            platform.delete_object(name)?;
+            Ok(empty_answer(200))
+        }
         _ => Ok(empty_answer(405)),
     }
 }
