An endpoint that fell silent no longer excuses the last one in reach

Cause: the evidence must hold without any one endpoint that ever got a call during the move. Beyond a cut the other region's endpoints fall silent, and their good calls from before stay in the slices for ten minutes. A region that reaches or calls only one endpoint of the new version therefore never condemned it, although every call failed; the verdict was not even a suspicion, so the pace would have gone on.

Change: PoolView tells when each endpoint was heard. While fewer than two called endpoints are heard, the evidence need not hold without the one that is left, but still without each silent one.

Conclusion: a region on its own decides in bounded time from bounded evidence. Left: a bad endpoint that is the only one in reach takes a good version back.

--- a/coltsfootweir/src/evidence_pool.rs
+++ b/coltsfootweir/src/evidence_pool.rs
@@ -101,6 +101,8 @@
     pub route_names: Vec<RouteName>,
     /// Bound of the indices of the endpoints of the slices.
     pub member_count: usize,
+    /// When each endpoint's daemon last sent evidence, by the endpoint's index.
+    pub heard: Vec<Duration>,
     /// Time of the view, since the daemon's start.
     pub now: Duration,
 }
@@ -125,6 +127,12 @@
         live.map(|(member, _)| member)
     }
 
+    /// Returns whether an endpoint sent no evidence lately, so that it counts as gone.
+    #[must_use]
+    pub fn is_silent(&self, member: MemberIndex) -> bool {
+        self.now >= self.heard[member as usize] + EVIDENCE_TIMEOUT
+    }
+
     /// Returns every route that has calls.
     #[must_use]
     pub fn routes(&self) -> BTreeSet<&RouteName> {
@@ -145,13 +153,6 @@
 /// Identity of the counters of one endpoint in one run of its daemon.
 type ReportKey = (MemberId, Incarnation, VersionName);
 
-/// An endpoint that sent evidence.
-#[derive(Clone, Copy, Debug)]
-struct MemberSlot {
-    index: MemberIndex,
-    heard: Duration,
-}
-
 /// Evidence of a move, pooled by one daemon.
 ///
 /// Counters of one member, incarnation and version only grow, so a report may arrive twice, late or
@@ -162,7 +163,7 @@
     from: VersionName,
     to: VersionName,
     reports: BTreeMap<ReportKey, EndpointEvidence>,
-    members: BTreeMap<MemberId, MemberSlot>,
+    members: BTreeMap<MemberId, MemberIndex>,
     free: Vec<MemberIndex>,
     view: PoolView,
 }
@@ -260,16 +261,17 @@
 
     /// Notes that an endpoint sent evidence; returns its index.
     fn hear(&mut self, member: &MemberId, now: Duration) -> MemberIndex {
-        if let Some(slot) = self.members.get_mut(member) {
-            slot.heard = now;
-            return slot.index;
+        if let Some(index) = self.members.get(member).copied() {
+            self.view.heard[index as usize] = now;
+            return index;
         }
         let index = self.free.pop().unwrap_or_else(|| {
             self.view.member_count += 1;
+            self.view.heard.push(now);
             (self.view.member_count - 1) as MemberIndex
         });
-        let slot = MemberSlot { index, heard: now };
-        self.members.insert(member.clone(), slot);
+        self.view.heard[index as usize] = now;
+        self.members.insert(member.clone(), index);
         index
     }
 
@@ -277,8 +279,13 @@
     /// counts as new.
     fn shrink(&mut self) {
         while self.members.len() > MEMBERS_KEPT || self.reports.len() > REPORTS_KEPT {
-            let silent = self.members.iter().min_by_key(|(_, slot)| slot.heard);
-            let Some((member, slot)) = silent.map(|(member, slot)| (member.clone(), *slot)) else {
+            let heard = &self.view.heard;
+            let silent = self
+                .members
+                .iter()
+                .min_by_key(|(_, index)| heard[**index as usize]);
+            let Some((member, index)) = silent.map(|(member, index)| (member.clone(), *index))
+            else {
                 return;
             };
             self.members.remove(&member);
@@ -286,9 +293,9 @@
             self.view.old.members.remove(&member);
             self.view.new.members.remove(&member);
             for slice in &mut self.view.slices {
-                slice.forget(slot.index);
+                slice.forget(index);
             }
-            self.free.push(slot.index);
+            self.free.push(index);
         }
     }
 
--- a/coltsfootweir/src/sequential.rs
+++ b/coltsfootweir/src/sequential.rs
@@ -17,6 +17,7 @@
 use crate::evidence_slice::SliceCell;
 use crate::evidence_slice::SliceCounts;
 use crate::evidence_slice::VersionSide;
+use crate::ids::MemberIndex;
 use crate::ids::RouteName;
 use crate::quiet_slices::QuietSlices;
 use crate::stratum::RouteSlice;
@@ -135,15 +136,24 @@
 }
 
 /// Returns the endpoints without each of which the evidence must hold.
+///
+/// That one endpoint alone is bad excuses it only while another can take its calls. One that fell
+/// silent, such as beyond a cut, cannot; its own calls still do not condemn without the others.
 fn rest_members(view: &PoolView, sums: &CallSums) -> Vec<usize> {
-    let called: Vec<usize> = (0..view.member_count)
+    let is_silent = |member: &usize| view.is_silent(*member as MemberIndex);
+    let mut called: Vec<usize> = (0..view.member_count)
         .filter(|member| sums.called[*member])
         .collect();
+    let heard = called.iter().filter(|member| !is_silent(member)).count();
     let live = view.new_members().count();
-    if called.len() >= 2 || (live >= 2 && view.new.calls() < WAIT_CALLS) {
+    if heard >= 2 || (live >= 2 && view.new.calls() < WAIT_CALLS) {
         return called;
     }
-    Vec::new()
+    if called.len() < 2 {
+        return Vec::new();
+    }
+    called.retain(is_silent);
+    called
 }
 
 /// Gains of the strata of each route.
