The cut tests count from the calls that show the fault

Cause of the two known reds: the tests cut the regions as soon as a 5% step was accepted, not in force. On a busy machine the south was cut off at 1% (all 92 status lines of the slow runs say generation 3). With the machine busy its four callers made about 40 calls a second, so v2 got a call in 2 to 4 s; "no work for 3 s" then came true by chance, and 19 s later five calls had failed at two endpoints.

Ruled out: ejection (work went on at the rate of the share); peers that time out (the cut refuses at once here); seldom polls and the alert budget (the time from the last needed failure to the condemning was 3 s).

Change: the cut waits until every daemon serves the accepted step. The 19 s count from the moment when each upstream of the region has failed three requests (or the version is condemned), and hold to every daemon holding it condemned; before, they began after a silence and could sum up to 41 s. Only then must v2 stay without work for 3 s.

--- a/programs/tests/common/region_moves.rs
+++ b/programs/tests/common/region_moves.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use coltsfootweir::accept::read_head;
 use coltsfootweir::daemon::MeshDaemon;
 use coltsfootweir::ids::MemberId;
 use coltsfootweir::record::MoveRecord;
@@ -66,6 +67,19 @@
         self.new_version(region).map(|own| own.runs().len()).sum()
     }
 
+    /// Requests that each upstream of v2 ran in a region.
+    pub fn runs_by_upstream(&self, region: &str) -> Vec<usize> {
+        self.new_version(region)
+            .map(|own| own.runs().len())
+            .collect()
+    }
+
+    /// Whether every daemon serves the accepted configuration.
+    pub fn serves_head(&self) -> bool {
+        let head = read_head(&self.platform).expect("head is read");
+        (0..self.daemons.len()).all(|index| self.serves(index, head.generation))
+    }
+
     /// Addresses that take calls in a region.
     pub fn calls_in(&self, region: &str) -> Vec<SocketAddr> {
         self.daemons_in(region)
--- a/programs/tests/moves_region_cut.rs
+++ b/programs/tests/moves_region_cut.rs
@@ -18,7 +18,10 @@
 use common::test_net::SOUTH;
 use common::wait_for;
 
-/// Time after which a fault that shows must be answered on every daemon.
+/// Failed requests at each upstream of v2 in a region from which its fault shows.
+const SHOWN: usize = 3;
+
+/// Time from a fault that shows to every daemon of the region holding the version condemned.
 const REACTION: Duration = Duration::from_secs(19);
 
 /// Time without a request of a version that shows it gets no work.
@@ -48,26 +51,52 @@
         };
         wait_for("first steps everywhere", PATIENCE, || {
             let is_early = world.fleet.read_move().share.checks >= 5;
-            is_early && world.fleet.version_runs(NORTH) > 0 && world.fleet.version_runs(SOUTH) > 0
+            let has_run = |region| world.fleet.version_runs(region) > 0;
+            is_early && has_run(NORTH) && has_run(SOUTH) && world.fleet.serves_head()
         });
         world
     }
 
-    /// Waits until v2 has run nothing in a region for a while and every daemon there holds it
-    /// condemned; fails later than `limit` from now.
-    fn wait_no_work(&self, region: &str, limit: Duration) {
+    /// Makes every request to v2 in a region fail; returns what each upstream of it had run before.
+    fn spoil(&self, region: &str) -> Vec<usize> {
+        let before = self.fleet.runs_by_upstream(region);
+        self.fleet.spoil(region);
+        before
+    }
+
+    /// Waits until the fault of a region spoiled after `before` shows, or is answered already.
+    fn wait_shown(&self, region: &str, before: &[usize]) -> Instant {
+        wait_for("the fault shows", PATIENCE, || {
+            let runs = self.fleet.runs_by_upstream(region);
+            let mut pairs = runs.iter().zip(before);
+            pairs.all(|(runs, before)| *runs >= before + SHOWN) || self.is_condemned(region)
+        });
+        Instant::now()
+    }
+
+    /// Whether every daemon of a region holds v2 condemned.
+    fn is_condemned(&self, region: &str) -> bool {
+        let mut own = self.fleet.daemons_in(region);
+        own.all(|own| !own.status().condemned.is_empty())
+    }
+
+    /// Waits until every daemon of a region holds v2 condemned, within [`REACTION`] of `shown`, and
+    /// from then on v2 has run nothing there for a while.
+    fn wait_no_work(&self, region: &str, shown: Instant) {
+        let limit = REACTION.saturating_sub(shown.elapsed());
+        wait_for("every daemon holds it condemned", limit, || {
+            self.is_condemned(region)
+        });
+        println!("condemned in the {region} after {:?}", shown.elapsed());
         let mut last = (self.fleet.version_runs(region), Instant::now());
-        wait_for("no work for the bad version", limit + SILENCE, || {
+        let limit = SILENCE + REACTION.saturating_sub(shown.elapsed());
+        wait_for("no work for the bad version", limit, || {
             let runs = self.fleet.version_runs(region);
             if runs != last.0 {
                 last = (runs, Instant::now());
             }
             last.1.elapsed() > SILENCE
         });
-        wait_for("every daemon holds it condemned", limit, || {
-            let mut own = self.fleet.daemons_in(region);
-            own.all(|own| !own.status().condemned.is_empty())
-        });
     }
 
     fn wait_phase(&self, phase: MovePhase) {
@@ -85,15 +114,11 @@
     wait_for("work in both regions, cut", PATIENCE, || {
         world.fleet.version_runs(NORTH) > before[0] && world.fleet.version_runs(SOUTH) > before[1]
     });
-    world.fleet.spoil(NORTH);
-    world.fleet.spoil(SOUTH);
-    let start = Instant::now();
-    world.wait_no_work(NORTH, REACTION);
-    world.wait_no_work(SOUTH, REACTION.saturating_sub(start.elapsed()));
-    println!(
-        "no work on either side after {:?}",
-        start.elapsed() - SILENCE
-    );
+    let spoiled = [NORTH, SOUTH].map(|region| (region, world.spoil(region)));
+    let shown = spoiled.map(|(region, before)| (region, world.wait_shown(region, &before)));
+    for (region, shown) in shown {
+        world.wait_no_work(region, shown);
+    }
     world.fleet.set_cut(CutKind::Nothing);
     world.wait_phase(MovePhase::TakenBack);
 }
@@ -102,10 +127,9 @@
 fn fault_that_shows_only_beyond_a_cut_takes_the_move_back_after_it() {
     let world = CutWorld::start(90);
     world.fleet.set_cut(CutKind::Everything);
-    world.fleet.spoil(SOUTH);
-    let start = Instant::now();
-    world.wait_no_work(SOUTH, REACTION);
-    println!("no work in the south after {:?}", start.elapsed() - SILENCE);
+    let before = world.spoil(SOUTH);
+    let shown = world.wait_shown(SOUTH, &before);
+    world.wait_no_work(SOUTH, shown);
     let phase = world.fleet.read_move().phase;
     assert!(!phase.is_ended(), "the north has seen no fault: {phase:?}");
     world.fleet.set_cut(CutKind::Nothing);
