The decision lines of a move have a row of their own

Cause: the lease row carried every decision line. The holder wrote it each 3 s and three observers read it each 2 s, two of them over the paid link.

Ruled out: fewer reads (a member that stops must hand over within seconds); a third of the reads saved less (reckoned).

Change: a step writes the lines to `lines/<name>` in the batch that its lease row fences. Heartbeats and takeovers write the lease row without lines; a member reads the lines when it reads a row that it holds, and so reads once more after it took the lease. Lines of an older build in the lease row are still read.

The test of the planned stop now has the member stop after it took steps, and wants each step told once by the lines at the end; red when a new holder does not read the lines (6 of 8 told). mover_machine 6 of 6.

--- a/coltsfootweir/src/lease.rs
+++ b/coltsfootweir/src/lease.rs
@@ -33,7 +33,7 @@
     pub epoch: u64,
     /// Count of the writes in this epoch.
     pub beat: u64,
-    /// Latest decision lines of the move, oldest first.
+    /// Latest decision lines of the move, oldest first; known to the holder, and kept in a row apart.
     pub lines: Vec<DecisionLine>,
 }
 
@@ -100,7 +100,13 @@
             self.stale = true;
             return;
         };
-        if self.seen.as_ref().and_then(|seen| seen.version) != Some(before) {
+        let seen = self
+            .seen
+            .as_ref()
+            .filter(|seen| seen.version == Some(before));
+        // The decision lines are read after the lease is taken, when nobody else writes them.
+        if seen.is_none_or(|seen| seen.row.epoch != row.epoch) {
+            self.written_at = now;
             self.stale = true;
             return;
         }
--- a/coltsfootweir/src/mover.rs
+++ b/coltsfootweir/src/mover.rs
@@ -31,13 +31,40 @@
     format!("move/{move_name}").into()
 }
 
+/// Returns the key of the table row that holds a move's decision lines. They have a row of their own, so
+/// that heartbeats and the reads of observers don't carry them.
+#[must_use]
+pub fn lines_key(move_name: &str) -> Box<str> {
+    format!("lines/{move_name}").into()
+}
+
 /// Reads the lease and the decision lines of a move; `None` without a readable row.
 ///
 /// # Errors
 /// Those of [`PlatformStore::read_row`].
 pub fn read_lease(store: &dyn PlatformStore, move_name: &str) -> PlatformResult<Option<LeaseRow>> {
     let row = store.read_row(&lease_key(move_name))?;
-    Ok(row.and_then(|row| serde_json::from_str(&row.value).ok()))
+    let lease = row.and_then(|row| serde_json::from_str(&row.value).ok());
+    let Some(lease) = lease else {
+        return Ok(None);
+    };
+    Ok(Some(with_lines(store, move_name, lease)?))
+}
+
+/// Returns the lease with the decision lines of the move, if they were written.
+///
+/// # Errors
+/// Those of [`PlatformStore::read_row`].
+pub fn with_lines(
+    store: &dyn PlatformStore,
+    move_name: &str,
+    mut lease: LeaseRow,
+) -> PlatformResult<LeaseRow> {
+    let row = store.read_row(&lines_key(move_name))?;
+    if let Some(lines) = row.and_then(|row| serde_json::from_str(&row.value).ok()) {
+        lease.lines = lines;
+    }
+    Ok(lease)
 }
 
 /// One step of a move, to be accepted as a new configuration.
--- a/coltsfootweir/src/mover_task.rs
+++ b/coltsfootweir/src/mover_task.rs
@@ -12,6 +12,7 @@
 use flume::Sender;
 use log::info;
 use log::warn;
+use serde::Serialize;
 
 use crate::accept::AcceptError;
 use crate::accept::accept_change;
@@ -32,11 +33,15 @@
 use crate::mover::MoverInput;
 use crate::mover::WriteResult;
 use crate::mover::lease_key;
+use crate::mover::lines_key;
+use crate::mover::with_lines;
 use crate::offer::AcceptedOffer;
 use crate::platform::CommitOutcome;
 use crate::platform::PlatformError;
+use crate::platform::PlatformResult;
 use crate::platform::RowCondition;
 use crate::platform::RowWrite;
+use crate::platform::TableRow;
 use crate::platform::WriteBatch;
 use crate::rank::holds_job;
 use crate::record::MoveRecord;
@@ -149,7 +154,7 @@
 }
 
 fn read_lease(context: &DaemonContext, move_name: &MoveName) {
-    let row = context.platform.read_row(&lease_key(move_name));
+    let row = read_lease_row(context, move_name);
     let mut mover = lock(&context.mover);
     match row {
         Ok(row) => mover.on_lease_row(move_name, row.as_ref(), context.now()),
@@ -157,6 +162,28 @@
     }
 }
 
+/// Reads the row of a lease; one that this daemon holds gets the decision lines.
+fn read_lease_row(
+    context: &DaemonContext,
+    move_name: &MoveName,
+) -> PlatformResult<Option<TableRow>> {
+    let store = context.platform.as_ref();
+    let Some(row) = store.read_row(&lease_key(move_name))? else {
+        return Ok(None);
+    };
+    let lease = serde_json::from_str(&row.value).ok();
+    let own = lease.filter(|lease: &LeaseRow| lease.holder.as_ref() == Some(&context.id));
+    let Some(lease) = own else {
+        return Ok(Some(row));
+    };
+    let lease = with_lines(store, move_name, lease)?;
+    let value = serde_json::to_string(&lease).unwrap_or_default();
+    Ok(Some(TableRow {
+        value: value.into(),
+        ..row
+    }))
+}
+
 fn write_lease(
     context: &DaemonContext,
     move_name: &MoveName,
@@ -177,10 +204,24 @@
     }
 }
 
+/// Returns the write of a lease row, without its decision lines.
 fn lease_write(move_name: &MoveName, condition: RowCondition, row: &LeaseRow) -> RowWrite {
-    let value = serde_json::to_string(row).unwrap_or_default();
+    let row = LeaseRow {
+        lines: Vec::new(),
+        ..row.clone()
+    };
+    row_write(lease_key(move_name), condition, &row)
+}
+
+/// Returns the write of the decision lines; the lease row in the same batch fences it.
+fn lines_write(move_name: &MoveName, row: &LeaseRow) -> RowWrite {
+    row_write(lines_key(move_name), RowCondition::Any, &row.lines)
+}
+
+fn row_write(key: Box<str>, condition: RowCondition, value: &impl Serialize) -> RowWrite {
+    let value = serde_json::to_string(value).unwrap_or_default();
     RowWrite {
-        key: lease_key(move_name),
+        key,
         condition,
         value: Some(value.into()),
     }
@@ -192,10 +233,13 @@
     condition: RowCondition,
     row: &LeaseRow,
 ) -> WriteResult {
-    let guard = lease_write(&step.move_name, condition, row);
+    let rows = [
+        lease_write(&step.move_name, condition, row),
+        lines_write(&step.move_name, row),
+    ];
     let change = |base: &ConfigSnapshot| apply_step(base, step);
     let write_ids = || context.make_write_id();
-    match accept_change(context.platform.as_ref(), &write_ids, &change, &[guard]) {
+    match accept_change(context.platform.as_ref(), &write_ids, &change, &rows) {
         Ok(next) => {
             info!(target: MOVES, "{} is {:?} in generation {}", step.move_name, step.phase, next.generation);
             context.take_offer(&AcceptedOffer::new(&next));
--- a/programs/tests/moves_planned_stop.rs
+++ b/programs/tests/moves_planned_stop.rs
@@ -8,6 +8,8 @@
 
 use coltsfootweir::ids::MemberId;
 use coltsfootweir::lease::LEASE_TIMEOUT;
+use coltsfootweir::mover::read_lease;
+use coltsfootweir::pace::PACE_STEPS;
 use coltsfootweir::record::MovePhase;
 
 use common::PATIENCE;
@@ -29,9 +31,9 @@
     fleet.wait_ready(1);
     apply_move(platform, "stalls", 30);
     let mut holder: Option<MemberId> = None;
-    wait_for("a holder", PATIENCE, || {
+    wait_for("a holder that took steps", PATIENCE, || {
         holder = fleet.lease_holder();
-        holder.is_some()
+        holder.is_some() && fleet.read_move().share.checks >= 5
     });
     let position = fleet
         .daemons
@@ -52,4 +54,10 @@
     wait_for("move done", PATIENCE, || {
         fleet.read_move().phase == MovePhase::Done
     });
+    let row = read_lease(&fleet.platform, "stalls-v2").expect("the row is read");
+    let lines = row.expect("a row").lines;
+    let told = lines
+        .iter()
+        .filter(|line| line.outcome.contains("of checks"));
+    assert_eq!(told.count(), PACE_STEPS.len(), "{lines:?}");
 }
