Headers of a connection are looked for in one pass

Ruled out: no other code of ours takes these headers out.

Change: the names that are there are compared with the list, and only those found are removed. A property test that no header of a connection is passed on, and every other is, so often as it was given; there was none. The module is public (hidden) for it, as those of the other values of calls.

--- a/coltsfootweir/src/call.rs
+++ b/coltsfootweir/src/call.rs
@@ -64,7 +64,7 @@
 pub const OWNER: HeaderName = HeaderName::from_static("x-coltsfootweir-owner");
 
 /// Headers that belong to one connection and are not passed on.
-const CONNECTION_HEADERS: [HeaderName; 7] = [
+static CONNECTION_HEADERS: [HeaderName; 7] = [
     HeaderName::from_static("keep-alive"),
     header::CONNECTION,
     header::TE,
@@ -198,7 +198,13 @@
 }
 
 fn strip_connection_headers(headers: &mut HeaderMap) {
-    for name in CONNECTION_HEADERS {
+    let mut found = Vec::new();
+    for name in headers.keys() {
+        if CONNECTION_HEADERS.contains(name) {
+            found.push(name.clone());
+        }
+    }
+    for name in found {
         headers.remove(name);
     }
 }
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -38,7 +38,8 @@
 #[doc(hidden)]
 pub mod booking_key;
 mod burst_budget;
-mod call;
+#[doc(hidden)]
+pub mod call;
 mod call_server;
 mod claim;
 mod clock;
--- a/coltsfootweir/tests/call_values.rs
+++ b/coltsfootweir/tests/call_values.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
 use proptest::prelude::*;
 
 use coltsfootweir::answer_cache::AnswerCache;
@@ -14,6 +17,7 @@
 use coltsfootweir::booking_key::BookingKey;
 use coltsfootweir::booking_key::KeyError;
 use coltsfootweir::booking_key::MAX_KEY_LENGTH;
+use coltsfootweir::call::CallReply;
 use coltsfootweir::deadline::CallDeadline;
 use coltsfootweir::deadline::MAX_TIMEOUT;
 use coltsfootweir::deadline::RETURN_MARGIN;
@@ -21,9 +25,44 @@
 
 use common::fixed_config;
 
+/// Headers of which the first seven belong to one connection.
+const HEADER_NAMES: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-type",
+    "etag",
+    "x-keep-alive",
+    "x-request-id",
+];
+
+const CONNECTION_COUNT: usize = 7;
+
 proptest! {
     #![proptest_config(fixed_config(0xca11, 256))]
 
+    #[test]
+    fn headers_of_a_connection_and_no_others_are_taken_out(
+        picks in proptest::collection::vec(0..HEADER_NAMES.len(), 0..16),
+    ) {
+        let mut response = Response::new(Bytes::new());
+        for pick in &picks {
+            let value = HeaderValue::from_static("x");
+            response.headers_mut().append(HEADER_NAMES[*pick], value);
+        }
+        let passed_on = CallReply::ran(response).response;
+        for (number, name) in HEADER_NAMES.into_iter().enumerate() {
+            let given = picks.iter().filter(|pick| **pick == number).count();
+            let wanted = if number < CONNECTION_COUNT { 0 } else { given };
+            let left = passed_on.headers().get_all(name).iter().count();
+            prop_assert_eq!(left, wanted, "{}", name);
+        }
+    }
+
     #[test]
     fn keys_read_back_as_written(text in "(cw1~)?[ -~]{0,140}", incarnation: u64) {
         match BookingKey::parse(&text) {
