--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -39,7 +39,8 @@
 #[doc(hidden)]
 pub mod booking_key;
 mod burst_budget;
-mod call;
+#[doc(hidden)]
+pub mod call;
 mod call_server;
 mod claim;
 #[doc(hidden)]
--- a/coltsfootweir/tests/common/fake_store.rs
+++ b/coltsfootweir/tests/common/fake_store.rs
@@ -1,6 +1,5 @@
 //! A platform store in memory with scripted faults.
 
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,7 +43,6 @@
 #[derive(Default)]
 struct StoreState {
     memory: MemoryPlatform,
-    object_names: BTreeSet<Box<str>>,
     script: VecDeque<StoreFault>,
     late: Vec<(u8, WriteBatch)>,
     log: Vec<(WriteBatch, u64)>,
@@ -81,10 +79,15 @@
     /// Replaces the bytes of every object.
     pub fn damage_objects(&self, damage: impl Fn(&mut Vec<u8>)) {
         let state = self.lock();
-        for name in &state.object_names {
-            let mut body = state.memory.get_object(name).unwrap().unwrap();
+        let every = KeyRange {
+            prefix: "".into(),
+            after: "".into(),
+            limit: usize::MAX,
+        };
+        for name in state.memory.list_objects(&every).unwrap() {
+            let mut body = state.memory.get_object(&name).unwrap().unwrap();
             damage(&mut body);
-            state.memory.put_object(name, &body).unwrap();
+            state.memory.put_object(&name, &body).unwrap();
         }
     }
 
@@ -146,8 +149,8 @@
             return outcome;
         }
         for write in &batch.writes {
-            let value = write.value.as_ref().expect("no test deletes rows");
             if *write.key == *HEAD_KEY {
+                let value = write.value.as_ref().expect("no test deletes the head");
                 let head: serde_json::Value = serde_json::from_str(value).unwrap();
                 let generation = head["mark"]["generation"].as_u64().unwrap();
                 self.log.push((batch.clone(), generation));
@@ -167,10 +170,7 @@
     }
 
     fn list_range(&self, range: &KeyRange) -> PlatformResult<Vec<TableRow>> {
-        let mut rows = self.list_rows(&range.prefix)?;
-        rows.retain(|row| row.key > range.after);
-        rows.truncate(range.limit);
-        Ok(rows)
+        self.operate(self.next_fault(), |state| state.memory.list_range(range))
     }
 
     fn commit(&self, batch: &WriteBatch) -> PlatformResult<CommitOutcome> {
@@ -184,10 +184,8 @@
     }
 
     fn put_object(&self, name: &str, body: &[u8]) -> PlatformResult<()> {
-        self.operate(self.next_fault(), |state| {
-            state.object_names.insert(name.into());
-            state.memory.put_object(name, body)
-        })
+        let fault = self.next_fault();
+        self.operate(fault, |state| state.memory.put_object(name, body))
     }
 
     fn get_object(&self, name: &str) -> PlatformResult<Option<Vec<u8>>> {
@@ -195,19 +193,10 @@
     }
 
     fn list_objects(&self, range: &KeyRange) -> PlatformResult<Vec<Box<str>>> {
-        let (_, arrives) = self.meet_fault()?;
-        let state = self.state.lock().unwrap();
-        let mut names: Vec<Box<str>> = state.objects.keys().cloned().collect();
-        names.retain(|name| name.starts_with(&*range.prefix) && *name > range.after);
-        names.truncate(range.limit);
-        answer(names, arrives)
+        self.operate(self.next_fault(), |state| state.memory.list_objects(range))
     }
 
     fn delete_object(&self, name: &str) -> PlatformResult<()> {
-        let (takes_effect, arrives) = self.meet_fault()?;
-        if takes_effect {
-            self.state.lock().unwrap().objects.remove(name);
-        }
-        answer((), arrives)
+        self.operate(self.next_fault(), |state| state.memory.delete_object(name))
     }
 }
