--- a/standins/src/platform_server.rs
+++ b/standins/src/platform_server.rs
@@ -1,8 +1,8 @@
 //! The platform stand-in over HTTP, on `tiny_http`.
 //!
 //! `POST /read` and `POST /list` take a JSON string (a key, a prefix) and answer a row or `null`, or
-//! the rows; `POST /list-range` takes a `KeyRange` and answers its rows. `GET /rows/KEY` and `GET /rows?prefix=PREFIX` do the same for keys that need no
-//! escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes,
+//! the rows; `POST /list-range` takes a `KeyRange` and answers its rows. `GET /rows/KEY` and
+//! `GET /rows?prefix=PREFIX` do the same for keys that need no escape. `POST /commit` takes a `WriteBatch`. `PUT` and `GET /objects/NAME` carry raw bytes,
 //! `DELETE /objects/NAME` deletes, `POST /list-objects` answers the names of a `KeyRange`.
 //! `GET` and `POST /faults` show and replace the faults, `GET /stats` the counts.
 //! A refusal is a 503. A lost answer is a connection that ends without one, at once for a client
