Numbers that no daemon or record can give are refused

A gossip entry of a member's own id with incarnation or counter u64::MAX overflows in MemberView::refute and change_own: a panic with overflow checks, else the member's number falls to 0 and it can never refute its own death. Counts of evidence near u64::MAX overflow in the sums of the pool (panic, or a version with few calls).

Ruled out: saturating sums (dozens of places in evidence, slices, strata and pace, and a rank at the top could still not be refuted); reading times leniently in `get` (what it prints must be what `apply` takes).

Change: ranks above u64::MAX / 2 are passed over by merge and merge_end, reports with a count over 2^40 by EvidencePool::offer; closure refuses a move time that a record cannot give.

Left: a peer that tells ranks below the bound without end is not kept off; the sums count only what 2^24 reports at the bound would overflow.

--- a/coltsfootweir/src/evidence.rs
+++ b/coltsfootweir/src/evidence.rs
@@ -27,6 +27,9 @@
 /// Calls of a route from which its quantile counts as known.
 const QUANTILE_CALLS: u64 = 50;
 
+/// Highest count of a report that is taken; sums over all reports stay within their type.
+const HIGHEST_COUNT: u64 = 1 << 40;
+
 /// Crashes that a report carries, the latest ones.
 const CRASHES_KEPT: usize = 16;
 
@@ -85,6 +88,15 @@
         self.latency[latency_bucket(latency)] += 1;
     }
 
+    /// Returns whether a daemon can have counted this much.
+    fn is_possible(&self) -> bool {
+        let counts = [self.calls, self.failures];
+        counts
+            .iter()
+            .chain(&self.latency)
+            .all(|count| *count <= HIGHEST_COUNT)
+    }
+
     /// Raises each counter to the higher of both; commutative and idempotent.
     pub fn merge(&mut self, other: &RouteCounts) {
         self.calls = self.calls.max(other.calls);
@@ -183,6 +195,12 @@
         }
     }
 
+    /// Returns whether a daemon can have counted this much.
+    #[must_use]
+    pub fn is_possible(&self) -> bool {
+        self.routes.values().all(RouteCounts::is_possible)
+    }
+
     /// Takes in another report of the same member, incarnation and version; commutative and
     /// idempotent.
     pub fn merge(&mut self, other: &EndpointEvidence) {
--- a/coltsfootweir/src/evidence_pool.rs
+++ b/coltsfootweir/src/evidence_pool.rs
@@ -182,8 +182,12 @@
         }
     }
 
-    /// Takes in a report; evidence of other services and versions is passed over.
+    /// Takes in a report; evidence of other services and versions and impossible counts are passed
+    /// over.
     pub fn offer(&mut self, evidence: EndpointEvidence, now: Duration) {
+        if !evidence.is_possible() {
+            return;
+        }
         let Some(side) = self.side(&evidence) else {
             return;
         };
--- a/coltsfootweir/src/member.rs
+++ b/coltsfootweir/src/member.rs
@@ -95,6 +95,9 @@
     xxh3_64_with_seed(id.as_bytes(), incarnation) & RUN_HASH_MASK
 }
 
+/// Highest incarnation and counter that are taken from others; a member can always go above them.
+const HIGHEST_NUMBER: u64 = u64::MAX / 2;
+
 /// What decides which of two entries of one member is the newer one.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct EntryRank {
@@ -107,6 +110,11 @@
 }
 
 impl EntryRank {
+    /// Whether the rank can be refuted by a higher one.
+    pub fn is_refutable(&self) -> bool {
+        self.incarnation <= HIGHEST_NUMBER && self.counter <= HIGHEST_NUMBER
+    }
+
     /// Digest of the rank of the member with this hash.
     pub fn digest(&self, member: MemberHash) -> u64 {
         let mut bytes = [0u8; 25];
--- a/coltsfootweir/src/record_fields.rs
+++ b/coltsfootweir/src/record_fields.rs
@@ -296,8 +296,13 @@
     } else {
         time.checked_add(offset)?
     };
-    let seconds = time.duration_since(SystemTime::UNIX_EPOCH).ok()?.as_secs();
-    (seconds < END_OF_TIMES_SECONDS).then_some(time)
+    is_writable_time(time).then_some(time)
+}
+
+/// Returns whether RFC 3339 text can give the time.
+pub(crate) fn is_writable_time(time: SystemTime) -> bool {
+    let since = time.duration_since(SystemTime::UNIX_EPOCH);
+    since.is_ok_and(|since| since.as_secs() < END_OF_TIMES_SECONDS)
 }
 
 fn parse_two_digits(text: &str, most: u64) -> Option<u64> {
--- a/coltsfootweir/src/snapshot_closure.rs
+++ b/coltsfootweir/src/snapshot_closure.rs
@@ -10,6 +10,7 @@
 use crate::record::TrafficShare;
 use crate::record::version_key;
 use crate::record_fault::RecordFault;
+use crate::record_fields::is_writable_time;
 use crate::snapshot::ConfigSnapshot;
 
 /// Sum of the shares of a service's versions, in percent.
@@ -17,7 +18,8 @@
 
 impl ConfigSnapshot {
     /// Checks that every reference resolves, that each service's shares total 100 percent for
-    /// checks and for bookings, and that no service has two unended moves.
+    /// checks and for bookings, that no service has two unended moves, and that every number is one
+    /// that records can give.
     ///
     /// # Errors
     /// Every fault found.
@@ -107,6 +109,10 @@
             if record.share.checks > 100 || record.share.bookings > 100 {
                 faults.push(RecordFault::new(record.label(), "share", "over 100"));
             }
+            if !is_writable_time(record.done_by) {
+                let reason = "no time that a record can give";
+                faults.push(RecordFault::new(record.label(), "done_by", reason));
+            }
             if record.phase.is_ended() {
                 continue;
             }
--- a/coltsfootweir/src/view.rs
+++ b/coltsfootweir/src/view.rs
@@ -122,8 +122,12 @@
 
     /// Merges an entry that another member sent at `now`.
     ///
-    /// An entry of the member itself that is newer than its own is refuted, not taken.
+    /// An entry of the member itself that is newer than its own is refuted, not taken. One whose rank
+    /// cannot be refuted is passed over.
     pub fn merge(&mut self, entry: &MemberEntry, now: Duration) -> MergeOutcome {
+        if !entry.rank().is_refutable() {
+            return MergeOutcome::default();
+        }
         let member = member_hash(&entry.id);
         if member == self.own {
             return self.refute(entry.rank());
@@ -150,6 +154,9 @@
 
     /// Applies the rank of a member that is dead or left. Returns whether anything changed.
     pub fn merge_end(&mut self, member: MemberHash, rank: EntryRank, now: Duration) -> bool {
+        if !rank.is_refutable() {
+            return false;
+        }
         if member == self.own {
             return self.refute(rank).changed;
         }
