--- a/coltsfootweir/tests/bookings.rs
+++ b/coltsfootweir/tests/bookings.rs
@@ -448,3 +448,18 @@
     assert_eq!(ledger.claim_lost(&key, &row), BookingDecision::Run);
     assert!(ledger.handed_over(&key));
 }
+
+#[test]
+fn a_booking_is_handed_over_once_for_each_admission() {
+    let mut ledger = BookingLedger::new("10.0.0.1:7000".into(), 1);
+    let key = ledger.mint();
+    assert!(!ledger.handed_over(&key), "never begun");
+    assert_eq!(ledger.begin(&key, 1, Duration::ZERO), BookingDecision::Run);
+    ledger.not_run(&key);
+    assert!(!ledger.handed_over(&key), "given up");
+    assert_eq!(ledger.begin(&key, 1, Duration::ZERO), BookingDecision::Run);
+    assert!(ledger.handed_over(&key));
+    assert!(!ledger.handed_over(&key), "twice");
+    ledger.doubt(&key, DoubtReason::Timeout);
+    assert!(!ledger.handed_over(&key), "may have run");
+}
--- a/coltsfootweir/tests/mover_machine.rs
+++ b/coltsfootweir/tests/mover_machine.rs
@@ -118,6 +118,17 @@
     world.settle();
 }
 
+#[test]
+fn move_is_done_only_when_every_daemon_serves_its_last_step() {
+    let mut world = MoveWorld::new(MOVERS);
+    pass(&mut world, 10);
+    world.set_frozen(2, true);
+    pass(&mut world, 300);
+    assert_eq!(world.phase(), MovePhase::Settling, "one daemon is behind");
+    world.set_frozen(2, false);
+    world.settle();
+}
+
 #[test]
 fn member_that_leaves_hands_its_lease_over_at_once() {
     let mut world = MoveWorld::new(MOVERS);
--- a/programs/tests/calls_not_run.rs
+++ b/programs/tests/calls_not_run.rs
@@ -131,6 +131,11 @@
     let seen = prove_refusals(&mut fleet, |_| {});
     assert_seen(&seen, "overloaded");
     assert_seen(&seen, "deadline-passed");
+    for server in &fleet.servers {
+        // Only a run that its daemon gave up can still hold a slot that the daemon counts as free.
+        let stats = server.stats();
+        assert!(stats.shed <= stats.cancelled, "beyond the slots: {stats:?}");
+    }
 }
 
 #[test]
