--- a/coltsfootweir/tests/crash_blame.rs
+++ b/coltsfootweir/tests/crash_blame.rs
@@ -44,6 +44,16 @@
 
 /// Judges a new version whose endpoints crashed once each under the request.
 fn verdict_after_crashes(old_survived: &[Fingerprint], old_crashes: bool) -> Verdict {
+    let old_crash = old_crashes.then_some(REQUEST);
+    verdict_after(old_survived, old_crash, [REQUEST; ENDPOINTS])
+}
+
+/// Judges a new version whose endpoints crashed once each under these requests.
+fn verdict_after(
+    old_survived: &[Fingerprint],
+    old_crash: Option<Fingerprint>,
+    new_crashes: [Fingerprint; ENDPOINTS],
+) -> Verdict {
     let (mut old, mut new) = (recorders("v1"), recorders("v2"));
     let mut pool = EvidencePool::new(&move_record("tried", "v1", "v2"));
     for second in 0..2 {
@@ -54,11 +64,11 @@
             }
             pool.offer(report, Duration::from_secs(second));
         }
-        for recorder in &mut new {
-            recorder.on_crash(vec![REQUEST]);
+        for (recorder, request) in new.iter_mut().zip(new_crashes) {
+            recorder.on_crash(vec![request]);
         }
-        if old_crashes {
-            old[0].on_crash(vec![REQUEST]);
+        if let Some(request) = old_crash {
+            old[0].on_crash(vec![request]);
         }
     }
     judge(&mut pool, Duration::from_secs(2))
@@ -98,3 +108,11 @@
     let verdict = verdict_after_crashes(&[REQUEST], true);
     assert!(!matches!(verdict, Verdict::Condemn(_)), "{verdict:?}");
 }
+
+#[test]
+fn crashes_that_the_old_version_has_as_well_condemn_nothing() {
+    let alone = verdict_after(&[], None, [REQUEST, REQUEST + 1]);
+    assert!(matches!(alone, Verdict::Condemn(_)), "{alone:?}");
+    let beside = verdict_after(&[], Some(REQUEST + 2), [REQUEST, REQUEST + 1]);
+    assert!(!matches!(beside, Verdict::Condemn(_)), "{beside:?}");
+}
--- a/coltsfootweir/tests/snapshot_format.rs
+++ b/coltsfootweir/tests/snapshot_format.rs
@@ -40,6 +40,11 @@
 /// Bytes in a later format, under a mark that fits them.
 fn later_format(generation: u64, mut bytes: Vec<u8>) -> (Vec<u8>, HeadMark) {
     bytes[0] = SNAPSHOT_FORMAT + 1;
+    marked(generation, bytes)
+}
+
+/// Bytes under a mark that fits them.
+fn marked(generation: u64, bytes: Vec<u8>) -> (Vec<u8>, HeadMark) {
     let mut digest = String::new();
     for byte in Sha256::digest(&bytes) {
         digest.push_str(&format!("{byte:02x}"));
@@ -105,3 +110,16 @@
     assert_eq!(outcome, Ok(OfferOutcome::Applied));
     assert_eq!(state.refused(), None);
 }
+
+#[test]
+fn another_encoding_of_a_snapshot_is_refused_under_its_own_digest() {
+    let mut bytes = FIXED_BYTES.to_vec();
+    // The generation in two bytes where one is enough.
+    bytes.splice(2..3, [0xcc, 1]);
+    let (bytes, mark) = marked(1, bytes);
+    let refused = ConfigSnapshot::decode(&bytes, &mark);
+    assert!(
+        matches!(refused, Err(SnapshotError::Unreadable(_))),
+        "{refused:?}"
+    );
+}
