--- a/coltsfootweir/tests/bookings.rs
+++ b/coltsfootweir/tests/bookings.rs
@@ -146,3 +146,18 @@
     assert_eq!(told, BookingDecision::InDoubt(DoubtReason::KeyExpired));
     assert!(!ledger.handed_over(&key));
 }
+
+#[test]
+fn a_booking_is_handed_over_once_for_each_admission() {
+    let mut ledger = BookingLedger::new("10.0.0.1:7000".into(), 1);
+    let key = ledger.mint();
+    assert!(!ledger.handed_over(&key), "never begun");
+    assert_eq!(ledger.begin(&key, 1, CLOCK), BookingDecision::Run);
+    ledger.not_run(&key);
+    assert!(!ledger.handed_over(&key), "given up");
+    assert_eq!(ledger.begin(&key, 1, CLOCK), BookingDecision::Run);
+    assert!(ledger.handed_over(&key));
+    assert!(!ledger.handed_over(&key), "twice");
+    ledger.doubt(&key, DoubtReason::Timeout);
+    assert!(!ledger.handed_over(&key), "may have run");
+}
--- a/coltsfootweir/tests/mover_machine.rs
+++ b/coltsfootweir/tests/mover_machine.rs
@@ -104,6 +104,17 @@
     world.settle();
 }
 
+#[test]
+fn move_is_done_only_when_every_daemon_serves_its_last_step() {
+    let mut world = MoveWorld::new(MOVERS);
+    world.pass(10);
+    world.movers[2].is_frozen = true;
+    world.pass(300);
+    assert_eq!(world.phase(), MovePhase::Settling, "one daemon is behind");
+    world.movers[2].is_frozen = false;
+    world.settle();
+}
+
 #[test]
 fn member_that_leaves_hands_its_lease_over_at_once() {
     let mut world = MoveWorld::new(MOVERS);
