--- a/coltsfootweir/tests/config_routes.rs
+++ b/coltsfootweir/tests/config_routes.rs
@@ -120,6 +120,7 @@
         ("/shared/deep/x?q=/a", "deep"),
         ("/shared/deep", "deep"),
         ("/shared/deeper", "shared"),
+        ("/shared?deep", "shared"),
         ("/sharedx", "root"),
         ("/", "root"),
         ("/?shared", "root"),
