Old announcements bring no silent upstream back, and none gets work before its silence is noticed

Two faults, found by reading: announcements that waited in the socket ('not leaving') end the silence when they are read, before the one that tells the leave; and the way to a slot never asked whether the upstream is silent, so a call may be served before the watch has looked. Ruled out: a number or time in the announcement (a wider interface for one case). Change: after a silence an announcement counts only when another came at least half a second before it; a leave counts at once and is not taken back within that time. A slot is refused while the upstream is silent. Proof: announcements_that_arrive_together_after_a_silence_bring_no_upstream_back, red before (Ready where Down is due).

--- a/coltsfootweir/src/announce.rs
+++ b/coltsfootweir/src/announce.rs
@@ -18,6 +18,10 @@
 /// Silence after which an upstream is held down.
 pub const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(3500);
 
+/// Time by which two announcements must lie apart to end a silence. Those that waited for a daemon
+/// which was frozen arrive together and may be older than the upstream's leave.
+pub const RETURN_GAP: Duration = Duration::from_millis(500);
+
 /// An upstream's announcement.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamAnnouncement {
--- a/coltsfootweir/src/upstream.rs
+++ b/coltsfootweir/src/upstream.rs
@@ -10,6 +10,7 @@
 use flume::Sender;
 
 use crate::announce::ANNOUNCE_TIMEOUT;
+use crate::announce::RETURN_GAP;
 use crate::announce::UpstreamAnnouncement;
 use crate::clock::DaemonClock;
 use crate::context::lock;
@@ -30,6 +31,8 @@
 struct UpstreamState {
     announced: Option<Arc<UpstreamAnnouncement>>,
     heard: Duration,
+    /// First announcement after a silence, until one that came later ends it.
+    returned: Option<Duration>,
     is_down: bool,
     guard: GuardState,
     waiters: HashMap<u64, Sender<Admission>>,
@@ -57,6 +60,7 @@
         let state = UpstreamState {
             announced: None,
             heard: Duration::ZERO,
+            returned: None,
             is_down: true,
             guard: GuardState::new(0, queue_limit),
             waiters: HashMap::new(),
@@ -80,7 +84,12 @@
         now: Duration,
     ) -> Option<EndpointEntry> {
         let mut state = lock(&self.state);
-        state.heard = now;
+        if !state.hear(now) && !announcement.leaving {
+            return match state.phase() {
+                EndpointPhase::Leaving => None,
+                _ => state.hold_down(now),
+            };
+        }
         let is_same = state.announced.as_deref() == Some(&announcement);
         if is_same && !state.is_down {
             return None;
@@ -97,11 +106,10 @@
     /// Holds the upstream down when it was silent too long; returns the entry to publish.
     pub(crate) fn check_silence(&self, now: Duration) -> Option<EndpointEntry> {
         let mut state = lock(&self.state);
-        if state.is_down || now.saturating_sub(state.heard) < ANNOUNCE_TIMEOUT {
+        if !state.is_silent(now) {
             return None;
         }
-        state.is_down = true;
-        state.publish(now)
+        state.hold_down(now)
     }
 
     /// Notes a crash; the first of the broken calls gets it, and the entry to publish.
@@ -185,6 +193,9 @@
         now: Duration,
     ) -> Result<(u64, Option<Receiver<Admission>>), RefusalReason> {
         let mut state = lock(&self.state);
+        if state.is_silent(now) {
+            return Err(RefusalReason::UpstreamDown);
+        }
         let id = state.next_id;
         state.next_id += 1;
         match state.guard.arrive(id, deadline.as_time(), now) {
@@ -204,6 +215,32 @@
 }
 
 impl UpstreamState {
+    fn is_silent(&self, now: Duration) -> bool {
+        self.announced.is_some() && now.saturating_sub(self.heard) >= ANNOUNCE_TIMEOUT
+    }
+
+    /// Notes an announcement; returns whether it is sure to tell how the upstream is now.
+    fn hear(&mut self, now: Duration) -> bool {
+        if self.is_silent(now) {
+            self.returned = Some(now);
+        }
+        self.heard = now;
+        let is_sure = self.returned.is_none_or(|at| now >= at + RETURN_GAP);
+        if is_sure {
+            self.returned = None;
+        }
+        is_sure
+    }
+
+    /// Holds the upstream down; returns the entry to publish when it was not.
+    fn hold_down(&mut self, now: Duration) -> Option<EndpointEntry> {
+        if self.is_down {
+            return None;
+        }
+        self.is_down = true;
+        self.publish(now)
+    }
+
     fn running_fingerprints(&self) -> Vec<Fingerprint> {
         let is_running = |id: &u64| !self.waiters.contains_key(id);
         let running = self.calls.iter().filter(|(id, _)| is_running(id));
--- a/programs/tests/calls_leave.rs
+++ b/programs/tests/calls_leave.rs
@@ -9,7 +9,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coltsfootweir::announce::ANNOUNCE_INTERVAL;
 use coltsfootweir::announce::ANNOUNCE_TIMEOUT;
+use coltsfootweir::member::EndpointPhase;
 use standins::run_log::RunEntry;
 use standins::run_log::RunOutcome;
 use standins::upstream_settings::UpstreamSettings;
@@ -21,6 +23,7 @@
 use common::caller_threads::pause;
 use common::caller_threads::run_while;
 use common::caller_threads::wait_count;
+use common::json_http::post_json;
 use common::local_fleet::LocalFleet;
 use common::process_fleet::ProcessFleet;
 use common::test_net::CutKind;
@@ -140,3 +143,43 @@
     });
     assert_left(&mesh.servers[0].runs());
 }
+
+/// A daemon that was frozen finds the announcements of that time all at once, the oldest first.
+#[test]
+fn announcements_that_arrive_together_after_a_silence_bring_no_upstream_back() {
+    let fleet = ProcessFleet::start(1);
+    let announce = |leaving: bool| {
+        let announcement = serde_json::json!({
+            "service": "stalls", "version": "v1", "slots": 9, "leaving": leaving,
+            "address": "127.0.0.1:1",
+        });
+        post_json(fleet.control(0), "/announce", &announcement.to_string());
+    };
+    let phase = || {
+        fleet
+            .status(0)?
+            .members
+            .first()?
+            .endpoint
+            .as_ref()
+            .map(|own| own.phase)
+    };
+    let wait_phase = |wanted: EndpointPhase| {
+        wait_for("phase", PATIENCE, || phase() == Some(wanted));
+    };
+    announce(false);
+    assert_eq!(phase(), Some(EndpointPhase::Ready));
+    wait_phase(EndpointPhase::Down);
+    announce(false);
+    announce(false);
+    assert_eq!(phase(), Some(EndpointPhase::Down));
+    announce(true);
+    assert_eq!(phase(), Some(EndpointPhase::Leaving));
+    announce(false);
+    assert_eq!(phase(), Some(EndpointPhase::Leaving));
+    wait_phase(EndpointPhase::Down);
+    announce(false);
+    pause(ANNOUNCE_INTERVAL);
+    announce(false);
+    assert_eq!(phase(), Some(EndpointPhase::Ready));
+}
