--- a/coltsfootweir/src/retention_task.rs
+++ b/coltsfootweir/src/retention_task.rs
@@ -50,8 +50,8 @@
     }
 }
 
-/// Returns whether this daemon does a job of removal: few do, in the store's region. Two that both think so cost
-/// operations of the store and nothing else.
+/// Returns whether this daemon does a job of removal: few do, in the store's region. Two that both
+/// think so cost operations of the store and nothing else.
 pub(crate) fn is_remover(context: &DaemonContext, job: &str) -> bool {
     let settings = &context.settings;
     if !context.is_serving() || settings.region != settings.store_region {
