--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -48,6 +48,7 @@
 #[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
     id: u64,
+    rank: u8,
     deadline: Duration,
 }
 
@@ -86,11 +87,63 @@
         if let Some(reason) = self.refusal(deadline, now) {
             return AdmitDecision::Refuse(reason);
         }
+        self.admit(id, 0, deadline, now)
+    }
+
+    /// Decides on a request of a rank, 0 being the most urgent: it waits behind those of its own and
+    /// of more urgent ranks only. The events are the refusals of less urgent requests that lost
+    /// their place in a full queue to it.
+    pub fn arrive_ranked(
+        &mut self,
+        id: u64,
+        rank: u8,
+        deadline: Duration,
+        now: Duration,
+    ) -> (AdmitDecision, Vec<GuardEvent>) {
+        let mut events = Vec::new();
+        if let Some(reason) = self.phase_refusal() {
+            return (AdmitDecision::Refuse(reason), events);
+        }
+        if now >= deadline {
+            let decision = AdmitDecision::Refuse(RefusalReason::DeadlinePassed);
+            return (decision, events);
+        }
+        let is_hopeless = if self.can_start() {
+            self.is_too_long(deadline, now)
+        } else {
+            self.would_miss(self.count_ahead(rank), deadline, now)
+        };
+        if is_hopeless {
+            let decision = AdmitDecision::Refuse(RefusalReason::Overloaded);
+            return (decision, events);
+        }
+        if !self.can_start() && self.waiting.len() >= self.queue_limit {
+            let Some(last) = self.waiting.pop_back_if(|last| last.rank > rank) else {
+                let decision = AdmitDecision::Refuse(RefusalReason::Overloaded);
+                return (decision, events);
+            };
+            events.push(GuardEvent::Refuse(last.id, RefusalReason::Overloaded));
+        }
+        (self.admit(id, rank, deadline, now), events)
+    }
+
+    /// Returns how long a request of a rank would wait for a slot if it arrived now.
+    #[must_use]
+    pub fn wait_time(&self, rank: u8) -> Duration {
+        match self.can_start() {
+            true => Duration::ZERO,
+            false => self.wait_behind(self.count_ahead(rank)),
+        }
+    }
+
+    fn admit(&mut self, id: u64, rank: u8, deadline: Duration, now: Duration) -> AdmitDecision {
         if self.can_start() {
             self.running.insert(id, now);
             return AdmitDecision::Run;
         }
-        self.waiting.push_back(WaitingRequest { id, deadline });
+        let ahead = self.count_ahead(rank);
+        let request = WaitingRequest { id, rank, deadline };
+        self.waiting.insert(ahead, request);
         AdmitDecision::Wait
     }
 
@@ -106,9 +159,8 @@
         let is_hopeless = if self.can_start() {
             self.is_too_long(deadline, now)
         } else {
-            let reserve = self.deviation * WAIT_DEVIATIONS;
             self.waiting.len() >= self.queue_limit
-                || now + self.expected_wait() + self.expected_run() + reserve > deadline
+                || self.would_miss(self.waiting.len(), deadline, now)
         };
         is_hopeless.then_some(RefusalReason::Overloaded)
     }
@@ -135,7 +187,7 @@
         self.poll(now)
     }
 
-    /// Decides on what waits: expires what came too late and fills free slots in order of arrival.
+    /// Decides on what waits: expires what came too late and fills free slots in order of rank, then of arrival.
     pub fn poll(&mut self, now: Duration) -> Vec<GuardEvent> {
         if let Some(reason) = self.queue_refusal(now) {
             let refused = self.waiting.drain(..);
@@ -243,8 +295,19 @@
         self.run_time.unwrap_or(Duration::ZERO)
     }
 
-    fn expected_wait(&self) -> Duration {
-        let ahead = u32::try_from(self.waiting.len() + 1).unwrap_or(u32::MAX);
+    /// Returns whether a request with so many ahead of it in the queue would miss its deadline.
+    fn would_miss(&self, ahead: usize, deadline: Duration, now: Duration) -> bool {
+        let reserve = self.deviation * WAIT_DEVIATIONS;
+        now + self.wait_behind(ahead) + self.expected_run() + reserve > deadline
+    }
+
+    /// Counts the waiting requests that start before one of a rank; the queue is in order of rank.
+    fn count_ahead(&self, rank: u8) -> usize {
+        self.waiting.partition_point(|request| request.rank <= rank)
+    }
+
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         self.expected_run() * ahead / u32::from(self.slots.max(1))
     }
 
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -165,6 +165,7 @@
 mod seed_task;
 mod sequential;
 pub mod settings;
+pub mod sidecar;
 pub mod slo;
 pub mod snapshot;
 #[doc(hidden)]
--- /dev/null
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -0,0 +1,338 @@
+//! Takes one client request through its attempts: choice of an endpoint, repeats, final answer.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::balance::Candidate;
+use crate::endpoint_state::CallEnd;
+use crate::ids::MemberId;
+use crate::ids::ServiceName;
+use crate::ids::VersionName;
+use crate::load_report::LoadReport;
+use crate::member::EndpointPhase;
+use crate::retry::RetryBudget;
+use crate::sidecar::endpoint_desk::not_run;
+use crate::sidecar::endpoint_desk::wall_ms;
+use crate::sidecar::frame::CallResult;
+use crate::sidecar::frame::ForwardedCall;
+use crate::sidecar::frame::LoadNote;
+use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::NotRunReport;
+use crate::sidecar::frame::UnknownCause;
+use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::mesh_config::MeshRoute;
+use crate::sidecar::peer_link::LinkOutcome;
+use crate::sidecar::rollout::VersionChoice;
+use crate::sidecar::sidecar_state::SidecarState;
+
+/// Daemons that are asked for room before a request is refused; each costs a round trip.
+const MAX_ASKED: usize = 4;
+
+/// Part of the shared repeats that the daemons spend: their counts are not in step, and the calls
+/// that a repeated run makes are repeats too.
+const BUDGET_PART: f64 = 0.6;
+
+/// Time that must be left for another attempt.
+const MIN_REPEAT_TIME: Duration = Duration::from_millis(30);
+
+/// Slots by which an endpoint in the own region looks larger, in tenths: a short wait there costs
+/// callers less than the way to another region.
+const NEAR_SLOT_TENTHS: u16 = 14;
+
+/// Statuses from which an answer of an endpoint counts as a failure.
+const FAILURE_STATUS: u16 = 500;
+
+/// A request on its way through its attempts.
+pub struct CallAttempts<'a> {
+    state: &'a SidecarState,
+    route: &'a MeshRoute,
+    service: ServiceName,
+    deadline: Duration,
+    asked: Vec<MemberId>,
+    /// Endpoints that had the request.
+    reached: u32,
+    last_failure: Option<CallResult>,
+}
+
+/// The end of a request and the way to it.
+pub struct AttemptsEnd {
+    /// What became of it.
+    pub result: CallResult,
+    /// Daemons that were asked, in order.
+    pub asked: Vec<MemberId>,
+    /// Endpoints that had the request.
+    pub reached: u32,
+}
+
+struct ChosenEndpoint {
+    member: MemberId,
+    version: VersionName,
+}
+
+impl<'a> CallAttempts<'a> {
+    /// Prepares a request for a service; `deadline` counts from the daemon's start.
+    #[must_use]
+    pub fn new(
+        state: &'a SidecarState,
+        route: &'a MeshRoute,
+        service: ServiceName,
+        deadline: Duration,
+    ) -> CallAttempts<'a> {
+        CallAttempts {
+            state,
+            route,
+            service,
+            deadline,
+            asked: Vec::new(),
+            reached: 0,
+            last_failure: None,
+        }
+    }
+
+    /// Sends the request until it is answered or nothing more can be done for it.
+    pub async fn run(mut self, call: &ForwardedCall) -> AttemptsEnd {
+        self.with_budget(RetryBudget::on_call);
+        let result = loop {
+            let result = self.attempt(call).await;
+            if !self.may_go_on(&result) {
+                break result;
+            }
+            if is_failure(&result) {
+                self.last_failure = Some(result);
+            }
+        };
+        // A refusal says that the request has not run, which holds for all its attempts only.
+        let result = match (result, self.last_failure) {
+            (CallResult::NotRun(_), Some(failure)) => failure,
+            (result, _) => result,
+        };
+        AttemptsEnd {
+            result,
+            asked: self.asked,
+            reached: self.reached,
+        }
+    }
+
+    async fn attempt(&mut self, call: &ForwardedCall) -> CallResult {
+        let Some(chosen) = self.choose() else {
+            return not_run(NotRunCause::Unreachable);
+        };
+        self.asked.push(chosen.member.clone());
+        let start = self.state.now();
+        let left = self.deadline.saturating_sub(start);
+        let call = ForwardedCall {
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            sent_at_ms: wall_ms(self.state.clock.wall()),
+            service: self.service.clone(),
+            ..call.clone()
+        };
+        let mut running = RunningCall::start(self.state, &chosen.member);
+        let own = self.state.settings().id.clone();
+        let (load, result) = match chosen.member == own {
+            true => {
+                let result = self.state.run_here(&call).await;
+                (Some(self.state.endpoint.load()), result)
+            }
+            false => self.run_there(&chosen.member, call).await,
+        };
+        running.end(load, &result);
+        if !matches!(result, CallResult::NotRun(report) if !report.reached) {
+            self.reached += 1;
+            self.count_version(&chosen.version, &result, self.state.now() - start);
+        }
+        result
+    }
+
+    async fn run_there(
+        &self,
+        member: &MemberId,
+        call: ForwardedCall,
+    ) -> (Option<LoadNote>, CallResult) {
+        let Some(link) = self.state.members.link(member) else {
+            return (None, not_run(NotRunCause::Unreachable));
+        };
+        match link.call(call, self.route.is_repeatable).await {
+            LinkOutcome::Told(load, result) => (Some(load), result),
+            LinkOutcome::NotSent => (None, not_run(NotRunCause::Unreachable)),
+            LinkOutcome::Lost => (None, CallResult::Unknown(UnknownCause::LinkLost)),
+        }
+    }
+
+    /// Returns whether another endpoint is to be tried, and takes a repeat from the budget if so.
+    fn may_go_on(&self, result: &CallResult) -> bool {
+        let left = self.deadline.saturating_sub(self.state.now());
+        if left < MIN_REPEAT_TIME || self.asked.is_empty() {
+            return false;
+        }
+        let cause = match result {
+            CallResult::NotRun(report) if !report.reached => {
+                let is_final = matches!(report.cause, NotRunCause::Poison | NotRunCause::TooLate);
+                let has_choice = report.cause != NotRunCause::Unreachable || self.has_untried();
+                return !is_final && has_choice && self.asked.len() < MAX_ASKED;
+            }
+            CallResult::NotRun(_) => "rejected",
+            CallResult::Answer { status, .. } if *status < FAILURE_STATUS => return false,
+            _ if !self.route.is_repeatable => return false,
+            CallResult::Unknown(UnknownCause::EndpointCrashed) => return false,
+            CallResult::Unknown(_) => "unknown",
+            CallResult::Answer { .. } => "failed",
+        };
+        if self.reached >= self.route.attempts || !self.has_untried() {
+            return false;
+        }
+        let granted = self.with_budget(RetryBudget::take);
+        if granted {
+            self.state.tally.count_repeat(cause);
+        }
+        granted
+    }
+
+    fn has_untried(&self) -> bool {
+        self.state.members.read(|table| {
+            let mut records = table.iter();
+            records.any(|record| self.is_usable(record) && !self.asked.contains(&record.id))
+        })
+    }
+
+    fn is_usable(&self, record: &MemberRecord) -> bool {
+        let Some(endpoint) = &record.endpoint else {
+            return false;
+        };
+        let is_own = record.id == self.state.settings.borrow().id;
+        endpoint.service == self.service
+            && endpoint.phase == EndpointPhase::Ready
+            && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
+    }
+
+    fn choose(&self) -> Option<ChosenEndpoint> {
+        let share = self.state.settings.borrow().bounds.canary_share;
+        let rollouts = self.state.rollouts.borrow();
+        let rollout = rollouts.get(&self.service);
+        let choice = rollout.map(|rollout| {
+            let point = rand::rng().random_range(0.0..1.0);
+            (rollout.choose(share, point), rollout.order.version.clone())
+        });
+        drop(rollouts);
+        let Some((choice, version)) = choice else {
+            return self.choose_version(|_| true);
+        };
+        match choice {
+            VersionChoice::OnlyNew => self.choose_version(|other| *other == version),
+            VersionChoice::Old => self.choose_version(|other| *other != version),
+            VersionChoice::New => self
+                .choose_version(|other| *other == version)
+                .or_else(|| self.choose_version(|other| *other != version)),
+        }
+    }
+
+    fn choose_version(&self, fits: impl Fn(&VersionName) -> bool) -> Option<ChosenEndpoint> {
+        let region = self.state.settings.borrow().region.clone();
+        self.state.members.read(|table| {
+            let mut candidates = Vec::new();
+            let mut versions = Vec::new();
+            for record in table.iter().filter(|record| self.is_usable(record)) {
+                let endpoint = record.endpoint.as_ref()?;
+                if !fits(&endpoint.version) {
+                    continue;
+                }
+                let slots = match record.region == region {
+                    true => endpoint.slots.saturating_mul(NEAR_SLOT_TENTHS) / 10,
+                    false => endpoint.slots,
+                };
+                versions.push(&endpoint.version);
+                candidates.push(Candidate {
+                    id: &record.id,
+                    zone: &record.zone,
+                    region: &record.region,
+                    slots,
+                    reachable: true,
+                });
+            }
+            let mut chooser = self.state.routing.chooser.borrow_mut();
+            let index = chooser.choose(&candidates, &self.asked, self.state.now())?;
+            Some(ChosenEndpoint {
+                member: candidates[index].id.clone(),
+                version: versions[index].clone(),
+            })
+        })
+    }
+
+    fn count_version(&self, version: &VersionName, result: &CallResult, time: Duration) {
+        let mut rollouts = self.state.rollouts.borrow_mut();
+        if let Some(rollout) = rollouts.get_mut(&self.service) {
+            rollout.count(version, &self.route.name, is_failure(result), time);
+        }
+    }
+
+    fn with_budget<T>(&self, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = self.state.settings.borrow().bounds;
+        let daemons = self.state.members.live_count().max(1) as f64;
+        let percent = (bounds.retry_share * BUDGET_PART * 100.0) as u8;
+        let burst = (f64::from(bounds.retry_slack) * BUDGET_PART / daemons).max(1.0) as u32;
+        let mut budgets = self.state.routing.budgets.borrow_mut();
+        let budget = budgets
+            .entry(self.service.clone())
+            .or_insert_with(|| RetryBudget::new(percent, burst));
+        work(budget)
+    }
+}
+
+/// Returns whether a result is a failure that the endpoint may have had a part in.
+fn is_failure(result: &CallResult) -> bool {
+    match result {
+        CallResult::Answer { status, .. } => *status >= FAILURE_STATUS,
+        CallResult::Unknown(_) => true,
+        CallResult::NotRun(NotRunReport { .. }) => false,
+    }
+}
+
+/// A call in progress; the chooser learns of its end also when it is dropped.
+struct RunningCall<'a> {
+    state: &'a SidecarState,
+    member: MemberId,
+    end: CallEnd,
+}
+
+impl<'a> RunningCall<'a> {
+    fn start(state: &'a SidecarState, member: &MemberId) -> RunningCall<'a> {
+        let mut chooser = state.routing.chooser.borrow_mut();
+        chooser.on_start(member, state.now());
+        RunningCall {
+            state,
+            member: member.clone(),
+            end: CallEnd::Neutral,
+        }
+    }
+
+    fn end(&mut self, load: Option<LoadNote>, result: &CallResult) {
+        self.end = match result {
+            CallResult::Answer { status, .. } if *status >= FAILURE_STATUS => CallEnd::Failure,
+            CallResult::Answer { .. } => CallEnd::Success,
+            CallResult::Unknown(UnknownCause::TimedOut) => CallEnd::Neutral,
+            CallResult::Unknown(_) => CallEnd::Failure,
+            CallResult::NotRun(report) if report.cause == NotRunCause::Unreachable => {
+                CallEnd::ConnectError
+            }
+            CallResult::NotRun(_) => CallEnd::Neutral,
+        };
+        let Some(load) = load else {
+            return;
+        };
+        let load = LoadReport {
+            running: load.running,
+            slots: load.slots,
+            waiting: load.waiting,
+        };
+        let mut chooser = self.state.routing.chooser.borrow_mut();
+        chooser.on_answer(&self.member, load, self.state.now());
+    }
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let mut chooser = self.state.routing.chooser.borrow_mut();
+        chooser.on_end(&self.member, self.end, now);
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -0,0 +1,149 @@
+//! Serves the platform: readiness, announcements of the endpoint, metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::info;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::logging::UPSTREAM;
+use crate::sidecar::announcement::RegisterChange;
+use crate::sidecar::dialect::ControlCall;
+use crate::sidecar::event_log::dropped_lines;
+use crate::sidecar::request_server::accept_pause;
+use crate::sidecar::sidecar_state::SidecarState;
+
+/// Longest body of a call to the daemon, in bytes; announcements take a few hundred.
+const BODY_LIMIT: usize = 64 * 1024;
+
+/// Time a connection may stay idle; the platform calls every second or two.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+
+/// Share of the drain time for which waiting requests may still start at an endpoint that leaves,
+/// as a divisor; the rest covers their way.
+const QUEUE_GRACE_DIVISOR: u32 = 3;
+
+/// Serves the platform until the daemon ends.
+pub async fn serve_control(state: Rc<SidecarState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
+            }
+            Err(error) => accept_pause("control", &error).await,
+        }
+    }
+}
+
+async fn serve_connection(state: Rc<SidecarState>, stream: TcpStream) {
+    let service = service_fn(move |request| {
+        let state = Rc::clone(&state);
+        async move { Ok::<_, Infallible>(answer(&state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_LIMIT)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!(target: UPSTREAM, "a connection of the platform ended: {error}");
+    }
+}
+
+async fn answer(state: &Rc<SidecarState>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), BODY_LIMIT)
+        .collect()
+        .await;
+    let Ok(body) = body else {
+        return reply(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let body = body.to_bytes();
+    match state.dialect.control_call(method.as_str(), &path, &body) {
+        ControlCall::Readiness => match state.is_ready() {
+            true => reply(StatusCode::OK, Bytes::new()),
+            false => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        },
+        ControlCall::Announce(told) => {
+            let settings = state.settings();
+            let change = state
+                .endpoint
+                .announce(told, &settings.service, settings.endpoint);
+            follow_change(state, change);
+            taken(state)
+        }
+        ControlCall::Depart(told) => {
+            let change = state.endpoint.depart(&told);
+            follow_change(state, change);
+            taken(state)
+        }
+        ControlCall::Metrics => reply(StatusCode::OK, metrics_text(state)),
+        ControlCall::Unknown => reply(StatusCode::NOT_FOUND, Bytes::new()),
+        ControlCall::Malformed(error) => {
+            let what = json!({"name": "announcement_unreadable", "reason": error.to_string()});
+            info!(target: UPSTREAM, "{what}");
+            reply(StatusCode::BAD_REQUEST, Bytes::new())
+        }
+    }
+}
+
+/// Tells the others before the endpoint is answered, so that no more requests come once it is.
+fn follow_change(state: &Rc<SidecarState>, change: RegisterChange) {
+    match change {
+        RegisterChange::Same | RegisterChange::PassedOver(_) => return,
+        RegisterChange::Closed => close_queue_later(state),
+        RegisterChange::Replaced | RegisterChange::Updated => {}
+    }
+    state.publish();
+}
+
+fn close_queue_later(state: &Rc<SidecarState>) {
+    let grace = state.settings().bounds.drain / QUEUE_GRACE_DIVISOR;
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(grace).await;
+        state.endpoint.close_queue();
+    });
+}
+
+fn taken(state: &SidecarState) -> Response<Full<Bytes>> {
+    let body = state.dialect.announce_reply();
+    reply(StatusCode::OK, Bytes::from_static(body.as_bytes()))
+}
+
+fn metrics_text(state: &SidecarState) -> Bytes {
+    let tally = &state.tally;
+    let load = state.endpoint.load();
+    let (calls, faults) = state.store.counts();
+    tally.set("config_version", state.config.version());
+    tally.set("members_live", state.members.live_count() as u64);
+    tally.set("store_calls", calls);
+    tally.set("store_faults", faults);
+    tally.set("endpoint_running", u64::from(load.running));
+    tally.set("endpoint_waiting", u64::from(load.waiting));
+    tally.set("endpoint_connections", state.endpoint.connections_opened());
+    tally.set("log_lines_dropped", dropped_lines());
+    Bytes::from(tally.text())
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/http_exchange.rs
@@ -0,0 +1,355 @@
+//! HTTP/1.1 client side of one kept connection.
+//!
+//! Answers are matched by their request id, since an endpoint may send an extra or a late one where
+//! the next is expected; hyper's client hands such an answer to the wrong request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
+
+/// Longest answer head, in bytes; hyper's own default for a whole read buffer.
+const HEAD_LIMIT: usize = 64 * 1024;
+
+/// Longest answer body, in bytes; a quarter of the smallest VM's memory of 160 MB is 40 MB.
+const BODY_LIMIT: usize = 32 * 1024 * 1024;
+
+/// Headers read of one answer.
+const MAX_HEADERS: usize = 64;
+
+/// Bytes asked of the socket at once.
+const READ_SIZE: usize = 8 * 1024;
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers in their order, names as sent.
+    pub headers: Vec<(Box<str>, Box<[u8]>)>,
+    /// Body without its framing.
+    pub body: Vec<u8>,
+    /// Whether the connection may be used again.
+    pub is_reusable: bool,
+}
+
+impl HttpAnswer {
+    /// Returns the value of a header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        let (_, value) = headers.find(|(key, _)| key.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(value).ok()
+    }
+
+    /// Returns how long the other side keeps an idle connection, as `Keep-Alive` tells it.
+    #[must_use]
+    pub fn idle_limit(&self) -> Option<Duration> {
+        let value = self.header("keep-alive")?;
+        for part in value.split(',') {
+            let Some(seconds) = part.trim().strip_prefix("timeout=") else {
+                continue;
+            };
+            return seconds.trim().parse().ok().map(Duration::from_secs);
+        }
+        None
+    }
+}
+
+/// Why no whole answer came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExchangeError {
+    /// No connection came about; nothing was sent.
+    NotConnected,
+    /// The connection ended or was reset before the whole answer.
+    Ended,
+    /// The bytes are no answer, or are longer than what is read.
+    Malformed,
+}
+
+/// A request to be written.
+#[derive(Clone, Copy, Debug)]
+pub struct WireRequest<'a> {
+    /// Head and body as sent.
+    pub bytes: &'a [u8],
+    /// Whether answers to it have no body.
+    pub is_head: bool,
+    /// Header and value by which its answer is known; answers without the header count as its own.
+    pub identity: Option<(&'a str, &'a str)>,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct HttpConnection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl HttpConnection {
+    /// Connects.
+    ///
+    /// # Errors
+    /// [`ExchangeError::NotConnected`] when nothing listens or `timeout` passes.
+    pub async fn open(
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<HttpConnection, ExchangeError> {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let stream = stream
+            .map_err(|_| ExchangeError::NotConnected)?
+            .map_err(|_| ExchangeError::NotConnected)?;
+        stream
+            .set_nodelay(true)
+            .map_err(|_| ExchangeError::NotConnected)?;
+        Ok(HttpConnection {
+            stream,
+            buffer: Vec::new(),
+        })
+    }
+
+    /// Returns whether the idle connection is open and holds no bytes that nobody asked for.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.buffer.is_empty()
+            && matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the whole answer to it.
+    ///
+    /// # Errors
+    /// [`ExchangeError`]; the request may have run.
+    pub async fn exchange(
+        &mut self,
+        request: WireRequest<'_>,
+    ) -> Result<HttpAnswer, ExchangeError> {
+        let (reader, mut writer) = self.stream.split();
+        let mut reader = AnswerReader {
+            reader,
+            buffer: &mut self.buffer,
+        };
+        let mut answer = None;
+        let written = {
+            let write = writer.write_all(request.bytes);
+            let read = reader.matching_answer(request);
+            tokio::pin!(write, read);
+            tokio::select! {
+                biased;
+                result = &mut write => result.is_ok(),
+                early = &mut read => {
+                    answer = Some(early);
+                    false
+                }
+            }
+        };
+        let answer = match answer {
+            Some(early) => early,
+            // A reset may follow an answer that already arrived.
+            None => reader.matching_answer(request).await,
+        };
+        let is_quiet = self.buffer.is_empty();
+        answer.map(|answer| HttpAnswer {
+            is_reusable: answer.is_reusable && written && is_quiet,
+            ..answer
+        })
+    }
+}
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyFraming {
+    Length(usize),
+    Chunked,
+    UntilEnd,
+}
+
+struct AnswerReader<'a> {
+    reader: ReadHalf<'a>,
+    buffer: &'a mut Vec<u8>,
+}
+
+impl AnswerReader<'_> {
+    async fn matching_answer(
+        &mut self,
+        request: WireRequest<'_>,
+    ) -> Result<HttpAnswer, ExchangeError> {
+        let mut skipped = false;
+        loop {
+            let answer = self.answer(request.is_head).await?;
+            if (100..200).contains(&answer.status) {
+                continue;
+            }
+            let told = request.identity.and_then(|(name, _)| answer.header(name));
+            let is_own = match (told, request.identity) {
+                (Some(told), Some((_, own))) => told == own,
+                _ => !skipped,
+            };
+            if is_own {
+                let is_reusable = answer.is_reusable && !skipped;
+                return Ok(HttpAnswer {
+                    is_reusable,
+                    ..answer
+                });
+            }
+            if !answer.is_reusable {
+                return Err(ExchangeError::Ended);
+            }
+            skipped = true;
+        }
+    }
+
+    async fn answer(&mut self, is_head: bool) -> Result<HttpAnswer, ExchangeError> {
+        let (mut answer, framing) = self.head(is_head).await?;
+        match framing {
+            BodyFraming::Length(length) if length > BODY_LIMIT => {
+                return Err(ExchangeError::Malformed);
+            }
+            BodyFraming::Length(length) => {
+                self.fill(length).await?;
+                answer.body = self.buffer.drain(..length).collect();
+            }
+            BodyFraming::Chunked => answer.body = self.chunks().await?,
+            BodyFraming::UntilEnd => {
+                while self.read_more().await? {
+                    if self.buffer.len() > BODY_LIMIT {
+                        return Err(ExchangeError::Malformed);
+                    }
+                }
+                answer.body = std::mem::take(self.buffer);
+                answer.is_reusable = false;
+            }
+        }
+        Ok(answer)
+    }
+
+    async fn head(&mut self, is_head: bool) -> Result<(HttpAnswer, BodyFraming), ExchangeError> {
+        loop {
+            if let Some((length, answer, framing)) = parse_head(self.buffer, is_head)? {
+                self.buffer.drain(..length);
+                return Ok((answer, framing));
+            }
+            if self.buffer.len() > HEAD_LIMIT {
+                return Err(ExchangeError::Malformed);
+            }
+            if !self.read_more().await? {
+                return Err(ExchangeError::Ended);
+            }
+        }
+    }
+
+    async fn chunks(&mut self) -> Result<Vec<u8>, ExchangeError> {
+        let mut body = Vec::new();
+        loop {
+            let parsed =
+                httparse::parse_chunk_size(self.buffer).map_err(|_| ExchangeError::Malformed)?;
+            let httparse::Status::Complete((start, size)) = parsed else {
+                if self.buffer.len() > HEAD_LIMIT || !self.read_more().await? {
+                    return Err(ExchangeError::Ended);
+                }
+                continue;
+            };
+            let size = usize::try_from(size).map_err(|_| ExchangeError::Malformed)?;
+            if body.len().saturating_add(size) > BODY_LIMIT {
+                return Err(ExchangeError::Malformed);
+            }
+            if size == 0 {
+                self.buffer.drain(..start);
+                self.trailers().await?;
+                return Ok(body);
+            }
+            self.fill(start + size + 2).await?;
+            body.extend_from_slice(&self.buffer[start..start + size]);
+            if &self.buffer[start + size..start + size + 2] != b"\r\n" {
+                return Err(ExchangeError::Malformed);
+            }
+            self.buffer.drain(..start + size + 2);
+        }
+    }
+
+    async fn trailers(&mut self) -> Result<(), ExchangeError> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                self.buffer.drain(..end + 2);
+                if end == 0 {
+                    return Ok(());
+                }
+                continue;
+            }
+            if self.buffer.len() > HEAD_LIMIT || !self.read_more().await? {
+                return Err(ExchangeError::Ended);
+            }
+        }
+    }
+
+    async fn fill(&mut self, length: usize) -> Result<(), ExchangeError> {
+        while self.buffer.len() < length {
+            if !self.read_more().await? {
+                return Err(ExchangeError::Ended);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads what is there; returns whether the other side may send more.
+    async fn read_more(&mut self) -> Result<bool, ExchangeError> {
+        self.buffer.reserve(READ_SIZE);
+        let read = self.reader.read_buf(self.buffer).await;
+        read.map(|count| count > 0)
+            .map_err(|_| ExchangeError::Ended)
+    }
+}
+
+/// Parses an answer's head; `None` while it is not whole.
+fn parse_head(
+    bytes: &[u8],
+    is_head: bool,
+) -> Result<Option<(usize, HttpAnswer, BodyFraming)>, ExchangeError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let status = parsed.parse(bytes).map_err(|_| ExchangeError::Malformed)?;
+    let httparse::Status::Complete(length) = status else {
+        return Ok(None);
+    };
+    let mut answer = HttpAnswer {
+        status: parsed.code.unwrap_or_default(),
+        is_reusable: parsed.version == Some(1),
+        ..HttpAnswer::default()
+    };
+    for header in parsed.headers.iter() {
+        let entry = (header.name.into(), header.value.into());
+        answer.headers.push(entry);
+    }
+    let closes = answer.header("connection").is_some_and(|value| {
+        let mut words = value.split(',');
+        words.any(|word| word.trim().eq_ignore_ascii_case("close"))
+    });
+    answer.is_reusable &= !closes;
+    let framing = body_framing(&answer, is_head)?;
+    Ok(Some((length, answer, framing)))
+}
+
+fn body_framing(answer: &HttpAnswer, is_head: bool) -> Result<BodyFraming, ExchangeError> {
+    let is_bodiless = is_head || matches!(answer.status, 100..=199 | 204 | 304);
+    if is_bodiless {
+        return Ok(BodyFraming::Length(0));
+    }
+    if let Some(coding) = answer.header("transfer-encoding") {
+        return match coding.trim().eq_ignore_ascii_case("chunked") {
+            true => Ok(BodyFraming::Chunked),
+            false => Err(ExchangeError::Malformed),
+        };
+    }
+    match answer.header("content-length") {
+        Some(length) => {
+            let length = length.trim().parse();
+            length
+                .map(BodyFraming::Length)
+                .map_err(|_| ExchangeError::Malformed)
+        }
+        None => Ok(BodyFraming::UntilEnd),
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/member_table.rs
@@ -0,0 +1,210 @@
+//! What is known of the daemons: each tells of itself in a record, and the newest record counts.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::fact::CrashFact;
+use crate::ids::Generation;
+use crate::ids::Incarnation;
+use crate::ids::MemberId;
+use crate::ids::RegionName;
+use crate::ids::RowVersion;
+use crate::ids::ServiceName;
+use crate::ids::VersionName;
+use crate::ids::ZoneName;
+use crate::member::EndpointPhase;
+use crate::sidecar::announcement::EndpointId;
+
+/// The endpoint beside a daemon, as the others need it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EndpointSummary {
+    /// Identity of the lifetime.
+    pub id: EndpointId,
+    /// Service.
+    pub service: ServiceName,
+    /// Version of its software.
+    pub version: VersionName,
+    /// Requests it runs at once.
+    pub slots: u16,
+    /// Whether it takes requests.
+    pub phase: EndpointPhase,
+}
+
+/// Answers of one version that a daemon has seen during a move of traffic.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct VersionCount {
+    /// Row version of the order.
+    pub order: RowVersion,
+    /// The version.
+    pub version: VersionName,
+    /// Route.
+    pub route: Box<str>,
+    /// Answers.
+    pub calls: u32,
+    /// Failures among them.
+    pub failures: u32,
+    /// Sum of their times, in milliseconds.
+    pub time_ms: u64,
+}
+
+/// How a daemon stands to a move of traffic.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RolloutStance {
+    /// Row version of the order.
+    pub order: RowVersion,
+    /// Service.
+    pub service: ServiceName,
+    /// Version that is to get the traffic.
+    pub version: VersionName,
+    /// Time in which the move is to be done, in milliseconds.
+    pub duration_ms: u64,
+    /// What the daemon does.
+    pub stage: RolloutStage,
+}
+
+/// Stage of a move of traffic on one daemon; a later one never gives way to an earlier one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum RolloutStage {
+    /// A small share goes to the new version.
+    Trial,
+    /// New requests go to the new version only.
+    Shifted,
+    /// As before, and no request runs at the old version any more.
+    Settled,
+    /// The move is over and done.
+    Done,
+    /// The new version is bad and gets nothing.
+    TakenBack,
+}
+
+/// Whether a daemon reaches the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StoreReach {
+    /// It has not tried yet.
+    Unknown,
+    /// It does, in this many milliseconds.
+    Within(u16),
+    /// Its last calls failed.
+    Lost,
+}
+
+/// What a daemon tells of itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MemberRecord {
+    /// Identity.
+    pub id: MemberId,
+    /// Run of the daemon.
+    pub incarnation: Incarnation,
+    /// Count of changes in the run.
+    pub counter: u64,
+    /// Address for other daemons.
+    pub address: SocketAddr,
+    /// Region.
+    pub region: RegionName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Whether the daemon is about to end.
+    pub is_leaving: bool,
+    /// Whether it reaches the store.
+    pub store: StoreReach,
+    /// Configuration in force on it.
+    pub config: Generation,
+    /// Endpoint beside it.
+    pub endpoint: Option<EndpointSummary>,
+    /// Moves of traffic that it knows.
+    pub stances: Vec<RolloutStance>,
+    /// Answers it has seen during these.
+    pub counts: Vec<VersionCount>,
+    /// Requests that ran when its endpoint crashed.
+    pub crashes: Vec<CrashFact>,
+}
+
+impl MemberRecord {
+    fn rank(&self) -> (Incarnation, u64) {
+        (self.incarnation, self.counter)
+    }
+}
+
+/// The newest record of each daemon.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    records: BTreeMap<MemberId, MemberRecord>,
+}
+
+impl MemberTable {
+    /// Takes a record; returns whether it was news.
+    pub fn merge(&mut self, record: &MemberRecord) -> bool {
+        let held = self.records.get(&record.id);
+        if held.is_some_and(|held| held.rank() >= record.rank()) {
+            return false;
+        }
+        self.records.insert(record.id.clone(), record.clone());
+        true
+    }
+
+    /// Drops a daemon that is gone.
+    pub fn remove(&mut self, id: &MemberId) {
+        self.records.remove(id);
+    }
+
+    /// Returns a daemon's record.
+    #[must_use]
+    pub fn get(&self, id: &MemberId) -> Option<&MemberRecord> {
+        self.records.get(id)
+    }
+
+    /// Returns all records, by identity.
+    pub fn iter(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records.values()
+    }
+
+    /// Returns a digest of the records held.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for record in self.records.values() {
+            hasher.write(record.id.as_bytes());
+            hasher.write_u64(record.incarnation);
+            hasher.write_u64(record.counter);
+        }
+        hasher.finish()
+    }
+
+    /// Returns whether `own` is among the daemons that are to watch the store for the others: the
+    /// `count` nearest to it of those that `is_live` holds reachable.
+    #[must_use]
+    pub fn is_watcher(
+        &self,
+        own: &MemberId,
+        count: usize,
+        is_live: impl Fn(&MemberRecord) -> bool,
+    ) -> bool {
+        let mut ranked = Vec::new();
+        for record in self.records.values() {
+            let is_candidate = record.id == *own || (is_live(record) && !record.is_leaving);
+            if is_candidate && record.store != StoreReach::Lost {
+                ranked.push((store_rank(record.store), &record.id));
+            }
+        }
+        ranked.sort_unstable();
+        ranked.truncate(count);
+        ranked.iter().any(|(_, id)| *id == own)
+    }
+}
+
+/// Round trips that differ by less than this are the same distance: within a region they take one
+/// or two milliseconds, between regions tens.
+const DISTANCE_STEP_MS: u16 = 10;
+
+/// Nearer daemons first; one that has not tried comes last of those that may reach the store.
+fn store_rank(reach: StoreReach) -> u16 {
+    match reach {
+        StoreReach::Within(millis) => millis / DISTANCE_STEP_MS,
+        StoreReach::Unknown | StoreReach::Lost => u16::MAX,
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -0,0 +1,174 @@
+//! Finds the other daemons, keeps links to them and compares what is known.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::warn;
+use serde_json::json;
+
+use crate::logging::MEMBERS;
+use crate::sidecar::dialect::DialectError;
+use crate::sidecar::dialect::StoreCall;
+use crate::sidecar::dialect::StoreFault;
+use crate::sidecar::dialect::StoreRow;
+use crate::sidecar::dialect::StoreTable;
+use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::member_table::StoreReach;
+use crate::sidecar::peer_link::PeerLink;
+use crate::sidecar::peer_server::take_news;
+use crate::sidecar::sidecar_state::SidecarState;
+
+/// Pause between two looks at the links.
+const LINK_PAUSE: Duration = Duration::from_millis(150);
+
+/// Looks at the links between two comparisons of tables.
+const COMPARE_TICKS: u64 = 14;
+
+/// Pause before another try to write or read the rows of the daemons.
+const ROW_RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause between two reads of the rows while no other daemon can be reached.
+const ALONE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Writes the own row and reads those of the others until some can be reached.
+///
+/// A daemon reads after it wrote, so of two that start at one time the later one sees the other.
+pub async fn find_members(state: Rc<SidecarState>) {
+    while let Err(fault) = write_own_row(&state).await {
+        let what = json!({"name": "own_row_not_written", "reason": fault.to_string()});
+        warn!(target: MEMBERS, "{what}");
+        tokio::time::sleep(ROW_RETRY_PAUSE).await;
+    }
+    loop {
+        match read_rows(&state).await {
+            Ok(()) => tokio::time::sleep(ALONE_PAUSE).await,
+            Err(fault) => {
+                let what = json!({"name": "member_rows_not_read", "reason": fault.to_string()});
+                warn!(target: MEMBERS, "{what}");
+                tokio::time::sleep(ROW_RETRY_PAUSE).await;
+            }
+        }
+        while state.members.reaches_any() {
+            tokio::time::sleep(ALONE_PAUSE).await;
+        }
+    }
+}
+
+async fn write_own_row(state: &SidecarState) -> Result<(), StoreFault> {
+    let own = state.members.own();
+    let row = MemberRecord {
+        stances: Vec::new(),
+        counts: Vec::new(),
+        ..own
+    };
+    let value = rmp_serde::to_vec(&row).map_err(|_| StoreFault::Unreadable)?;
+    let call = StoreCall::Write {
+        table: StoreTable::Members,
+        conditions: Vec::new(),
+        puts: vec![(row.id.clone(), value)],
+        removals: Vec::new(),
+    };
+    state.store.call(&call).await?;
+    let distance = state.store.distance().unwrap_or_default().as_millis();
+    let millis = u16::try_from(distance).unwrap_or(u16::MAX);
+    state.publish_reach(StoreReach::Within(millis));
+    Ok(())
+}
+
+async fn read_rows(state: &SidecarState) -> Result<(), StoreFault> {
+    let reply = state.store.read_all(StoreTable::Members).await?;
+    let mut records = Vec::new();
+    for row in &reply.rows {
+        match read_record(row) {
+            Ok(record) => records.extend(record),
+            Err(error) => {
+                let what = json!({"name": "member_row_unreadable", "key": row.key,
+                    "reason": error.to_string()});
+                warn!(target: MEMBERS, "{what}");
+            }
+        }
+    }
+    state.take_records(&records);
+    Ok(())
+}
+
+fn read_record(row: &StoreRow) -> Result<Option<MemberRecord>, DialectError> {
+    let Some(value) = &row.value else {
+        return Ok(None);
+    };
+    let record = rmp_serde::from_slice(value);
+    record
+        .map(Some)
+        .map_err(|error| DialectError::new("member row", error))
+}
+
+/// Removes the own row.
+pub async fn remove_own_row(state: &SidecarState) {
+    let call = StoreCall::Write {
+        table: StoreTable::Members,
+        conditions: Vec::new(),
+        puts: Vec::new(),
+        removals: vec![state.members.own().id],
+    };
+    if let Err(fault) = state.store.call(&call).await {
+        let what = json!({"name": "own_row_not_removed", "reason": fault.to_string()});
+        warn!(target: MEMBERS, "{what}");
+    }
+}
+
+/// Keeps links to the other daemons.
+pub async fn keep_links(state: Rc<SidecarState>) {
+    let mut tick: u64 = 0;
+    loop {
+        let now = state.now();
+        state.members.check_links(now);
+        for (id, address) in state.members.take_dials(now) {
+            tokio::task::spawn_local(dial(Rc::clone(&state), id, address));
+        }
+        state.want_config();
+        let settings = state.settings();
+        if state.endpoint.check_silence(settings.announce_interval) {
+            state.publish();
+        }
+        tick += 1;
+        if tick.is_multiple_of(COMPARE_TICKS)
+            && let Some(link) = state.members.link_in_turn(tick / COMPARE_TICKS)
+        {
+            link.send(PeerFrame::Digest(
+                state.members.read(|table| table.digest()),
+            ));
+        }
+        tokio::time::sleep(LINK_PAUSE).await;
+    }
+}
+
+async fn dial(state: Rc<SidecarState>, id: Box<str>, address: std::net::SocketAddr) {
+    let clock = std::sync::Arc::clone(&state.clock);
+    let taker = Rc::clone(&state);
+    let on_frame = move |link: &PeerLink, frame| {
+        if let Some(reply) = take_news(&taker, frame) {
+            link.send(reply);
+        }
+    };
+    let ended = Rc::clone(&state);
+    let ended_id = id.clone();
+    let on_end = move || ended.members.on_link_end(&ended_id, ended.now());
+    let link = PeerLink::open(address, move || clock.now(), on_frame, on_end).await;
+    let link = match link {
+        Ok(link) => link,
+        Err(error) => {
+            log::debug!(target: MEMBERS, "{id} at {address} cannot be reached: {error}");
+            state.members.on_dialed(&id, None, state.now());
+            return;
+        }
+    };
+    link.send(PeerFrame::Members(vec![state.members.own()]));
+    if state.members.is_near(&id) {
+        link.send(PeerFrame::Digest(
+            state.members.read(|table| table.digest()),
+        ));
+    }
+    state.members.on_dialed(&id, Some(link), state.now());
+    state.want_config();
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -0,0 +1,37 @@
+//! A daemon on a platform with endpoints, a store of rows and readiness checks of its own.
+//!
+//! The platform's names and formats are behind [`dialect::PlatformDialect`]. One thread runs
+//! everything: requests of clients, calls of other daemons, membership, configuration and moves of
+//! traffic. Modules without `task` in their docs are pure decisions.
+
+#[doc(hidden)]
+pub mod announcement;
+pub mod call_attempts;
+pub mod config_holder;
+pub mod config_task;
+pub mod control_server;
+pub mod daemon;
+pub mod dialect;
+pub mod endpoint_desk;
+pub mod event_log;
+#[doc(hidden)]
+pub mod frame;
+#[doc(hidden)]
+pub mod http_exchange;
+pub mod member_desk;
+#[doc(hidden)]
+pub mod member_table;
+pub mod member_task;
+#[doc(hidden)]
+pub mod mesh_config;
+pub mod peer_link;
+pub mod peer_server;
+pub mod request_server;
+#[doc(hidden)]
+pub mod rollout;
+pub mod rollout_task;
+pub mod settings;
+pub mod sidecar_state;
+pub mod slot_queue;
+pub mod store_client;
+pub mod tally;
--- /dev/null
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -0,0 +1,282 @@
+//! Kept connections to other daemons, each carrying many calls at once.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use log::warn;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use crate::logging::MEMBERS;
+use crate::sidecar::frame::CallNumber;
+use crate::sidecar::frame::CallResult;
+use crate::sidecar::frame::ForwardedCall;
+use crate::sidecar::frame::LoadNote;
+use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::frame::read_frame;
+use crate::sidecar::frame::write_frame;
+
+/// Frames that may wait on a link; beyond that the other side does not read.
+const FRAME_QUEUE: usize = 4096;
+
+/// Bytes asked of the socket at once.
+const READ_SIZE: usize = 16 * 1024;
+
+/// Time a new link may take: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Silence on a link with calls in progress after which a sign of life is asked for.
+const QUIET_LIMIT: Duration = Duration::from_millis(250);
+
+/// Silence on a link at rest after which a sign of life is asked for.
+const REST_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Time in which the sign of life must come: a round trip between regions and the pauses of a
+/// processor that has a fifth of a core.
+const PONG_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How a call over a link ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkOutcome {
+    /// The other daemon told what became of it.
+    Told(LoadNote, CallResult),
+    /// The call was not sent.
+    NotSent,
+    /// The link was lost; the call may have run.
+    Lost,
+}
+
+struct PendingCall {
+    is_repeatable: bool,
+    sender: Sender<(LoadNote, CallResult)>,
+}
+
+/// How a link stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkState {
+    /// It carries calls.
+    Open,
+    /// The other side is silent; calls that must not be repeated wait on.
+    Silent,
+    /// It is over.
+    Closed,
+}
+
+/// A link to another daemon.
+pub struct PeerLink {
+    frames: Sender<PeerFrame>,
+    pending: RefCell<HashMap<CallNumber, PendingCall>>,
+    next_number: Cell<CallNumber>,
+    heard: Cell<Duration>,
+    asked: Cell<Option<Duration>>,
+    state: Cell<LinkState>,
+}
+
+impl PeerLink {
+    /// Connects to a daemon and starts to carry frames; what comes in beside the results of calls
+    /// goes to `on_frame`, the end of the link to `on_end`.
+    ///
+    /// # Errors
+    /// The failure to connect.
+    pub async fn open(
+        address: SocketAddr,
+        now: impl Fn() -> Duration + 'static,
+        on_frame: impl Fn(&PeerLink, PeerFrame) + 'static,
+        on_end: impl FnOnce() + 'static,
+    ) -> std::io::Result<Rc<PeerLink>> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+        stream.set_nodelay(true)?;
+        let (frames, queue) = flume::bounded(FRAME_QUEUE);
+        let link = Rc::new(PeerLink {
+            frames,
+            pending: RefCell::default(),
+            next_number: Cell::new(0),
+            heard: Cell::new(now()),
+            asked: Cell::new(None),
+            state: Cell::new(LinkState::Open),
+        });
+        let carrier = Rc::downgrade(&link);
+        tokio::task::spawn_local(async move {
+            let take = |frame| {
+                let Some(link) = carrier.upgrade() else {
+                    return;
+                };
+                link.heard.set(now());
+                link.asked.set(None);
+                link.state.set(LinkState::Open);
+                match frame {
+                    PeerFrame::Result(number, load, result) => link.finish(number, load, *result),
+                    PeerFrame::Pong => {}
+                    frame => on_frame(&link, frame),
+                }
+            };
+            carry_frames(stream, queue, take).await;
+            if let Some(link) = carrier.upgrade() {
+                link.close();
+            }
+            on_end();
+        });
+        Ok(link)
+    }
+
+    /// Returns how the link stands.
+    #[must_use]
+    pub fn state(&self) -> LinkState {
+        self.state.get()
+    }
+
+    /// Returns whether calls are in progress.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.pending.borrow().is_empty()
+    }
+
+    /// Sends a frame that needs no answer; returns whether it was queued.
+    pub fn send(&self, frame: PeerFrame) -> bool {
+        self.frames.try_send(frame).is_ok()
+    }
+
+    /// Makes a call; dropping the future gives the call up.
+    pub async fn call(&self, call: ForwardedCall, is_repeatable: bool) -> LinkOutcome {
+        if self.state.get() != LinkState::Open {
+            return LinkOutcome::NotSent;
+        }
+        let number = self.next_number.get();
+        self.next_number.set(number.wrapping_add(1));
+        let (sender, receiver) = flume::bounded(1);
+        if !self.send(PeerFrame::Call(number, Box::new(call))) {
+            return LinkOutcome::NotSent;
+        }
+        let pending = PendingCall {
+            is_repeatable,
+            sender,
+        };
+        self.pending.borrow_mut().insert(number, pending);
+        let _running = RunningCall { link: self, number };
+        match receiver.recv_async().await {
+            Ok((load, result)) => LinkOutcome::Told(load, result),
+            Err(_) => LinkOutcome::Lost,
+        }
+    }
+
+    /// Asks for a sign of life when one is due, and notes the lack of one; to be called several
+    /// times a second.
+    pub fn check(&self, now: Duration) {
+        if self.state.get() == LinkState::Closed {
+            return;
+        }
+        if let Some(asked) = self.asked.get() {
+            if now >= asked + PONG_TIMEOUT && self.state.get() == LinkState::Open {
+                self.state.set(LinkState::Silent);
+                self.give_up_repeatable();
+            }
+            return;
+        }
+        let limit = match self.is_busy() {
+            true => QUIET_LIMIT,
+            false => REST_LIMIT,
+        };
+        if now >= self.heard.get() + limit && self.send(PeerFrame::Ping) {
+            self.asked.set(Some(now));
+        }
+    }
+
+    fn finish(&self, number: CallNumber, load: LoadNote, result: CallResult) {
+        let Some(call) = self.pending.borrow_mut().remove(&number) else {
+            return;
+        };
+        // A caller that is gone needs no result.
+        let _ = call.sender.send((load, result));
+    }
+
+    /// Ends the calls that may be made elsewhere; their callers learn that the link is lost.
+    fn give_up_repeatable(&self) {
+        let mut pending = self.pending.borrow_mut();
+        let given_up = pending.extract_if(|_, call| call.is_repeatable);
+        for (number, _) in given_up {
+            self.send(PeerFrame::Cancel(number));
+        }
+    }
+
+    fn close(&self) {
+        self.state.set(LinkState::Closed);
+        self.pending.borrow_mut().clear();
+    }
+}
+
+/// A call in progress; tells the other side when it is given up.
+struct RunningCall<'a> {
+    link: &'a PeerLink,
+    number: CallNumber,
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        let pending = self.link.pending.borrow_mut().remove(&self.number);
+        if pending.is_some() {
+            self.link.send(PeerFrame::Cancel(self.number));
+        }
+    }
+}
+
+/// Carries frames over a connection until it ends or `queue` does.
+pub async fn carry_frames(
+    stream: TcpStream,
+    queue: Receiver<PeerFrame>,
+    take: impl FnMut(PeerFrame),
+) {
+    let (reader, writer) = stream.into_split();
+    tokio::select! {
+        () = read_frames(reader, take) => {}
+        () = write_frames(writer, queue) => {}
+    }
+}
+
+async fn read_frames(mut reader: OwnedReadHalf, mut take: impl FnMut(PeerFrame)) {
+    let mut bytes = Vec::new();
+    loop {
+        loop {
+            match read_frame(&mut bytes) {
+                Ok(Some(frame)) => take(frame),
+                Ok(None) => break,
+                Err(error) => {
+                    let what = json!({"name": "link_unreadable", "reason": error.to_string()});
+                    warn!(target: MEMBERS, "{what}");
+                    return;
+                }
+            }
+        }
+        bytes.reserve(READ_SIZE);
+        match reader.read_buf(&mut bytes).await {
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+    }
+}
+
+async fn write_frames(mut writer: OwnedWriteHalf, queue: Receiver<PeerFrame>) {
+    let mut bytes = Vec::new();
+    while let Ok(frame) = queue.recv_async().await {
+        bytes.clear();
+        for frame in std::iter::once(frame).chain(queue.try_iter()) {
+            if let Err(error) = write_frame(&frame, &mut bytes) {
+                let what = json!({"name": "frame_not_sent", "reason": error.to_string()});
+                warn!(target: MEMBERS, "{what}");
+            }
+        }
+        if writer.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -0,0 +1,154 @@
+//! Serves other daemons: runs their calls at the own endpoint and takes their news.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use flume::Sender;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::sidecar::endpoint_desk::not_run;
+use crate::sidecar::frame::CallNumber;
+use crate::sidecar::frame::ForwardedCall;
+use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::peer_link::carry_frames;
+use crate::sidecar::request_server::accept_pause;
+use crate::sidecar::sidecar_state::SidecarState;
+
+/// Frames that may wait on a connection; beyond that the other side does not read.
+const FRAME_QUEUE: usize = 4096;
+
+type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
+
+/// Serves other daemons until the daemon ends.
+pub async fn serve_peers(state: Rc<SidecarState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_peer(Rc::clone(&state), stream));
+            }
+            Err(error) => accept_pause("peers", &error).await,
+        }
+    }
+}
+
+async fn serve_peer(state: Rc<SidecarState>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (frames, queue) = flume::bounded(FRAME_QUEUE);
+    let calls = RunningCalls::default();
+    let running = Rc::clone(&calls);
+    let take = move |frame| take_frame(&state, &frames, &running, frame);
+    carry_frames(stream, queue, take).await;
+    // Nobody is left to take the results.
+    for (_, call) in calls.borrow_mut().drain() {
+        call.abort();
+    }
+}
+
+fn take_frame(
+    state: &Rc<SidecarState>,
+    frames: &Sender<PeerFrame>,
+    calls: &RunningCalls,
+    frame: PeerFrame,
+) {
+    match frame {
+        PeerFrame::Call(number, call) => start_call(state, frames, calls, number, call),
+        PeerFrame::Cancel(number) => {
+            if let Some(call) = calls.borrow_mut().remove(&number) {
+                call.abort();
+            }
+        }
+        other => {
+            if let Some(reply) = take_news(state, other) {
+                send(frames, reply);
+            }
+        }
+    }
+}
+
+/// Takes a frame that is not about a call; returns the answer to it.
+pub fn take_news(state: &SidecarState, frame: PeerFrame) -> Option<PeerFrame> {
+    match frame {
+        PeerFrame::Ping => Some(PeerFrame::Pong),
+        PeerFrame::Members(records) => {
+            state.take_records(&records);
+            None
+        }
+        PeerFrame::Digest(digest) => {
+            let differs = state.members.read(|table| table.digest()) != digest;
+            differs.then(|| PeerFrame::Members(state.members.all_records()))
+        }
+        PeerFrame::ConfigWanted(held) => {
+            let delta = state.config.delta_from(held)?;
+            Some(PeerFrame::Config(Box::new(delta)))
+        }
+        PeerFrame::Config(delta) => {
+            if state.config.adopt_delta(*delta, "peer") {
+                state.publish();
+            }
+            None
+        }
+        _ => None,
+    }
+}
+
+fn start_call(
+    state: &Rc<SidecarState>,
+    frames: &Sender<PeerFrame>,
+    calls: &RunningCalls,
+    number: CallNumber,
+    call: Box<ForwardedCall>,
+) {
+    if is_refused(state) {
+        let result = Box::new(not_run(NotRunCause::Closed));
+        send(
+            frames,
+            PeerFrame::Result(number, state.endpoint.load(), result),
+        );
+        return;
+    }
+    let state = Rc::clone(state);
+    let frames = frames.clone();
+    let running = Rc::clone(calls);
+    let task = tokio::task::spawn_local(async move {
+        let result = state.run_here(&call).await;
+        running.borrow_mut().remove(&number);
+        let load = state.endpoint.load();
+        send(&frames, PeerFrame::Result(number, load, Box::new(result)));
+    });
+    calls.borrow_mut().insert(number, task.abort_handle());
+}
+
+/// Returns whether calls of others are sent back: the daemon stops, or a move of traffic has taken
+/// the endpoint's version out of service.
+fn is_refused(state: &SidecarState) -> bool {
+    if state.is_leaving.get() {
+        return true;
+    }
+    let Some(endpoint) = state.endpoint.summary() else {
+        return false;
+    };
+    let rollouts = state.rollouts.borrow();
+    let Some(rollout) = rollouts.get(&endpoint.service) else {
+        return false;
+    };
+    let is_new = endpoint.version == rollout.order.version;
+    match rollout.stage {
+        RolloutStage::Trial => false,
+        RolloutStage::Shifted | RolloutStage::Settled | RolloutStage::Done => !is_new,
+        RolloutStage::TakenBack => is_new,
+    }
+}
+
+/// Queues a frame; when the other side does not read it will hold the link for lost.
+fn send(frames: &Sender<PeerFrame>, frame: PeerFrame) {
+    if frames.try_send(frame).is_err() {
+        log::debug!(target: crate::logging::MEMBERS, "a frame to a daemon that does not read was dropped");
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/rollout_task.rs
@@ -0,0 +1,190 @@
+//! Carries out the moves of traffic: judges the pooled answers, moves on and reports.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::warn;
+use serde_json::json;
+
+use crate::ids::RowVersion;
+use crate::logging::MOVES;
+use crate::sidecar::dialect::RolloutPhase;
+use crate::sidecar::dialect::StoreCall;
+use crate::sidecar::dialect::StoreFault;
+use crate::sidecar::dialect::StoreTable;
+use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::member_table::VersionCount;
+use crate::sidecar::rollout::RolloutState;
+use crate::sidecar::sidecar_state::SidecarState;
+
+/// Pause between two looks at the moves: a bad version must be found within seconds.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause before a report that was not written is tried again.
+const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// Time after the shift in which requests sent before it arrive at the old endpoints.
+const SHIFT_TIME: Duration = Duration::from_millis(400);
+
+/// Looks at the moves until the daemon ends.
+pub async fn carry_out_rollouts(state: Rc<SidecarState>) {
+    let mut work = RolloutWork {
+        state,
+        shifted: HashMap::new(),
+        reported: HashMap::new(),
+        report_at: Duration::ZERO,
+    };
+    loop {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        work.look();
+        if work.state.members.is_acting() {
+            work.act().await;
+        }
+    }
+}
+
+struct RolloutWork {
+    state: Rc<SidecarState>,
+    /// When this daemon shifted, by order.
+    shifted: HashMap<RowVersion, Duration>,
+    /// Last phase this daemon reported or found reported, by order.
+    reported: HashMap<RowVersion, RolloutPhase>,
+    report_at: Duration,
+}
+
+impl RolloutWork {
+    /// Does what every daemon does.
+    fn look(&mut self) {
+        let rollouts: Vec<RolloutState> = self.state.rollouts.borrow().values().cloned().collect();
+        if rollouts.is_empty() {
+            return;
+        }
+        let pooled = self.pooled();
+        for rollout in rollouts {
+            let service = &rollout.order.service;
+            if rollout.stage < RolloutStage::Done
+                && let Some(fault) = rollout.find_fault(&pooled)
+            {
+                self.state.advance(service, RolloutStage::TakenBack, &fault);
+            }
+            if rollout.stage == RolloutStage::Shifted && self.is_settled(&rollout) {
+                let reason = "nothing runs at the old version here";
+                self.state.advance(service, RolloutStage::Settled, reason);
+            }
+        }
+        self.state.publish();
+    }
+
+    /// Does what one daemon does for all.
+    async fn act(&mut self) {
+        let rollouts: Vec<RolloutState> = self.state.rollouts.borrow().values().cloned().collect();
+        let pooled = self.pooled();
+        for rollout in rollouts {
+            let service = &rollout.order.service;
+            let phase = match rollout.stage {
+                RolloutStage::Trial => {
+                    if rollout.is_proven(&pooled, self.state.now()) {
+                        let reason = "the trial showed no fault";
+                        self.state.advance(service, RolloutStage::Shifted, reason);
+                        self.state.publish();
+                    }
+                    RolloutPhase::Active
+                }
+                RolloutStage::Settled if self.all_settled(&rollout) => RolloutPhase::Done,
+                RolloutStage::Done => RolloutPhase::Done,
+                RolloutStage::TakenBack => RolloutPhase::TakenBack,
+                RolloutStage::Shifted | RolloutStage::Settled => RolloutPhase::Active,
+            };
+            self.report(&rollout, phase).await;
+        }
+    }
+
+    fn pooled(&self) -> Vec<VersionCount> {
+        let mut pooled = Vec::new();
+        self.state.members.read(|table| {
+            for record in table.iter() {
+                pooled.extend_from_slice(&record.counts);
+            }
+        });
+        pooled
+    }
+
+    fn is_settled(&mut self, rollout: &RolloutState) -> bool {
+        let now = self.state.now();
+        let since = *self.shifted.entry(rollout.row).or_insert(now);
+        let load = self.state.endpoint.load();
+        let is_old = self.state.endpoint.summary().is_some_and(|endpoint| {
+            endpoint.service == rollout.order.service && endpoint.version != rollout.order.version
+        });
+        now >= since + SHIFT_TIME && (!is_old || load.running + load.waiting == 0)
+    }
+
+    fn all_settled(&self, rollout: &RolloutState) -> bool {
+        let own = self.state.members.own().id;
+        self.state.members.read(|table| {
+            table.iter().all(|record| {
+                let is_live = record.id == own || self.state.members.is_reachable(&record.id);
+                let mut stances = record.stances.iter();
+                let stance = stances.find(|stance| stance.order == rollout.row);
+                !is_live || stance.is_some_and(|stance| stance.stage >= RolloutStage::Settled)
+            })
+        })
+    }
+
+    async fn report(&mut self, rollout: &RolloutState, phase: RolloutPhase) {
+        let now = self.state.now();
+        if self.reported.get(&rollout.row) == Some(&phase) || now < self.report_at {
+            return;
+        }
+        let service = &rollout.order.service;
+        match self.write_report(rollout, phase).await {
+            Ok(written) => {
+                self.reported.insert(rollout.row, written);
+                let stage = match written {
+                    RolloutPhase::Active => return,
+                    RolloutPhase::Done => RolloutStage::Done,
+                    RolloutPhase::TakenBack => RolloutStage::TakenBack,
+                };
+                self.state.advance(service, stage, "reported");
+                self.state.publish();
+            }
+            Err(fault) => {
+                self.report_at = now + REPORT_RETRY_PAUSE;
+                let what = json!({"name": "rollout_not_reported", "service": service,
+                    "phase": format!("{phase:?}"), "reason": fault.to_string()});
+                warn!(target: MOVES, "{what}");
+            }
+        }
+    }
+
+    /// Writes the report unless a final one stands there; returns what stands there then.
+    async fn write_report(
+        &self,
+        rollout: &RolloutState,
+        phase: RolloutPhase,
+    ) -> Result<RolloutPhase, StoreFault> {
+        let order = &rollout.order;
+        let (key, value) = self.state.dialect.rollout_report(order, phase);
+        let reports = self.state.store.read_all(StoreTable::Reports).await?;
+        let held = reports.rows.iter().find(|row| row.key == key);
+        let told = held.filter(|row| row.version > rollout.row);
+        let told = told.and_then(|row| row.value.as_deref());
+        let told = told.and_then(|value| self.state.dialect.read_report(value));
+        match told {
+            Some((version, told)) if version == order.version && told != RolloutPhase::Active => {
+                return Ok(told);
+            }
+            Some((version, told)) if version == order.version && told == phase => return Ok(told),
+            _ => {}
+        }
+        let call = StoreCall::Write {
+            table: StoreTable::Reports,
+            conditions: vec![(key.clone(), held.map_or(0, |row| row.version))],
+            puts: vec![(key, value)],
+            removals: Vec::new(),
+        };
+        self.state.store.call(&call).await?;
+        Ok(phase)
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -0,0 +1,363 @@
+//! What the parts of a sidecar share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use serde_json::json;
+
+use crate::balance::EndpointChooser;
+use crate::clock::DaemonClock;
+use crate::fact::CrashFact;
+use crate::ids::Generation;
+use crate::ids::Incarnation;
+use crate::ids::RowVersion;
+use crate::ids::ServiceName;
+use crate::logging::MEMBERS;
+use crate::logging::MOVES;
+use crate::poison::PoisonTable;
+use crate::retry::RetryBudget;
+use crate::sidecar::config_holder::ConfigHolder;
+use crate::sidecar::dialect::PlatformDialect;
+use crate::sidecar::dialect::RolloutOrder;
+use crate::sidecar::endpoint_desk::EndpointDesk;
+use crate::sidecar::endpoint_desk::wall_ms;
+use crate::sidecar::frame::CallResult;
+use crate::sidecar::frame::ForwardedCall;
+use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::member_desk::MemberDesk;
+use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::member_table::RolloutStance;
+use crate::sidecar::member_table::StoreReach;
+use crate::sidecar::mesh_config::TrafficDealer;
+use crate::sidecar::rollout::RolloutState;
+use crate::sidecar::settings::SidecarSettings;
+use crate::sidecar::store_client::StoreClient;
+use crate::sidecar::tally::SidecarTally;
+
+/// Time in which the relays of a region bring a configuration: two round trips between regions.
+const RELAY_TIME: Duration = Duration::from_millis(300);
+
+/// Time in which a daemon that was asked for a configuration sends it.
+const CONFIG_ANSWER_TIME: Duration = Duration::from_millis(400);
+
+/// Crash facts that a daemon tells of; older ones have reached the others.
+const TOLD_CRASHES: usize = 32;
+
+/// Choice of endpoints and limits on repeats.
+pub struct CallRouting {
+    /// Endpoints as this daemon sees them.
+    pub chooser: RefCell<EndpointChooser>,
+    /// Parts of routes.
+    pub dealer: RefCell<TrafficDealer>,
+    /// Repeats allowed, by service.
+    pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Requests that crash endpoints.
+    pub poison: Rc<RefCell<PoisonTable>>,
+}
+
+/// What the parts of a sidecar share.
+pub struct SidecarState {
+    /// Settings in force.
+    pub settings: RefCell<Rc<SidecarSettings>>,
+    /// Names and formats of the platform.
+    pub dialect: Rc<dyn PlatformDialect>,
+    /// Source of time.
+    pub clock: Arc<dyn DaemonClock>,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// Configuration in force.
+    pub config: ConfigHolder,
+    /// Daemons and links.
+    pub members: MemberDesk,
+    /// The endpoint on the own VM.
+    pub endpoint: EndpointDesk,
+    /// Choice of endpoints.
+    pub routing: CallRouting,
+    /// Moves of traffic by service.
+    pub rollouts: RefCell<BTreeMap<ServiceName, RolloutState>>,
+    /// Counters and histograms.
+    pub tally: SidecarTally,
+    /// Whether the daemon was told to stop.
+    pub is_leaving: Cell<bool>,
+    /// Requests of clients in progress.
+    pub running: Cell<u32>,
+    /// Since when another daemon is known to have a newer configuration.
+    behind_since: Cell<Option<Duration>>,
+    /// Version that was asked for last, and when.
+    config_asked: Cell<(Generation, Duration)>,
+}
+
+impl SidecarState {
+    /// Makes the state of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        settings: SidecarSettings,
+        dialect: Rc<dyn PlatformDialect>,
+        clock: Arc<dyn DaemonClock>,
+        seed: u64,
+    ) -> SidecarState {
+        let incarnation: Incarnation = wall_ms(clock.wall());
+        let poison = Rc::new(RefCell::new(PoisonTable::new()));
+        let own = MemberRecord {
+            id: settings.id.clone(),
+            incarnation,
+            counter: 0,
+            address: settings.listen.peers,
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            is_leaving: false,
+            store: StoreReach::Unknown,
+            config: 0,
+            endpoint: None,
+            stances: Vec::new(),
+            counts: Vec::new(),
+            crashes: Vec::new(),
+        };
+        let endpoint = EndpointDesk::new(
+            settings.id.clone(),
+            incarnation,
+            Arc::clone(&clock),
+            *dialect.headers(),
+            Rc::clone(&poison),
+        );
+        let chooser = EndpointChooser::new(settings.zone.clone(), settings.region.clone(), seed);
+        SidecarState {
+            store: StoreClient::new(Rc::clone(&dialect), settings.store),
+            config: ConfigHolder::default(),
+            members: MemberDesk::new(own),
+            endpoint,
+            routing: CallRouting {
+                chooser: RefCell::new(chooser),
+                dealer: RefCell::default(),
+                budgets: RefCell::default(),
+                poison,
+            },
+            rollouts: RefCell::default(),
+            tally: SidecarTally::new(),
+            is_leaving: Cell::new(false),
+            running: Cell::new(0),
+            behind_since: Cell::new(None),
+            config_asked: Cell::new((0, Duration::ZERO)),
+            settings: RefCell::new(Rc::new(settings)),
+            dialect,
+            clock,
+        }
+    }
+
+    /// Returns the settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Rc<SidecarSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Time since the daemon's start.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns whether clients may be sent here: a configuration is in force, and an endpoint or
+    /// another daemon can be reached.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let has_endpoint = self.endpoint.summary().is_some();
+        !self.is_leaving.get()
+            && self.config.version() > 0
+            && (has_endpoint || self.members.reaches_any())
+    }
+
+    /// Brings the own record in line with what the daemon knows, and tells the others at once.
+    pub fn publish(&self) {
+        let endpoint = self.endpoint.summary();
+        let version = self.config.version();
+        let is_leaving = self.is_leaving.get();
+        let mut stances = Vec::new();
+        let mut counts = Vec::new();
+        for (service, rollout) in self.rollouts.borrow().iter() {
+            stances.push(RolloutStance {
+                order: rollout.row,
+                service: service.clone(),
+                version: rollout.order.version.clone(),
+                duration_ms: u64::try_from(rollout.order.duration.as_millis()).unwrap_or(u64::MAX),
+                stage: rollout.stage,
+            });
+            counts.extend_from_slice(rollout.counts());
+        }
+        self.members.change_own(|own| {
+            own.endpoint = endpoint;
+            own.config = version;
+            own.is_leaving = is_leaving;
+            own.stances = stances;
+            own.counts = counts;
+        });
+        self.members.send_news();
+    }
+
+    /// Tells whether the store is in reach.
+    pub fn publish_reach(&self, reach: StoreReach) {
+        let before = self.members.own().store;
+        if !self.members.change_own(|own| own.store = reach) {
+            return;
+        }
+        let is_lost = reach == StoreReach::Lost;
+        if is_lost != (before == StoreReach::Lost) || before == StoreReach::Unknown {
+            let name = match is_lost {
+                true => "store_lost",
+                false => "store_reached",
+            };
+            let what = json!({"name": name, "reach": format!("{reach:?}")});
+            info!(target: MEMBERS, "{what}");
+        }
+        self.members.send_news();
+    }
+
+    /// Runs a call at the endpoint on this VM; dropping the future gives the call up.
+    pub async fn run_here(&self, call: &ForwardedCall) -> CallResult {
+        let start = self.now();
+        let report = self.endpoint.run(call).await;
+        self.tally.count_run(self.now() - start);
+        if self.endpoint.summary() != self.members.own().endpoint || !report.crashes.is_empty() {
+            self.publish_crashes(report.crashes);
+        }
+        report.result
+    }
+
+    /// Spreads crash facts.
+    fn publish_crashes(&self, facts: Vec<CrashFact>) {
+        self.members.change_own(|own| {
+            own.crashes.extend(facts);
+            let excess = own.crashes.len().saturating_sub(TOLD_CRASHES);
+            own.crashes.drain(..excess);
+        });
+        self.publish();
+    }
+
+    /// Takes records that another daemon sent.
+    pub fn take_records(&self, records: &[MemberRecord]) {
+        let now = self.now();
+        for record in self.members.merge(records) {
+            let mut poison = self.routing.poison.borrow_mut();
+            for fact in &record.crashes {
+                poison.on_crash(fact, now);
+            }
+            drop(poison);
+            self.follow_stances(&record.stances);
+        }
+        self.members.send_news();
+        self.want_config();
+    }
+
+    /// Takes an order to move traffic; one that is known or older than the known one changes
+    /// nothing.
+    pub fn take_order(&self, order: RolloutOrder, row: RowVersion, stage: RolloutStage) -> bool {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let known = rollouts.get(&order.service).map(|rollout| rollout.row);
+        if known.is_some_and(|known| known >= row) {
+            return false;
+        }
+        let what = json!({"name": "rollout_learned", "service": order.service,
+            "version": order.version, "order": row, "stage": format!("{stage:?}")});
+        info!(target: MOVES, "{what}");
+        let mut rollout = RolloutState::new(order, row, self.now());
+        rollout.advance(stage);
+        rollouts.insert(rollout.order.service.clone(), rollout);
+        true
+    }
+
+    /// Moves a rollout on; returns whether that changed anything.
+    pub fn advance(&self, service: &ServiceName, stage: RolloutStage, reason: &str) -> bool {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let Some(rollout) = rollouts.get_mut(service) else {
+            return false;
+        };
+        if !rollout.advance(stage) {
+            return false;
+        }
+        let what = json!({"name": "rollout_stage", "service": service,
+            "version": rollout.order.version, "order": rollout.row,
+            "stage": format!("{stage:?}"), "reason": reason});
+        info!(target: MOVES, "{what}");
+        true
+    }
+
+    /// Follows what other daemons found out about moves of traffic.
+    fn follow_stances(&self, stances: &[RolloutStance]) {
+        let mut changed = false;
+        for stance in stances {
+            let order = RolloutOrder {
+                service: stance.service.clone(),
+                version: stance.version.clone(),
+                duration: Duration::from_millis(stance.duration_ms),
+            };
+            let stage = followed_stage(stance.stage);
+            changed |= self.take_order(order, stance.order, stage);
+            let known = self.rollouts.borrow().get(&stance.service).map(|r| r.row);
+            if known == Some(stance.order) {
+                changed |= self.advance(&stance.service, stage, "told by another daemon");
+            }
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    /// Asks a daemon that has a newer configuration for it. One of another region is asked only by
+    /// the relays of this one, and by others when the relays do not bring it.
+    pub fn want_config(&self) {
+        let now = self.now();
+        let held = self.config.version();
+        let own = self.members.own();
+        let (near, far) = self.members.read(|table| {
+            let mut near = None;
+            let mut far = None;
+            for record in table.iter().filter(|record| record.config > held) {
+                if !self.members.is_reachable(&record.id) {
+                    continue;
+                }
+                let nearest = match record.region == own.region {
+                    true => &mut near,
+                    false => &mut far,
+                };
+                let best = nearest.as_ref().map_or(0, |(version, _)| *version);
+                if record.config > best {
+                    *nearest = Some((record.config, record.id.clone()));
+                }
+            }
+            (near, far)
+        });
+        if near.is_none() && far.is_none() {
+            self.behind_since.set(None);
+            return;
+        }
+        let since = self.behind_since.get().unwrap_or(now);
+        self.behind_since.set(Some(since));
+        let may_ask_far = self.members.is_relay() || now >= since + RELAY_TIME;
+        let Some((version, id)) = near.or_else(|| far.filter(|_| may_ask_far)) else {
+            return;
+        };
+        let (asked, at) = self.config_asked.get();
+        if asked >= version && now < at + CONFIG_ANSWER_TIME {
+            return;
+        }
+        if let Some(link) = self.members.link(&id) {
+            self.config_asked.set((version, now));
+            link.send(PeerFrame::ConfigWanted(held));
+        }
+    }
+}
+
+/// Returns the stage to take over from another daemon: that it has settled says nothing of this
+/// one, but that it shifted does.
+fn followed_stage(stage: RolloutStage) -> RolloutStage {
+    match stage {
+        RolloutStage::Settled => RolloutStage::Shifted,
+        other => other,
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/store_client.rs
@@ -0,0 +1,149 @@
+//! The client of the platform's store.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::sidecar::dialect::PlatformDialect;
+use crate::sidecar::dialect::StoreCall;
+use crate::sidecar::dialect::StoreFault;
+use crate::sidecar::dialect::StoreReply;
+use crate::sidecar::dialect::StoreTable;
+use crate::sidecar::http_exchange::HttpConnection;
+use crate::sidecar::http_exchange::WireRequest;
+
+/// Time a call may take beyond the wait it asks for; a slow store answers after some 250 ms, and
+/// a call on a connection gone silent must not hold up the next for long.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time a new connection may take: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Client of the store; one call at a time on a connection, so a watch uses one of its own.
+pub struct StoreClient {
+    dialect: Rc<dyn PlatformDialect>,
+    address: SocketAddr,
+    idle: RefCell<Vec<HttpConnection>>,
+    distance: Cell<Option<Duration>>,
+    calls: Cell<u64>,
+    faults: Cell<u64>,
+}
+
+impl StoreClient {
+    /// Makes a client of the store at `address`.
+    #[must_use]
+    pub fn new(dialect: Rc<dyn PlatformDialect>, address: SocketAddr) -> StoreClient {
+        StoreClient {
+            dialect,
+            address,
+            idle: RefCell::default(),
+            distance: Cell::new(None),
+            calls: Cell::new(0),
+            faults: Cell::new(0),
+        }
+    }
+
+    /// Returns the shortest time a connection to the store took.
+    #[must_use]
+    pub fn distance(&self) -> Option<Duration> {
+        self.distance.get()
+    }
+
+    /// Returns the calls made and those of them that failed.
+    #[must_use]
+    pub fn counts(&self) -> (u64, u64) {
+        (self.calls.get(), self.faults.get())
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    /// [`StoreFault`]; after [`StoreFault::NoAnswer`] a write may have taken effect or still do so.
+    pub async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreFault> {
+        self.calls.set(self.calls.get() + 1);
+        let reply = self.exchange(call).await;
+        if !matches!(reply, Ok(_) | Err(StoreFault::Condition)) {
+            self.faults.set(self.faults.get() + 1);
+        }
+        reply
+    }
+
+    /// Reads all rows of a table.
+    ///
+    /// # Errors
+    /// Those of [`StoreClient::call`].
+    pub async fn read_all(&self, table: StoreTable) -> Result<StoreReply, StoreFault> {
+        let mut whole = StoreReply {
+            rows: Vec::new(),
+            has_more: true,
+            version: 0,
+        };
+        while whole.has_more {
+            let last = whole.rows.last();
+            // The smallest key after the last one.
+            let from = last.map_or_else(String::new, |row| format!("{}\u{0}", row.key));
+            let from = from.into_boxed_str();
+            let part = self.call(&StoreCall::Read { table, from }).await?;
+            if whole.version == 0 {
+                whole.version = part.version;
+            }
+            whole.has_more = part.has_more && !part.rows.is_empty();
+            whole.rows.extend(part.rows);
+        }
+        Ok(whole)
+    }
+
+    async fn exchange(&self, call: &StoreCall) -> Result<StoreReply, StoreFault> {
+        let request = self.dialect.store_request(call);
+        let mut bytes = format!(
+            "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            request.method,
+            request.path,
+            self.address,
+            request.body.len()
+        )
+        .into_bytes();
+        bytes.extend_from_slice(&request.body);
+        let wait = match call {
+            StoreCall::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            _ => Duration::ZERO,
+        };
+        let mut connection = self.connection().await?;
+        let wire = WireRequest {
+            bytes: &bytes,
+            is_head: false,
+            identity: None,
+        };
+        let answer = tokio::time::timeout(wait + CALL_TIMEOUT, connection.exchange(wire)).await;
+        let Ok(Ok(answer)) = answer else {
+            return Err(StoreFault::NoAnswer);
+        };
+        if answer.is_reusable {
+            self.idle.borrow_mut().push(connection);
+        }
+        self.dialect.store_reply(answer.status, &answer.body)
+    }
+
+    async fn connection(&self) -> Result<HttpConnection, StoreFault> {
+        while let Some(connection) = self.take_idle() {
+            if connection.is_clean() {
+                return Ok(connection);
+            }
+        }
+        let start = Instant::now();
+        let connection = HttpConnection::open(self.address, CONNECT_TIMEOUT)
+            .await
+            .map_err(|_| StoreFault::NoAnswer)?;
+        let taken = start.elapsed();
+        let shortest = self.distance.get().map_or(taken, |best| best.min(taken));
+        self.distance.set(Some(shortest));
+        Ok(connection)
+    }
+
+    fn take_idle(&self) -> Option<HttpConnection> {
+        self.idle.borrow_mut().pop()
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/tally.rs
@@ -0,0 +1,138 @@
+//! Counters and latency histograms, served as text.
+
+use std::time::Duration;
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper ends of the latency buckets, in seconds: from the time a relay takes to the longest
+/// request time limits.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4,
+];
+
+/// Counters and histograms of a sidecar.
+pub struct SidecarTally {
+    registry: Registry,
+    requests: IntCounterVec,
+    repeats: IntCounterVec,
+    latency: HistogramVec,
+    guard_wait: Histogram,
+    gauges: Vec<(&'static str, IntGauge)>,
+}
+
+/// Gauges and their meanings, set when the metrics are read.
+const GAUGES: [(&str, &str); 8] = [
+    ("config_version", "version of the configuration in force"),
+    ("members_live", "daemons in reach, this one included"),
+    ("store_calls", "calls made to the store"),
+    ("store_faults", "calls to the store that failed"),
+    ("endpoint_running", "requests at the endpoint on this VM"),
+    ("endpoint_waiting", "requests waiting for the endpoint"),
+    ("endpoint_connections", "connections opened to the endpoint"),
+    ("log_lines_dropped", "log lines that did not fit the queue"),
+];
+
+impl SidecarTally {
+    /// Makes the counters.
+    ///
+    /// # Panics
+    /// When two metrics have one name.
+    #[must_use]
+    pub fn new() -> SidecarTally {
+        let registry = Registry::new();
+        let requests = Opts::new("requests", "requests of clients by outcome and cause");
+        let requests = IntCounterVec::new(requests, &["outcome", "cause"]);
+        let repeats = Opts::new("repeats", "requests sent to a further endpoint, by cause");
+        let repeats = IntCounterVec::new(repeats, &["cause"]);
+        let latency = histogram("request_seconds", "time of requests by service");
+        let latency = HistogramVec::new(latency, &["service"]);
+        let wait = histogram(
+            "endpoint_seconds",
+            "time of calls at the endpoint on this VM",
+        );
+        let wait = Histogram::with_opts(wait);
+        let valid = "names of metrics are valid";
+        let mut tally = SidecarTally {
+            requests: requests.expect(valid),
+            repeats: repeats.expect(valid),
+            latency: latency.expect(valid),
+            guard_wait: wait.expect(valid),
+            gauges: Vec::new(),
+            registry,
+        };
+        let unique = "names of metrics are unique";
+        let registry = &tally.registry;
+        registry
+            .register(Box::new(tally.requests.clone()))
+            .expect(unique);
+        registry
+            .register(Box::new(tally.repeats.clone()))
+            .expect(unique);
+        registry
+            .register(Box::new(tally.latency.clone()))
+            .expect(unique);
+        registry
+            .register(Box::new(tally.guard_wait.clone()))
+            .expect(unique);
+        for (name, help) in GAUGES {
+            let gauge = IntGauge::new(name, help).expect(valid);
+            registry.register(Box::new(gauge.clone())).expect(unique);
+            tally.gauges.push((name, gauge));
+        }
+        tally
+    }
+
+    /// Counts a request of a client.
+    pub fn count_request(&self, service: &str, outcome: &str, cause: &str, time: Duration) {
+        self.requests.with_label_values(&[outcome, cause]).inc();
+        let latency = self.latency.with_label_values(&[service]);
+        latency.observe(time.as_secs_f64());
+    }
+
+    /// Counts a request sent to a further endpoint.
+    pub fn count_repeat(&self, cause: &str) {
+        self.repeats.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts a call at the endpoint on this VM.
+    pub fn count_run(&self, time: Duration) {
+        self.guard_wait.observe(time.as_secs_f64());
+    }
+
+    /// Sets a gauge; a name that is not listed is passed over.
+    pub fn set(&self, name: &str, value: u64) {
+        for (listed, gauge) in &self.gauges {
+            if *listed == name {
+                gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            }
+        }
+    }
+
+    /// Writes all metrics as text.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(target: crate::logging::DAEMON, "metrics cannot be written: {error}");
+        }
+        text
+    }
+}
+
+impl Default for SidecarTally {
+    fn default() -> SidecarTally {
+        SidecarTally::new()
+    }
+}
+
+fn histogram(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
+}
--- a/programs/src/bin/coltsfootweird.rs
+++ b/programs/src/bin/coltsfootweird.rs
@@ -1,13 +1,21 @@
 //! The daemon.
 
 use std::error::Error;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 
+use clap::Args;
 use clap::Parser;
+use clap::Subcommand;
 use coltsfootweir::daemon::MeshDaemon;
 use coltsfootweir::logging::start_logging;
 use coltsfootweir::settings::DaemonArgs;
 use coltsfootweir::settings::DaemonSettings;
+use coltsfootweir::sidecar::daemon::run_sidecar;
+use coltsfootweir::sidecar::event_log::start_event_log;
+use log::LevelFilter;
+use platform::UserPlatform;
 use programs::daemon_run::run_daemon;
 
 /// Exit code for settings that cannot be used.
@@ -15,14 +23,42 @@
 
 /// The daemon that stands beside each upstream VM. Ends in order on SIGTERM or SIGINT.
 #[derive(Parser)]
-#[command(version)]
+#[command(version, args_conflicts_with_subcommands = true)]
 struct Arguments {
+    #[command(subcommand)]
+    mode: Option<Mode>,
     #[command(flatten)]
     daemon: DaemonArgs,
 }
 
+#[derive(Subcommand)]
+enum Mode {
+    /// Runs on the users' platform, with the settings file that the platform writes
+    Sidecar(SidecarArgs),
+}
+
+#[derive(Args)]
+struct SidecarArgs {
+    /// Settings file of the platform; read again on SIGHUP and when it changes
+    #[arg(long, env = "COLTSFOOTWEIR_SETTINGS")]
+    settings: PathBuf,
+    /// Log level: off, error, warn, info, debug or trace
+    #[arg(long, env = "COLTSFOOTWEIR_LOG", default_value = "info")]
+    log: LevelFilter,
+}
+
 fn main() -> ExitCode {
-    let settings = match Arguments::parse().daemon.check() {
+    let arguments = Arguments::parse();
+    if let Some(Mode::Sidecar(sidecar)) = arguments.mode {
+        return match run_on_platform(&sidecar) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        };
+    }
+    let settings = match arguments.daemon.check() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -42,3 +78,10 @@
     start_logging(settings.log).map_err(|error| error.to_string())?;
     run_daemon(|| MeshDaemon::start(settings))
 }
+
+fn run_on_platform(arguments: &SidecarArgs) -> Result<(), Box<dyn Error>> {
+    start_event_log(arguments.log).map_err(|error| error.to_string())?;
+    run_sidecar(&arguments.settings, Rc::new(UserPlatform))
+        .map_err(|error| format!("{error:?}"))?;
+    Ok(())
+}
