A stopping sidecar closes its port and connections 2.5 s after SIGTERM

Change: after two missed readiness checks no connection is taken, each ends after the request on it; the daemon ends when nothing runs, half a second before SIGKILL at the latest. Ruled out: an answer of its own in place of what runs; it counts as broken off too.

--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -48,8 +48,8 @@
 /// checks, one a second.
 const NOTICE_TIME: Duration = Duration::from_millis(2_500);
 
-/// Part of the time until SIGKILL that is left for ending connections, as a divisor.
-const END_DIVISOR: u32 = 6;
+/// Time before SIGKILL at which the daemon ends whatever still runs.
+const END_TIME: Duration = Duration::from_millis(500);
 
 /// Pause between two looks at whether anything still runs.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
@@ -203,22 +203,16 @@
     let what = json!({"name": "stopping", "running": state.running.get()});
     info!(target: DAEMON, "{what}");
     let grace = state.settings().bounds.stop_grace;
-    let until = start + grace - grace / END_DIVISOR;
+    let until = start + grace.saturating_sub(END_TIME);
     let notice = (start + NOTICE_TIME).min(until);
     remove_row_within(state, notice).await;
-    loop {
-        let now = state.now();
-        let load = state.endpoint.load();
-        let is_idle = state.running.get() == 0 && load.running + load.waiting == 0;
-        if now >= until || (now >= notice && is_idle) {
-            break;
-        }
+    tokio::time::sleep(notice.saturating_sub(state.now())).await;
+    // From here on connections end after the request that is on them, and no new ones are taken.
+    stop.send_replace(true);
+    while state.now() < until && !is_idle(state) {
         tokio::time::sleep(STOP_PAUSE).await;
     }
-    // Connections end after the answers that are on their way.
-    if stop.send(true).is_err() {
-        return;
-    }
+    // The last answers are on their way.
     tokio::time::sleep(STOP_PAUSE).await;
     let what = json!({"name": "stopped", "running": state.running.get(),
         "ms": (state.now() - start).as_millis() as u64});
@@ -227,6 +221,11 @@
     tokio::time::sleep(STOP_PAUSE * 3).await;
 }
 
+fn is_idle(state: &SidecarState) -> bool {
+    let load = state.endpoint.load();
+    state.running.get() == 0 && load.running + load.waiting == 0
+}
+
 async fn remove_row_within(state: &SidecarState, until: Duration) {
     let left = until.saturating_sub(state.now());
     if tokio::time::timeout(left, remove_own_row(state))
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -76,14 +76,18 @@
 /// Largest body held in memory, in bytes, whatever the configuration allows.
 const BODY_LIMIT: u64 = 32 * 1024 * 1024;
 
-/// Serves clients until `stopping` says that connections are to end.
+/// Serves clients until `stopping` says that connections are to end; the port is closed then.
 pub async fn serve_requests(
     state: Rc<SidecarState>,
     listener: TcpListener,
-    stopping: watch::Receiver<bool>,
+    mut stopping: watch::Receiver<bool>,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.changed() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let client = serve_client(Rc::clone(&state), stream, stopping.clone());
                 tokio::task::spawn_local(client);
