Links name their daemon; answers of the last seconds are judged apart

Change: the side that takes a link says who it is first; a daemon whose address another one has is forgotten. Change: the answers of the last 2.5 s are judged too. tests/sidecar_rollout failed before, passes now. Ruled out: the watch itself (its log shows each read), a lost order.

--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -77,6 +77,7 @@
             None => self.read_orders().await,
             Some(after) => self.watch(after).await,
         };
+        log::debug!(target: CONFIG, "orders read from {:?}: {read:?}", self.cursor);
         match read {
             Ok(version) => {
                 self.cursor = Some(version);
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::ids::Generation;
+use crate::ids::MemberId;
 use crate::ids::ServiceName;
 use crate::sidecar::announcement::EndpointId;
 use crate::sidecar::member_table::MemberRecord;
@@ -123,6 +124,9 @@
 /// A message between daemons.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerFrame {
+    /// First frame of the side that took the connection: who it is. Addresses of daemons that are
+    /// gone are used again by others.
+    Hello(MemberId),
     /// Runs a request.
     Call(CallNumber, Box<ForwardedCall>),
     /// Gives a request up.
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -268,13 +268,18 @@
             }
         }
         for id in gone {
-            self.links.borrow_mut().remove(&id);
-            self.table.borrow_mut().remove(&id);
+            self.forget(&id);
         }
         let is_needed = |link: &Rc<PeerLink>| link.is_busy() && link.state() != LinkState::Closed;
         self.retired.borrow_mut().retain(is_needed);
     }
 
+    /// Forgets a daemon that is gone.
+    pub fn forget(&self, id: &MemberId) {
+        self.links.borrow_mut().remove(id);
+        self.table.borrow_mut().remove(id);
+    }
+
     /// Sends what changed since the last time: within the region to all, to other regions through
     /// their relays, and what came from another region only within the own one.
     pub fn send_news(&self) {
--- a/coltsfootweir/src/sidecar/member_table.rs
+++ b/coltsfootweir/src/sidecar/member_table.rs
@@ -134,11 +134,17 @@
 #[derive(Debug, Default)]
 pub struct MemberTable {
     records: BTreeMap<MemberId, MemberRecord>,
+    /// Runs of daemons that are gone; their records may still come from others.
+    gone: BTreeMap<MemberId, Incarnation>,
 }
 
 impl MemberTable {
     /// Takes a record; returns whether it was news.
     pub fn merge(&mut self, record: &MemberRecord) -> bool {
+        let gone = self.gone.get(&record.id);
+        if gone.is_some_and(|gone| *gone >= record.incarnation) {
+            return false;
+        }
         let held = self.records.get(&record.id);
         if held.is_some_and(|held| held.rank() >= record.rank()) {
             return false;
@@ -147,9 +153,11 @@
         true
     }
 
-    /// Drops a daemon that is gone.
+    /// Drops a daemon that is gone; a later run of it is taken again.
     pub fn remove(&mut self, id: &MemberId) {
-        self.records.remove(id);
+        if let Some(record) = self.records.remove(id) {
+            self.gone.insert(record.id, record.incarnation);
+        }
     }
 
     /// Returns a daemon's record.
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use log::info;
 use log::warn;
 use serde_json::json;
 
@@ -15,6 +16,7 @@
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::StoreReach;
+use crate::sidecar::peer_link::DialError;
 use crate::sidecar::peer_link::PeerLink;
 use crate::sidecar::peer_server::take_news;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -154,9 +156,15 @@
     let ended = Rc::clone(&state);
     let ended_id = id.clone();
     let on_end = move || ended.members.on_link_end(&ended_id, ended.now());
-    let link = PeerLink::open(address, move || clock.now(), on_frame, on_end).await;
+    let link = PeerLink::open(&id, address, move || clock.now(), on_frame, on_end).await;
     let link = match link {
         Ok(link) => link,
+        Err(DialError::OtherDaemon(other)) => {
+            let what = json!({"name": "peer_replaced", "peer": id, "by": other});
+            info!(target: MEMBERS, "{what}");
+            state.members.forget(&id);
+            return;
+        }
         Err(error) => {
             log::debug!(target: MEMBERS, "{id} at {address} cannot be reached: {error}");
             state.members.on_dialed(&id, None, state.now());
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use crate::ids::MemberId;
 use crate::logging::MEMBERS;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::CallResult;
@@ -56,6 +58,26 @@
     Lost,
 }
 
+/// Why a link did not come about.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DialError {
+    /// Nobody answers at the address.
+    Unreachable,
+    /// Another daemon has the address now.
+    OtherDaemon(MemberId),
+}
+
+impl fmt::Display for DialError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DialError::Unreachable => f.write_str("nobody answers"),
+            DialError::OtherDaemon(id) => write!(f, "the address is that of {id}"),
+        }
+    }
+}
+
+impl std::error::Error for DialError {}
+
 struct PendingCall {
     is_repeatable: bool,
     sender: Sender<(LoadNote, CallResult)>,
@@ -83,20 +105,27 @@
 }
 
 impl PeerLink {
-    /// Connects to a daemon and starts to carry frames; what comes in beside the results of calls
-    /// goes to `on_frame`, the end of the link to `on_end`.
+    /// Connects to a daemon, learns who it is and starts to carry frames; what comes in beside the
+    /// results of calls goes to `on_frame`, the end of the link to `on_end`.
     ///
     /// # Errors
-    /// The failure to connect.
+    /// [`DialError`].
     pub async fn open(
+        peer: &MemberId,
         address: SocketAddr,
         now: impl Fn() -> Duration + 'static,
         on_frame: impl Fn(&PeerLink, PeerFrame) + 'static,
         on_end: impl FnOnce() + 'static,
-    ) -> std::io::Result<Rc<PeerLink>> {
+    ) -> Result<Rc<PeerLink>, DialError> {
         let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
-        stream.set_nodelay(true)?;
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let stream = stream
+            .map_err(|_| DialError::Unreachable)?
+            .map_err(|_| DialError::Unreachable)?;
+        stream
+            .set_nodelay(true)
+            .map_err(|_| DialError::Unreachable)?;
+        let (hello, hellos) = flume::bounded(1);
         let (frames, queue) = flume::bounded(FRAME_QUEUE);
         let link = Rc::new(PeerLink {
             frames,
@@ -118,6 +147,8 @@
                 match frame {
                     PeerFrame::Result(number, load, result) => link.finish(number, load, *result),
                     PeerFrame::Pong => {}
+                    // Only the first one is waited for.
+                    PeerFrame::Hello(id) => drop(hello.try_send(id)),
                     frame => on_frame(&link, frame),
                 }
             };
@@ -127,7 +158,12 @@
             }
             on_end();
         });
-        Ok(link)
+        let told = tokio::time::timeout(CONNECT_TIMEOUT, hellos.recv_async()).await;
+        match told {
+            Ok(Ok(told)) if told == *peer => Ok(link),
+            Ok(Ok(told)) => Err(DialError::OtherDaemon(told)),
+            _ => Err(DialError::Unreachable),
+        }
     }
 
     /// Returns how the link stands.
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -41,6 +41,7 @@
         return;
     }
     let (frames, queue) = flume::bounded(FRAME_QUEUE);
+    send(&frames, PeerFrame::Hello(state.members.own().id));
     let calls = RunningCalls::default();
     let running = Rc::clone(&calls);
     let take = move |frame| take_frame(&state, &frames, &running, frame);
--- a/coltsfootweir/src/sidecar/rollout.rs
+++ b/coltsfootweir/src/sidecar/rollout.rs
@@ -3,6 +3,7 @@
 //!
 //! The counts of all daemons are pooled. Any daemon may find the version bad; the others follow.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::ids::RowVersion;
@@ -38,6 +39,10 @@
 /// Answers after which a version may be found slow.
 const MIN_SLOW_CALLS: u32 = 12;
 
+/// Time over which recent answers are judged apart from all: half of the time in which a bad
+/// version is to be out of service.
+const RECENT_TIME: Duration = Duration::from_millis(2_500);
+
 /// One move on one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutState {
@@ -128,14 +133,8 @@
     /// Judges the pooled counts of all daemons; returns why the new version is bad, if it is.
     #[must_use]
     pub fn find_fault(&self, pooled: &[VersionCount]) -> Option<String> {
-        let mut routes: Vec<&str> = Vec::new();
-        for count in pooled.iter().filter(|count| count.order == self.row) {
-            if !routes.contains(&&*count.route) {
-                routes.push(&count.route);
-            }
-        }
         let mut all = (Sums::default(), Sums::default());
-        for route in routes {
+        for route in self.routes(pooled) {
             let (new, old) = self.sums(pooled, route);
             all.0.add(&new);
             all.1.add(&old);
@@ -147,17 +146,40 @@
         all.0.failures_against(&all.1)
     }
 
-    /// Returns whether the trial has lasted and shown enough for the traffic to be shifted.
+    /// Returns what the trial has shown once it has lasted long enough and shown enough for the
+    /// traffic to be shifted.
     #[must_use]
-    pub fn is_proven(&self, pooled: &[VersionCount], now: Duration) -> bool {
+    pub fn find_proof(&self, pooled: &[VersionCount], now: Duration) -> Option<String> {
         let trial = self.order.duration.mul_f64(TRIAL_TIME);
-        let mut calls = 0;
-        for count in pooled {
-            if count.order == self.row && count.version == self.order.version {
-                calls += count.calls;
+        let (mut new, mut old) = (Sums::default(), Sums::default());
+        for route in self.routes(pooled) {
+            let (of_new, of_old) = self.sums(pooled, route);
+            new.add(&of_new);
+            old.add(&of_old);
+        }
+        let is_proven = now >= self.since + trial && new.calls >= MIN_TRIAL_CALLS;
+        is_proven.then(|| {
+            format!(
+                "{} of {} answers failed after {:.0} ms in the mean, at the old version {} of {} \
+                 after {:.0} ms",
+                new.failures,
+                new.calls,
+                new.mean_ms(),
+                old.failures,
+                old.calls,
+                old.mean_ms()
+            )
+        })
+    }
+
+    fn routes<'c>(&self, pooled: &'c [VersionCount]) -> Vec<&'c str> {
+        let mut routes: Vec<&str> = Vec::new();
+        for count in pooled.iter().filter(|count| count.order == self.row) {
+            if !routes.contains(&&*count.route) {
+                routes.push(&count.route);
             }
         }
-        now >= self.since + trial && calls >= MIN_TRIAL_CALLS
+        routes
     }
 
     fn sums(&self, pooled: &[VersionCount], route: &str) -> (Sums, Sums) {
@@ -178,6 +200,65 @@
     }
 }
 
+/// The pooled counts of the last seconds, so that early answers do not hide what comes later.
+#[derive(Debug, Default)]
+pub struct AnswerHistory {
+    steps: VecDeque<(Duration, Vec<VersionCount>)>,
+}
+
+impl AnswerHistory {
+    /// Notes the pooled counts and returns what was added to them in the last seconds.
+    pub fn note(&mut self, pooled: Vec<VersionCount>, now: Duration) -> Vec<VersionCount> {
+        while self
+            .steps
+            .get(1)
+            .is_some_and(|(at, _)| *at + RECENT_TIME <= now)
+        {
+            self.steps.pop_front();
+        }
+        let mut recent = Vec::new();
+        if let Some((_, before)) = self.steps.front() {
+            for key in distinct(&pooled) {
+                let (now, then) = (sum_of(&pooled, key), sum_of(before, key));
+                // Counts fall when a daemon restarts or is gone.
+                recent.push(VersionCount {
+                    calls: now.calls.saturating_sub(then.calls),
+                    failures: now.failures.saturating_sub(then.failures),
+                    time_ms: now.time_ms.saturating_sub(then.time_ms),
+                    ..key.clone()
+                });
+            }
+        }
+        self.steps.push_back((now, pooled));
+        recent
+    }
+}
+
+/// Returns one count for each order, version and route.
+fn distinct(counts: &[VersionCount]) -> Vec<&VersionCount> {
+    let mut kept: Vec<&VersionCount> = Vec::new();
+    for count in counts {
+        if !kept.iter().any(|other| is_same(other, count)) {
+            kept.push(count);
+        }
+    }
+    kept
+}
+
+fn is_same(one: &VersionCount, other: &VersionCount) -> bool {
+    one.order == other.order && one.version == other.version && one.route == other.route
+}
+
+fn sum_of(counts: &[VersionCount], key: &VersionCount) -> Sums {
+    let mut sums = Sums::default();
+    for count in counts.iter().filter(|count| is_same(count, key)) {
+        sums.calls += count.calls;
+        sums.failures += count.failures;
+        sums.time_ms += count.time_ms;
+    }
+    sums
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
     calls: u32,
--- a/coltsfootweir/src/sidecar/rollout_task.rs
+++ b/coltsfootweir/src/sidecar/rollout_task.rs
@@ -15,6 +15,7 @@
 use crate::sidecar::dialect::StoreTable;
 use crate::sidecar::member_table::RolloutStage;
 use crate::sidecar::member_table::VersionCount;
+use crate::sidecar::rollout::AnswerHistory;
 use crate::sidecar::rollout::RolloutState;
 use crate::sidecar::sidecar_state::SidecarState;
 
@@ -34,6 +35,7 @@
         shifted: HashMap::new(),
         reported: HashMap::new(),
         report_at: Duration::ZERO,
+        history: AnswerHistory::default(),
     };
     loop {
         tokio::time::sleep(LOOK_PAUSE).await;
@@ -51,6 +53,7 @@
     /// Last phase this daemon reported or found reported, by order.
     reported: HashMap<RowVersion, RolloutPhase>,
     report_at: Duration,
+    history: AnswerHistory,
 }
 
 impl RolloutWork {
@@ -61,10 +64,13 @@
             return;
         }
         let pooled = self.pooled();
+        let recent = self.history.note(pooled.clone(), self.state.now());
         for rollout in rollouts {
             let service = &rollout.order.service;
+            let fault = rollout.find_fault(&pooled);
+            let fault = fault.or_else(|| rollout.find_fault(&recent));
             if rollout.stage < RolloutStage::Done
-                && let Some(fault) = rollout.find_fault(&pooled)
+                && let Some(fault) = fault
             {
                 self.state.advance(service, RolloutStage::TakenBack, &fault);
             }
@@ -84,9 +90,8 @@
             let service = &rollout.order.service;
             let phase = match rollout.stage {
                 RolloutStage::Trial => {
-                    if rollout.is_proven(&pooled, self.state.now()) {
-                        let reason = "the trial showed no fault";
-                        self.state.advance(service, RolloutStage::Shifted, reason);
+                    if let Some(proof) = rollout.find_proof(&pooled, self.state.now()) {
+                        self.state.advance(service, RolloutStage::Shifted, &proof);
                         self.state.publish();
                     }
                     RolloutPhase::Active
--- /dev/null
+++ b/coltsfootweir/tests/sidecar_rollout.rs
@@ -0,0 +1,126 @@
+//! A move of traffic in sidecar mode: shares, verdicts on pooled answers, stages.
+
+use std::time::Duration;
+
+use coltsfootweir::sidecar::dialect::RolloutOrder;
+use coltsfootweir::sidecar::member_table::RolloutStage;
+use coltsfootweir::sidecar::member_table::VersionCount;
+use coltsfootweir::sidecar::rollout::AnswerHistory;
+use coltsfootweir::sidecar::rollout::RolloutState;
+use coltsfootweir::sidecar::rollout::VersionChoice;
+
+const ORDER: u64 = 7;
+
+fn state() -> RolloutState {
+    let order = RolloutOrder {
+        service: "stalls".into(),
+        version: "v2".into(),
+        duration: Duration::from_secs(16),
+    };
+    RolloutState::new(order, ORDER, Duration::ZERO)
+}
+
+fn count(version: &str, calls: u32, failures: u32, mean_ms: u64) -> VersionCount {
+    VersionCount {
+        order: ORDER,
+        version: version.into(),
+        route: "free".into(),
+        calls,
+        failures,
+        time_ms: u64::from(calls) * mean_ms,
+    }
+}
+
+fn judge(steps: &[Vec<VersionCount>]) -> Option<String> {
+    let state = state();
+    let mut history = AnswerHistory::default();
+    let mut fault = None;
+    for (second, pooled) in steps.iter().enumerate() {
+        let now = Duration::from_secs(second as u64);
+        let recent = history.note(pooled.clone(), now);
+        fault = fault
+            .or_else(|| state.find_fault(pooled))
+            .or_else(|| state.find_fault(&recent));
+    }
+    fault
+}
+
+#[test]
+fn failing_version_is_found() {
+    let pooled = vec![count("v1", 300, 2, 60), count("v2", 20, 9, 60)];
+    assert!(judge(&[pooled]).is_some());
+}
+
+#[test]
+fn slow_version_is_found() {
+    let pooled = vec![count("v1", 300, 2, 60), count("v2", 20, 0, 400)];
+    assert!(judge(&[pooled]).is_some());
+}
+
+#[test]
+fn version_that_fails_like_the_old_one_is_kept() {
+    let pooled = vec![count("v1", 300, 60, 60), count("v2", 40, 10, 70)];
+    assert_eq!(judge(&[pooled]), None);
+}
+
+/// The good answers of the first seconds must not hide those that fail later.
+#[test]
+fn version_that_turns_bad_late_is_found_within_seconds() {
+    let mut steps = Vec::new();
+    for second in 0..8 {
+        let calls = 30 * second;
+        steps.push(vec![
+            count("v1", 270 * second, 11 * second, 60),
+            count("v2", calls, 0, 60),
+        ]);
+    }
+    for second in 8..11 {
+        let calls = 30 * second;
+        let failures = 10 * (second - 7);
+        steps.push(vec![
+            count("v1", 270 * second, 11 * second, 60),
+            count("v2", calls, failures, 60),
+        ]);
+    }
+    assert!(judge(&steps).is_some());
+}
+
+/// Counts of a daemon that restarted begin anew; that must not look like failures.
+#[test]
+fn restarted_daemon_brings_no_verdict() {
+    let steps = [
+        vec![count("v1", 500, 30, 60), count("v2", 60, 4, 60)],
+        vec![count("v1", 100, 1, 60), count("v2", 10, 0, 60)],
+        vec![count("v1", 200, 2, 60), count("v2", 20, 0, 60)],
+    ];
+    assert_eq!(judge(&steps), None);
+}
+
+#[test]
+fn trial_stays_below_the_allowed_share() {
+    let state = state();
+    let mut new = 0;
+    for point in 0..1_000 {
+        let choice = state.choose(0.1, f64::from(point) / 1_000.0);
+        new += u32::from(choice == VersionChoice::New);
+    }
+    assert!((1..100).contains(&new), "{new} of 1000");
+}
+
+#[test]
+fn what_is_done_is_not_taken_back() {
+    let mut state = state();
+    assert!(state.advance(RolloutStage::Shifted));
+    assert!(!state.advance(RolloutStage::Trial));
+    assert!(state.advance(RolloutStage::Done));
+    assert!(!state.advance(RolloutStage::TakenBack));
+    assert_eq!(state.choose(0.1, 0.5), VersionChoice::OnlyNew);
+}
+
+#[test]
+fn version_taken_back_gets_nothing() {
+    let mut state = state();
+    assert!(state.advance(RolloutStage::TakenBack));
+    assert!(!state.advance(RolloutStage::Shifted));
+    assert_eq!(state.choose(0.1, 0.0), VersionChoice::Old);
+}
