Admission by the time in which an answer is worth its slot

Change: requests of a service's least urgent rank wait only as long as their answer is worth most; the wait is judged by the run time of their own route; an ingress passes over endpoints whose told load leaves no time, asks one other region at most and refuses at once when none is left. More urgent ranks, among them the calls of running requests, go first and may wait until their deadline.

--- a/coltsfootweir/src/balance.rs
+++ b/coltsfootweir/src/balance.rs
@@ -109,6 +109,13 @@
         self.state(id, now).on_end(end, now);
     }
 
+    /// Returns the requests at an endpoint as far as this daemon knows: those told with its last
+    /// answer and those sent since.
+    #[must_use]
+    pub fn load(&self, id: &MemberId, now: Duration) -> u32 {
+        self.states.get(id).map_or(0, |state| state.load(now))
+    }
+
     /// Returns the indexes of the candidates that are ejected: never more than a third.
     #[must_use]
     pub fn ejected(&self, candidates: &[Candidate<'_>], now: Duration) -> Vec<usize> {
--- a/coltsfootweir/src/endpoint_state.rs
+++ b/coltsfootweir/src/endpoint_state.rs
@@ -146,7 +146,7 @@
     }
 
     /// Reported load plus the calls sent since the report.
-    fn load(&self, now: Duration) -> u32 {
+    pub(crate) fn load(&self, now: Duration) -> u32 {
         if self.load_at.is_none_or(|at| now >= at + LOAD_TIMEOUT) {
             return self.started;
         }
--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -50,6 +50,19 @@
     id: u64,
     rank: u8,
     deadline: Duration,
+    /// Time it is expected to run; that of all requests when it is not known.
+    run: Option<Duration>,
+}
+
+/// A request whose rank and expected time are known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RankedRequest {
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Time since the daemon's start by which it has to be done.
+    pub finish_by: Duration,
+    /// Time it is expected to run.
+    pub run: Duration,
 }
 
 /// Slots and queue of one upstream.
@@ -87,7 +100,7 @@
         if let Some(reason) = self.refusal(deadline, now) {
             return AdmitDecision::Refuse(reason);
         }
-        self.admit(id, 0, deadline, now)
+        self.admit(id, 0, deadline, None, now)
     }
 
     /// Decides on a request of a rank, 0 being the most urgent: it waits behind those of its own and
@@ -96,35 +109,43 @@
     pub fn arrive_ranked(
         &mut self,
         id: u64,
-        rank: u8,
-        deadline: Duration,
+        request: RankedRequest,
         now: Duration,
     ) -> (AdmitDecision, Vec<GuardEvent>) {
         let mut events = Vec::new();
-        if let Some(reason) = self.phase_refusal() {
+        let refusal = self.ranked_refusal(&request, now);
+        if let Some(reason) = refusal {
             return (AdmitDecision::Refuse(reason), events);
         }
-        if now >= deadline {
-            let decision = AdmitDecision::Refuse(RefusalReason::DeadlinePassed);
-            return (decision, events);
-        }
-        let is_hopeless = if self.can_start() {
-            self.is_too_long(deadline, now)
-        } else {
-            self.would_miss(self.count_ahead(rank), deadline, now)
-        };
-        if is_hopeless {
-            let decision = AdmitDecision::Refuse(RefusalReason::Overloaded);
-            return (decision, events);
-        }
         if !self.can_start() && self.waiting.len() >= self.queue_limit {
+            let rank = request.rank;
             let Some(last) = self.waiting.pop_back_if(|last| last.rank > rank) else {
                 let decision = AdmitDecision::Refuse(RefusalReason::Overloaded);
                 return (decision, events);
             };
             events.push(GuardEvent::Refuse(last.id, RefusalReason::Overloaded));
         }
-        (self.admit(id, rank, deadline, now), events)
+        let run = Some(request.run);
+        let decision = self.admit(id, request.rank, request.finish_by, run, now);
+        (decision, events)
+    }
+
+    fn ranked_refusal(&self, request: &RankedRequest, now: Duration) -> Option<RefusalReason> {
+        if let Some(reason) = self.phase_refusal() {
+            return Some(reason);
+        }
+        if now >= request.finish_by {
+            return Some(RefusalReason::DeadlinePassed);
+        }
+        let is_hopeless = if self.can_start() {
+            // An idle upstream runs even what looks too long, or a wrong estimate would never mend.
+            let quick_run = request.run / QUICK_RUN_DIVISOR;
+            !self.running.is_empty() && now + quick_run > request.finish_by
+        } else {
+            let wait = self.wait_behind(self.count_ahead(request.rank));
+            now + wait + request.run > request.finish_by
+        };
+        is_hopeless.then_some(RefusalReason::Overloaded)
     }
 
     /// Returns how long a request of a rank would wait for a slot if it arrived now.
@@ -136,13 +157,25 @@
         }
     }
 
-    fn admit(&mut self, id: u64, rank: u8, deadline: Duration, now: Duration) -> AdmitDecision {
+    fn admit(
+        &mut self,
+        id: u64,
+        rank: u8,
+        deadline: Duration,
+        run: Option<Duration>,
+        now: Duration,
+    ) -> AdmitDecision {
         if self.can_start() {
             self.running.insert(id, now);
             return AdmitDecision::Run;
         }
         let ahead = self.count_ahead(rank);
-        let request = WaitingRequest { id, rank, deadline };
+        let request = WaitingRequest {
+            id,
+            rank,
+            deadline,
+            run,
+        };
         self.waiting.insert(ahead, request);
         AdmitDecision::Wait
     }
@@ -159,8 +192,10 @@
         let is_hopeless = if self.can_start() {
             self.is_too_long(deadline, now)
         } else {
+            let reserve = self.deviation * WAIT_DEVIATIONS;
             self.waiting.len() >= self.queue_limit
-                || self.would_miss(self.waiting.len(), deadline, now)
+                || now + self.wait_behind(self.waiting.len()) + self.expected_run() + reserve
+                    > deadline
         };
         is_hopeless.then_some(RefusalReason::Overloaded)
     }
@@ -201,6 +236,7 @@
             let Some(request) = self.waiting.pop_front() else {
                 break;
             };
+            let run_time = request.run.unwrap_or(run_time);
             if now >= request.deadline || now + run_time > request.deadline {
                 events.push(GuardEvent::Expire(request.id));
                 continue;
@@ -291,16 +327,12 @@
         self.running.len() < usize::from(self.slots)
     }
 
-    fn expected_run(&self) -> Duration {
+    /// Returns the mean time of runs, zero before the first.
+    #[must_use]
+    pub fn expected_run(&self) -> Duration {
         self.run_time.unwrap_or(Duration::ZERO)
     }
 
-    /// Returns whether a request with so many ahead of it in the queue would miss its deadline.
-    fn would_miss(&self, ahead: usize, deadline: Duration, now: Duration) -> bool {
-        let reserve = self.deviation * WAIT_DEVIATIONS;
-        now + self.wait_behind(ahead) + self.expected_run() + reserve > deadline
-    }
-
     /// Counts the waiting requests that start before one of a rank; the queue is in order of rank.
     fn count_ahead(&self, rank: u8) -> usize {
         self.waiting.partition_point(|request| request.rank <= rank)
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -1,10 +1,14 @@
 //! Takes one client request through its attempts: choice of an endpoint, repeats, final answer.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::balance::Candidate;
+use crate::deadline::LINK_RETURN_MARGIN;
+use crate::deadline::RETURN_MARGIN;
 use crate::endpoint_state::CallEnd;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
@@ -12,6 +16,7 @@
 use crate::load_report::LoadReport;
 use crate::member::EndpointPhase;
 use crate::retry::RetryBudget;
+use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::endpoint_desk::not_run;
 use crate::sidecar::endpoint_desk::wall_ms;
 use crate::sidecar::frame::CallResult;
@@ -36,6 +41,10 @@
 /// Time that must be left for another attempt.
 const MIN_REPEAT_TIME: Duration = Duration::from_millis(30);
 
+/// Part of the time in which an answer is worth most that a request may take to its end at the
+/// endpoint; the rest is for its way from and to the client.
+const AIM_PART: f64 = 0.9;
+
 /// Slots by which an endpoint in the own region looks larger, in tenths: a short wait there costs
 /// callers less than the way to another region.
 const NEAR_SLOT_TENTHS: u16 = 14;
@@ -49,7 +58,12 @@
     route: &'a MeshRoute,
     service: ServiceName,
     deadline: Duration,
+    /// Time by which the request has to be done to be worth its slot.
+    aim: Duration,
+    kind: u32,
     asked: Vec<MemberId>,
+    /// Shortest wait for a slot among the endpoints passed over for lack of room.
+    shortest_wait: Cell<Option<Duration>>,
     /// Endpoints that had the request.
     reached: u32,
     last_failure: Option<CallResult>,
@@ -72,18 +86,31 @@
 
 impl<'a> CallAttempts<'a> {
     /// Prepares a request for a service; `deadline` counts from the daemon's start.
+    ///
+    /// A request of the least urgent rank waits for a slot only as long as its answer is worth most:
+    /// where more is asked than can run, later answers would take the slots of timely ones. Others
+    /// go before it, and calls that a running request needs are among them: they may wait longer.
     #[must_use]
     pub fn new(
         state: &'a SidecarState,
+        active: &'a ActiveConfig,
         route: &'a MeshRoute,
         service: ServiceName,
         deadline: Duration,
     ) -> CallAttempts<'a> {
+        let target = Duration::from_millis(u64::from(route.target_ms)).mul_f64(AIM_PART);
+        let aim = match active.is_preferred(&service, route.rank) {
+            true => deadline,
+            false => deadline.min(state.now() + target),
+        };
         CallAttempts {
             state,
             route,
             service,
             deadline,
+            aim,
+            kind: xxh3_64(route.name.as_bytes()) as u32,
+            shortest_wait: Cell::new(None),
             asked: Vec::new(),
             reached: 0,
             last_failure: None,
@@ -94,7 +121,10 @@
     pub async fn run(mut self, call: &ForwardedCall) -> AttemptsEnd {
         self.with_budget(RetryBudget::on_call);
         let result = loop {
-            let result = self.attempt(call).await;
+            let Some(chosen) = self.choose() else {
+                break self.no_choice();
+            };
+            let result = self.attempt(call, chosen).await;
             if !self.may_go_on(&result) {
                 break result;
             }
@@ -114,15 +144,13 @@
         }
     }
 
-    async fn attempt(&mut self, call: &ForwardedCall) -> CallResult {
-        let Some(chosen) = self.choose() else {
-            return not_run(NotRunCause::Unreachable);
-        };
+    async fn attempt(&mut self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
         self.asked.push(chosen.member.clone());
         let start = self.state.now();
-        let left = self.deadline.saturating_sub(start);
         let call = ForwardedCall {
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            left_ms: millis(self.deadline.saturating_sub(start)),
+            wait_ms: millis(self.aim.saturating_sub(start)),
+            kind: self.kind,
             sent_at_ms: wall_ms(self.state.clock.wall()),
             service: self.service.clone(),
             ..call.clone()
@@ -137,6 +165,11 @@
             false => self.run_there(&chosen.member, call).await,
         };
         running.end(load, &result);
+        if let CallResult::Answer { run_ms, .. } = &result {
+            let run = Duration::from_millis(u64::from(*run_ms));
+            let mut run_times = self.state.routing.run_times.borrow_mut();
+            run_times.learn(self.kind, run);
+        }
         if !matches!(result, CallResult::NotRun(report) if !report.reached) {
             self.reached += 1;
             self.count_version(&chosen.version, &result, self.state.now() - start);
@@ -144,6 +177,40 @@
         result
     }
 
+    /// The end of a request for which no endpoint is left.
+    fn no_choice(&self) -> CallResult {
+        let Some(wait) = self.shortest_wait.get() else {
+            return not_run(NotRunCause::Unreachable);
+        };
+        CallResult::NotRun(NotRunReport {
+            cause: NotRunCause::Overloaded,
+            reached: false,
+            retry_after_ms: millis(wait),
+        })
+    }
+
+    /// Returns whether a request sent to an endpoint now is likely to be done by the time it is
+    /// worth most.
+    fn has_room(&self, record: &MemberRecord, slots: u16, is_near: bool) -> bool {
+        let now = self.state.now();
+        let load = self.state.routing.chooser.borrow().load(&record.id, now);
+        let ahead = (load + 1).saturating_sub(u32::from(slots));
+        let runs = self.state.routing.mean_runs.borrow();
+        let mean = runs.get(&record.id).copied().unwrap_or_default();
+        let wait = mean * ahead / u32::from(slots.max(1));
+        let way = match is_near {
+            true => RETURN_MARGIN,
+            false => LINK_RETURN_MARGIN * 2,
+        };
+        let run = self.state.routing.run_times.borrow().expected(self.kind);
+        let has_room = ahead == 0 && is_near || now + way + wait + run <= self.aim;
+        if !has_room {
+            let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
+            self.shortest_wait.set(Some(shortest));
+        }
+        has_room
+    }
+
     async fn run_there(
         &self,
         member: &MemberId,
@@ -168,8 +235,7 @@
         let cause = match result {
             CallResult::NotRun(report) if !report.reached => {
                 let is_final = matches!(report.cause, NotRunCause::Poison | NotRunCause::TooLate);
-                let has_choice = report.cause != NotRunCause::Unreachable || self.has_untried();
-                return !is_final && has_choice && self.asked.len() < MAX_ASKED;
+                return !is_final && self.asked.len() < MAX_ASKED;
             }
             CallResult::NotRun(_) => "rejected",
             CallResult::Answer { status, .. } if *status < FAILURE_STATUS => return false,
@@ -231,12 +297,20 @@
         self.state.members.read(|table| {
             let mut candidates = Vec::new();
             let mut versions = Vec::new();
+            let mut asked = self.asked.iter().filter_map(|id| table.get(id));
+            // The way to another region and back is too long to ask for room there twice.
+            let asked_far = asked.any(|record| record.region != region);
             for record in table.iter().filter(|record| self.is_usable(record)) {
                 let endpoint = record.endpoint.as_ref()?;
                 if !fits(&endpoint.version) {
                     continue;
                 }
-                let slots = match record.region == region {
+                let is_near = record.region == region;
+                let is_far_again = !is_near && asked_far;
+                if is_far_again || !self.has_room(record, endpoint.slots, is_near) {
+                    continue;
+                }
+                let slots = match is_near {
                     true => endpoint.slots.saturating_mul(NEAR_SLOT_TENTHS) / 10,
                     false => endpoint.slots,
                 };
@@ -278,6 +352,11 @@
     }
 }
 
+/// Whole milliseconds of a time.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Returns whether a result is a failure that the endpoint may have had a part in.
 fn is_failure(result: &CallResult) -> bool {
     match result {
@@ -319,6 +398,10 @@
         let Some(load) = load else {
             return;
         };
+        let mean = Duration::from_millis(u64::from(load.run_ms));
+        let mut runs = self.state.routing.mean_runs.borrow_mut();
+        runs.insert(self.member.clone(), mean);
+        drop(runs);
         let load = LoadReport {
             running: load.running,
             slots: load.slots,
--- a/coltsfootweir/src/sidecar/config_holder.rs
+++ b/coltsfootweir/src/sidecar/config_holder.rs
@@ -1,6 +1,7 @@
 //! The configuration in force and the few before it.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -8,6 +9,7 @@
 use serde_json::json;
 
 use crate::ids::Generation;
+use crate::ids::ServiceName;
 use crate::logging::CONFIG;
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::MeshConfig;
@@ -24,6 +26,34 @@
     pub config: MeshConfig,
     /// Index of its routes.
     pub finder: RouteFinder,
+    /// Least urgent rank of the routes to each service.
+    pub last_ranks: HashMap<ServiceName, u8>,
+}
+
+impl ActiveConfig {
+    fn new(config: MeshConfig) -> ActiveConfig {
+        let mut last_ranks: HashMap<ServiceName, u8> = HashMap::new();
+        for route in config.routes.values() {
+            for part in &route.parts {
+                let last = last_ranks.entry(part.service.clone()).or_default();
+                *last = route.rank.max(*last);
+            }
+        }
+        let finder = RouteFinder::new(&config);
+        ActiveConfig {
+            config,
+            finder,
+            last_ranks,
+        }
+    }
+
+    /// Returns whether requests of a rank go before others at the service.
+    #[must_use]
+    pub fn is_preferred(&self, service: &ServiceName, rank: u8) -> bool {
+        self.last_ranks
+            .get(service)
+            .is_some_and(|last| rank < *last)
+    }
 }
 
 /// The configuration in force.
@@ -56,8 +86,7 @@
         let what = json!({"name": "config_in_force", "version": config.version,
             "before": before, "routes": config.routes.len(), "source": source});
         info!(target: CONFIG, "{what}");
-        let finder = RouteFinder::new(&config);
-        let active = Rc::new(ActiveConfig { config, finder });
+        let active = Rc::new(ActiveConfig::new(config));
         if let Some(old) = self.active.borrow_mut().replace(active) {
             let mut earlier = self.earlier.borrow_mut();
             earlier.push_back(old);
--- a/coltsfootweir/src/sidecar/endpoint_desk.rs
+++ b/coltsfootweir/src/sidecar/endpoint_desk.rs
@@ -41,6 +41,7 @@
 use crate::sidecar::http_exchange::WireRequest;
 use crate::sidecar::member_table::EndpointSummary;
 use crate::sidecar::slot_queue::SlotQueue;
+use crate::sidecar::slot_queue::SlotRequest;
 
 /// Time a connection to the endpoint may take; it is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -234,7 +235,16 @@
         if current.service != call.service {
             return not_run(NotRunCause::Closed);
         }
-        let mut permit = match self.slots.admit(print, call.rank, deadline).await {
+        let held_up =
+            Duration::from_millis(u64::from(call.left_ms)).saturating_sub(deadline - start);
+        let wait = Duration::from_millis(u64::from(call.wait_ms)).saturating_sub(held_up);
+        let request = SlotRequest {
+            fingerprint: print,
+            kind: call.kind,
+            rank: call.rank,
+            finish_by: deadline.min(start + wait),
+        };
+        let mut permit = match self.slots.admit(request).await {
             Ok(permit) => permit,
             Err(reason) => return self.refused(reason, call.rank),
         };
@@ -257,6 +267,7 @@
         };
         let left = deadline.saturating_sub(self.clock.now());
         let bytes = self.write_request(call, &current, left);
+        permit.start();
         let request = WireRequest {
             bytes: &bytes,
             is_head: &*call.method == "HEAD",
@@ -266,12 +277,12 @@
         let broken = match answer {
             Err(_) => return CallResult::Unknown(UnknownCause::TimedOut),
             Ok(Ok(answer)) => {
-                permit.finish();
+                let run = permit.finish();
                 self.poison
                     .borrow_mut()
                     .on_completed(print, self.clock.now());
                 self.keep(connection, &answer);
-                return self.judge(answer);
+                return self.judge(answer, run);
             }
             Ok(Err(broken)) => broken,
         };
@@ -311,7 +322,7 @@
         })
     }
 
-    fn judge(&self, answer: HttpAnswer) -> CallResult {
+    fn judge(&self, answer: HttpAnswer, run: Duration) -> CallResult {
         let is_signed = answer.header(self.headers.signature).is_some();
         if answer.header(self.headers.not_run).is_some() || answer.status == 421 {
             return CallResult::NotRun(NotRunReport {
@@ -332,6 +343,7 @@
             status: answer.status,
             headers,
             body: answer.body,
+            run_ms: u32::try_from(run.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -44,8 +44,12 @@
     pub request_id: Box<str>,
     /// Rank of the route; 0 is the most urgent.
     pub rank: u8,
+    /// Hash of the route's name; requests of one route take similar times.
+    pub kind: u32,
     /// Time left when it was sent, in milliseconds.
     pub left_ms: u32,
+    /// Time left of that in which it is worth waiting for a slot, in milliseconds.
+    pub wait_ms: u32,
     /// Time of day at which it was sent, in milliseconds since the Unix epoch.
     pub sent_at_ms: u64,
 }
@@ -62,6 +66,8 @@
         /// Body.
         #[serde(with = "body_bytes")]
         body: Vec<u8>,
+        /// Time it ran at the endpoint, in milliseconds.
+        run_ms: u32,
     },
     /// It was not run and will not be.
     NotRun(NotRunReport),
@@ -119,6 +125,8 @@
     pub slots: u16,
     /// Requests that wait.
     pub waiting: u16,
+    /// Mean time of runs, in milliseconds.
+    pub run_ms: u16,
 }
 
 /// A message between daemons.
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -30,6 +30,8 @@
 #[doc(hidden)]
 pub mod rollout;
 pub mod rollout_task;
+#[doc(hidden)]
+pub mod run_times;
 pub mod settings;
 pub mod sidecar_state;
 pub mod slot_queue;
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -222,10 +222,12 @@
         body: body.to_vec(),
         request_id: id.into(),
         rank: route.rank,
+        kind: 0,
         left_ms: 0,
+        wait_ms: 0,
         sent_at_ms: 0,
     };
-    let attempts = CallAttempts::new(state, route, service.clone(), deadline);
+    let attempts = CallAttempts::new(state, &active, route, service.clone(), deadline);
     let left = (deadline + ANSWER_MARGIN).saturating_sub(state.now());
     let end = match tokio::time::timeout(left, attempts.run(&call)).await {
         Ok(end) => end,
@@ -297,6 +299,7 @@
             status,
             headers,
             body,
+            ..
         } => {
             log_end(state, trace, status, "answered", &end.asked, end.reached);
             return endpoint_answer(status, headers, body);
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -16,6 +16,7 @@
 use crate::fact::CrashFact;
 use crate::ids::Generation;
 use crate::ids::Incarnation;
+use crate::ids::MemberId;
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
 use crate::logging::MEMBERS;
@@ -37,6 +38,7 @@
 use crate::sidecar::member_table::StoreReach;
 use crate::sidecar::mesh_config::TrafficDealer;
 use crate::sidecar::rollout::RolloutState;
+use crate::sidecar::run_times::RunTimes;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::store_client::StoreClient;
 use crate::sidecar::tally::SidecarTally;
@@ -60,6 +62,10 @@
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Requests that crash endpoints.
     pub poison: Rc<RefCell<PoisonTable>>,
+    /// Times of runs, by route.
+    pub run_times: RefCell<RunTimes>,
+    /// Mean time of runs at each endpoint, as the daemon beside it told last.
+    pub mean_runs: RefCell<HashMap<MemberId, Duration>>,
 }
 
 /// What the parts of a sidecar share.
@@ -138,6 +144,8 @@
                 dealer: RefCell::default(),
                 budgets: RefCell::default(),
                 poison,
+                run_times: RefCell::default(),
+                mean_runs: RefCell::default(),
             },
             rollouts: RefCell::default(),
             tally: SidecarTally::new(),
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -11,10 +11,12 @@
 use crate::guard::AdmitDecision;
 use crate::guard::GuardEvent;
 use crate::guard::GuardState;
+use crate::guard::RankedRequest;
 use crate::ids::Fingerprint;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
 use crate::sidecar::frame::LoadNote;
+use crate::sidecar::run_times::RunTimes;
 
 /// Requests that may wait for each slot. The time that requests have left bounds the queue sooner
 /// where runs are long; this bounds memory where they are short.
@@ -26,9 +28,23 @@
     guard: GuardState,
     waiters: HashMap<u64, Sender<Admission>>,
     calls: HashMap<u64, Fingerprint>,
+    run_times: RunTimes,
     next_id: u64,
 }
 
+/// A request that wants a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotRequest {
+    /// Hash of what is sent.
+    pub fingerprint: Fingerprint,
+    /// Hash of the route's name.
+    pub kind: u32,
+    /// Rank of the route; 0 is the most urgent.
+    pub rank: u8,
+    /// Time since the daemon's start by which it has to be done.
+    pub finish_by: Duration,
+}
+
 /// Slots and queue of one endpoint.
 pub struct SlotQueue {
     state: RefCell<QueueState>,
@@ -45,6 +61,7 @@
             guard,
             waiters: HashMap::new(),
             calls: HashMap::new(),
+            run_times: RunTimes::default(),
             next_id: 0,
         };
         SlotQueue {
@@ -83,11 +100,14 @@
     /// Returns the load.
     #[must_use]
     pub fn load(&self) -> LoadNote {
-        let load = self.state.borrow().guard.load();
+        let state = self.state.borrow();
+        let load = state.guard.load();
+        let run = state.guard.expected_run();
         LoadNote {
             running: load.running,
             slots: load.slots,
             waiting: load.waiting,
+            run_ms: u16::try_from(run.as_millis()).unwrap_or(u16::MAX),
         }
     }
 
@@ -114,18 +134,18 @@
     ///
     /// # Errors
     /// The reason for which the request is not run.
-    pub async fn admit(
-        &self,
-        fingerprint: Fingerprint,
-        rank: u8,
-        deadline: Duration,
-    ) -> Result<SlotPermit<'_>, RefusalReason> {
+    pub async fn admit(&self, request: SlotRequest) -> Result<SlotPermit<'_>, RefusalReason> {
         let (id, waiter) = {
             let mut state = self.state.borrow_mut();
             let now = self.clock.now();
             let id = state.next_id;
             state.next_id += 1;
-            let (decision, events) = state.guard.arrive_ranked(id, rank, deadline, now);
+            let ranked = RankedRequest {
+                rank: request.rank,
+                finish_by: request.finish_by,
+                run: state.run_times.expected(request.kind),
+            };
+            let (decision, events) = state.guard.arrive_ranked(id, ranked, now);
             state.deliver(events, now);
             let waiter = match decision {
                 AdmitDecision::Refuse(reason) => return Err(reason),
@@ -136,18 +156,19 @@
                     Some(receiver)
                 }
             };
-            state.calls.insert(id, fingerprint);
+            state.calls.insert(id, request.fingerprint);
             (id, waiter)
         };
         let permit = SlotPermit {
             queue: self,
             id,
-            is_done: false,
+            kind: request.kind,
+            started: None,
         };
         let Some(waiter) = waiter else {
             return Ok(permit);
         };
-        let left = deadline.saturating_sub(self.clock.now());
+        let left = request.finish_by.saturating_sub(self.clock.now());
         match tokio::time::timeout(left, waiter.recv_async()).await {
             Ok(Ok(Ok(()))) => Ok(permit),
             Ok(Ok(Err(reason))) => Err(reason),
@@ -181,13 +202,26 @@
 pub struct SlotPermit<'a> {
     queue: &'a SlotQueue,
     id: u64,
-    is_done: bool,
+    kind: u32,
+    started: Option<Duration>,
 }
 
 impl SlotPermit<'_> {
-    /// Notes that the request ran to an end.
-    pub fn finish(&mut self) {
-        self.is_done = true;
+    /// Notes that the request is handed over.
+    pub fn start(&mut self) {
+        self.started = Some(self.queue.clock.now());
+    }
+
+    /// Notes that the request ran to an end, and gives the slot back; returns how long it ran.
+    pub fn finish(mut self) -> Duration {
+        let now = self.queue.clock.now();
+        let run = now.saturating_sub(self.started.take().unwrap_or(now));
+        let mut state = self.queue.state.borrow_mut();
+        state.run_times.learn(self.kind, run);
+        state.calls.remove(&self.id);
+        let events = state.guard.finish(self.id, now);
+        state.deliver(events, now);
+        run
     }
 }
 
@@ -197,11 +231,8 @@
         let mut state = self.queue.state.borrow_mut();
         state.calls.remove(&self.id);
         state.waiters.remove(&self.id);
-        let events = if self.is_done {
-            state.guard.finish(self.id, now)
-        } else {
-            state.guard.cancel(self.id, now)
-        };
+        // After an end there is no such request, and nothing changes.
+        let events = state.guard.cancel(self.id, now);
         state.deliver(events, now);
     }
 }
