--- /dev/null
+++ b/coltsfootweir/tests/sidecar_announcements.rs
@@ -0,0 +1,134 @@
+//! The register of the endpoint beside a sidecar: late, foreign and doubled announcements.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootweir::member::EndpointPhase;
+use coltsfootweir::sidecar::announcement::EndpointAnnouncement;
+use coltsfootweir::sidecar::announcement::EndpointDeparture;
+use coltsfootweir::sidecar::announcement::EndpointRegister;
+use coltsfootweir::sidecar::announcement::RegisterChange;
+use proptest::prelude::*;
+
+const ADDRESS: &str = "10.0.0.1:80";
+
+fn told(id: &str, born: u64, sequence: u64, is_leaving: bool) -> EndpointAnnouncement {
+    EndpointAnnouncement {
+        id: id.into(),
+        born,
+        sequence,
+        address: ADDRESS.parse().expect("an address"),
+        service: "stalls".into(),
+        version: "v1".into(),
+        zone: "a".into(),
+        slots: 9,
+        is_leaving,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn announce(register: &mut EndpointRegister, told: EndpointAnnouncement) -> RegisterChange {
+    let address: SocketAddr = ADDRESS.parse().expect("an address");
+    register.announce(told, &"stalls".into(), address, Duration::from_secs(1))
+}
+
+fn depart(register: &mut EndpointRegister, id: &str, born: Option<u64>) -> RegisterChange {
+    let departure = EndpointDeparture {
+        id: id.into(),
+        born,
+    };
+    register.depart(&departure)
+}
+
+#[test]
+fn late_announcement_does_not_end_a_departure() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, told("i-1", 5, 1, false));
+    announce(&mut register, told("i-1", 5, 3, true));
+    assert_eq!(register.phase(), EndpointPhase::Leaving);
+    announce(&mut register, told("i-1", 5, 2, false));
+    announce(&mut register, told("i-1", 5, 4, false));
+    assert_eq!(register.phase(), EndpointPhase::Leaving);
+}
+
+#[test]
+fn announcement_after_the_sender_ended_is_passed_over() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, told("i-1", 5, 1, false));
+    announce(&mut register, told("i-2", 9, 1, false));
+    let change = announce(&mut register, told("i-1", 5, 2, false));
+    assert!(
+        matches!(change, RegisterChange::PassedOver(_)),
+        "{change:?}"
+    );
+    assert_eq!(&*register.current().expect("an endpoint").id, "i-2");
+}
+
+#[test]
+fn same_id_starts_again_with_counts_anew() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, told("i-1", 5, 40, false));
+    depart(&mut register, "i-1", None);
+    assert_eq!(register.phase(), EndpointPhase::Leaving);
+    let change = announce(&mut register, told("i-1", 9, 1, false));
+    assert_eq!(change, RegisterChange::Replaced);
+    assert_eq!(register.phase(), EndpointPhase::Ready);
+}
+
+#[test]
+fn departure_of_another_lifetime_changes_nothing() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, told("i-1", 9, 1, false));
+    depart(&mut register, "i-1", Some(5));
+    depart(&mut register, "i-0", None);
+    assert_eq!(register.phase(), EndpointPhase::Ready);
+}
+
+#[test]
+fn foreign_announcements_are_passed_over() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, told("i-1", 5, 1, false));
+    let mut elsewhere = told("i-2", 9, 1, false);
+    elsewhere.address = "10.0.0.2:80".parse().expect("an address");
+    announce(&mut register, elsewhere);
+    let mut other = told("i-3", 9, 1, false);
+    other.service = "horses".into();
+    announce(&mut register, other);
+    assert_eq!(&*register.current().expect("an endpoint").id, "i-1");
+}
+
+#[test]
+fn endpoint_held_down_is_up_with_its_next_announcement() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, told("i-1", 5, 1, false));
+    assert!(register.note_down());
+    assert_eq!(register.phase(), EndpointPhase::Down);
+    let change = announce(&mut register, told("i-1", 5, 2, false));
+    assert_eq!(change, RegisterChange::Updated);
+    assert_eq!(register.phase(), EndpointPhase::Ready);
+}
+
+proptest! {
+    /// Whatever arrives in whatever order, the lifetime in place is the youngest that was told and
+    /// had not departed before, and one that said it leaves takes nothing more.
+    #[test]
+    fn youngest_lifetime_is_in_place(
+        steps in prop::collection::vec((0_u64..4, 1_u64..6, any::<bool>()), 1..40),
+    ) {
+        let mut register = EndpointRegister::default();
+        let mut youngest = None;
+        let mut leaving: Vec<u64> = Vec::new();
+        for (born, sequence, is_leaving) in steps {
+            let change = announce(&mut register, told("i-1", born, sequence, is_leaving));
+            if !matches!(change, RegisterChange::PassedOver(_)) && is_leaving {
+                leaving.push(born);
+            }
+            youngest = youngest.max(Some(born));
+            let current = register.current().expect("an endpoint");
+            prop_assert_eq!(Some(current.born), youngest);
+            if leaving.contains(&current.born) {
+                prop_assert_eq!(register.phase(), EndpointPhase::Leaving);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootweir/tests/sidecar_members.rs
@@ -0,0 +1,109 @@
+//! Member records of sidecars: which one counts, who watches the store, addresses used again.
+
+use coltsfootweir::sidecar::member_desk::MemberDesk;
+use coltsfootweir::sidecar::member_table::MemberRecord;
+use coltsfootweir::sidecar::member_table::MemberTable;
+use coltsfootweir::sidecar::member_table::StoreReach;
+use proptest::prelude::*;
+
+fn record(id: &str, incarnation: u64, counter: u64, store: StoreReach) -> MemberRecord {
+    MemberRecord {
+        id: id.into(),
+        incarnation,
+        counter,
+        address: "10.0.0.1:80".parse().expect("an address"),
+        region: "north".into(),
+        zone: "a".into(),
+        is_leaving: false,
+        store,
+        config: 0,
+        endpoint: None,
+        stances: Vec::new(),
+        counts: Vec::new(),
+        crashes: Vec::new(),
+    }
+}
+
+fn table(records: &[MemberRecord]) -> MemberTable {
+    let mut table = MemberTable::default();
+    for record in records {
+        table.merge(record);
+    }
+    table
+}
+
+#[test]
+fn later_run_replaces_a_higher_count() {
+    let mut table = table(&[record("m", 5, 90, StoreReach::Unknown)]);
+    assert!(!table.merge(&record("m", 5, 90, StoreReach::Lost)));
+    assert!(table.merge(&record("m", 6, 0, StoreReach::Unknown)));
+    assert!(!table.merge(&record("m", 5, 99, StoreReach::Unknown)));
+}
+
+#[test]
+fn daemon_that_is_gone_does_not_come_back_by_hearsay() {
+    let mut table = table(&[record("m", 5, 1, StoreReach::Unknown)]);
+    table.remove(&"m".into());
+    assert!(!table.merge(&record("m", 5, 7, StoreReach::Unknown)));
+    assert!(table.merge(&record("m", 6, 0, StoreReach::Unknown)));
+}
+
+#[test]
+fn nearest_daemons_that_reach_the_store_watch_it() {
+    let near = StoreReach::Within(2);
+    let far = StoreReach::Within(65);
+    let table = table(&[
+        record("a", 1, 0, far),
+        record("b", 1, 0, near),
+        record("c", 1, 0, StoreReach::Lost),
+        record("d", 1, 0, near),
+        record("e", 1, 0, near),
+    ]);
+    let watchers = |is_live: fn(&MemberRecord) -> bool| {
+        let ids = ["a", "b", "c", "d", "e"];
+        let watching = |id: &&str| table.is_watcher(&(*id).into(), 2, is_live);
+        ids.into_iter().filter(watching).collect::<Vec<_>>()
+    };
+    assert_eq!(watchers(|_| true), ["b", "d"]);
+    // Each of those that see nobody else holds itself for a watcher, unless it lost the store.
+    assert_eq!(watchers(|_| false), ["a", "b", "d", "e"]);
+}
+
+/// A record of the daemon itself that comes back from others must not change it.
+#[test]
+fn own_record_is_the_daemons_own() {
+    let desk = MemberDesk::new(record("m", 5, 0, StoreReach::Unknown));
+    desk.merge(&[record("m", 6, 3, StoreReach::Lost)]);
+    assert_eq!(desk.own().incarnation, 5);
+    assert_eq!(desk.own().store, StoreReach::Unknown);
+}
+
+#[test]
+fn forgotten_daemon_is_neither_dialed_nor_counted() {
+    let desk = MemberDesk::new(record("m", 5, 0, StoreReach::Unknown));
+    desk.merge(&[record("n", 5, 0, StoreReach::Within(1))]);
+    assert_eq!(desk.take_dials(std::time::Duration::ZERO).len(), 1);
+    desk.forget(&"n".into());
+    desk.merge(&[record("n", 5, 1, StoreReach::Within(1))]);
+    assert!(
+        desk.take_dials(std::time::Duration::from_secs(9))
+            .is_empty()
+    );
+    assert!(!desk.has_other_store_access());
+}
+
+proptest! {
+    /// The order in which records arrive does not matter.
+    #[test]
+    fn tables_agree_whatever_the_order(
+        ranks in prop::collection::vec((0_u8..4, 0_u64..3, 0_u64..5), 1..30),
+    ) {
+        let mut records = Vec::new();
+        for (id, incarnation, counter) in ranks {
+            records.push(record(&format!("m{id}"), incarnation, counter, StoreReach::Unknown));
+        }
+        let forward = table(&records);
+        records.reverse();
+        prop_assert_eq!(forward.digest(), table(&records).digest());
+    }
+}
