--- /dev/null
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -0,0 +1,288 @@
+//! An endpoint of the users' platform in the test's own process. The last part of a request's path
+//! says how it answers.
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use super::send;
+use crate::common::caller_threads::pause;
+
+/// Pause between two announcements.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time of a slow answer.
+const SLOW_RUN: Duration = Duration::from_millis(250);
+
+/// A request as the endpoint saw it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    pub at: Instant,
+}
+
+impl SeenRequest {
+    pub fn id(&self) -> &str {
+        self.header("request-id")
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+struct EndpointState {
+    id: String,
+    service: String,
+    version: String,
+    slots: u16,
+    address: SocketAddr,
+    seen: Mutex<Vec<SeenRequest>>,
+    /// Requests whose connection was closed while they ran.
+    abandoned: AtomicU64,
+    sequence: AtomicU64,
+    is_leaving: AtomicBool,
+    is_gone: AtomicBool,
+}
+
+/// A running endpoint; it lives as long as the test's process, or until it is told to go.
+#[derive(Clone)]
+pub struct MeshEndpoint {
+    state: Arc<EndpointState>,
+    admin: SocketAddr,
+}
+
+impl MeshEndpoint {
+    /// Starts an endpoint at a free address and announces it to the sidecar at `admin`.
+    pub fn start(
+        listener: TcpListener,
+        admin: SocketAddr,
+        id: &str,
+        service: &str,
+        version: &str,
+    ) -> MeshEndpoint {
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(EndpointState {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            version: version.to_owned(),
+            slots: 2,
+            address,
+            seen: Mutex::default(),
+            abandoned: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+            is_gone: AtomicBool::new(false),
+        });
+        let endpoint = MeshEndpoint { state, admin };
+        let serving = Arc::clone(&endpoint.state);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = Arc::clone(&serving);
+                std::thread::spawn(move || serve(&state, &stream));
+            }
+        });
+        let announcing = endpoint.clone();
+        std::thread::spawn(move || {
+            while !announcing.state.is_gone.load(Ordering::Relaxed) {
+                announcing.announce();
+                pause(ANNOUNCE_PAUSE);
+            }
+        });
+        endpoint
+    }
+
+    /// Requests that the endpoint began to run, in order.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.state.seen.lock().expect("no holder panicked").clone()
+    }
+
+    /// Counts how often a request ran.
+    pub fn runs_of(&self, id: &str) -> usize {
+        self.seen().iter().filter(|seen| seen.id() == id).count()
+    }
+
+    /// Requests whose connection was closed while they ran.
+    pub fn abandoned(&self) -> u64 {
+        self.state.abandoned.load(Ordering::Relaxed)
+    }
+
+    /// Says that the endpoint leaves; returns whether that was acknowledged.
+    pub fn leave(&self) -> bool {
+        self.state.is_leaving.store(true, Ordering::Relaxed);
+        self.announce()
+    }
+
+    /// Departs; returns whether that was acknowledged.
+    pub fn depart(&self) -> bool {
+        self.state.is_gone.store(true, Ordering::Relaxed);
+        let path = format!("/coltsfootweir/endpoints/{}", self.state.id);
+        send("DELETE", self.admin, &path, "").is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Sends one announcement with other contents than the endpoint's own.
+    pub fn announce_body(&self, id: &str, body: &str) -> Option<u16> {
+        let path = format!("/coltsfootweir/endpoints/{id}");
+        send("PUT", self.admin, &path, body).map(|(status, _)| status)
+    }
+
+    fn announce(&self) -> bool {
+        let state = &self.state;
+        let word = match state.is_leaving.load(Ordering::Relaxed) {
+            true => "draining",
+            false => "healthy",
+        };
+        let sequence = state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let body = json!({"address": state.address, "born": 1_700_000_000_000_u64,
+            "info": {"service": state.service, "version": state.version, "zone": "a",
+                "capacity": state.slots},
+            "status": {"state": word, "sequence": sequence, "warmup_left_ms": 0}});
+        self.announce_body(&state.id, &body.to_string()) == Some(200)
+    }
+}
+
+fn serve(state: &EndpointState, stream: &TcpStream) {
+    let mut reader = BufReader::new(stream);
+    while let Some(seen) = read_request(&mut reader) {
+        let id = seen.id().to_owned();
+        let mode = seen.path.rsplit('/').next().unwrap_or("").to_owned();
+        let expected = seen.header("expected-instance").to_owned();
+        let mut out = stream;
+        if !expected.is_empty() && expected != state.id {
+            let _ = out.write_all(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n");
+            continue;
+        }
+        if mode == "shed" {
+            let text = "HTTP/1.1 503 Busy\r\nnot-processed: 1\r\ncontent-length: 0\r\n\r\n";
+            let _ = out.write_all(text.as_bytes());
+            continue;
+        }
+        state.seen.lock().expect("no holder panicked").push(seen);
+        if !answer(state, &mode, &id, out) {
+            return;
+        }
+    }
+}
+
+/// Answers a request; returns whether the connection goes on.
+fn answer(state: &EndpointState, mode: &str, id: &str, mut out: &TcpStream) -> bool {
+    let good = good_answer(&state.id, id, "a whole body");
+    let (bytes, goes_on) = match mode {
+        "slow" | "slower" => {
+            let run = if mode == "slow" {
+                SLOW_RUN
+            } else {
+                SLOW_RUN * 8
+            };
+            if is_closed_within(out, run) {
+                state.abandoned.fetch_add(1, Ordering::Relaxed);
+                return false;
+            }
+            (good, true)
+        }
+        "close" => (Vec::new(), false),
+        "cut" => (good[..good.len() - 4].to_vec(), false),
+        "garbage" => (b"no answer at all\r\n\r\n".to_vec(), false),
+        "unsigned" => {
+            let text = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            (text.as_bytes().to_vec(), true)
+        }
+        "busy" => (failed_answer(503, id), true),
+        "v2fails" if state.version != "v2" => (good, true),
+        "fail" | "v2fails" => (failed_answer(500, id), true),
+        "unframed" => {
+            let head = "HTTP/1.1 200 OK\r\nupstream-signature: s\r\n\r\nuntil the end";
+            (head.as_bytes().to_vec(), false)
+        }
+        "chunked" => {
+            let head = "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ntransfer-encoding: chunked";
+            let text = format!("{head}\r\n\r\n5\r\nhello\r\n6\r\n there\r\n0\r\n\r\n");
+            (text.into_bytes(), true)
+        }
+        // An answer to nobody's request stands before the own one.
+        "stale" => (
+            [good_answer(&state.id, "other", "not yours"), good].concat(),
+            true,
+        ),
+        // The next request on the connection finds an answer that is not its own.
+        "extra" => (
+            [good, good_answer(&state.id, "other", "not yours")].concat(),
+            true,
+        ),
+        _ => (good, true),
+    };
+    out.write_all(&bytes).is_ok() && goes_on
+}
+
+fn good_answer(endpoint: &str, id: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: {endpoint}\r\ncontent-length: {length}"
+    );
+    format!("{head}\r\n\r\n{body}").into_bytes()
+}
+
+fn failed_answer(status: u16, id: &str) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status} No\r\nrequest-id: {id}\r\nupstream-signature: s");
+    format!("{head}\r\ncontent-length: 2\r\n\r\nno").into_bytes()
+}
+
+fn is_closed_within(stream: &TcpStream, time: Duration) -> bool {
+    stream
+        .set_read_timeout(Some(time))
+        .expect("a time above zero");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_read_timeout(None).expect("no time is allowed");
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => !matches!(
+            error.kind(),
+            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+        ),
+    }
+}
+
+fn read_request(reader: &mut BufReader<&TcpStream>) -> Option<SeenRequest> {
+    let mut line = String::new();
+    reader
+        .read_line(&mut line)
+        .ok()
+        .filter(|count| *count > 0)?;
+    let path = line.split_whitespace().nth(1)?.to_owned();
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            break;
+        };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body).ok()?;
+    Some(SeenRequest {
+        path,
+        headers,
+        body,
+        at: Instant::now(),
+    })
+}
--- /dev/null
+++ b/programs/tests/sidecar/mod.rs
@@ -0,0 +1,22 @@
+//! The users' platform played for tests of sidecars: its store, endpoints, settings.
+
+#![allow(dead_code)]
+
+pub mod mesh_endpoint;
+pub mod row_store;
+pub mod sidecar_fleet;
+
+use std::net::SocketAddr;
+
+/// Longest wait for an answer, in seconds.
+const SEND_TIMEOUT_S: u64 = 5;
+
+/// Sends a call of the platform; `None` when no answer came.
+pub fn send(method: &str, address: SocketAddr, path: &str, body: &str) -> Option<(u16, String)> {
+    let method = minreq::Method::Custom(method.into());
+    let request = minreq::Request::new(method, format!("http://{address}{path}"));
+    let request = request.with_body(body).with_timeout(SEND_TIMEOUT_S);
+    let response = request.send().ok()?;
+    let text = response.as_str().unwrap_or("").to_owned();
+    Some((response.status_code, text))
+}
--- /dev/null
+++ b/programs/tests/sidecar/row_store.rs
@@ -0,0 +1,247 @@
+//! The platform's store of rows in the test's own process, with faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+use tiny_http::Method;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::Server;
+
+use crate::common::caller_threads::pause;
+
+/// Pause between two looks of a waiting feed.
+const FEED_PAUSE: Duration = Duration::from_millis(5);
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreMood {
+    /// Nothing.
+    #[default]
+    Sound,
+    /// It takes calls and never answers.
+    Silent,
+    /// It refuses every call with this status.
+    Refusing(u16),
+    /// It carries calls out and does not answer.
+    LosesAnswers,
+}
+
+#[derive(Clone, Debug)]
+struct StoredRow {
+    value: Option<String>,
+    version: u64,
+}
+
+type RowKey = (String, String);
+
+#[derive(Default)]
+struct StoreState {
+    rows: BTreeMap<RowKey, StoredRow>,
+    version: u64,
+    /// Changes up to this version are no longer told.
+    forgotten: u64,
+    mood: StoreMood,
+    calls: u64,
+    /// Calls that are never answered.
+    held: Vec<Request>,
+}
+
+/// A running store; it lives as long as the test's process.
+#[derive(Clone)]
+pub struct RowStore {
+    state: Arc<Mutex<StoreState>>,
+    pub address: SocketAddr,
+}
+
+impl RowStore {
+    pub fn start() -> RowStore {
+        let server = Server::http("127.0.0.1:0").expect("a free port");
+        let address = server.server_addr().to_ip().expect("an IP address");
+        let state = Arc::new(Mutex::new(StoreState::default()));
+        let store = RowStore { state, address };
+        let serving = store.clone();
+        std::thread::spawn(move || {
+            for request in server.incoming_requests() {
+                let store = serving.clone();
+                std::thread::spawn(move || store.serve(request));
+            }
+        });
+        store
+    }
+
+    pub fn set_mood(&self, mood: StoreMood) {
+        self.lock().mood = mood;
+    }
+
+    /// Writes a row as the operator does.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        let mut state = self.lock();
+        state.version += 1;
+        let row = StoredRow {
+            value: Some(STANDARD.encode(value)),
+            version: state.version,
+        };
+        state.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
+
+    /// Reads a row's value as the operator does.
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.lock();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let bytes = STANDARD.decode(row.value.as_ref()?).expect("base64");
+        Some(String::from_utf8(bytes).expect("text"))
+    }
+
+    /// Counts the rows of a table.
+    pub fn count(&self, table: &str) -> usize {
+        let state = self.lock();
+        let rows = state.rows.iter();
+        rows.filter(|((of, _), row)| of == table && row.value.is_some())
+            .count()
+    }
+
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.version;
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, StoreState> {
+        self.state.lock().expect("no holder panicked")
+    }
+
+    fn serve(&self, mut request: Request) {
+        let mut body = String::new();
+        let read = request.as_reader().read_to_string(&mut body);
+        read.expect("a body of text");
+        let mood = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mood
+        };
+        let (status, answer) = match mood {
+            StoreMood::Silent => return self.lock().held.push(request),
+            StoreMood::Refusing(status) => (status, json!({})),
+            StoreMood::Sound | StoreMood::LosesAnswers => self.answer(&request, &body),
+        };
+        if mood == StoreMood::LosesAnswers || self.lock().mood == StoreMood::Silent {
+            return self.lock().held.push(request);
+        }
+        let response = Response::from_string(answer.to_string()).with_status_code(status);
+        // A client that is gone needs no answer.
+        let _ = request.respond(response);
+    }
+
+    fn answer(&self, request: &Request, body: &str) -> (u16, Value) {
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let query: BTreeMap<String, String> = form_urlencoded::parse(query.as_bytes())
+            .into_owned()
+            .collect();
+        let table = query.get("table").cloned().unwrap_or_default();
+        match (request.method(), path) {
+            (Method::Get, "/coltsfootweir/rows-get") => {
+                let from = query.get("from").cloned().unwrap_or_default();
+                (200, self.read(&table, &from))
+            }
+            (Method::Get, "/coltsfootweir/rows-feed") => {
+                let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
+                self.feed(&table, number("after"), number("wait_ms"))
+            }
+            (Method::Post, "/coltsfootweir/rows-tx") => self.write(body),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn read(&self, table: &str, from: &str) -> Value {
+        let state = self.lock();
+        let mut rows = Vec::new();
+        for ((of, key), row) in &state.rows {
+            if of == table && key.as_str() >= from && row.value.is_some() {
+                rows.push(row_json(table, key, row));
+            }
+        }
+        json!({"rows": rows, "has_more": false, "schema_version": state.version, "now_ms": 1})
+    }
+
+    fn feed(&self, table: &str, after: Option<u64>, wait_ms: Option<u64>) -> (u16, Value) {
+        let (after, wait) = (
+            after.unwrap_or(0),
+            Duration::from_millis(wait_ms.unwrap_or(0)),
+        );
+        let start = Instant::now();
+        loop {
+            let state = self.lock();
+            if after < state.forgotten {
+                return (410, json!({}));
+            }
+            let mut rows = Vec::new();
+            for ((of, key), row) in &state.rows {
+                if of == table && row.version > after {
+                    rows.push(row_json(table, key, row));
+                }
+            }
+            if !rows.is_empty() || start.elapsed() >= wait {
+                let version = state.version;
+                return (
+                    200,
+                    json!({"rows": rows, "schema_version": version, "now_ms": 1}),
+                );
+            }
+            drop(state);
+            pause(FEED_PAUSE);
+        }
+    }
+
+    fn write(&self, body: &str) -> (u16, Value) {
+        let call: Value = serde_json::from_str(body).expect("JSON");
+        let list = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let key = |row: &Value| -> RowKey {
+            let text = |name: &str| row[name].as_str().expect("text").to_owned();
+            (text("table"), text("key"))
+        };
+        let mut state = self.lock();
+        for condition in list("expected_rev") {
+            let held = state.rows.get(&key(&condition));
+            let version = held.map_or(0, |row| row.version);
+            if Some(version) != condition["schema_version"].as_u64() {
+                return (412, json!({"rows": []}));
+            }
+        }
+        if list("upserts").iter().any(|row| row["table"] == "op") {
+            return (403, json!({}));
+        }
+        state.version += 1;
+        let version = state.version;
+        for row in list("upserts") {
+            let value = row["value"].as_str().map(str::to_owned);
+            state.rows.insert(key(&row), StoredRow { value, version });
+        }
+        for row in list("remove") {
+            let value = None;
+            state.rows.insert(key(&row), StoredRow { value, version });
+        }
+        (200, json!({"schema_version": version, "now_ms": 1}))
+    }
+}
+
+fn row_json(table: &str, key: &str, row: &StoredRow) -> Value {
+    match &row.value {
+        Some(value) => json!({"table": table, "part": "", "key": key, "value": value,
+            "schema_version": row.version}),
+        None => json!({"table": table, "part": "", "key": key, "removed": true,
+            "schema_version": row.version}),
+    }
+}
--- /dev/null
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -0,0 +1,308 @@
+//! Sidecar processes with endpoints beside them, on one store.
+
+use std::fmt::Write;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::mesh_endpoint::MeshEndpoint;
+use super::row_store::RowStore;
+use super::send;
+use crate::common::PATIENCE;
+use crate::common::caller::CallSpec;
+use crate::common::caller::WholeAnswer;
+use crate::common::caller::call_once;
+use crate::common::free_address;
+use crate::common::program_path;
+use crate::common::wait_for;
+
+/// Services of the tests; requests under `/free/` go to the first, `/book/` to it too, `/feed/` to the
+/// second.
+pub const STALLS: &str = "stalls";
+pub const HORSES: &str = "horses";
+
+/// A sidecar process, killed on drop.
+pub struct SidecarProcess {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    pub requests: SocketAddr,
+    pub ready: SocketAddr,
+    pub admin: SocketAddr,
+    pub settings: PathBuf,
+    pub name: String,
+}
+
+impl SidecarProcess {
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "signal {name} not sent");
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) {
+        self.kill();
+        let (child, lines) = spawn(&self.settings);
+        self.child = child;
+        self.lines = lines;
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_some()
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let answer = send("GET", self.ready, "/coltsfootweir/ready", "");
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Events of a name that the sidecar logged.
+    pub fn events(&self, name: &str) -> Vec<Value> {
+        let lines = self.lines.lock().expect("no holder panicked");
+        let mut events = Vec::new();
+        for line in lines.iter() {
+            let line: Value = serde_json::from_str(line).expect("each line is JSON");
+            if line["event"]["name"] == name {
+                events.push(line["event"].clone());
+            }
+        }
+        events
+    }
+
+    /// Version of the configuration in force as the metrics tell it.
+    pub fn config_version(&self) -> u64 {
+        let Some((_, text)) = send("GET", self.ready, "/metrics", "") else {
+            return 0;
+        };
+        let mut lines = text.lines();
+        let version = lines.find_map(|line| line.strip_prefix("config_version "));
+        version.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn call(&self, spec: &CallSpec) -> Option<WholeAnswer> {
+        call_once(self.requests, spec).whole()
+    }
+
+    pub fn get(&self, path: &str, id: &str) -> WholeAnswer {
+        let answer = self.call(&request("GET", path, id, 3_000));
+        answer.expect("a whole answer")
+    }
+}
+
+impl Drop for SidecarProcess {
+    fn drop(&mut self) {
+        self.kill();
+        // A test that failed early may not have made it.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A request with the headers of a client.
+pub fn request(method: &'static str, path: &str, id: &str, time_left_ms: u64) -> CallSpec {
+    let spec = match method {
+        "POST" => CallSpec::post(path, "a body"),
+        _ => CallSpec::get(path),
+    };
+    spec.with("request-id", id).with("timeout-ms", time_left_ms)
+}
+
+/// Sidecars with an endpoint each.
+pub struct SidecarFleet {
+    pub store: RowStore,
+    pub sidecars: Vec<SidecarProcess>,
+    pub endpoints: Vec<MeshEndpoint>,
+}
+
+impl SidecarFleet {
+    /// Starts sidecars whose endpoints are of these services and versions.
+    pub fn start(endpoints: &[(&str, &str)]) -> SidecarFleet {
+        let mut fleet = SidecarFleet {
+            store: RowStore::start(),
+            sidecars: Vec::new(),
+            endpoints: Vec::new(),
+        };
+        for (service, version) in endpoints {
+            fleet.add(service, version);
+        }
+        fleet
+    }
+
+    /// Starts sidecars with a configuration in force on each.
+    pub fn start_ready(endpoints: &[(&str, &str)]) -> SidecarFleet {
+        let fleet = SidecarFleet::start(endpoints);
+        fleet.put_config(1, "");
+        fleet.wait_config(1);
+        fleet.wait_endpoints();
+        fleet
+    }
+
+    pub fn add(&mut self, service: &str, version: &str) -> usize {
+        let number = self.sidecars.len();
+        let name = format!("vm-{number}");
+        let listener = TcpListener::bind(free_address()).expect("a free port");
+        let endpoint = listener.local_addr().expect("an address");
+        let sidecar = start_sidecar(&name, service, endpoint, self.store.address);
+        let id = format!("i-{number}");
+        let endpoint = MeshEndpoint::start(listener, sidecar.admin, &id, service, version);
+        self.sidecars.push(sidecar);
+        self.endpoints.push(endpoint);
+        number
+    }
+
+    /// Writes a configuration with the routes of the tests and one under `/VERSION/` that tells
+    /// versions apart; `more` is further JSON routes, each after a comma.
+    pub fn put_config(&self, version: u64, more: &str) {
+        let mut routes = String::new();
+        for (name, prefix, kind, service, rank) in [
+            ("free", "/free/", "idempotent", STALLS, 2),
+            ("book", "/book/", "non_idempotent", STALLS, 1),
+            ("feed", "/feed/", "idempotent", HORSES, 2),
+            ("marker", &format!("/v{version}/"), "idempotent", STALLS, 0),
+        ] {
+            let route = json!({"name": name, "authority": "test", "prefix": prefix, "kind": kind,
+                "timeout_ms": 2_000, "target_latency_ms": 500, "priority": rank,
+                "service": service, "attempts": 2});
+            write!(routes, "{route},").expect("writing to a string");
+        }
+        let routes = routes.trim_end_matches(',');
+        let limits = r#"{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
+            "idle_timeout_ms":15000}"#;
+        let config = format!(
+            r#"{{"version":"{version:08x}","routes":[{routes}{more}],"services":[],"limits":{limits}}}"#
+        );
+        self.store.put("op", "config", &config);
+    }
+
+    pub fn wait_config(&self, version: u64) {
+        for sidecar in &self.sidecars {
+            let what = format!("version {version} on {}", sidecar.name);
+            wait_for(&what, PATIENCE, || sidecar.config_version() >= version);
+        }
+    }
+
+    /// Waits until each sidecar reaches an endpoint of each service that the fleet has.
+    pub fn wait_endpoints(&self) {
+        for sidecar in &self.sidecars {
+            for prefix in ["free", "feed"] {
+                let path = format!("/{prefix}/ok");
+                if prefix == "feed" && !self.has_service(HORSES) {
+                    continue;
+                }
+                wait_for(&format!("{path} at {}", sidecar.name), PATIENCE, || {
+                    let spec = request("GET", &path, "warm", 1_000);
+                    sidecar
+                        .call(&spec)
+                        .is_some_and(|answer| answer.status == 200)
+                });
+            }
+        }
+        let count = self.sidecars.len();
+        for sidecar in &self.sidecars {
+            wait_for(&format!("peers of {}", sidecar.name), PATIENCE, || {
+                sidecar.events("peer_reached").len() >= count - 1
+            });
+        }
+    }
+
+    fn has_service(&self, service: &str) -> bool {
+        self.sidecars.iter().any(|sidecar| {
+            let text = std::fs::read_to_string(&sidecar.settings).expect("a settings file");
+            text.contains(&format!("service = \"{service}\""))
+        })
+    }
+
+    /// Counts the runs of a request at all endpoints.
+    pub fn runs_of(&self, id: &str) -> usize {
+        self.endpoints
+            .iter()
+            .map(|endpoint| endpoint.runs_of(id))
+            .sum()
+    }
+}
+
+fn start_sidecar(
+    name: &str,
+    service: &str,
+    endpoint: SocketAddr,
+    store: SocketAddr,
+) -> SidecarProcess {
+    let [requests, ready, admin, peers] = [(); 4].map(|()| free_address());
+    let text = format!(
+        r#"
+[self]
+node_id = "{name}"
+zone = "a"
+region = "north"
+local_app = "{endpoint}"
+service = "{service}"
+[network.listen]
+inbound = "{peers}"
+outbound = "{requests}"
+ready = "{ready}"
+admin = "{admin}"
+[platform]
+heartbeat_ms = 400
+[platform.platform]
+address = "{store}"
+[terms.bounds]
+drain_ms = 1500
+grace_s = 5
+retry_budget = 0.2
+budget_window_s = 10
+budget_slack = 60
+canary_share = 0.1
+canary_slack = 50
+rollback_ms = 5000
+"#
+    );
+    let file = format!("sidecar-{}-{}.toml", std::process::id(), requests.port());
+    let settings = std::env::temp_dir().join(file);
+    std::fs::write(&settings, text).expect("a file in the folder for such");
+    let (child, lines) = spawn(&settings);
+    SidecarProcess {
+        child,
+        lines,
+        requests,
+        ready,
+        admin,
+        settings,
+        name: name.to_owned(),
+    }
+}
+
+fn spawn(settings: &PathBuf) -> (Child, Arc<Mutex<Vec<String>>>) {
+    let mut child = Command::new(program_path("coltsfootweird"))
+        .arg("sidecar")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("program starts");
+    let out = child.stdout.take().expect("standard output is piped");
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let kept = Arc::clone(&lines);
+    std::thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            kept.lock().expect("no holder panicked").push(line);
+        }
+    });
+    (child, lines)
+}
