--- a/coltsfootweir/tests/sidecar_admission.rs
+++ b/coltsfootweir/tests/sidecar_admission.rs
@@ -194,13 +194,11 @@
 #[test]
 fn burst_is_taken_up_by_the_queue_as_far_as_it_can_be_done_in_time() {
     let mut run = LoadRun::new();
-    let mut id = 0;
     let burst = lookups(385);
-    for step in 0..385 {
+    for step in 0..385_u32 {
         let now = burst.every * step;
         run.finish_until(now);
-        run.arrive(id, burst, now);
-        id += 1;
+        run.arrive(u64::from(step), burst, now);
     }
     run.finish_until(Duration::from_secs(5));
     let lookup = &run.outcomes[&LOOKUP];
