--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -79,12 +79,14 @@
 
 impl std::error::Error for SidecarError {}
 
-/// Runs a sidecar until SIGTERM or SIGINT.
+/// Runs a sidecar until SIGTERM or SIGINT; `metrics` is the port on which its metrics are served
+/// beside the one for readiness checks.
 ///
 /// # Errors
 /// [`SidecarError`] when it cannot start.
 pub fn run_sidecar(
     path: &Path,
+    metrics: Option<u16>,
     dialect: Rc<dyn PlatformDialect>,
 ) -> Result<(), Report<SidecarError>> {
     let settings = read_settings(path, &*dialect)?;
@@ -93,7 +95,7 @@
         .build()
         .change_context(SidecarError::Runtime)?;
     let tasks = LocalSet::new();
-    tasks.block_on(&runtime, run(path, settings, dialect))
+    tasks.block_on(&runtime, run(path, settings, metrics, dialect))
 }
 
 fn read_settings(
@@ -108,6 +110,7 @@
 async fn run(
     path: &Path,
     settings: SidecarSettings,
+    metrics: Option<u16>,
     dialect: Rc<dyn PlatformDialect>,
 ) -> Result<(), Report<SidecarError>> {
     let mut terminate = signal(SignalKind::terminate()).change_context(SidecarError::Runtime)?;
@@ -118,6 +121,8 @@
     let peers = bind(listen.peers)?;
     let readiness = bind(listen.readiness)?;
     let announcements = bind(listen.announcements)?;
+    let metrics = metrics.map(|port| bind(SocketAddr::new(listen.readiness.ip(), port)));
+    let metrics = metrics.transpose()?;
     let what = json!({"name": "started", "member": settings.id, "region": settings.region,
         "zone": settings.zone, "service": settings.service, "store": settings.store});
     info!(target: DAEMON, "{what}");
@@ -129,6 +134,9 @@
     tokio::task::spawn_local(serve_peers(Rc::clone(&state), peers));
     tokio::task::spawn_local(serve_control(Rc::clone(&state), readiness));
     tokio::task::spawn_local(serve_control(Rc::clone(&state), announcements));
+    if let Some(listener) = metrics {
+        tokio::task::spawn_local(serve_control(Rc::clone(&state), listener));
+    }
     tokio::task::spawn_local(find_members(Rc::clone(&state)));
     tokio::task::spawn_local(keep_links(Rc::clone(&state)));
     tokio::task::spawn_local(watch_orders(Rc::clone(&state)));
--- a/programs/src/arguments.rs
+++ b/programs/src/arguments.rs
@@ -12,6 +12,7 @@
 use coltsfootweir::ids::Generation;
 use coltsfootweir::record::ConfigRecord;
 
+use crate::mesh::MeshCommand;
 use crate::report::ReportCall;
 
 /// Drives coltsfootweir: writes records and reads back what became of them.
@@ -30,7 +31,7 @@
 }
 
 /// Reads an address; the client reaches IPv4 addresses only.
-fn parse_address(text: &str) -> Result<SocketAddr, &'static str> {
+pub(crate) fn parse_address(text: &str) -> Result<SocketAddr, &'static str> {
     let address: SocketAddrV4 = text.parse().map_err(|_| "not an IPv4 address IP:PORT")?;
     Ok(address.into())
 }
@@ -80,6 +81,12 @@
 pub enum OperatorCommand {
     /// Run a whole system in this process: a good move and a bad one
     Demo,
+    /// Read what stands in the store of the users' platform
+    Mesh {
+        /// What to read
+        #[command(subcommand)]
+        command: MeshCommand,
+    },
     /// Check record files without accepting them
     Validate {
         /// Address of the platform, IP:PORT; checks the files against the accepted configuration too
--- a/programs/src/bin/coltsfootweird.rs
+++ b/programs/src/bin/coltsfootweird.rs
@@ -42,6 +42,9 @@
     /// Settings file of the platform; read again on SIGHUP and when it changes
     #[arg(long, env = "COLTSFOOTWEIR_SETTINGS")]
     settings: PathBuf,
+    /// Port on which metrics are served as text under /metrics, beside the one for readiness checks
+    #[arg(long, env = "COLTSFOOTWEIR_METRICS_PORT", value_parser = clap::value_parser!(u16).range(1..))]
+    metrics_port: Option<u16>,
     /// Log level: off, error, warn, info, debug or trace
     #[arg(long, env = "COLTSFOOTWEIR_LOG", default_value = "info")]
     log: LevelFilter,
@@ -81,7 +84,11 @@
 
 fn run_on_platform(arguments: &SidecarArgs) -> Result<(), Box<dyn Error>> {
     start_event_log(arguments.log).map_err(|error| error.to_string())?;
-    run_sidecar(&arguments.settings, Rc::new(UserPlatform))
-        .map_err(|error| format!("{error:?}"))?;
+    run_sidecar(
+        &arguments.settings,
+        arguments.metrics_port,
+        Rc::new(UserPlatform),
+    )
+    .map_err(|error| format!("{error:?}"))?;
     Ok(())
 }
--- a/programs/src/command.rs
+++ b/programs/src/command.rs
@@ -21,6 +21,7 @@
     let timeout = arguments.timeout;
     match &arguments.command {
         OperatorCommand::Demo => run_demo(),
+        OperatorCommand::Mesh { command } => command.run(timeout),
         OperatorCommand::Validate { platform, files } => {
             let store = platform.map(|platform| PatientStore::new(platform, timeout));
             validate_files(store.as_ref().map(|store| store as _), files)
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod get;
 pub mod hand_out;
 pub mod input;
+pub mod mesh;
 pub mod moves;
 pub mod output;
 pub mod patient_store;
