News between daemons: endpoints only; configurations by relays, moves by judges

Change: a version is told to the relays of each region and by these to their region; counts and stances go to the two daemons that judge; the changes kept are names of routes.

--- a/coltsfootweir/src/sidecar/config_holder.rs
+++ b/coltsfootweir/src/sidecar/config_holder.rs
@@ -1,6 +1,7 @@
-//! The configuration in force and the few before it.
+//! The configuration in force and the changes that led to it.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -9,15 +10,16 @@
 use serde_json::json;
 
 use crate::ids::Generation;
+use crate::ids::RouteName;
 use crate::ids::ServiceName;
 use crate::logging::CONFIG;
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::MeshConfig;
 use crate::sidecar::mesh_config::RouteFinder;
 
-/// Earlier configurations kept, from which others can be brought up to date by a change: a storm
-/// of four changes a second, and daemons cut off for some seconds.
-const KEPT_CONFIGS: usize = 16;
+/// Changes kept, by which daemons with an earlier version are brought up to date: a storm of four
+/// a second, and daemons cut off for ten seconds.
+const KEPT_CHANGES: usize = 40;
 
 /// A configuration and the index of its routes.
 #[derive(Debug)]
@@ -56,11 +58,19 @@
     }
 }
 
+/// Routes that a change of the configuration touched.
+#[derive(Debug)]
+struct TouchedRoutes {
+    /// Version that was in force before the change.
+    base: Generation,
+    names: Vec<RouteName>,
+}
+
 /// The configuration in force.
 #[derive(Debug, Default)]
 pub struct ConfigHolder {
     active: RefCell<Option<Rc<ActiveConfig>>>,
-    earlier: RefCell<VecDeque<Rc<ActiveConfig>>>,
+    changes: RefCell<VecDeque<TouchedRoutes>>,
 }
 
 impl ConfigHolder {
@@ -86,14 +96,11 @@
         let what = json!({"name": "config_in_force", "version": config.version,
             "before": before, "routes": config.routes.len(), "source": source});
         info!(target: CONFIG, "{what}");
-        let active = Rc::new(ActiveConfig::new(config));
-        if let Some(old) = self.active.borrow_mut().replace(active) {
-            let mut earlier = self.earlier.borrow_mut();
-            earlier.push_back(old);
-            if earlier.len() > KEPT_CONFIGS {
-                earlier.pop_front();
-            }
+        if let Some(active) = self.active() {
+            self.note_change(&active.config, &config);
         }
+        let active = Rc::new(ActiveConfig::new(config));
+        self.active.replace(Some(active));
         true
     }
 
@@ -112,15 +119,51 @@
     }
 
     /// Returns the change that brings a daemon with version `held` up to date, or the whole
-    /// configuration when that version is not kept; `None` when there is nothing newer.
+    /// configuration when the changes since that version are not kept; `None` when there is nothing
+    /// newer.
     #[must_use]
     pub fn delta_from(&self, held: Generation) -> Option<ConfigDelta> {
         let active = self.active()?;
         if active.config.version <= held {
             return None;
         }
-        let earlier = self.earlier.borrow();
-        let base = earlier.iter().find(|old| old.config.version == held);
-        Some(active.config.delta_from(base.map(|base| &base.config)))
+        let changes = self.changes.borrow();
+        let Some(first) = changes.iter().position(|change| change.base == held) else {
+            return Some(active.config.delta_from(None));
+        };
+        let mut touched = BTreeSet::new();
+        for change in changes.range(first..) {
+            touched.extend(&change.names);
+        }
+        let mut delta = ConfigDelta {
+            base: held,
+            version: active.config.version,
+            changed: Vec::new(),
+            removed: Vec::new(),
+            limits: active.config.limits,
+        };
+        for name in touched {
+            match active.config.routes.get(name) {
+                Some(route) => delta.changed.push(route.clone()),
+                None => delta.removed.push(name.clone()),
+            }
+        }
+        Some(delta)
+    }
+
+    fn note_change(&self, before: &MeshConfig, after: &MeshConfig) {
+        let delta = after.delta_from(Some(before));
+        let mut names = delta.removed;
+        for route in delta.changed {
+            names.push(route.name);
+        }
+        let mut changes = self.changes.borrow_mut();
+        if changes.len() >= KEPT_CHANGES {
+            changes.pop_front();
+        }
+        changes.push_back(TouchedRoutes {
+            base: before.version,
+            names,
+        });
     }
 }
--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -181,7 +181,9 @@
     fn take_row(&self, row: &StoreRow) -> Option<RolloutOrder> {
         match self.state.dialect.order_row(row) {
             Ok(OrderRow::Config(config)) => {
-                self.state.config.adopt(config, "store");
+                if self.state.config.adopt(config, "store") {
+                    self.state.tell_config();
+                }
                 None
             }
             Ok(OrderRow::Rollout(order)) => Some(order),
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -10,6 +10,8 @@
 use crate::ids::ServiceName;
 use crate::sidecar::announcement::EndpointId;
 use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::member_table::RolloutStance;
+use crate::sidecar::member_table::VersionCount;
 use crate::sidecar::mesh_config::ConfigDelta;
 
 /// Longest frame, in bytes: a body at the limit of the answers that are read, and its head.
@@ -149,6 +151,11 @@
     Members(Vec<MemberRecord>),
     /// Digest of the sender's member table; one that differs is answered with the whole table.
     Digest(u64),
+    /// How a daemon stands to moves of traffic, and the answers it has seen during them, all since
+    /// their start.
+    Rollouts(MemberId, Vec<RolloutStance>, Vec<VersionCount>),
+    /// Version of the configuration in force on a daemon.
+    ConfigHeld(MemberId, Generation),
     /// Asks for the configuration; names the version held, 0 for none.
     ConfigWanted(Generation),
     /// A configuration.
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -12,8 +12,10 @@
 use log::info;
 use serde_json::json;
 
+use crate::ids::Generation;
 use crate::ids::MemberId;
 use crate::ids::RegionName;
+use crate::ids::ServiceName;
 use crate::logging::MEMBERS;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::member_table::MemberRecord;
@@ -48,6 +50,15 @@
     lost_at: Option<Duration>,
 }
 
+/// Daemons with a newer configuration, and its version.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ConfigHolders {
+    /// One of the own region.
+    pub near: Option<(MemberId, Generation)>,
+    /// One of another region.
+    pub far: Option<(MemberId, Generation)>,
+}
+
 /// Daemons, links and news.
 pub struct MemberDesk {
     table: RefCell<MemberTable>,
@@ -56,6 +67,8 @@
     /// Silent links whose calls are still waited for.
     retired: RefCell<Vec<Rc<PeerLink>>>,
     changed: RefCell<HashSet<MemberId>>,
+    /// Versions of the configuration that others told of.
+    configs: RefCell<HashMap<MemberId, Generation>>,
     news_sent: Cell<u64>,
 }
 
@@ -71,6 +84,7 @@
             links: RefCell::default(),
             retired: RefCell::default(),
             changed: RefCell::default(),
+            configs: RefCell::default(),
             news_sent: Cell::new(0),
         }
     }
@@ -117,6 +131,52 @@
         news
     }
 
+    /// Notes which configuration is in force on another daemon.
+    pub fn note_config(&self, id: MemberId, version: Generation) {
+        self.configs.borrow_mut().insert(id, version);
+    }
+
+    /// Returns the daemon with the newest configuration above `held` in the own region, and that in
+    /// the others, of those that can be reached.
+    #[must_use]
+    pub fn config_holders(&self, held: Generation) -> ConfigHolders {
+        let mut holders = ConfigHolders::default();
+        for (id, version) in self.configs.borrow().iter() {
+            if *version <= held || !self.is_reachable(id) {
+                continue;
+            }
+            let newest = match self.is_near(id) {
+                true => &mut holders.near,
+                false => &mut holders.far,
+            };
+            if newest.as_ref().is_none_or(|(_, known)| known < version) {
+                *newest = Some((id.clone(), *version));
+            }
+        }
+        holders
+    }
+
+    /// Sends a frame to the daemons that bring a new configuration further: those that carry news
+    /// between regions and, from one of them, all others of its region.
+    pub fn send_config_news(&self, frame: &PeerFrame) {
+        let own = self.own.borrow();
+        let table = self.table.borrow();
+        let mut targets = self.relays(&own.region);
+        for region in self.other_regions(&own, &table) {
+            targets.extend(self.relays(&region));
+        }
+        if targets.contains(&own.id) {
+            for record in table.iter().filter(|record| record.region == own.region) {
+                targets.push(record.id.clone());
+            }
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        for link in targets.iter().filter_map(|id| self.link(id)) {
+            link.send(frame.clone());
+        }
+    }
+
     /// Returns the open link to a daemon.
     #[must_use]
     pub fn link(&self, id: &MemberId) -> Option<Rc<PeerLink>> {
@@ -172,8 +232,20 @@
         if own.is_leaving {
             return false;
         }
+        drop(own);
+        self.nearest(count).contains(&self.own.borrow().id)
+    }
+
+    /// Returns the daemons that judge moves of traffic: those that watch the store.
+    #[must_use]
+    pub fn judges(&self) -> Vec<MemberId> {
+        self.nearest(WATCHERS)
+    }
+
+    fn nearest(&self, count: usize) -> Vec<MemberId> {
+        let own = self.own.borrow();
         let table = self.table.borrow();
-        table.is_watcher(&own.id, count, |record| self.is_reachable(&record.id))
+        table.watchers(&own.id, count, |record| self.is_reachable(&record.id))
     }
 
     /// Returns whether another daemon that can be reached watches the store.
@@ -196,12 +268,26 @@
     }
 
     /// Returns the daemons that are to be linked and are not; each is marked as being dialed.
-    pub fn take_dials(&self, now: Duration) -> Vec<(MemberId, SocketAddr)> {
+    ///
+    /// Daemons beside endpoints of the services in `called` come first, then the nearer ones.
+    pub fn take_dials(
+        &self,
+        called: &HashSet<ServiceName>,
+        now: Duration,
+    ) -> Vec<(MemberId, SocketAddr)> {
         let table = self.table.borrow();
         let own = self.own.borrow();
         let mut links = self.links.borrow_mut();
         let mut wanted: Vec<&MemberRecord> = table.iter().filter(|r| r.id != own.id).collect();
-        wanted.sort_by_key(|record| (record.region != own.region, record.zone != own.zone));
+        wanted.sort_by_key(|record| {
+            let endpoint = record.endpoint.as_ref();
+            let is_called = endpoint.is_some_and(|endpoint| called.contains(&endpoint.service));
+            (
+                !is_called,
+                record.region != own.region,
+                record.zone != own.zone,
+            )
+        });
         wanted.truncate(MAX_LINKS);
         let mut dials = Vec::new();
         for record in wanted {
@@ -278,6 +364,7 @@
     pub fn forget(&self, id: &MemberId) {
         self.links.borrow_mut().remove(id);
         self.table.borrow_mut().remove(id);
+        self.configs.borrow_mut().remove(id);
     }
 
     /// Sends what changed since the last time: within the region to all, to other regions through
--- a/coltsfootweir/src/sidecar/member_table.rs
+++ b/coltsfootweir/src/sidecar/member_table.rs
@@ -9,7 +9,6 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::fact::CrashFact;
-use crate::ids::Generation;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::RegionName;
@@ -112,14 +111,10 @@
     pub is_leaving: bool,
     /// Whether it reaches the store.
     pub store: StoreReach,
-    /// Configuration in force on it.
-    pub config: Generation,
     /// Endpoint beside it.
     pub endpoint: Option<EndpointSummary>,
-    /// Moves of traffic that it knows.
+    /// Moves of traffic that it knows, if it is one of those that judge them.
     pub stances: Vec<RolloutStance>,
-    /// Answers it has seen during these.
-    pub counts: Vec<VersionCount>,
     /// Requests that ran when its endpoint crashed.
     pub crashes: Vec<CrashFact>,
 }
@@ -183,15 +178,15 @@
         hasher.finish()
     }
 
-    /// Returns whether `own` is among the daemons that are to watch the store for the others: the
-    /// `count` nearest to it of those that `is_live` holds reachable.
+    /// Returns the daemons that are to watch the store for the others: the `count` nearest to it of
+    /// `own` and those that `is_live` holds reachable.
     #[must_use]
-    pub fn is_watcher(
+    pub fn watchers(
         &self,
         own: &MemberId,
         count: usize,
         is_live: impl Fn(&MemberRecord) -> bool,
-    ) -> bool {
+    ) -> Vec<MemberId> {
         let mut ranked = Vec::new();
         for record in self.records.values() {
             let is_candidate = record.id == *own || (is_live(record) && !record.is_leaving);
@@ -201,7 +196,7 @@
         }
         ranked.sort_unstable();
         ranked.truncate(count);
-        ranked.iter().any(|(_, id)| *id == own)
+        ranked.into_iter().map(|(_, id)| id.clone()).collect()
     }
 }
 
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -61,7 +61,6 @@
     let own = state.members.own();
     let row = MemberRecord {
         stances: Vec::new(),
-        counts: Vec::new(),
         ..own
     };
     let value = rmp_serde::to_vec(&row).map_err(|_| StoreFault::Unreadable)?;
@@ -125,7 +124,8 @@
     loop {
         let now = state.now();
         state.members.check_links(now);
-        for (id, address) in state.members.take_dials(now) {
+        let called = state.routing.budgets.borrow().keys().cloned().collect();
+        for (id, address) in state.members.take_dials(&called, now) {
             tokio::task::spawn_local(dial(Rc::clone(&state), id, address));
         }
         state.want_config();
@@ -140,6 +140,7 @@
             link.send(PeerFrame::Digest(
                 state.members.read(|table| table.digest()),
             ));
+            link.send(state.config_held());
         }
         tokio::time::sleep(LINK_PAUSE).await;
     }
@@ -172,6 +173,7 @@
         }
     };
     link.send(PeerFrame::Members(vec![state.members.own()]));
+    link.send(state.config_held());
     if state.members.is_near(&id) {
         link.send(PeerFrame::Digest(
             state.members.read(|table| table.digest()),
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -32,7 +32,7 @@
 const FRAME_QUEUE: usize = 4096;
 
 /// Bytes asked of the socket at once.
-const READ_SIZE: usize = 16 * 1024;
+const READ_SIZE: usize = 4 * 1024;
 
 /// Time a new link may take: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -41,7 +41,7 @@
 const QUIET_LIMIT: Duration = Duration::from_millis(250);
 
 /// Silence on a link at rest after which a sign of life is asked for.
-const REST_LIMIT: Duration = Duration::from_millis(1500);
+const REST_LIMIT: Duration = Duration::from_secs(3);
 
 /// Time in which the sign of life must come: a round trip between regions and the pauses of a
 /// processor that has a fifth of a core.
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -42,6 +42,7 @@
     }
     let (frames, queue) = flume::bounded(FRAME_QUEUE);
     send(&frames, PeerFrame::Hello(state.members.own().id));
+    send(&frames, state.config_held());
     let calls = RunningCalls::default();
     let running = Rc::clone(&calls);
     let take = move |frame| take_frame(&state, &frames, &running, frame);
@@ -85,13 +86,22 @@
             let differs = state.members.read(|table| table.digest()) != digest;
             differs.then(|| PeerFrame::Members(state.members.all_records()))
         }
+        PeerFrame::Rollouts(id, stances, counts) => {
+            state.take_rollouts(id, stances, counts);
+            None
+        }
+        PeerFrame::ConfigHeld(id, version) => {
+            state.members.note_config(id, version);
+            state.want_config();
+            None
+        }
         PeerFrame::ConfigWanted(held) => {
             let delta = state.config.delta_from(held)?;
             Some(PeerFrame::Config(Box::new(delta)))
         }
         PeerFrame::Config(delta) => {
             if state.config.adopt_delta(*delta, "peer") {
-                state.publish();
+                state.tell_config();
             }
             None
         }
--- a/coltsfootweir/src/sidecar/rollout.rs
+++ b/coltsfootweir/src/sidecar/rollout.rs
@@ -36,6 +36,10 @@
 /// version differ by a factor of two, and new ones are slow at first.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// Milliseconds by which the mean must lie above that of the old version at the least: the pauses
+/// of a processor that has a fifth of a core.
+const SLOW_MARGIN_MS: f64 = 20.0;
+
 /// Answers after which a version may be found slow.
 const MIN_SLOW_CALLS: u32 = 12;
 
@@ -105,6 +109,9 @@
 
     /// Counts an answer.
     pub fn count(&mut self, version: &VersionName, route: &str, failed: bool, time: Duration) {
+        if self.stage >= RolloutStage::Done {
+            return;
+        }
         let found = self
             .counts
             .iter()
@@ -297,7 +304,8 @@
         let failures = self.failures_against(old);
         let is_slow = self.calls >= MIN_SLOW_CALLS
             && old.calls >= MIN_SLOW_CALLS
-            && self.mean_ms() > old.mean_ms() * SLOW_FACTOR;
+            && self.mean_ms() > old.mean_ms() * SLOW_FACTOR
+            && self.mean_ms() > old.mean_ms() + SLOW_MARGIN_MS;
         failures.or_else(|| {
             is_slow.then(|| {
                 format!(
--- a/coltsfootweir/src/sidecar/rollout_task.rs
+++ b/coltsfootweir/src/sidecar/rollout_task.rs
@@ -7,13 +7,16 @@
 use log::warn;
 use serde_json::json;
 
+use crate::ids::MemberId;
 use crate::ids::RowVersion;
 use crate::logging::MOVES;
 use crate::sidecar::dialect::RolloutPhase;
 use crate::sidecar::dialect::StoreCall;
 use crate::sidecar::dialect::StoreFault;
 use crate::sidecar::dialect::StoreTable;
+use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::member_table::RolloutStance;
 use crate::sidecar::member_table::VersionCount;
 use crate::sidecar::rollout::AnswerHistory;
 use crate::sidecar::rollout::RolloutState;
@@ -36,6 +39,7 @@
         reported: HashMap::new(),
         report_at: Duration::ZERO,
         history: AnswerHistory::default(),
+        told: Default::default(),
     };
     loop {
         tokio::time::sleep(LOOK_PAUSE).await;
@@ -54,6 +58,16 @@
     reported: HashMap<RowVersion, RolloutPhase>,
     report_at: Duration,
     history: AnswerHistory,
+    /// What was told last, and to whom.
+    told: (Vec<MemberId>, Vec<RolloutStance>, Vec<VersionCount>),
+}
+
+fn own_counts(state: &SidecarState) -> Vec<VersionCount> {
+    let mut counts = Vec::new();
+    for rollout in state.rollouts.borrow().values() {
+        counts.extend_from_slice(rollout.counts());
+    }
+    counts
 }
 
 impl RolloutWork {
@@ -79,6 +93,7 @@
                 self.state.advance(service, RolloutStage::Settled, reason);
             }
         }
+        self.tell_judges();
         self.state.publish();
     }
 
@@ -105,16 +120,33 @@
         }
     }
 
+    /// Returns the answers of all daemons as far as they were told here.
     fn pooled(&self) -> Vec<VersionCount> {
-        let mut pooled = Vec::new();
-        self.state.members.read(|table| {
-            for record in table.iter() {
-                pooled.extend_from_slice(&record.counts);
-            }
-        });
+        let mut pooled = own_counts(&self.state);
+        for told in self.state.told_rollouts.borrow().values() {
+            pooled.extend_from_slice(&told.counts);
+        }
         pooled
     }
 
+    /// Tells the daemons that judge moves how this one stands and what it has seen.
+    fn tell_judges(&mut self) {
+        let counts = own_counts(&self.state);
+        let stances = self.state.stances();
+        let judges = self.state.members.judges();
+        let told = (judges, stances, counts);
+        if told == self.told {
+            return;
+        }
+        let (judges, stances, counts) = &told;
+        let own = self.state.members.own().id;
+        for link in judges.iter().filter_map(|id| self.state.members.link(id)) {
+            let frame = PeerFrame::Rollouts(own.clone(), stances.clone(), counts.clone());
+            link.send(frame);
+        }
+        self.told = told;
+    }
+
     fn is_settled(&mut self, rollout: &RolloutState) -> bool {
         let now = self.state.now();
         let since = *self.shifted.entry(rollout.row).or_insert(now);
@@ -127,12 +159,16 @@
 
     fn all_settled(&self, rollout: &RolloutState) -> bool {
         let own = self.state.members.own().id;
+        let told = self.state.told_rollouts.borrow();
         self.state.members.read(|table| {
             table.iter().all(|record| {
-                let is_live = record.id == own || self.state.members.is_reachable(&record.id);
-                let mut stances = record.stances.iter();
+                if record.id == own || !self.state.members.is_reachable(&record.id) {
+                    return true;
+                }
+                let stances = told.get(&record.id).map(|told| told.stances.as_slice());
+                let mut stances = stances.unwrap_or_default().iter();
                 let stance = stances.find(|stance| stance.order == rollout.row);
-                !is_live || stance.is_some_and(|stance| stance.stage >= RolloutStage::Settled)
+                stance.is_some_and(|stance| stance.stage >= RolloutStage::Settled)
             })
         })
     }
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -31,11 +31,13 @@
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::member_desk::ConfigHolders;
 use crate::sidecar::member_desk::MemberDesk;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::RolloutStage;
 use crate::sidecar::member_table::RolloutStance;
 use crate::sidecar::member_table::StoreReach;
+use crate::sidecar::member_table::VersionCount;
 use crate::sidecar::mesh_config::TrafficDealer;
 use crate::sidecar::rollout::RolloutState;
 use crate::sidecar::run_times::RunTimes;
@@ -68,6 +70,15 @@
     pub mean_runs: RefCell<HashMap<MemberId, Duration>>,
 }
 
+/// What a daemon told about moves of traffic.
+#[derive(Clone, Debug, Default)]
+pub struct ToldRollouts {
+    /// How it stands to them.
+    pub stances: Vec<RolloutStance>,
+    /// Answers it has seen.
+    pub counts: Vec<VersionCount>,
+}
+
 /// What the parts of a sidecar share.
 pub struct SidecarState {
     /// Settings in force.
@@ -86,6 +97,8 @@
     pub endpoint: EndpointDesk,
     /// Choice of endpoints.
     pub routing: CallRouting,
+    /// What other daemons told about moves of traffic.
+    pub told_rollouts: RefCell<BTreeMap<MemberId, ToldRollouts>>,
     /// Moves of traffic by service.
     pub rollouts: RefCell<BTreeMap<ServiceName, RolloutState>>,
     /// Counters and histograms.
@@ -120,10 +133,8 @@
             zone: settings.zone.clone(),
             is_leaving: false,
             store: StoreReach::Unknown,
-            config: 0,
             endpoint: None,
             stances: Vec::new(),
-            counts: Vec::new(),
             crashes: Vec::new(),
         };
         let endpoint = EndpointDesk::new(
@@ -147,6 +158,7 @@
                 run_times: RefCell::default(),
                 mean_runs: RefCell::default(),
             },
+            told_rollouts: RefCell::default(),
             rollouts: RefCell::default(),
             tally: SidecarTally::new(),
             is_leaving: Cell::new(false),
@@ -184,10 +196,23 @@
     /// Brings the own record in line with what the daemon knows, and tells the others at once.
     pub fn publish(&self) {
         let endpoint = self.endpoint.summary();
-        let version = self.config.version();
         let is_leaving = self.is_leaving.get();
+        let stances = match self.members.is_watcher() {
+            true => self.stances(),
+            false => Vec::new(),
+        };
+        self.members.change_own(|own| {
+            own.endpoint = endpoint;
+            own.is_leaving = is_leaving;
+            own.stances = stances;
+        });
+        self.members.send_news();
+    }
+
+    /// Returns how this daemon stands to the moves of traffic that it knows.
+    #[must_use]
+    pub fn stances(&self) -> Vec<RolloutStance> {
         let mut stances = Vec::new();
-        let mut counts = Vec::new();
         for (service, rollout) in self.rollouts.borrow().iter() {
             stances.push(RolloutStance {
                 order: rollout.row,
@@ -196,16 +221,31 @@
                 duration_ms: u64::try_from(rollout.order.duration.as_millis()).unwrap_or(u64::MAX),
                 stage: rollout.stage,
             });
-            counts.extend_from_slice(rollout.counts());
         }
-        self.members.change_own(|own| {
-            own.endpoint = endpoint;
-            own.config = version;
-            own.is_leaving = is_leaving;
-            own.stances = stances;
-            own.counts = counts;
-        });
-        self.members.send_news();
+        stances
+    }
+
+    /// Takes what another daemon tells about moves of traffic.
+    pub fn take_rollouts(
+        &self,
+        id: MemberId,
+        stances: Vec<RolloutStance>,
+        counts: Vec<VersionCount>,
+    ) {
+        self.follow_stances(&stances);
+        let told = ToldRollouts { stances, counts };
+        self.told_rollouts.borrow_mut().insert(id, told);
+    }
+
+    /// Returns the frame that tells which configuration is in force here.
+    #[must_use]
+    pub fn config_held(&self) -> PeerFrame {
+        PeerFrame::ConfigHeld(self.members.own().id, self.config.version())
+    }
+
+    /// Tells the others that a new configuration is in force here.
+    pub fn tell_config(&self) {
+        self.members.send_config_news(&self.config_held());
     }
 
     /// Tells whether the store is in reach.
@@ -321,25 +361,7 @@
     pub fn want_config(&self) {
         let now = self.now();
         let held = self.config.version();
-        let own = self.members.own();
-        let (near, far) = self.members.read(|table| {
-            let mut near = None;
-            let mut far = None;
-            for record in table.iter().filter(|record| record.config > held) {
-                if !self.members.is_reachable(&record.id) {
-                    continue;
-                }
-                let nearest = match record.region == own.region {
-                    true => &mut near,
-                    false => &mut far,
-                };
-                let best = nearest.as_ref().map_or(0, |(version, _)| *version);
-                if record.config > best {
-                    *nearest = Some((record.config, record.id.clone()));
-                }
-            }
-            (near, far)
-        });
+        let ConfigHolders { near, far } = self.members.config_holders(held);
         if near.is_none() && far.is_none() {
             self.behind_since.set(None);
             return;
@@ -347,7 +369,7 @@
         let since = self.behind_since.get().unwrap_or(now);
         self.behind_since.set(Some(since));
         let may_ask_far = self.members.is_relay() || now >= since + RELAY_TIME;
-        let Some((version, id)) = near.or_else(|| far.filter(|_| may_ask_far)) else {
+        let Some((id, version)) = near.or_else(|| far.filter(|_| may_ask_far)) else {
             return;
         };
         let (asked, at) = self.config_asked.get();
--- a/coltsfootweir/tests/sidecar_rollout.rs
+++ b/coltsfootweir/tests/sidecar_rollout.rs
@@ -57,6 +57,13 @@
     assert!(judge(&[pooled]).is_some());
 }
 
+/// Pauses of a busy processor are several times the time of a very short run.
+#[test]
+fn short_answers_are_not_compared_by_factor_alone() {
+    let pooled = vec![count("v1", 300, 0, 1), count("v2", 20, 0, 6)];
+    assert_eq!(judge(&[pooled]), None);
+}
+
 #[test]
 fn version_that_fails_like_the_old_one_is_kept() {
     let pooled = vec![count("v1", 300, 60, 60), count("v2", 40, 10, 70)];
