Urgent requests see the queue ahead of them; a verdict needs more answers

Change: loads tell the queue by rank; a version is found bad from 16 answers and 7 failures on. tests: few_failures_are_no_proof, queue_is_told_by_rank, written with the change; not run against the code before it.

--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -148,6 +148,19 @@
         is_hopeless.then_some(RefusalReason::Overloaded)
     }
 
+    /// Counts the waiting requests of each rank, the most urgent first.
+    #[must_use]
+    pub fn waiting_by_rank(&self) -> Vec<(u8, u16)> {
+        let mut counts: Vec<(u8, u16)> = Vec::new();
+        for request in &self.waiting {
+            match counts.last_mut() {
+                Some((rank, count)) if *rank == request.rank => *count = count.saturating_add(1),
+                _ => counts.push((request.rank, 1)),
+            }
+        }
+        counts
+    }
+
     /// Returns how long a request of a rank would wait for a slot if it arrived now.
     #[must_use]
     pub fn wait_time(&self, rank: u8) -> Duration {
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -194,9 +194,12 @@
     fn has_room(&self, record: &MemberRecord, slots: u16, is_near: bool) -> bool {
         let now = self.state.now();
         let load = self.state.routing.chooser.borrow().load(&record.id, now);
-        let ahead = (load + 1).saturating_sub(u32::from(slots));
-        let runs = self.state.routing.mean_runs.borrow();
-        let mean = runs.get(&record.id).copied().unwrap_or_default();
+        let told = self.state.routing.told_loads.borrow();
+        let told = told.get(&record.id);
+        let behind = told.map_or(0, |told| told.waiting_behind(self.route.rank));
+        let mean = told.map_or(0, |told| told.run_ms);
+        let mean = Duration::from_millis(u64::from(mean));
+        let ahead = (load + 1).saturating_sub(u32::from(slots) + u32::from(behind));
         let wait = mean * ahead / u32::from(slots.max(1));
         let way = match is_near {
             true => RETURN_MARGIN,
@@ -398,17 +401,16 @@
         let Some(load) = load else {
             return;
         };
-        let mean = Duration::from_millis(u64::from(load.run_ms));
-        let mut runs = self.state.routing.mean_runs.borrow_mut();
-        runs.insert(self.member.clone(), mean);
-        drop(runs);
-        let load = LoadReport {
+        let report = LoadReport {
             running: load.running,
             slots: load.slots,
-            waiting: load.waiting,
+            waiting: load.total_waiting(),
         };
+        let mut told = self.state.routing.told_loads.borrow_mut();
+        told.insert(self.member.clone(), load);
+        drop(told);
         let mut chooser = self.state.routing.chooser.borrow_mut();
-        chooser.on_answer(&self.member, load, self.state.now());
+        chooser.on_answer(&self.member, report, self.state.now());
     }
 }
 
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -136,7 +136,7 @@
     tally.set("store_calls", calls);
     tally.set("store_faults", faults);
     tally.set("endpoint_running", u64::from(load.running));
-    tally.set("endpoint_waiting", u64::from(load.waiting));
+    tally.set("endpoint_waiting", u64::from(load.total_waiting()));
     tally.set("endpoint_connections", state.endpoint.connections_opened());
     tally.set("log_lines_dropped", dropped_lines());
     Bytes::from(tally.text())
--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -230,8 +230,7 @@
 }
 
 fn is_idle(state: &SidecarState) -> bool {
-    let load = state.endpoint.load();
-    state.running.get() == 0 && load.running + load.waiting == 0
+    state.running.get() == 0 && state.endpoint.load().is_idle()
 }
 
 async fn remove_row_within(state: &SidecarState, until: Duration) {
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -119,18 +119,39 @@
 }
 
 /// Load of the endpoint beside the daemon that answers.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct LoadNote {
     /// Requests it runs.
     pub running: u16,
     /// Requests it runs at once.
     pub slots: u16,
-    /// Requests that wait.
-    pub waiting: u16,
+    /// Requests that wait, by rank, the most urgent first.
+    pub waiting: Vec<(u8, u16)>,
     /// Mean time of runs, in milliseconds.
     pub run_ms: u16,
 }
 
+impl LoadNote {
+    /// Counts all requests that wait.
+    #[must_use]
+    pub fn total_waiting(&self) -> u16 {
+        self.waiting.iter().map(|(_, count)| *count).sum()
+    }
+
+    /// Counts the requests that wait behind those of `rank`: they start later than one of it.
+    #[must_use]
+    pub fn waiting_behind(&self, rank: u8) -> u16 {
+        let behind = self.waiting.iter().filter(|(other, _)| *other > rank);
+        behind.map(|(_, count)| *count).sum()
+    }
+
+    /// Returns whether nothing runs or waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running == 0 && self.waiting.is_empty()
+    }
+}
+
 /// A message between daemons.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerFrame {
--- a/coltsfootweir/src/sidecar/rollout.rs
+++ b/coltsfootweir/src/sidecar/rollout.rs
@@ -23,10 +23,11 @@
 const MIN_TRIAL_CALLS: u32 = 20;
 
 /// Answers after which a version or one of its routes may be found bad.
-const MIN_VERDICT_CALLS: u32 = 6;
+const MIN_VERDICT_CALLS: u32 = 16;
 
-/// Failures after which a version may be found bad.
-const MIN_FAILURES: u32 = 3;
+/// Failures after which a version may be found bad: a tenth of the bad answers after which it must be
+/// out of service, and more than a few calls that fail together.
+const MIN_FAILURES: u32 = 7;
 
 /// Share of failures above that of the old version at which the new one is bad: several times what
 /// healthy versions fail with.
--- a/coltsfootweir/src/sidecar/rollout_task.rs
+++ b/coltsfootweir/src/sidecar/rollout_task.rs
@@ -150,11 +150,10 @@
     fn is_settled(&mut self, rollout: &RolloutState) -> bool {
         let now = self.state.now();
         let since = *self.shifted.entry(rollout.row).or_insert(now);
-        let load = self.state.endpoint.load();
         let is_old = self.state.endpoint.summary().is_some_and(|endpoint| {
             endpoint.service == rollout.order.service && endpoint.version != rollout.order.version
         });
-        now >= since + SHIFT_TIME && (!is_old || load.running + load.waiting == 0)
+        now >= since + SHIFT_TIME && (!is_old || self.state.endpoint.load().is_idle())
     }
 
     fn all_settled(&self, rollout: &RolloutState) -> bool {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -30,6 +30,7 @@
 use crate::sidecar::endpoint_desk::wall_ms;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
+use crate::sidecar::frame::LoadNote;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::member_desk::ConfigHolders;
 use crate::sidecar::member_desk::MemberDesk;
@@ -66,8 +67,8 @@
     pub poison: Rc<RefCell<PoisonTable>>,
     /// Times of runs, by route.
     pub run_times: RefCell<RunTimes>,
-    /// Mean time of runs at each endpoint, as the daemon beside it told last.
-    pub mean_runs: RefCell<HashMap<MemberId, Duration>>,
+    /// Load of each endpoint, as the daemon beside it told last.
+    pub told_loads: RefCell<HashMap<MemberId, LoadNote>>,
 }
 
 /// What a daemon told about moves of traffic.
@@ -156,7 +157,7 @@
                 budgets: RefCell::default(),
                 poison,
                 run_times: RefCell::default(),
-                mean_runs: RefCell::default(),
+                told_loads: RefCell::default(),
             },
             told_rollouts: RefCell::default(),
             rollouts: RefCell::default(),
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -106,7 +106,7 @@
         LoadNote {
             running: load.running,
             slots: load.slots,
-            waiting: load.waiting,
+            waiting: state.guard.waiting_by_rank(),
             run_ms: u16::try_from(run.as_millis()).unwrap_or(u16::MAX),
         }
     }
--- a/coltsfootweir/tests/sidecar_admission.rs
+++ b/coltsfootweir/tests/sidecar_admission.rs
@@ -253,6 +253,22 @@
     assert_eq!(guard.finish(1, now), [GuardEvent::Start(3)]);
 }
 
+/// Urgent requests see only the queue that is ahead of them.
+#[test]
+fn queue_is_told_by_rank() {
+    let mut guard = GuardState::new(1, 9);
+    let now = Duration::ZERO;
+    for (id, rank) in [(1, LOOKUP), (2, LOOKUP), (3, BOOKING), (4, LOOKUP)] {
+        let request = RankedRequest {
+            rank,
+            finish_by: Duration::from_secs(9),
+            run: Duration::ZERO,
+        };
+        guard.arrive_ranked(id, request, now);
+    }
+    assert_eq!(guard.waiting_by_rank(), [(BOOKING, 1), (LOOKUP, 2)]);
+}
+
 #[test]
 fn nothing_starts_at_an_endpoint_that_is_down() {
     let mut guard = GuardState::new(1, 4);
--- a/coltsfootweir/tests/sidecar_rollout.rs
+++ b/coltsfootweir/tests/sidecar_rollout.rs
@@ -64,6 +64,13 @@
     assert_eq!(judge(&[pooled]), None);
 }
 
+/// A few failures of a few answers, as after a shift under load, are no proof.
+#[test]
+fn few_failures_are_no_proof() {
+    let pooled = vec![count("v1", 65, 1, 90), count("v2", 17, 3, 90)];
+    assert_eq!(judge(&[pooled]), None);
+}
+
 #[test]
 fn version_that_fails_like_the_old_one_is_kept() {
     let pooled = vec![count("v1", 300, 60, 60), count("v2", 40, 10, 70)];
