--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -8,7 +8,6 @@
 use crate::ids::Generation;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
-use crate::sidecar::announcement::EndpointId;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::RolloutStance;
 use crate::sidecar::member_table::VersionCount;
@@ -31,8 +30,6 @@
 pub struct ForwardedCall {
     /// Service that is to run it.
     pub service: ServiceName,
-    /// Lifetime that the sender chose; another one of the same service may run it too.
-    pub endpoint: EndpointId,
     /// Method.
     pub method: Box<str>,
     /// Path and query.
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -1,6 +1,5 @@
 //! The daemons of the deployment, the links to them and the spread of news.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -69,7 +68,6 @@
     changed: RefCell<HashSet<MemberId>>,
     /// Versions of the configuration that others told of.
     configs: RefCell<HashMap<MemberId, Generation>>,
-    news_sent: Cell<u64>,
 }
 
 impl MemberDesk {
@@ -85,7 +83,6 @@
             retired: RefCell::default(),
             changed: RefCell::default(),
             configs: RefCell::default(),
-            news_sent: Cell::new(0),
         }
     }
 
@@ -346,8 +343,9 @@
     pub fn check_links(&self, now: Duration) {
         let mut gone = Vec::new();
         for (id, slot) in self.links.borrow().iter() {
-            if let Some(link) = &slot.link {
-                link.check(now);
+            if slot.link.as_ref().is_some_and(|link| link.check(now)) {
+                let what = json!({"name": "peer_silent", "peer": id});
+                info!(target: MEMBERS, "{what}");
             }
             if slot.lost_at.is_some_and(|at| now >= at + FORGET_TIME) {
                 gone.push(id.clone());
@@ -386,9 +384,7 @@
             let Some(link) = self.link(&id) else {
                 continue;
             };
-            if link.send(PeerFrame::Members(records)) {
-                self.news_sent.set(self.news_sent.get() + 1);
-            }
+            link.send(PeerFrame::Members(records));
         }
     }
 
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -207,17 +207,18 @@
     }
 
     /// Asks for a sign of life when one is due, and notes the lack of one; to be called several
-    /// times a second.
-    pub fn check(&self, now: Duration) {
+    /// times a second. Returns whether the link has gone silent since the last time.
+    pub fn check(&self, now: Duration) -> bool {
         if self.state.get() == LinkState::Closed {
-            return;
+            return false;
         }
         if let Some(asked) = self.asked.get() {
             if now >= asked + PONG_TIMEOUT && self.state.get() == LinkState::Open {
                 self.state.set(LinkState::Silent);
                 self.give_up_repeatable();
+                return true;
             }
-            return;
+            return false;
         }
         let limit = match self.is_busy() {
             true => QUIET_LIMIT,
@@ -226,6 +227,7 @@
         if now >= self.heard.get() + limit && self.send(PeerFrame::Ping) {
             self.asked.set(Some(now));
         }
+        false
     }
 
     fn finish(&self, number: CallNumber, load: LoadNote, result: CallResult) {
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -215,7 +215,6 @@
         .map_or("/", |target| target.as_str());
     let call = ForwardedCall {
         service: service.clone(),
-        endpoint: "".into(),
         method: parts.method.as_str().into(),
         path: target.into(),
         headers: forwarded_headers(state, &parts.headers),
--- a/coltsfootweir/src/sidecar/settings.rs
+++ b/coltsfootweir/src/sidecar/settings.rs
@@ -53,14 +53,8 @@
     pub stop_grace: Duration,
     /// Repeats allowed, as a share of the requests for a service.
     pub retry_share: f64,
-    /// Window over which repeats are counted.
-    pub retry_window: Duration,
     /// Repeats allowed in a window on top of the share.
     pub retry_slack: u32,
     /// Largest share of a service's requests that a version on trial may get.
     pub canary_share: f64,
-    /// Requests that a version on trial may get on top of the share.
-    pub canary_slack: u32,
-    /// Time after which a bad version must get no more requests.
-    pub rollback: Duration,
 }
