--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -38,6 +38,7 @@
     pub requests: SocketAddr,
     pub ready: SocketAddr,
     pub admin: SocketAddr,
+    pub peers: SocketAddr,
     pub settings: PathBuf,
     pub name: String,
 }
@@ -154,11 +155,16 @@
     }
 
     pub fn add(&mut self, service: &str, version: &str) -> usize {
+        self.add_at(service, version, free_address())
+    }
+
+    /// Adds a sidecar that other daemons reach at `peers`, which an earlier one may have had.
+    pub fn add_at(&mut self, service: &str, version: &str, peers: SocketAddr) -> usize {
         let number = self.sidecars.len();
         let name = format!("vm-{number}");
         let listener = TcpListener::bind(free_address()).expect("a free port");
         let endpoint = listener.local_addr().expect("an address");
-        let sidecar = start_sidecar(&name, service, endpoint, self.store.address);
+        let sidecar = start_sidecar(&name, service, endpoint, peers, self.store.address);
         let id = format!("i-{number}");
         let endpoint = MeshEndpoint::start(listener, sidecar.admin, &id, service, version);
         self.sidecars.push(sidecar);
@@ -241,9 +247,10 @@
     name: &str,
     service: &str,
     endpoint: SocketAddr,
+    peers: SocketAddr,
     store: SocketAddr,
 ) -> SidecarProcess {
-    let [requests, ready, admin, peers] = [(); 4].map(|()| free_address());
+    let [requests, ready, admin] = [(); 3].map(|()| free_address());
     let text = format!(
         r#"
 [self]
@@ -282,6 +289,7 @@
         requests,
         ready,
         admin,
+        peers,
         settings,
         name: name.to_owned(),
     }
--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -153,6 +153,30 @@
     assert_eq!(failed, 0);
 }
 
+/// The address of a daemon that is gone is given to a new one.
+#[test]
+fn daemon_at_a_used_address_is_not_taken_for_the_one_before() {
+    let mut fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1"), (STALLS, "v1")]);
+    let peers = fleet.sidecars[1].peers;
+    fleet.sidecars[1].kill();
+    fleet.add_at(STALLS, "v1", peers);
+    wait_for("the new daemon", PATIENCE, || {
+        let replaced = fleet.sidecars[0].events("peer_replaced");
+        replaced
+            .iter()
+            .any(|event| event["peer"] == "vm-1" && event["by"] == "vm-3")
+    });
+    wait_for("requests at the new daemon", PATIENCE, || {
+        let answer = fleet.sidecars[0].get("/free/ok", "new");
+        assert_eq!(answer.status, 200);
+        fleet.endpoints[3].runs_of("new") > 0
+    });
+    assert_eq!(
+        fleet.runs_of("new"),
+        fleet.endpoints[2].runs_of("new") + fleet.endpoints[3].runs_of("new")
+    );
+}
+
 /// A frozen daemon's links stay open without a sign of life.
 #[test]
 fn frozen_daemon_is_passed_over_within_a_second() {
