--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -68,14 +68,16 @@
     assert!(taken < APPLY_TIME, "{taken:?}");
     assert_eq!(fleet.sidecars[0].get("/v5/ok", "new").status, 200);
     assert_eq!(fleet.sidecars[0].get("/v1/ok", "old").status, 404);
+    let hold_version = |what: &str| {
+        hold_for(what, Duration::from_millis(600), || {
+            let mut sidecars = fleet.sidecars.iter();
+            sidecars.all(|sidecar| sidecar.config_version() == 5)
+        });
+    };
     fleet.put_config(3, "");
+    hold_version("version 5 over an older one");
     fleet.store.put("op", "config", "{\"version\":\"00000009\"");
-    hold_for("version 5", Duration::from_millis(800), || {
-        fleet
-            .sidecars
-            .iter()
-            .all(|sidecar| sidecar.config_version() == 5)
-    });
+    hold_version("version 5 over an unreadable one");
     fleet.put_config(12, "");
     fleet.wait_config(12);
 }
