--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -183,7 +183,7 @@
             ("marker", &format!("/v{version}/"), "idempotent", STALLS, 0),
         ] {
             let route = json!({"name": name, "authority": "test", "prefix": prefix, "kind": kind,
-                "timeout_ms": 2_000, "target_latency_ms": 500, "priority": rank,
+                "timeout_ms": 2_500, "target_latency_ms": 500, "priority": rank,
                 "service": service, "attempts": 2});
             write!(routes, "{route},").expect("writing to a string");
         }
--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -17,6 +17,9 @@
 use sidecar::sidecar_fleet::SidecarFleet;
 use sidecar::sidecar_fleet::request;
 
+/// Time after SIGTERM at which a daemon still takes requests.
+const LATE_IN_STOP: Duration = Duration::from_millis(1_500);
+
 /// Time in which a change is to be in force.
 const APPLY_TIME: Duration = Duration::from_millis(2_500);
 
@@ -128,6 +131,7 @@
 #[test]
 fn restarted_daemon_learns_the_configuration_from_peers() {
     let mut fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (STALLS, "v1")]);
+    fleet.store.set_mood(StoreMood::Silent);
     fleet.sidecars[0].restart();
     wait_for("the configuration", PATIENCE, || {
         let spec = request("GET", "/free/ok", "again", 1_000);
@@ -137,7 +141,6 @@
         assert_ne!(answer.status, 404);
         answer.status == 200
     });
-    fleet.store.set_mood(StoreMood::Silent);
     hold_for("service", Duration::from_millis(500), || {
         fleet.sidecars[0].get("/free/ok", "on").status == 200
     });
@@ -222,6 +225,11 @@
     assert_eq!((answer.status, answer.header("connection")), (200, "close"));
     let answer = running.join().expect("no panic").expect("a whole answer");
     assert_eq!(answer.status, 200);
+    // A request of two seconds that comes late in the time in which clients still come.
+    common::caller_threads::pause(LATE_IN_STOP.saturating_sub(start.elapsed()));
+    let spec = request("GET", "/free/slower", "last", 2_500);
+    let last = common::caller::call_once(requests, &spec).whole();
+    assert_eq!(last.expect("a whole answer").status, 200);
     wait_for("the end", PATIENCE, || fleet.sidecars[0].has_ended());
     assert!(start.elapsed() < Duration::from_secs(5));
     assert_eq!(
