A departure that comes before any announcement is remembered

Change: such a departure is kept by the time of day; only a lifetime that started later is taken. Test: departure_before_any_announcement_is_remembered, seen to fail on the code before.

--- a/coltsfootweir/src/sidecar/announcement.rs
+++ b/coltsfootweir/src/sidecar/announcement.rs
@@ -124,12 +124,13 @@
         change
     }
 
-    /// Takes a departure.
-    pub fn depart(&mut self, told: &EndpointDeparture) -> RegisterChange {
+    /// Takes a departure at `wall`, the time of day in milliseconds since the Unix epoch.
+    ///
+    /// A daemon that has just started may hear it before any announcement of that lifetime. One that
+    /// does not tell its start began before it departed.
+    pub fn depart(&mut self, told: &EndpointDeparture, wall: StartMillis) -> RegisterChange {
         let Some(current) = &mut self.current else {
-            if let Some(born) = told.born {
-                self.note_departed(told.id.clone(), born);
-            }
+            self.note_departed(told.id.clone(), told.born.unwrap_or(wall));
             return RegisterChange::PassedOver("no endpoint is in place");
         };
         let is_same = current.id == told.id && told.born.is_none_or(|born| born == current.born);
--- a/coltsfootweir/src/sidecar/endpoint_desk.rs
+++ b/coltsfootweir/src/sidecar/endpoint_desk.rs
@@ -154,7 +154,8 @@
 
     /// Takes a departure.
     pub fn depart(&self, told: &EndpointDeparture) -> RegisterChange {
-        let change = self.register.borrow_mut().depart(told);
+        let wall = wall_ms(self.clock.wall());
+        let change = self.register.borrow_mut().depart(told, wall);
         self.follow_register();
         let what = json!({"name": "endpoint_departed", "endpoint": told.id,
             "outcome": format!("{change:?}")});
--- a/coltsfootweir/tests/sidecar_announcements.rs
+++ b/coltsfootweir/tests/sidecar_announcements.rs
@@ -12,6 +12,9 @@
 
 const ADDRESS: &str = "10.0.0.1:80";
 
+/// Time of day of departures.
+const DEPARTED_AT: u64 = 1_000;
+
 fn told(id: &str, born: u64, sequence: u64, is_leaving: bool) -> EndpointAnnouncement {
     EndpointAnnouncement {
         id: id.into(),
@@ -37,7 +40,7 @@
         id: id.into(),
         born,
     };
-    register.depart(&departure)
+    register.depart(&departure, DEPARTED_AT)
 }
 
 #[test]
@@ -75,6 +78,21 @@
     assert_eq!(register.phase(), EndpointPhase::Ready);
 }
 
+/// A daemon that was restarted hears the departure first and a late announcement after it.
+#[test]
+fn departure_before_any_announcement_is_remembered() {
+    let mut register = EndpointRegister::default();
+    depart(&mut register, "i-1", None);
+    let change = announce(&mut register, told("i-1", 5, 14, false));
+    assert!(
+        matches!(change, RegisterChange::PassedOver(_)),
+        "{change:?}"
+    );
+    assert_eq!(register.phase(), EndpointPhase::Down);
+    let change = announce(&mut register, told("i-1", DEPARTED_AT + 1, 1, false));
+    assert_eq!(change, RegisterChange::Replaced);
+}
+
 #[test]
 fn departure_of_another_lifetime_changes_nothing() {
     let mut register = EndpointRegister::default();
