One piece of code tells waiting requests what a guard decided; dead and doubled code goes

Cause: the last reading. upstream and slot_queue told their waiters by the same lines, two test harnesses sent signals by the same lines, EndpointRegister::note_up had no caller, is_among_nearest borrowed its record twice. Change: GuardWaiters serves both; common::send_signal serves both; the rest is removed. Behaviour and assertions stay. Ruled out: one harness for LocalFleet and ProcessFleet (older code), one accept loop for three servers (they differ in what they stop on).

--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -94,6 +94,7 @@
 #[doc(hidden)]
 pub mod guard;
 mod guard_call;
+mod guard_waiters;
 mod hand_over;
 #[doc(hidden)]
 pub mod head_claims;
--- a/coltsfootweir/src/sidecar/announcement.rs
+++ b/coltsfootweir/src/sidecar/announcement.rs
@@ -151,11 +151,6 @@
         self.current.is_some() && !std::mem::replace(&mut self.is_down, true)
     }
 
-    /// Notes that the endpoint answered after it had been held down.
-    pub fn note_up(&mut self) -> bool {
-        std::mem::replace(&mut self.is_down, false)
-    }
-
     /// Returns the endpoint in place.
     #[must_use]
     pub fn current(&self) -> Option<&EndpointAnnouncement> {
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -226,11 +226,7 @@
 
     fn is_among_nearest(&self, count: usize) -> bool {
         let own = self.own.borrow();
-        if own.is_leaving {
-            return false;
-        }
-        drop(own);
-        self.nearest(count).contains(&self.own.borrow().id)
+        !own.is_leaving && self.nearest(count).contains(&own.id)
     }
 
     /// Returns the daemons that judge moves of traffic: those that watch the store.
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -1,17 +1,15 @@
 //! Slots of the endpoint beside the daemon, and the requests that wait for one.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::Sender;
-
 use crate::clock::DaemonClock;
 use crate::guard::AdmitDecision;
 use crate::guard::GuardEvent;
 use crate::guard::GuardState;
 use crate::guard::RankedRequest;
+use crate::guard_waiters::GuardWaiters;
 use crate::ids::Fingerprint;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
@@ -22,12 +20,9 @@
 /// where runs are long; this bounds memory where they are short.
 const WAITING_PER_SLOT: usize = 16;
 
-type Admission = Result<(), RefusalReason>;
-
 struct QueueState {
     guard: GuardState,
-    waiters: HashMap<u64, Sender<Admission>>,
-    calls: HashMap<u64, Fingerprint>,
+    requests: GuardWaiters,
     run_times: RunTimes,
     next_id: u64,
 }
@@ -59,8 +54,7 @@
         guard.set_phase(EndpointPhase::Down, clock.now());
         let state = QueueState {
             guard,
-            waiters: HashMap::new(),
-            calls: HashMap::new(),
+            requests: GuardWaiters::default(),
             run_times: RunTimes::default(),
             next_id: 0,
         };
@@ -120,14 +114,7 @@
     /// Returns the requests that run.
     #[must_use]
     pub fn running(&self) -> Vec<Fingerprint> {
-        let state = self.state.borrow();
-        let mut running = Vec::new();
-        for (id, fingerprint) in &state.calls {
-            if !state.waiters.contains_key(id) {
-                running.push(*fingerprint);
-            }
-        }
-        running
+        self.state.borrow().requests.running()
     }
 
     /// Waits for a slot; dropping the permit gives it back.
@@ -152,11 +139,11 @@
                 AdmitDecision::Run => None,
                 AdmitDecision::Wait => {
                     let (sender, receiver) = flume::bounded(1);
-                    state.waiters.insert(id, sender);
+                    state.requests.waiters.insert(id, sender);
                     Some(receiver)
                 }
             };
-            state.calls.insert(id, request.fingerprint);
+            state.requests.calls.insert(id, request.fingerprint);
             (id, waiter)
         };
         let permit = SlotPermit {
@@ -179,22 +166,8 @@
 }
 
 impl QueueState {
-    /// Tells waiting requests what was decided; one that is gone gives its slot to the next.
     fn deliver(&mut self, events: Vec<GuardEvent>, now: Duration) {
-        let mut pending = events;
-        while let Some(event) = pending.pop() {
-            let (id, admission) = match event {
-                GuardEvent::Start(id) => (id, Ok(())),
-                GuardEvent::Expire(id) => (id, Err(RefusalReason::DeadlinePassed)),
-                GuardEvent::Refuse(id, reason) => (id, Err(reason)),
-            };
-            let waiter = self.waiters.remove(&id);
-            let told = waiter.map(|waiter| waiter.send(admission));
-            if admission.is_ok() && !matches!(told, Some(Ok(()))) {
-                self.calls.remove(&id);
-                pending.extend(self.guard.cancel(id, now));
-            }
-        }
+        self.requests.deliver(&mut self.guard, events, now);
     }
 }
 
@@ -218,7 +191,7 @@
         let run = now.saturating_sub(self.started.take().unwrap_or(now));
         let mut state = self.queue.state.borrow_mut();
         state.run_times.learn(self.kind, run);
-        state.calls.remove(&self.id);
+        state.requests.calls.remove(&self.id);
         let events = state.guard.finish(self.id, now);
         state.deliver(events, now);
         run
@@ -229,8 +202,8 @@
     fn drop(&mut self) {
         let now = self.queue.clock.now();
         let mut state = self.queue.state.borrow_mut();
-        state.calls.remove(&self.id);
-        state.waiters.remove(&self.id);
+        state.requests.calls.remove(&self.id);
+        state.requests.waiters.remove(&self.id);
         // After an end there is no such request, and nothing changes.
         let events = state.guard.cancel(self.id, now);
         state.deliver(events, now);
--- a/coltsfootweir/src/upstream.rs
+++ b/coltsfootweir/src/upstream.rs
@@ -1,13 +1,11 @@
 //! The upstream beside the daemon: its announcements, its slots and the requests it runs.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use flume::Receiver;
-use flume::Sender;
 
 use crate::announce::ANNOUNCE_TIMEOUT;
 use crate::announce::RETURN_GAP;
@@ -18,6 +16,8 @@
 use crate::guard::AdmitDecision;
 use crate::guard::GuardEvent;
 use crate::guard::GuardState;
+use crate::guard_waiters::Admission;
+use crate::guard_waiters::GuardWaiters;
 use crate::http_pool::ConnectionPool;
 use crate::ids::Fingerprint;
 use crate::load_report::LoadReport;
@@ -25,8 +25,6 @@
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
 
-type Admission = Result<(), RefusalReason>;
-
 /// What is known of the upstream now.
 struct UpstreamState {
     announced: Option<Arc<UpstreamAnnouncement>>,
@@ -35,8 +33,7 @@
     returned: Option<Duration>,
     is_down: bool,
     guard: GuardState,
-    waiters: HashMap<u64, Sender<Admission>>,
-    calls: HashMap<u64, Fingerprint>,
+    requests: GuardWaiters,
     next_id: u64,
     crash_count: u64,
 }
@@ -63,8 +60,7 @@
             returned: None,
             is_down: true,
             guard: GuardState::new(0, queue_limit),
-            waiters: HashMap::new(),
-            calls: HashMap::new(),
+            requests: GuardWaiters::default(),
             next_id: 0,
             crash_count: 0,
         };
@@ -95,7 +91,7 @@
             return None;
         }
         let is_new = state.announced.as_ref().map(|old| old.address) != Some(announcement.address);
-        if is_new && state.calls.is_empty() {
+        if is_new && state.requests.calls.is_empty() {
             state.guard = GuardState::new(announcement.slots, self.queue_limit);
         }
         state.is_down = false;
@@ -121,7 +117,7 @@
         state.is_down = true;
         state.crash_count += 1;
         let number = state.crash_count;
-        let running = state.running_fingerprints();
+        let running = state.requests.running();
         let entry = state.publish(now);
         Some((SeenCrash { number, running }, entry))
     }
@@ -200,13 +196,13 @@
         state.next_id += 1;
         match state.guard.arrive(id, deadline.as_time(), now) {
             AdmitDecision::Run => {
-                state.calls.insert(id, fingerprint);
+                state.requests.calls.insert(id, fingerprint);
                 Ok((id, None))
             }
             AdmitDecision::Wait => {
                 let (sender, receiver) = flume::bounded(1);
-                state.waiters.insert(id, sender);
-                state.calls.insert(id, fingerprint);
+                state.requests.waiters.insert(id, sender);
+                state.requests.calls.insert(id, fingerprint);
                 Ok((id, Some(receiver)))
             }
             AdmitDecision::Refuse(reason) => Err(reason),
@@ -241,12 +237,6 @@
         self.publish(now)
     }
 
-    fn running_fingerprints(&self) -> Vec<Fingerprint> {
-        let is_running = |id: &u64| !self.waiters.contains_key(id);
-        let running = self.calls.iter().filter(|(id, _)| is_running(id));
-        running.map(|(_, fingerprint)| *fingerprint).collect()
-    }
-
     fn phase(&self) -> EndpointPhase {
         match &self.announced {
             _ if self.is_down => EndpointPhase::Down,
@@ -273,24 +263,8 @@
         })
     }
 
-    /// Tells waiting calls what was decided; a call that is gone gives its slot to the next.
     fn deliver(&mut self, events: Vec<GuardEvent>, now: Duration) {
-        let mut pending = events;
-        while let Some(event) = pending.pop() {
-            let (id, admission) = match event {
-                GuardEvent::Start(id) => (id, Ok(())),
-                GuardEvent::Expire(id) => (id, Err(RefusalReason::DeadlinePassed)),
-                GuardEvent::Refuse(id, reason) => (id, Err(reason)),
-            };
-            let told = self
-                .waiters
-                .remove(&id)
-                .map(|waiter| waiter.send(admission));
-            if admission.is_ok() && !matches!(told, Some(Ok(()))) {
-                self.calls.remove(&id);
-                pending.extend(self.guard.cancel(id, now));
-            }
-        }
+        self.requests.deliver(&mut self.guard, events, now);
     }
 }
 
@@ -312,8 +286,8 @@
     fn drop(&mut self) {
         let now = self.upstream.clock.now();
         let mut state = lock(&self.upstream.state);
-        state.calls.remove(&self.id);
-        state.waiters.remove(&self.id);
+        state.requests.calls.remove(&self.id);
+        state.requests.waiters.remove(&self.id);
         let events = if self.is_done {
             state.guard.finish(self.id, now)
         } else {
--- a/programs/tests/common/mod.rs
+++ b/programs/tests/common/mod.rs
@@ -86,11 +86,7 @@
 
     /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status()
-            .expect("kill runs");
-        assert!(status.success(), "signal {name} not sent");
+        send_signal(&self.child, name);
     }
 }
 
@@ -100,6 +96,15 @@
     }
 }
 
+/// Sends a signal by name to a child process.
+pub fn send_signal(child: &Child, name: &str) {
+    let status = Command::new("kill")
+        .args([format!("-{name}"), child.id().to_string()])
+        .status()
+        .expect("kill runs");
+    assert!(status.success(), "signal {name} not sent");
+}
+
 /// Path of a program of the workspace, built beside the daemon.
 pub fn program_path(program: &str) -> PathBuf {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_coltsfootweird"));
--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -24,6 +24,7 @@
 use crate::common::caller::call_once;
 use crate::common::free_address;
 use crate::common::program_path;
+use crate::common::send_signal;
 use crate::common::wait_for;
 
 /// Services of the tests; requests under `/free/` go to the first, `/book/` to it too, `/feed/` to the
@@ -45,11 +46,7 @@
 
 impl SidecarProcess {
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status()
-            .expect("kill runs");
-        assert!(status.success(), "signal {name} not sent");
+        send_signal(&self.child, name);
     }
 
     pub fn kill(&mut self) {
