--- /dev/null
+++ b/coltsfootweir/src/sidecar/link_table.rs
@@ -0,0 +1,184 @@
+//! The links of a daemon: which are open, which are to be made, which are lost.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use serde_json::json;
+
+use crate::ids::MemberId;
+use crate::logging::MEMBERS;
+use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::peer_link::LinkState;
+use crate::sidecar::peer_link::PeerLink;
+
+/// Most links of a daemon: its own service and those it calls, some 8 daemons each, seven deep.
+const MAX_LINKS: usize = 96;
+
+/// Time for which a daemon that cannot be reached is remembered.
+const FORGET_TIME: Duration = Duration::from_secs(60);
+
+/// Pause before another try to reach a daemon.
+const DIAL_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time for which a daemon that cannot be reached is tried often: cuts and restarts of some seconds.
+const OFTEN_TIME: Duration = Duration::from_secs(15);
+
+/// Pause before another try to reach a daemon that is away for longer; one that comes back makes
+/// links itself.
+const LONG_DIAL_PAUSE: Duration = Duration::from_secs(2);
+
+struct LinkSlot {
+    link: Option<Rc<PeerLink>>,
+    address: SocketAddr,
+    is_dialing: bool,
+    dial_at: Duration,
+    lost_at: Option<Duration>,
+}
+
+/// Links to other daemons.
+#[derive(Default)]
+pub struct LinkTable {
+    slots: RefCell<BTreeMap<MemberId, LinkSlot>>,
+    /// Silent links whose calls are still waited for.
+    retired: RefCell<Vec<Rc<PeerLink>>>,
+}
+
+impl LinkTable {
+    /// Returns the open link to a daemon.
+    #[must_use]
+    pub fn open(&self, id: &MemberId) -> Option<Rc<PeerLink>> {
+        let slots = self.slots.borrow();
+        let link = slots.get(id)?.link.as_ref()?;
+        (link.state() == LinkState::Open).then(|| Rc::clone(link))
+    }
+
+    /// Returns whether the link to a daemon is open.
+    #[must_use]
+    pub fn is_open(&self, id: &MemberId) -> bool {
+        self.slots.borrow().get(id).is_some_and(LinkSlot::is_open)
+    }
+
+    /// Counts the open links.
+    #[must_use]
+    pub fn count_open(&self) -> usize {
+        let slots = self.slots.borrow();
+        slots.values().filter(|slot| slot.is_open()).count()
+    }
+
+    /// Returns those of `wanted`, the most wanted first, that are to be dialed now, and marks them as
+    /// being dialed.
+    pub fn take_dials(
+        &self,
+        wanted: &[&MemberRecord],
+        now: Duration,
+    ) -> Vec<(MemberId, SocketAddr)> {
+        let mut slots = self.slots.borrow_mut();
+        let mut dials = Vec::new();
+        for record in wanted.iter().take(MAX_LINKS) {
+            let slot = slots
+                .entry(record.id.clone())
+                .or_insert_with(|| LinkSlot::new(record.address));
+            if slot.is_open() || slot.is_dialing || now < slot.dial_at {
+                continue;
+            }
+            slot.is_dialing = true;
+            slot.address = record.address;
+            dials.push((record.id.clone(), record.address));
+        }
+        dials
+    }
+
+    /// Takes a new link, or the failure to make one.
+    pub fn on_dialed(&self, id: &MemberId, link: Option<Rc<PeerLink>>, now: Duration) {
+        let mut slots = self.slots.borrow_mut();
+        let Some(slot) = slots.get_mut(id) else {
+            return;
+        };
+        slot.is_dialing = false;
+        slot.dial_at = now + DIAL_PAUSE;
+        let Some(link) = link else {
+            let lost_at = *slot.lost_at.get_or_insert(now);
+            if now >= lost_at + OFTEN_TIME {
+                slot.dial_at = now + LONG_DIAL_PAUSE;
+            }
+            return;
+        };
+        slot.lost_at = None;
+        if let Some(old) = slot.link.replace(link)
+            && old.is_busy()
+        {
+            self.retired.borrow_mut().push(old);
+        }
+        let what = json!({"name": "peer_reached", "peer": id});
+        info!(target: MEMBERS, "{what}");
+    }
+
+    /// Notes that a link ended.
+    pub fn on_end(&self, id: &MemberId, now: Duration) {
+        let mut slots = self.slots.borrow_mut();
+        let Some(slot) = slots.get_mut(id) else {
+            return;
+        };
+        if slot.is_open() {
+            return;
+        }
+        slot.lost_at.get_or_insert(now);
+        let what = json!({"name": "peer_lost", "peer": id});
+        info!(target: MEMBERS, "{what}");
+    }
+
+    /// Asks silent links for a sign of life; returns the daemons that are gone for long.
+    pub fn check(&self, now: Duration) -> Vec<MemberId> {
+        let mut gone = Vec::new();
+        for (id, slot) in self.slots.borrow().iter() {
+            if slot.link.as_ref().is_some_and(|link| link.check(now)) {
+                let what = json!({"name": "peer_silent", "peer": id});
+                info!(target: MEMBERS, "{what}");
+            }
+            if slot.lost_at.is_some_and(|at| now >= at + FORGET_TIME) {
+                gone.push(id.clone());
+            }
+        }
+        let is_needed = |link: &Rc<PeerLink>| link.is_busy() && link.state() != LinkState::Closed;
+        self.retired.borrow_mut().retain(is_needed);
+        gone
+    }
+
+    /// Notes that a daemon was heard of; one at another address is another run, to be dialed at once.
+    pub fn note_address(&self, id: &MemberId, address: SocketAddr) {
+        let mut slots = self.slots.borrow_mut();
+        let Some(slot) = slots.get_mut(id) else {
+            return;
+        };
+        if slot.address != address {
+            *slot = LinkSlot::new(address);
+        }
+        slot.dial_at = Duration::ZERO;
+    }
+
+    /// Drops the link to a daemon that is gone.
+    pub fn remove(&self, id: &MemberId) {
+        self.slots.borrow_mut().remove(id);
+    }
+}
+
+impl LinkSlot {
+    fn new(address: SocketAddr) -> LinkSlot {
+        LinkSlot {
+            link: None,
+            address,
+            is_dialing: false,
+            dial_at: Duration::ZERO,
+            lost_at: None,
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        let link = self.link.as_ref();
+        link.is_some_and(|link| link.state() == LinkState::Open)
+    }
+}
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -10,19 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::info;
-use serde_json::json;
-
 use crate::ids::Generation;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
-use crate::logging::MEMBERS;
 use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::link_table::LinkTable;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::MemberTable;
 use crate::sidecar::member_table::StoreReach;
-use crate::sidecar::peer_link::LinkState;
 use crate::sidecar::peer_link::PeerLink;
 use crate::sidecar::spread::AskScope;
 use crate::sidecar::spread::ZoneOrder;
@@ -33,33 +28,9 @@
 /// Turns of which one compares tables with another zone.
 const FAR_TURNS: u64 = 4;
 
-/// Most links of a daemon: its own service and those it calls, some 8 daemons each, seven deep.
-const MAX_LINKS: usize = 96;
-
-/// Time for which a daemon that cannot be reached is remembered.
-const FORGET_TIME: Duration = Duration::from_secs(60);
-
-/// Pause before another try to reach a daemon.
-const DIAL_PAUSE: Duration = Duration::from_millis(400);
-
-/// Time for which a daemon that cannot be reached is tried often: cuts and restarts of some seconds.
-const OFTEN_TIME: Duration = Duration::from_secs(15);
-
-/// Pause before another try to reach a daemon that is away for longer; one that comes back makes
-/// links itself.
-const LONG_DIAL_PAUSE: Duration = Duration::from_secs(2);
-
 /// Pause between two comparisons of tables with daemons just reached.
 const COMPARE_PAUSE: Duration = Duration::from_millis(200);
 
-struct LinkSlot {
-    link: Option<Rc<PeerLink>>,
-    address: SocketAddr,
-    is_dialing: bool,
-    dial_at: Duration,
-    lost_at: Option<Duration>,
-}
-
 /// Daemons with a newer configuration, and its version.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ConfigHolders {
@@ -75,9 +46,7 @@
 pub struct MemberDesk {
     table: RefCell<MemberTable>,
     own: RefCell<MemberRecord>,
-    links: RefCell<BTreeMap<MemberId, LinkSlot>>,
-    /// Silent links whose calls are still waited for.
-    retired: RefCell<Vec<Rc<PeerLink>>>,
+    links: LinkTable,
     changed: RefCell<HashSet<MemberId>>,
     /// Versions of the configuration that others told of.
     configs: RefCell<HashMap<MemberId, Generation>>,
@@ -94,8 +63,7 @@
         MemberDesk {
             table: RefCell::new(table),
             own: RefCell::new(own),
-            links: RefCell::default(),
-            retired: RefCell::default(),
+            links: LinkTable::default(),
             changed: RefCell::default(),
             configs: RefCell::default(),
             compared: Cell::default(),
@@ -137,7 +105,7 @@
             }
             if self.table.borrow_mut().merge(record) {
                 self.changed.borrow_mut().insert(record.id.clone());
-                self.note_address(record);
+                self.links.note_address(&record.id, record.address);
                 news.push(record.clone());
             }
         }
@@ -210,17 +178,13 @@
     /// Returns the open link to a daemon.
     #[must_use]
     pub fn link(&self, id: &MemberId) -> Option<Rc<PeerLink>> {
-        let links = self.links.borrow();
-        let link = links.get(id)?.link.as_ref()?;
-        (link.state() == LinkState::Open).then(|| Rc::clone(link))
+        self.links.open(id)
     }
 
     /// Returns whether a daemon can be reached now.
     #[must_use]
     pub fn is_reachable(&self, id: &MemberId) -> bool {
-        let links = self.links.borrow();
-        let link = links.get(id).and_then(|slot| slot.link.as_ref());
-        link.is_some_and(|link| link.state() == LinkState::Open)
+        self.links.is_open(id)
     }
 
     /// Returns whether a daemon stands in the own zone.
@@ -234,15 +198,13 @@
     /// Returns whether any daemon can be reached now.
     #[must_use]
     pub fn reaches_any(&self) -> bool {
-        let links = self.links.borrow();
-        links.keys().any(|id| self.is_reachable(id))
+        self.links.count_open() > 0
     }
 
     /// Counts the daemons that can be reached, the own one included.
     #[must_use]
     pub fn live_count(&self) -> usize {
-        let links = self.links.borrow();
-        1 + links.keys().filter(|id| self.is_reachable(id)).count()
+        1 + self.links.count_open()
     }
 
     /// Returns whether this daemon is among those that watch the store for the others.
@@ -315,7 +277,6 @@
     ) -> Vec<(MemberId, SocketAddr)> {
         let table = self.table.borrow();
         let own = self.own.borrow();
-        let mut links = self.links.borrow_mut();
         let mut wanted: Vec<&MemberRecord> = table.iter().filter(|r| r.id != own.id).collect();
         wanted.sort_by_key(|record| {
             let endpoint = record.endpoint.as_ref();
@@ -326,85 +287,29 @@
                 record.zone != own.zone,
             )
         });
-        wanted.truncate(MAX_LINKS);
-        let mut dials = Vec::new();
-        for record in wanted {
-            let slot = links
-                .entry(record.id.clone())
-                .or_insert_with(|| LinkSlot::new(record.address));
-            let is_open = slot.link.as_ref().map(|link| link.state()) == Some(LinkState::Open);
-            if is_open || slot.is_dialing || now < slot.dial_at {
-                continue;
-            }
-            slot.is_dialing = true;
-            slot.address = record.address;
-            dials.push((record.id.clone(), record.address));
-        }
-        dials
+        self.links.take_dials(&wanted, now)
     }
 
     /// Takes a new link, or the failure to make one.
     pub fn on_dialed(&self, id: &MemberId, link: Option<Rc<PeerLink>>, now: Duration) {
-        let mut links = self.links.borrow_mut();
-        let Some(slot) = links.get_mut(id) else {
-            return;
-        };
-        slot.is_dialing = false;
-        slot.dial_at = now + DIAL_PAUSE;
-        let Some(link) = link else {
-            let lost_at = *slot.lost_at.get_or_insert(now);
-            if now >= lost_at + OFTEN_TIME {
-                slot.dial_at = now + LONG_DIAL_PAUSE;
-            }
-            return;
-        };
-        slot.lost_at = None;
-        if let Some(old) = slot.link.replace(link)
-            && old.is_busy()
-        {
-            self.retired.borrow_mut().push(old);
-        }
-        let what = json!({"name": "peer_reached", "peer": id});
-        info!(target: MEMBERS, "{what}");
+        self.links.on_dialed(id, link, now);
     }
 
     /// Notes that a link ended.
     pub fn on_link_end(&self, id: &MemberId, now: Duration) {
-        let mut links = self.links.borrow_mut();
-        let Some(slot) = links.get_mut(id) else {
-            return;
-        };
-        let state = slot.link.as_ref().map(|link| link.state());
-        if state == Some(LinkState::Open) {
-            return;
-        }
-        slot.lost_at.get_or_insert(now);
-        let what = json!({"name": "peer_lost", "peer": id});
-        info!(target: MEMBERS, "{what}");
+        self.links.on_end(id, now);
     }
 
     /// Asks silent links for a sign of life, and forgets daemons that are gone for long.
     pub fn check_links(&self, now: Duration) {
-        let mut gone = Vec::new();
-        for (id, slot) in self.links.borrow().iter() {
-            if slot.link.as_ref().is_some_and(|link| link.check(now)) {
-                let what = json!({"name": "peer_silent", "peer": id});
-                info!(target: MEMBERS, "{what}");
-            }
-            if slot.lost_at.is_some_and(|at| now >= at + FORGET_TIME) {
-                gone.push(id.clone());
-            }
-        }
-        for id in gone {
+        for id in self.links.check(now) {
             self.forget(&id);
         }
-        let is_needed = |link: &Rc<PeerLink>| link.is_busy() && link.state() != LinkState::Closed;
-        self.retired.borrow_mut().retain(is_needed);
     }
 
     /// Forgets a daemon that is gone.
     pub fn forget(&self, id: &MemberId) {
-        self.links.borrow_mut().remove(id);
+        self.links.remove(id);
         self.table.borrow_mut().remove(id);
         self.configs.borrow_mut().remove(id);
     }
@@ -482,31 +387,8 @@
         };
         Some(links.swap_remove(index))
     }
-
-    fn note_address(&self, record: &MemberRecord) {
-        let mut links = self.links.borrow_mut();
-        let Some(slot) = links.get_mut(&record.id) else {
-            return;
-        };
-        if slot.address != record.address {
-            *slot = LinkSlot::new(record.address);
-        }
-        slot.dial_at = Duration::ZERO;
-    }
 }
 
 fn zones(table: &MemberTable) -> BTreeSet<ZoneName> {
     table.iter().map(|record| record.zone.clone()).collect()
 }
-
-impl LinkSlot {
-    fn new(address: SocketAddr) -> LinkSlot {
-        LinkSlot {
-            link: None,
-            address,
-            is_dialing: false,
-            dial_at: Duration::ZERO,
-            lost_at: None,
-        }
-    }
-}
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -18,6 +18,7 @@
 pub mod frame;
 #[doc(hidden)]
 pub mod http_exchange;
+pub mod link_table;
 pub mod member_desk;
 #[doc(hidden)]
 pub mod member_table;
