A call over a silent link is given up only when it can go elsewhere

Change: the caller hears of the silence and goes on waiting unless it may repeat. Test answer_is_waited_for_when_no_other_endpoint_can_take_the_request: 502 before, 200 after.

--- a/coltsfootweir/src/retry.rs
+++ b/coltsfootweir/src/retry.rs
@@ -48,6 +48,12 @@
         self.tokens = self.tokens.saturating_add(self.percent).min(limit);
     }
 
+    /// Returns whether one retry is left.
+    #[must_use]
+    pub fn has_one(&self) -> bool {
+        self.tokens >= RETRY_COST
+    }
+
     /// Takes one retry; returns whether there was one.
     pub fn take(&mut self) -> bool {
         let Some(left) = self.tokens.checked_sub(RETRY_COST) else {
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -222,7 +222,7 @@
         let Some(link) = self.state.members.link(member) else {
             return (None, not_run(NotRunCause::Unreachable));
         };
-        match link.call(call, self.route.is_repeatable).await {
+        match link.call(call, || self.may_repeat()).await {
             LinkOutcome::Told(load, result) => (Some(load), result),
             LinkOutcome::NotSent => (None, not_run(NotRunCause::Unreachable)),
             LinkOutcome::Lost => (None, CallResult::Unknown(UnknownCause::LinkLost)),
@@ -247,7 +247,7 @@
             CallResult::Unknown(_) => "unknown",
             CallResult::Answer { .. } => "failed",
         };
-        if self.reached >= self.route.attempts || !self.has_untried() {
+        if !self.may_repeat_after(self.reached) {
             return false;
         }
         let granted = self.with_budget(RetryBudget::take);
@@ -257,6 +257,17 @@
         granted
     }
 
+    /// Returns whether the attempt in progress may be given up for another one.
+    fn may_repeat(&self) -> bool {
+        self.route.is_repeatable
+            && self.may_repeat_after(self.reached + 1)
+            && self.with_budget(|budget| budget.has_one())
+    }
+
+    fn may_repeat_after(&self, reached: u32) -> bool {
+        reached < self.route.attempts && self.has_untried()
+    }
+
     fn has_untried(&self) -> bool {
         self.state.members.read(|table| {
             let mut records = table.iter();
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -78,17 +78,21 @@
 
 impl std::error::Error for DialError {}
 
-struct PendingCall {
-    is_repeatable: bool,
-    sender: Sender<(LoadNote, CallResult)>,
+/// What a caller hears of its call.
+enum CallNews {
+    /// The other side is silent.
+    Silent,
+    /// The other side told what became of the call.
+    Told(LoadNote, CallResult),
 }
 
+
 /// How a link stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkState {
     /// It carries calls.
     Open,
-    /// The other side is silent; calls that must not be repeated wait on.
+    /// The other side is silent; calls that cannot go elsewhere wait on.
     Silent,
     /// It is over.
     Closed,
@@ -97,7 +101,7 @@
 /// A link to another daemon.
 pub struct PeerLink {
     frames: Sender<PeerFrame>,
-    pending: RefCell<HashMap<CallNumber, PendingCall>>,
+    pending: RefCell<HashMap<CallNumber, Sender<CallNews>>>,
     next_number: Cell<CallNumber>,
     heard: Cell<Duration>,
     asked: Cell<Option<Duration>>,
@@ -183,27 +187,28 @@
         self.frames.try_send(frame).is_ok()
     }
 
-    /// Makes a call; dropping the future gives the call up.
-    pub async fn call(&self, call: ForwardedCall, is_repeatable: bool) -> LinkOutcome {
+    /// Makes a call; dropping the future gives the call up. When the other side falls silent the call
+    /// is given up too if `may_leave` says that it can go elsewhere.
+    pub async fn call(&self, call: ForwardedCall, may_leave: impl Fn() -> bool) -> LinkOutcome {
         if self.state.get() != LinkState::Open {
             return LinkOutcome::NotSent;
         }
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
-        let (sender, receiver) = flume::bounded(1);
+        let (sender, receiver) = flume::unbounded();
         if !self.send(PeerFrame::Call(number, Box::new(call))) {
             return LinkOutcome::NotSent;
         }
-        let pending = PendingCall {
-            is_repeatable,
-            sender,
-        };
-        self.pending.borrow_mut().insert(number, pending);
+        self.pending.borrow_mut().insert(number, sender);
         let _running = RunningCall { link: self, number };
-        match receiver.recv_async().await {
-            Ok((load, result)) => LinkOutcome::Told(load, result),
-            Err(_) => LinkOutcome::Lost,
+        while let Ok(news) = receiver.recv_async().await {
+            match news {
+                CallNews::Told(load, result) => return LinkOutcome::Told(load, result),
+                CallNews::Silent if may_leave() => return LinkOutcome::Lost,
+                CallNews::Silent => {}
+            }
         }
+        LinkOutcome::Lost
     }
 
     /// Asks for a sign of life when one is due, and notes the lack of one; to be called several
@@ -215,7 +220,7 @@
         if let Some(asked) = self.asked.get() {
             if now >= asked + PONG_TIMEOUT && self.state.get() == LinkState::Open {
                 self.state.set(LinkState::Silent);
-                self.give_up_repeatable();
+                self.tell_silence();
                 return true;
             }
             return false;
@@ -231,19 +236,17 @@
     }
 
     fn finish(&self, number: CallNumber, load: LoadNote, result: CallResult) {
-        let Some(call) = self.pending.borrow_mut().remove(&number) else {
+        let Some(caller) = self.pending.borrow_mut().remove(&number) else {
             return;
         };
         // A caller that is gone needs no result.
-        let _ = call.sender.send((load, result));
+        let _ = caller.send(CallNews::Told(load, result));
     }
 
-    /// Ends the calls that may be made elsewhere; their callers learn that the link is lost.
-    fn give_up_repeatable(&self) {
-        let mut pending = self.pending.borrow_mut();
-        let given_up = pending.extract_if(|_, call| call.is_repeatable);
-        for (number, _) in given_up {
-            self.send(PeerFrame::Cancel(number));
+    fn tell_silence(&self) {
+        for caller in self.pending.borrow().values() {
+            // The caller may have given up just now.
+            let _ = caller.send(CallNews::Silent);
         }
     }
 
--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -220,6 +220,26 @@
     });
 }
 
+/// A daemon that stands still for longer than a silent link is borne, beside the only endpoint.
+#[test]
+fn answer_is_waited_for_when_no_other_endpoint_can_take_the_request() {
+    let fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1")]);
+    let requests = fleet.sidecars[0].requests;
+    let running = std::thread::spawn(move || {
+        let spec = request("GET", "/free/slower", "waited", 2_400);
+        common::caller::call_once(requests, &spec).whole()
+    });
+    wait_for("the run", PATIENCE, || fleet.runs_of("waited") == 1);
+    fleet.sidecars[1].signal("STOP");
+    wait_for("the silence", PATIENCE, || {
+        !fleet.sidecars[0].events("peer_silent").is_empty()
+    });
+    fleet.sidecars[1].signal("CONT");
+    let answer = running.join().expect("no panic").expect("a whole answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(fleet.runs_of("waited"), 1);
+}
+
 #[test]
 fn stopping_daemon_finishes_what_runs_and_ends_in_time() {
     let mut fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (STALLS, "v1")]);
