Daemons that start again find each other and the configuration without waiting

Change: a daemon whose row is there already does not write it, looks for links as soon as it has read the rows, and reads the orders once it knows the others. A first start waits as before.

--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -25,9 +25,12 @@
 /// 2.5 s.
 const WATCH_WAIT_MS: u64 = 1_000;
 
-/// Time after the start in which daemons find each other, before any of them watches the store.
+/// Time after the start after which a daemon that has not found the others looks for orders by itself.
 const MEETING_TIME: Duration = Duration::from_millis(900);
 
+/// Pause between two looks at whether the others have been found.
+const MEETING_PAUSE: Duration = Duration::from_millis(20);
+
 /// Pause between two looks at whether this daemon is to watch.
 const DUTY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -46,7 +49,12 @@
 
 /// Watches the store whenever this daemon is among those that do so for the others.
 pub async fn watch_orders(state: Rc<SidecarState>) {
-    tokio::time::sleep(MEETING_TIME).await;
+    // Those that start at one time find each other first, so that not all of them read the orders.
+    let is_first = state.settings().is_first_start;
+    let has_met = || !is_first && state.members_read.get() && state.members.knows_others();
+    while state.now() < MEETING_TIME && !has_met() {
+        tokio::time::sleep(MEETING_PAUSE).await;
+    }
     let mut watch = OrderWatch {
         state,
         cursor: None,
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -226,6 +226,13 @@
         1 + self.links.count_open()
     }
 
+    /// Returns whether any other daemon is known.
+    #[must_use]
+    pub fn knows_others(&self) -> bool {
+        let own = self.own.borrow();
+        self.table.borrow().iter().any(|record| record.id != own.id)
+    }
+
     /// Counts the daemons that share what is allowed to all, the own one included.
     #[must_use]
     pub fn known_count(&self) -> usize {
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -34,27 +34,48 @@
 /// Pause between two reads of the rows while no other daemon can be reached.
 const ALONE_PAUSE: Duration = Duration::from_secs(2);
 
-/// Writes the own row and reads those of the others until some can be reached.
+/// Reads the rows of the daemons until some can be reached, and writes the own one if it is not
+/// there.
 ///
-/// A daemon reads after it wrote, so of two that start at one time the later one sees the other.
+/// A daemon reads after it wrote, so of two that start at one time the later one sees the other. One
+/// that starts again at its address finds its row there: many that start at once after a loss of
+/// power then only read, as the store takes writes one after the other.
 pub async fn find_members(state: Rc<SidecarState>) {
-    while let Err(fault) = write_own_row(&state).await {
-        let what = json!({"name": "own_row_not_written", "reason": fault.to_string()});
-        warn!(target: MEMBERS, "{what}");
-        tokio::time::sleep(ROW_RETRY_PAUSE).await;
+    let mut has_row = false;
+    if !state.settings().is_first_start {
+        has_row = read_until_done(&state).await;
+    }
+    if !has_row {
+        while let Err(fault) = write_own_row(&state).await {
+            let what = json!({"name": "own_row_not_written", "reason": fault.to_string()});
+            warn!(target: MEMBERS, "{what}");
+            tokio::time::sleep(ROW_RETRY_PAUSE).await;
+        }
+        read_until_done(&state).await;
+    }
+    state.members_read.set(true);
+    loop {
+        tokio::time::sleep(ALONE_PAUSE).await;
+        if !state.members.reaches_any() {
+            read_until_done(&state).await;
+        }
     }
+}
+
+/// Reads the rows; returns whether the own one is among them.
+async fn read_until_done(state: &SidecarState) -> bool {
     loop {
-        match read_rows(&state).await {
-            Ok(()) => tokio::time::sleep(ALONE_PAUSE).await,
+        match read_rows(state).await {
+            Ok(has_own) => {
+                state.dial_now.notify_one();
+                return has_own;
+            }
             Err(fault) => {
                 let what = json!({"name": "member_rows_not_read", "reason": fault.to_string()});
                 warn!(target: MEMBERS, "{what}");
                 tokio::time::sleep(ROW_RETRY_PAUSE).await;
             }
         }
-        while state.members.reaches_any() {
-            tokio::time::sleep(ALONE_PAUSE).await;
-        }
     }
 }
 
@@ -72,14 +93,14 @@
         removals: Vec::new(),
     };
     state.store.call(&call).await?;
-    let distance = state.store.distance().unwrap_or_default().as_millis();
-    let millis = u16::try_from(distance).unwrap_or(u16::MAX);
-    state.publish_reach(StoreReach::Within(millis));
     Ok(())
 }
 
-async fn read_rows(state: &SidecarState) -> Result<(), StoreFault> {
+async fn read_rows(state: &SidecarState) -> Result<bool, StoreFault> {
     let reply = state.store.read_all(StoreTable::Members).await?;
+    let distance = state.store.distance().unwrap_or_default().as_millis();
+    let millis = u16::try_from(distance).unwrap_or(u16::MAX);
+    state.publish_reach(StoreReach::Within(millis));
     let mut records = Vec::new();
     for row in &reply.rows {
         match read_record(row) {
@@ -91,8 +112,11 @@
             }
         }
     }
+    let own = state.members.own();
+    let mut held = records.iter();
+    let has_own = held.any(|record| record.id == own.id && record.address == own.address);
     state.take_records(&records);
-    Ok(())
+    Ok(has_own)
 }
 
 fn read_record(row: &StoreRow) -> Result<Option<MemberRecord>, DialectError> {
@@ -146,7 +170,10 @@
             link.send(state.digests());
             link.send(state.config_held());
         }
-        tokio::time::sleep(LINK_PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(LINK_PAUSE) => {}
+            () = state.dial_now.notified() => {}
+        }
     }
 }
 
--- a/coltsfootweir/src/sidecar/settings.rs
+++ b/coltsfootweir/src/sidecar/settings.rs
@@ -20,6 +20,8 @@
     pub zone: ZoneName,
     /// Size of the VM.
     pub size: HostSize,
+    /// Whether the whole deployment starts for the first time, so that the store holds nothing yet.
+    pub is_first_start: bool,
     /// Service of the endpoint on the VM.
     pub service: ServiceName,
     /// Address of the endpoint on the VM.
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -10,6 +10,7 @@
 
 use log::info;
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::balance::EndpointChooser;
 use crate::clock::DaemonClock;
@@ -102,6 +103,10 @@
     pub rollouts: RefCell<BTreeMap<ServiceName, RolloutState>>,
     /// Counters and histograms.
     pub tally: SidecarTally,
+    /// Whether the rows of the other daemons have been read.
+    pub members_read: Cell<bool>,
+    /// Asks for links to be made without waiting for the next look at them.
+    pub dial_now: Notify,
     /// Whether the daemon was told to stop.
     pub is_leaving: Cell<bool>,
     /// Requests of clients in progress.
@@ -161,6 +166,8 @@
             told_rollouts: RefCell::default(),
             rollouts: RefCell::default(),
             tally: SidecarTally::new(),
+            members_read: Cell::new(false),
+            dial_now: Notify::new(),
             is_leaving: Cell::new(false),
             running: Cell::new(0),
             behind_since: Cell::new(None),
--- a/programs/tests/sidecar/row_store.rs
+++ b/programs/tests/sidecar/row_store.rs
@@ -54,6 +54,8 @@
     /// Addresses at which calls are taken and not answered.
     silent: BTreeSet<SocketAddr>,
     calls: u64,
+    /// Rows written by daemons.
+    written: u64,
     /// Calls that are never answered.
     held: Vec<Request>,
 }
@@ -140,6 +142,11 @@
         self.lock().calls
     }
 
+    /// Counts the rows written by daemons.
+    pub fn written(&self) -> u64 {
+        self.lock().written
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, StoreState> {
         self.state.lock().expect("no holder panicked")
     }
@@ -253,6 +260,7 @@
         }
         state.version += 1;
         let version = state.version;
+        state.written += list("upserts").len() as u64;
         for row in list("upserts") {
             let value = row["value"].as_str().map(str::to_owned);
             state.rows.insert(key(&row), StoredRow { value, version });
--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -220,6 +220,24 @@
     });
 }
 
+/// The store takes writes one after the other, so many daemons that come back at once only read.
+#[test]
+fn daemons_that_all_lose_power_serve_again_without_writing_rows() {
+    let endpoints = [HORSES, STALLS, STALLS, STALLS].map(|service| (service, "v1"));
+    let mut fleet = SidecarFleet::start_ready(&endpoints);
+    let written = fleet.store.written();
+    assert_eq!(written, 4);
+    for sidecar in &mut fleet.sidecars {
+        sidecar.kill();
+    }
+    for sidecar in &mut fleet.sidecars {
+        sidecar.restart();
+    }
+    fleet.wait_endpoints();
+    assert_eq!(fleet.store.written(), written);
+    assert_eq!(fleet.store.count("members"), 4);
+}
+
 /// A daemon that stands still for longer than a silent link is borne, beside the only endpoint.
 #[test]
 fn answer_is_waited_for_when_no_other_endpoint_can_take_the_request() {
