Faster endpoints are preferred, and a second one is asked when an answer is overdue

A request that may run twice goes to a second endpoint after 1.7 expected runs, within the shared budget; the one that loses counts as failed, also for the version on trial. Timed-out calls count towards ejection. A second attempt may use a free slot past the time in which its answer is worth most: in the new process test the guard refused it at once before.

--- a/coltsfootweir/benches/decisions.rs
+++ b/coltsfootweir/benches/decisions.rs
@@ -89,6 +89,8 @@
             region: &region,
             slots: SLOTS,
             reachable: true,
+            pace: 1.0,
+            is_late: false,
         })
         .collect();
     let mut chooser = EndpointChooser::new(zone.clone(), region.clone(), 1);
--- a/coltsfootweir/src/balance.rs
+++ b/coltsfootweir/src/balance.rs
@@ -21,6 +21,10 @@
 /// Endpoints remembered before the forgotten ones are removed.
 const MAX_ENDPOINTS: usize = 256;
 
+/// Cost of an idle endpoint, where a full one costs 1 more: one that is twice as fast is as good half
+/// full as the other idle.
+const IDLE_COST: f64 = 0.5;
+
 /// Share of the candidates that may be ejected, as a divisor.
 const EJECT_DIVISOR: usize = 3;
 
@@ -37,6 +41,10 @@
     pub slots: u16,
     /// Whether the view holds the daemon reachable.
     pub reachable: bool,
+    /// Expected time of a run there, relative to that at the other endpoints.
+    pub pace: f64,
+    /// Whether a run there is expected to take longer than it is worth.
+    pub is_late: bool,
 }
 
 /// Chooses endpoints for the calls of one daemon.
@@ -104,6 +112,11 @@
         self.state(id, now).started += 1;
     }
 
+    /// Counts a failure of an endpoint beside the end of the call, and ejects one that keeps failing.
+    pub fn on_straggler(&mut self, id: &MemberId, now: Duration) {
+        self.state(id, now).on_failure(now);
+    }
+
     /// Counts the end of a call, and ejects an endpoint that keeps failing.
     pub fn on_end(&mut self, id: &MemberId, end: CallEnd, now: Duration) {
         self.state(id, now).on_end(end, now);
@@ -180,7 +193,7 @@
         for index in usable {
             let candidate = &candidates[*index];
             let is_near = *candidate.region == self.region;
-            if standings[*index].is_full(candidate.slots, now) {
+            if candidate.is_late || standings[*index].is_full(candidate.slots, now) {
                 full[usize::from(!is_near)].push(*index);
                 continue;
             }
@@ -228,7 +241,7 @@
             return f64::INFINITY;
         }
         let load = standing.load + standing.penalty + 1;
-        f64::from(load) / f64::from(candidate.slots.max(1))
+        candidate.pace * (IDLE_COST + f64::from(load) / f64::from(candidate.slots.max(1)))
     }
 }
 
--- a/coltsfootweir/src/endpoint_index.rs
+++ b/coltsfootweir/src/endpoint_index.rs
@@ -41,6 +41,8 @@
             region: &self.region,
             slots: self.slots,
             reachable: self.reachable,
+            pace: 1.0,
+            is_late: false,
         }
     }
 }
--- a/coltsfootweir/src/endpoint_state.rs
+++ b/coltsfootweir/src/endpoint_state.rs
@@ -126,9 +126,19 @@
                 }
                 return;
             }
-            CallEnd::Failure => self.failures += 1,
+            CallEnd::Failure => return self.on_failure(now),
             CallEnd::ConnectError => self.connect_errors += 1,
         }
+        self.note_fault(now);
+    }
+
+    /// Counts a failure, and ejects an endpoint that keeps failing.
+    pub(crate) fn on_failure(&mut self, now: Duration) {
+        self.failures += 1;
+        self.note_fault(now);
+    }
+
+    fn note_fault(&mut self, now: Duration) {
         self.failed_at = now;
         if self.failures >= MAX_FAILURES || self.connect_errors >= MAX_CONNECT_ERRORS {
             self.eject(now);
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -1,6 +1,7 @@
 //! Takes one client request through its attempts: choice of an endpoint, repeats, final answer.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -38,6 +39,10 @@
 /// that a repeated run makes are repeats too.
 const BUDGET_PART: f64 = 0.6;
 
+/// Expected runs, each of the mean and its mean deviation, after which an answer is overdue: some 4
+/// of 100 requests take longer by themselves.
+const OVERDUE_RUNS: f64 = 1.7;
+
 /// Time that must be left for another attempt.
 const MIN_REPEAT_TIME: Duration = Duration::from_millis(30);
 
@@ -61,12 +66,11 @@
     /// Time by which the request has to be done to be worth its slot.
     aim: Duration,
     kind: u32,
-    asked: Vec<MemberId>,
+    asked: RefCell<Vec<MemberId>>,
     /// Shortest wait for a slot among the endpoints passed over for lack of room.
     shortest_wait: Cell<Option<Duration>>,
     /// Endpoints that had the request.
-    reached: u32,
-    last_failure: Option<CallResult>,
+    reached: Cell<u32>,
 }
 
 /// The end of a request and the way to it.
@@ -79,6 +83,7 @@
     pub reached: u32,
 }
 
+#[derive(Clone)]
 struct ChosenEndpoint {
     member: MemberId,
     version: VersionName,
@@ -111,45 +116,118 @@
             aim,
             kind: xxh3_64(route.name.as_bytes()) as u32,
             shortest_wait: Cell::new(None),
-            asked: Vec::new(),
-            reached: 0,
-            last_failure: None,
+            asked: RefCell::default(),
+            reached: Cell::new(0),
         }
     }
 
     /// Sends the request until it is answered or nothing more can be done for it.
-    pub async fn run(mut self, call: &ForwardedCall) -> AttemptsEnd {
+    pub async fn run(self, call: &ForwardedCall) -> AttemptsEnd {
         self.with_budget(RetryBudget::on_call);
+        let mut last_failure = None;
         let result = loop {
             let Some(chosen) = self.choose() else {
                 break self.no_choice();
             };
-            let result = self.attempt(call, chosen).await;
+            let result = self.attempt_or_two(call, chosen).await;
             if !self.may_go_on(&result) {
                 break result;
             }
             if is_failure(&result) {
-                self.last_failure = Some(result);
+                last_failure = Some(result);
             }
         };
         // A refusal says that the request has not run, which holds for all its attempts only.
-        let result = match (result, self.last_failure) {
+        let result = match (result, last_failure) {
             (CallResult::NotRun(_), Some(failure)) => failure,
             (result, _) => result,
         };
         AttemptsEnd {
             result,
-            asked: self.asked,
-            reached: self.reached,
+            asked: self.asked.into_inner(),
+            reached: self.reached.get(),
         }
     }
 
-    async fn attempt(&mut self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
-        self.asked.push(chosen.member.clone());
+    /// Sends the request to an endpoint, and to a second one when the answer is overdue: the answer
+    /// may be lost, or the endpoint much slower than others.
+    async fn attempt_or_two(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
+        let slow = chosen.clone();
         let start = self.state.now();
+        let first = self.attempt(call, chosen);
+        tokio::pin!(first);
+        let Some(patience) = self.patience() else {
+            return first.await;
+        };
+        if let Ok(result) = tokio::time::timeout(patience, &mut first).await {
+            return result;
+        }
+        let Some(chosen) = self.choose_second() else {
+            return first.await;
+        };
+        let second = self.attempt(call, chosen);
+        tokio::pin!(second);
+        let (result, is_second) = tokio::select! {
+            result = &mut first => (result, false),
+            result = &mut second => (result, true),
+        };
+        let is_good = matches!(result, CallResult::Answer { .. }) && !is_failure(&result);
+        if !is_good {
+            return match is_second {
+                true => first.await,
+                false => second.await,
+            };
+        }
+        if is_second {
+            self.count_straggler(&slow, start);
+        }
+        result
+    }
+
+    /// Counts an attempt that is given up because another one was answered first.
+    fn count_straggler(&self, slow: &ChosenEndpoint, start: Duration) {
+        let now = self.state.now();
+        self.reached.set(self.reached.get() + 1);
+        let overdue = CallResult::Unknown(UnknownCause::TimedOut);
+        self.count_version(&slow.version, &overdue, now - start);
+        let mut chooser = self.state.routing.chooser.borrow_mut();
+        chooser.on_straggler(&slow.member, now);
+    }
+
+    /// Time after which a second endpoint is asked; `None` when the request must not or cannot run
+    /// twice.
+    fn patience(&self) -> Option<Duration> {
+        let run = self.state.routing.run_times.borrow().expected(self.kind);
+        let patience = run.mul_f64(OVERDUE_RUNS);
+        let left = self.deadline.saturating_sub(self.state.now());
+        let has_time = !run.is_zero() && patience + run < left;
+        (self.may_repeat() && has_time).then_some(patience)
+    }
+
+    fn choose_second(&self) -> Option<ChosenEndpoint> {
+        if !self.may_repeat() {
+            return None;
+        }
+        let chosen = self.choose()?;
+        if !self.with_budget(RetryBudget::take) {
+            return None;
+        }
+        self.state.tally.count_repeat("overdue");
+        Some(chosen)
+    }
+
+    async fn attempt(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
+        let start = self.state.now();
+        let is_first = self.asked.borrow().is_empty();
+        self.asked.borrow_mut().push(chosen.member.clone());
+        // What was tried in vain is still worth a late answer, where a slot is free.
+        let aim = match is_first || start < self.aim {
+            true => self.aim,
+            false => self.deadline,
+        };
         let call = ForwardedCall {
             left_ms: millis(self.deadline.saturating_sub(start)),
-            wait_ms: millis(self.aim.saturating_sub(start)),
+            wait_ms: millis(aim.saturating_sub(start)),
             kind: self.kind,
             sent_at_ms: wall_ms(self.state.clock.wall()),
             service: self.service.clone(),
@@ -171,7 +249,7 @@
             run_times.learn(self.kind, run);
         }
         if !matches!(result, CallResult::NotRun(report) if !report.reached) {
-            self.reached += 1;
+            self.reached.set(self.reached.get() + 1);
             self.count_version(&chosen.version, &result, self.state.now() - start);
         }
         result
@@ -195,7 +273,7 @@
         let now = self.state.now();
         let load = self.state.routing.chooser.borrow().load(&record.id, now);
         let told = self.state.routing.told_loads.borrow();
-        let told = told.get(&record.id);
+        let told = told.note(&record.id);
         let behind = told.map_or(0, |told| told.waiting_behind(self.route.rank));
         let mean = told.map_or(0, |told| told.run_ms);
         let mean = Duration::from_millis(u64::from(mean));
@@ -235,13 +313,14 @@
     /// Returns whether another endpoint is to be tried, and takes a repeat from the budget if so.
     fn may_go_on(&self, result: &CallResult) -> bool {
         let left = self.deadline.saturating_sub(self.state.now());
-        if left < MIN_REPEAT_TIME || self.asked.is_empty() {
+        let asked = self.asked.borrow().len();
+        if left < MIN_REPEAT_TIME || asked == 0 {
             return false;
         }
         let cause = match result {
             CallResult::NotRun(report) if !report.reached => {
                 let is_final = matches!(report.cause, NotRunCause::Poison | NotRunCause::TooLate);
-                return !is_final && self.asked.len() < MAX_ASKED;
+                return !is_final && asked < MAX_ASKED;
             }
             CallResult::NotRun(_) => "rejected",
             CallResult::Answer { status, .. } if *status < FAILURE_STATUS => return false,
@@ -250,7 +329,7 @@
             CallResult::Unknown(_) => "unknown",
             CallResult::Answer { .. } => "failed",
         };
-        if !self.may_repeat_after(self.reached) {
+        if !self.may_repeat_after(self.reached.get()) {
             return false;
         }
         let granted = self.with_budget(RetryBudget::take);
@@ -263,7 +342,7 @@
     /// Returns whether the attempt in progress may be given up for another one.
     fn may_repeat(&self) -> bool {
         self.route.is_repeatable
-            && self.may_repeat_after(self.reached + 1)
+            && self.may_repeat_after(self.reached.get() + 1)
             && self.with_budget(|budget| budget.has_one())
     }
 
@@ -272,9 +351,10 @@
     }
 
     fn has_untried(&self) -> bool {
+        let asked = self.asked.borrow();
         self.state.members.read(|table| {
             let mut records = table.iter();
-            records.any(|record| self.is_usable(record) && !self.asked.contains(&record.id))
+            records.any(|record| self.is_usable(record) && !asked.contains(&record.id))
         })
     }
 
@@ -311,14 +391,23 @@
 
     fn choose_version(&self, fits: impl Fn(&VersionName) -> bool) -> Option<ChosenEndpoint> {
         let region = self.state.settings.borrow().region.clone();
+        let asked = self.asked.borrow();
+        let now = self.state.now();
+        let run = self.state.routing.run_times.borrow().expected(self.kind);
         self.state.members.read(|table| {
             let mut candidates = Vec::new();
             let mut versions = Vec::new();
-            let mut asked = self.asked.iter().filter_map(|id| table.get(id));
+            let mut asked_records = asked.iter().filter_map(|id| table.get(id));
             // The way to another region and back is too long to ask for room there twice.
-            let asked_far = asked.any(|record| record.region != region);
+            let asked_far = asked_records.any(|record| record.region != region);
             let mut is_served_near = false;
-            for record in table.iter().filter(|record| self.is_usable(record)) {
+            let usable: Vec<_> = table
+                .iter()
+                .filter(|record| self.is_usable(record))
+                .collect();
+            let told = self.state.routing.told_loads.borrow();
+            let service = told.service_pace(usable.iter().map(|record| &record.id), now);
+            for record in usable {
                 let endpoint = record.endpoint.as_ref()?;
                 if !fits(&endpoint.version) {
                     continue;
@@ -333,6 +422,7 @@
                     true => endpoint.slots.saturating_mul(NEAR_SLOT_TENTHS) / 10,
                     false => endpoint.slots,
                 };
+                let pace = told.pace(&record.id, service);
                 versions.push(&endpoint.version);
                 candidates.push(Candidate {
                     id: &record.id,
@@ -340,13 +430,15 @@
                     region: &record.region,
                     slots,
                     reachable: true,
+                    pace,
+                    is_late: now + run.mul_f64(pace) > self.aim,
                 });
             }
             if !is_served_near {
-                self.state.members.want_far(self.state.now());
+                self.state.members.want_far(now);
             }
             let mut chooser = self.state.routing.chooser.borrow_mut();
-            let index = chooser.choose(&candidates, &self.asked, self.state.now())?;
+            let index = chooser.choose(&candidates, &asked, now)?;
             Some(ChosenEndpoint {
                 member: candidates[index].id.clone(),
                 version: versions[index].clone(),
@@ -410,7 +502,6 @@
         self.end = match result {
             CallResult::Answer { status, .. } if *status >= FAILURE_STATUS => CallEnd::Failure,
             CallResult::Answer { .. } => CallEnd::Success,
-            CallResult::Unknown(UnknownCause::TimedOut) => CallEnd::Neutral,
             CallResult::Unknown(_) => CallEnd::Failure,
             CallResult::NotRun(report) if report.cause == NotRunCause::Unreachable => {
                 CallEnd::ConnectError
@@ -426,7 +517,7 @@
             waiting: load.total_waiting(),
         };
         let mut told = self.state.routing.told_loads.borrow_mut();
-        told.insert(self.member.clone(), load);
+        told.learn(self.member.clone(), load, self.state.now());
         drop(told);
         let mut chooser = self.state.routing.chooser.borrow_mut();
         chooser.on_answer(&self.member, report, self.state.now());
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -40,3 +40,5 @@
 pub mod spread;
 pub mod store_client;
 pub mod tally;
+#[doc(hidden)]
+pub mod told_loads;
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -31,7 +31,6 @@
 use crate::sidecar::endpoint_desk::wall_ms;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
-use crate::sidecar::frame::LoadNote;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::member_desk::ConfigHolders;
 use crate::sidecar::member_desk::MemberDesk;
@@ -46,6 +45,7 @@
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::store_client::StoreClient;
 use crate::sidecar::tally::SidecarTally;
+use crate::sidecar::told_loads::ToldLoads;
 
 /// Time in which a daemon that was asked for a configuration sends it: four copies of a change of
 /// 1,400 routes on a link of 10 Mbit/s, and the pauses of a tenth of a core.
@@ -67,7 +67,7 @@
     /// Times of runs, by route.
     pub run_times: RefCell<RunTimes>,
     /// Load of each endpoint, as the daemon beside it told last.
-    pub told_loads: RefCell<HashMap<MemberId, LoadNote>>,
+    pub told_loads: RefCell<ToldLoads>,
 }
 
 /// What a daemon told about moves of traffic.
--- a/coltsfootweir/tests/endpoint_choice.rs
+++ b/coltsfootweir/tests/endpoint_choice.rs
@@ -48,6 +48,8 @@
             region,
             slots: SLOTS,
             reachable: true,
+            pace: 1.0,
+            is_late: false,
         });
         candidates.collect()
     }
@@ -207,3 +209,61 @@
     let later = now + EJECT_TIMEOUT;
     assert_eq!(chooser.choose(&candidates, &[], later), Some(0));
 }
+
+fn counts_of_choices(candidates: &[Candidate<'_>], loads: &[u16]) -> Vec<u32> {
+    let mut chooser = chooser(7);
+    let now = Duration::from_secs(1);
+    for (candidate, load) in candidates.iter().zip(loads) {
+        chooser.on_start(candidate.id, now);
+        chooser.on_end(candidate.id, CallEnd::Neutral, now);
+        let report = LoadReport {
+            running: *load,
+            slots: SLOTS,
+            waiting: 0,
+        };
+        chooser.on_answer(candidate.id, report, now);
+    }
+    let mut counts = vec![0; candidates.len()];
+    for _ in 0..1_000 {
+        let index = chooser.choose(candidates, &[], now).expect("an endpoint");
+        counts[index] += 1;
+    }
+    counts
+}
+
+/// Endpoints of mixed speed, all idle: the fast ones get the requests.
+#[test]
+fn faster_endpoints_of_mixed_speeds_are_preferred() {
+    let service = Service::new(&[("z1", "r1"); 3]);
+    let mut candidates = service.candidates();
+    candidates[2].pace = 2.2;
+    let counts = counts_of_choices(&candidates, &[0, 0, 0]);
+    assert!(counts[2] < 50, "{counts:?}");
+}
+
+/// Endpoints of mixed speed under load: a slow one takes its part before fast ones are full.
+#[test]
+fn a_slow_endpoint_takes_requests_when_the_fast_ones_are_nearly_full() {
+    let service = Service::new(&[("z1", "r1"); 3]);
+    let mut candidates = service.candidates();
+    candidates[2].pace = 2.0;
+    let nearly_full = SLOTS - 1;
+    let counts = counts_of_choices(&candidates, &[nearly_full, nearly_full, 0]);
+    assert!(counts[2] > 500, "{counts:?}");
+}
+
+/// Some endpoints of the own zone are many times slower: those of the next zone that are done in time
+/// go before them.
+#[test]
+fn endpoints_that_would_be_late_come_after_all_that_are_done_in_time() {
+    let service = Service::new(&[("z1", "r1"), ("z1", "r1"), ("z2", "r1")]);
+    let mut candidates = service.candidates();
+    candidates[0].is_late = true;
+    candidates[1].is_late = true;
+    let counts = counts_of_choices(&candidates, &[0, 0, 3]);
+    assert_eq!(counts, [0, 0, 1_000]);
+    // Where all would be late, one of them is better than none.
+    candidates[2].is_late = true;
+    let counts = counts_of_choices(&candidates, &[0, 0, 3]);
+    assert_eq!(counts.iter().sum::<u32>(), 1_000);
+}
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -2,6 +2,7 @@
 //! says how it answers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -28,6 +29,12 @@
 /// Time of a slow answer.
 const SLOW_RUN: Duration = Duration::from_millis(250);
 
+/// Time after which an endpoint whose answer is lost closes the connection: longer than any caller waits.
+const LOST_TIME: Duration = Duration::from_secs(10);
+
+/// Requests whose answer one of the endpoints has lost; the next one to run it answers.
+static LOST_IDS: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
 /// A request as the endpoint saw it.
 #[derive(Clone, Debug)]
 pub struct SeenRequest {
@@ -183,6 +190,16 @@
 /// Answers a request; returns whether the connection goes on.
 fn answer(state: &EndpointState, mode: &str, id: &str, mut out: &TcpStream) -> bool {
     let good = good_answer(&state.id, id, "a whole body");
+    if mode == "lost-once"
+        && LOST_IDS
+            .lock()
+            .expect("no holder panicked")
+            .insert(id.to_owned())
+    {
+        // The answer is lost, and the connection stays open.
+        is_closed_within(out, LOST_TIME);
+        return false;
+    }
     let (bytes, goes_on) = match mode {
         "slow" | "slower" => {
             let run = if mode == "slow" {
--- a/programs/tests/sidecar_calls.rs
+++ b/programs/tests/sidecar_calls.rs
@@ -18,6 +18,25 @@
 use sidecar::sidecar_fleet::SidecarFleet;
 use sidecar::sidecar_fleet::request;
 
+/// An endpoint loses its answer: what may run twice is answered by another long before its time is up,
+/// and what may not runs once.
+#[test]
+fn overdue_answers_of_repeatable_requests_come_from_another_endpoint() {
+    let fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1"), (STALLS, "v1")]);
+    let ingress = &fleet.sidecars[0];
+    for number in 0..10 {
+        let answer = ingress.get("/free/slow", &format!("warm-{number}"));
+        assert_eq!(answer.status, 200);
+    }
+    let start = Instant::now();
+    assert_eq!(ingress.get("/free/lost-once", "lost").status, 200);
+    assert!(start.elapsed() < Duration::from_millis(1_500));
+    assert_eq!(fleet.runs_of("lost"), 2);
+    let answer = ingress.call(&request("POST", "/book/lost-once", "booking", 900));
+    assert_eq!(answer.expect("a whole answer").status, 504);
+    assert_eq!(fleet.runs_of("booking"), 1);
+}
+
 #[test]
 fn request_reaches_the_endpoint_of_another_daemon_as_it_was_sent() {
     let fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1")]);
