--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -10,11 +10,9 @@
 use crate::balance::Candidate;
 use crate::deadline::LINK_RETURN_MARGIN;
 use crate::deadline::RETURN_MARGIN;
-use crate::endpoint_state::CallEnd;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
 use crate::ids::VersionName;
-use crate::load_report::LoadReport;
 use crate::member::EndpointPhase;
 use crate::retry::RetryBudget;
 use crate::sidecar::config_holder::ActiveConfig;
@@ -30,6 +28,8 @@
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
 use crate::sidecar::rollout::VersionChoice;
+use crate::sidecar::running_call::FAILURE_STATUS;
+use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
 
 /// Daemons that are asked for room before a request is refused; each costs a round trip.
@@ -54,9 +54,6 @@
 /// callers less than the way to another region.
 const NEAR_SLOT_TENTHS: u16 = 14;
 
-/// Statuses from which an answer of an endpoint counts as a failure.
-const FAILURE_STATUS: u16 = 500;
-
 /// A request on its way through its attempts.
 pub struct CallAttempts<'a> {
     state: &'a SidecarState,
@@ -479,55 +476,3 @@
         CallResult::NotRun(NotRunReport { .. }) => false,
     }
 }
-
-/// A call in progress; the chooser learns of its end also when it is dropped.
-struct RunningCall<'a> {
-    state: &'a SidecarState,
-    member: MemberId,
-    end: CallEnd,
-}
-
-impl<'a> RunningCall<'a> {
-    fn start(state: &'a SidecarState, member: &MemberId) -> RunningCall<'a> {
-        let mut chooser = state.routing.chooser.borrow_mut();
-        chooser.on_start(member, state.now());
-        RunningCall {
-            state,
-            member: member.clone(),
-            end: CallEnd::Neutral,
-        }
-    }
-
-    fn end(&mut self, load: Option<LoadNote>, result: &CallResult) {
-        self.end = match result {
-            CallResult::Answer { status, .. } if *status >= FAILURE_STATUS => CallEnd::Failure,
-            CallResult::Answer { .. } => CallEnd::Success,
-            CallResult::Unknown(_) => CallEnd::Failure,
-            CallResult::NotRun(report) if report.cause == NotRunCause::Unreachable => {
-                CallEnd::ConnectError
-            }
-            CallResult::NotRun(_) => CallEnd::Neutral,
-        };
-        let Some(load) = load else {
-            return;
-        };
-        let report = LoadReport {
-            running: load.running,
-            slots: load.slots,
-            waiting: load.total_waiting(),
-        };
-        let mut told = self.state.routing.told_loads.borrow_mut();
-        told.learn(self.member.clone(), load, self.state.now());
-        drop(told);
-        let mut chooser = self.state.routing.chooser.borrow_mut();
-        chooser.on_answer(&self.member, report, self.state.now());
-    }
-}
-
-impl Drop for RunningCall<'_> {
-    fn drop(&mut self) {
-        let now = self.state.now();
-        let mut chooser = self.state.routing.chooser.borrow_mut();
-        chooser.on_end(&self.member, self.end, now);
-    }
-}
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -33,6 +33,7 @@
 pub mod rollout_task;
 #[doc(hidden)]
 pub mod run_times;
+pub mod running_call;
 pub mod settings;
 pub mod sidecar_state;
 pub mod slot_queue;
