A request whose first attempt ran is not told as not run when the second is refused

Found by the soak, seeds 3, 4, 8 and 12: 503 too_late for a request that an endpoint had run. Cause: of two attempts that overlap, the one that ended last gave the answer; a refusal of the second hid the broken answer of the first. Seeds 4 and 8 are kept. Mutants tried on the soak: bookings repeated and answers not matched to requests are found; a leaving endpoint that stays open was not by seeds 1 to 3, which have no departure, so 6 and 12, which have two each, replace 2 and 3.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -170,10 +170,15 @@
         };
         let is_good = matches!(result, CallResult::Answer { .. }) && !is_failure(&result);
         if !is_good {
-            return match is_second {
+            let other = match is_second {
                 true => first.await,
                 false => second.await,
             };
+            // A refusal says that the request has not run, which holds for both attempts only.
+            return match other {
+                CallResult::NotRun(_) => result,
+                other => other,
+            };
         }
         if is_second {
             self.count_straggler(&slow, start);
--- a/programs/tests/sidecar_soak.rs
+++ b/programs/tests/sidecar_soak.rs
@@ -10,11 +10,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Seeds that failed once, with the cause beside each.
-const FAILED_SEEDS: [u64; 0] = [];
+/// Seeds that failed once.
+///
+/// 4, 8: a request whose first attempt ran and broke off was told as not run when its second attempt,
+/// made because the answer was overdue, was refused.
+const FAILED_SEEDS: [u64; 2] = [4, 8];
 
 /// Seeds played each time.
-const SHORT_SEEDS: [u64; 3] = [1, 2, 3];
+const SHORT_SEEDS: [u64; 3] = [1, 6, 12];
 
 /// Soaks played at once: some twenty processes.
 const SOAKS_AT_ONCE: usize = 3;
@@ -30,11 +33,9 @@
                 while let Some(seed) = next_of(&seeds) {
                     let record = soak::run_soak(seed);
                     let found = soak::checks::find_faults(&record);
-                    println!(
-                        "seed {seed}: {} calls, {} faults",
-                        record.calls.len(),
-                        found.len()
-                    );
+                    let (calls, leaves) = (record.calls.len(), record.leaves.len());
+                    let count = found.len();
+                    println!("seed {seed}: {calls} calls, {leaves} departures, {count} faults");
                     let mut faults = faults.lock().expect("no holder panicked");
                     faults.extend(
                         found
