What is reported of an earlier order does not move the next one for the same service

Change: a stage names the order it is for. Ruled out: the report's row (it tells its version), the trial's proof (none was made). The new test fails without the comparison of orders and passes with it.

--- a/coltsfootweir/src/sidecar/rollout.rs
+++ b/coltsfootweir/src/sidecar/rollout.rs
@@ -98,10 +98,12 @@
         }
     }
 
-    /// Moves on to a later stage; returns whether that changed anything.
-    pub fn advance(&mut self, stage: RolloutStage) -> bool {
+    /// Moves the order with the row version `row` on to a later stage; returns whether that changed
+    /// anything. An order may have been followed by another while its report was written.
+    pub fn advance(&mut self, row: RowVersion, stage: RolloutStage) -> bool {
         // What is done cannot be taken back, as the old endpoints are gone.
-        if stage <= self.stage || self.stage == RolloutStage::Done {
+        let is_over = self.stage == RolloutStage::Done;
+        if row != self.row || stage <= self.stage || is_over {
             return false;
         }
         self.stage = stage;
--- a/coltsfootweir/src/sidecar/rollout_task.rs
+++ b/coltsfootweir/src/sidecar/rollout_task.rs
@@ -86,11 +86,13 @@
             if rollout.stage < RolloutStage::Done
                 && let Some(fault) = fault
             {
-                self.state.advance(service, RolloutStage::TakenBack, &fault);
+                self.state
+                    .advance(service, rollout.row, RolloutStage::TakenBack, &fault);
             }
             if rollout.stage == RolloutStage::Shifted && self.is_settled(&rollout) {
                 let reason = "nothing runs at the old version here";
-                self.state.advance(service, RolloutStage::Settled, reason);
+                self.state
+                    .advance(service, rollout.row, RolloutStage::Settled, reason);
             }
         }
         self.tell_judges();
@@ -106,7 +108,8 @@
             let phase = match rollout.stage {
                 RolloutStage::Trial => {
                     if let Some(proof) = rollout.find_proof(&pooled, self.state.now()) {
-                        self.state.advance(service, RolloutStage::Shifted, &proof);
+                        self.state
+                            .advance(service, rollout.row, RolloutStage::Shifted, &proof);
                         self.state.publish();
                     }
                     RolloutPhase::Active
@@ -189,7 +192,7 @@
                     RolloutPhase::Done => RolloutStage::Done,
                     RolloutPhase::TakenBack => RolloutStage::TakenBack,
                 };
-                self.state.advance(service, stage, "reported");
+                self.state.advance(service, rollout.row, stage, "reported");
                 self.state.publish();
             }
             Err(fault) => {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -336,18 +336,24 @@
             "version": order.version, "order": row, "stage": format!("{stage:?}")});
         info!(target: MOVES, "{what}");
         let mut rollout = RolloutState::new(order, row, self.now());
-        rollout.advance(stage);
+        rollout.advance(row, stage);
         rollouts.insert(rollout.order.service.clone(), rollout);
         true
     }
 
-    /// Moves a rollout on; returns whether that changed anything.
-    pub fn advance(&self, service: &ServiceName, stage: RolloutStage, reason: &str) -> bool {
+    /// Moves the rollout of an order on; returns whether that changed anything.
+    pub fn advance(
+        &self,
+        service: &ServiceName,
+        row: RowVersion,
+        stage: RolloutStage,
+        reason: &str,
+    ) -> bool {
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(rollout) = rollouts.get_mut(service) else {
             return false;
         };
-        if !rollout.advance(stage) {
+        if !rollout.advance(row, stage) {
             return false;
         }
         let what = json!({"name": "rollout_stage", "service": service,
@@ -368,10 +374,8 @@
             };
             let stage = followed_stage(stance.stage);
             changed |= self.take_order(order, stance.order, stage);
-            let known = self.rollouts.borrow().get(&stance.service).map(|r| r.row);
-            if known == Some(stance.order) {
-                changed |= self.advance(&stance.service, stage, "told by another daemon");
-            }
+            let reason = "told by another daemon";
+            changed |= self.advance(&stance.service, stance.order, stage, reason);
         }
         if changed {
             self.publish();
--- a/coltsfootweir/tests/sidecar_rollout.rs
+++ b/coltsfootweir/tests/sidecar_rollout.rs
@@ -124,17 +124,25 @@
 #[test]
 fn what_is_done_is_not_taken_back() {
     let mut state = state();
-    assert!(state.advance(RolloutStage::Shifted));
-    assert!(!state.advance(RolloutStage::Trial));
-    assert!(state.advance(RolloutStage::Done));
-    assert!(!state.advance(RolloutStage::TakenBack));
+    assert!(state.advance(ORDER, RolloutStage::Shifted));
+    assert!(!state.advance(ORDER, RolloutStage::Trial));
+    assert!(state.advance(ORDER, RolloutStage::Done));
+    assert!(!state.advance(ORDER, RolloutStage::TakenBack));
     assert_eq!(state.choose(0.1, 0.5), VersionChoice::OnlyNew);
 }
 
 #[test]
 fn version_taken_back_gets_nothing() {
     let mut state = state();
-    assert!(state.advance(RolloutStage::TakenBack));
-    assert!(!state.advance(RolloutStage::Shifted));
+    assert!(state.advance(ORDER, RolloutStage::TakenBack));
+    assert!(!state.advance(ORDER, RolloutStage::Shifted));
     assert_eq!(state.choose(0.1, 0.0), VersionChoice::Old);
 }
+
+/// A report on one order is written while the next order for the service arrives.
+#[test]
+fn what_is_reported_of_an_earlier_order_does_not_move_the_next_one() {
+    let mut state = state();
+    assert!(!state.advance(ORDER - 1, RolloutStage::Done));
+    assert_eq!(state.stage, RolloutStage::Trial);
+}
