Tests wait until each sidecar has heard its endpoint

Cause as read, not shown: idempotent_request_is_repeated_... failed once beside load with one run instead of two; the fleet took a warm-up request served by the other endpoint for readiness, and a sidecar that has not heard of a second endpoint has none to repeat at. The wait is stricter than before.

--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -208,8 +208,14 @@
         }
     }
 
-    /// Waits until each sidecar reaches an endpoint of each service that the fleet has.
+    /// Waits until each sidecar has heard its endpoint and reaches one of each service that the fleet
+    /// has.
     pub fn wait_endpoints(&self) {
+        for sidecar in &self.sidecars {
+            wait_for(&format!("endpoint of {}", sidecar.name), PATIENCE, || {
+                !sidecar.events("endpoint_announced").is_empty()
+            });
+        }
         for sidecar in &self.sidecars {
             for prefix in ["free", "feed"] {
                 let path = format!("/{prefix}/ok");
