News, heads, accept loops and test records are each worked out in one place

Found on reading the whole change once more; no behaviour is meant to change. send_news built its targets and all zone orders again for every record; link_in_turn turned one index into two; the heads of near zones were worked out each 150 ms to be thrown away; each request cloned its choice before it was known whether a second attempt may come; three loops accepted connections alike; two test files wrote one record out. Now: heads_of, send_members, accept_each, ZoneOrder::is_head, member_records::first_record.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -149,13 +149,13 @@
     /// Sends the request to an endpoint, and to a second one when the answer is overdue: the answer
     /// may be lost, or the endpoint much slower than others.
     async fn attempt_or_two(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
+        let Some(patience) = self.patience() else {
+            return self.attempt(call, chosen).await;
+        };
         let slow = chosen.clone();
         let start = self.state.now();
         let first = self.attempt(call, chosen);
         tokio::pin!(first);
-        let Some(patience) = self.patience() else {
-            return first.await;
-        };
         if let Ok(result) = tokio::time::timeout(patience, &mut first).await {
             return result;
         }
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -25,7 +25,7 @@
 use crate::sidecar::announcement::RegisterChange;
 use crate::sidecar::dialect::ControlCall;
 use crate::sidecar::event_log::dropped_lines;
-use crate::sidecar::request_server::accept_pause;
+use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sidecar_state::SidecarState;
 
 /// Longest body of a call to the daemon, in bytes; announcements take a few hundred.
@@ -40,14 +40,10 @@
 
 /// Serves the platform until the daemon ends.
 pub async fn serve_control(state: Rc<SidecarState>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
-            }
-            Err(error) => accept_pause("control", &error).await,
-        }
-    }
+    accept_each(&listener, "control", |stream| {
+        tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
+    })
+    .await;
 }
 
 async fn serve_connection(state: Rc<SidecarState>, stream: TcpStream) {
--- a/coltsfootweir/src/sidecar/member_desk.rs
+++ b/coltsfootweir/src/sidecar/member_desk.rs
@@ -176,11 +176,9 @@
         let table = self.table.borrow();
         let order = self.zone_order(&own.zone);
         let mut targets = order.children(&own.id).to_vec();
-        let is_head = order.heads().contains(&own.id);
+        let is_head = order.is_head(&own.id);
         if is_head || self.is_watcher() {
-            for zone in zones(&table) {
-                targets.extend_from_slice(self.zone_order(&zone).heads());
-            }
+            targets.extend(self.heads_of(zones(table.iter())));
         }
         if is_head {
             for record in table.iter().filter(|record| record.zone == own.zone) {
@@ -300,6 +298,15 @@
         })
     }
 
+    /// Returns the daemons that speak for these zones.
+    fn heads_of(&self, zones: BTreeSet<ZoneName>) -> Vec<MemberId> {
+        let mut heads = Vec::new();
+        for zone in zones {
+            heads.extend_from_slice(self.zone_order(&zone).heads());
+        }
+        heads
+    }
+
     /// Returns whether tables may be compared with a daemon just reached; many links are made at
     /// once, and one comparison tells what most of them would.
     #[must_use]
@@ -337,9 +344,7 @@
             wanted.truncate(MAX_NEAR_LINKS);
         }
         let mut carriers = self.nearest(WATCHERS);
-        for zone in zones(&table) {
-            carriers.extend_from_slice(self.zone_order(&zone).heads());
-        }
+        carriers.extend(self.heads_of(zones(far.iter().copied())));
         for record in far {
             if everyone || now < self.far_until.get() || carriers.contains(&record.id) {
                 wanted.push(record);
@@ -382,43 +387,35 @@
         let own = self.own.borrow();
         let table = self.table.borrow();
         let order = self.zone_order(&own.zone);
-        let is_head = order.heads().contains(&own.id);
-        let mut messages: HashMap<MemberId, Vec<MemberRecord>> = HashMap::new();
+        let is_head = order.is_head(&own.id);
+        let mut news = Vec::new();
         for record in changed.iter().filter_map(|id| table.get(id)) {
             let is_own = record.id == own.id;
             // Members of the record's zone have it from its owner.
-            if !is_own && (!is_head || record.zone == own.zone) {
-                continue;
-            }
-            for target in self.news_targets(&own, &table, is_own) {
-                messages.entry(target).or_default().push(record.clone());
+            if is_own || (is_head && record.zone != own.zone) {
+                news.push(record.clone());
             }
         }
-        for (id, records) in messages {
-            let Some(link) = self.link(&id) else {
-                continue;
-            };
-            link.send(PeerFrame::Members(records));
+        if news.is_empty() {
+            return;
         }
-    }
-
-    /// Returns the daemons to which news are to be sent.
-    fn news_targets(
-        &self,
-        own: &MemberRecord,
-        table: &MemberTable,
-        to_other_zones: bool,
-    ) -> Vec<MemberId> {
-        let mut targets = Vec::new();
         for record in table.iter().filter(|record| record.zone == own.zone) {
-            targets.push(record.id.clone());
+            self.send_members(&record.id, &news);
+        }
+        if !changed.contains(&own.id) {
+            return;
+        }
+        let others = table.iter().filter(|record| record.zone != own.zone);
+        for id in self.heads_of(zones(others)) {
+            self.send_members(&id, std::slice::from_ref(&own));
         }
-        let others = zones(table).into_iter().filter(|zone| *zone != own.zone);
-        for zone in others.filter(|_| to_other_zones) {
-            targets.extend_from_slice(self.zone_order(&zone).heads());
+    }
+
+    /// Sends records to a daemon; one without a link, as this one is to itself, is passed over.
+    fn send_members(&self, id: &MemberId, records: &[MemberRecord]) {
+        if let Some(link) = self.link(id) {
+            link.send(PeerFrame::Members(records.to_vec()));
         }
-        targets.retain(|id| *id != own.id);
-        targets
     }
 
     /// Returns a link, another one each turn: in the own zone, and now and then, from a head, to a
@@ -427,26 +424,21 @@
     pub fn link_in_turn(&self, turn: u64) -> Option<Rc<PeerLink>> {
         let own = self.own.borrow();
         let table = self.table.borrow();
-        let is_head = self.zone_order(&own.zone).heads().contains(&own.id);
-        let goes_far = is_head && turn.is_multiple_of(FAR_TURNS);
-        let mut ids = Vec::new();
-        for zone in zones(&table) {
-            match (zone == own.zone, goes_far) {
-                (true, false) => ids.extend(self.zone_order(&zone).members()),
-                (false, true) => ids.extend_from_slice(self.zone_order(&zone).heads()),
-                _ => {}
+        let order = self.zone_order(&own.zone);
+        let goes_far = order.is_head(&own.id) && turn.is_multiple_of(FAR_TURNS);
+        let (ids, turn) = match goes_far {
+            true => {
+                let far = table.iter().filter(|record| record.zone != own.zone);
+                (self.heads_of(zones(far)), turn / FAR_TURNS)
             }
-        }
-        let mut links: Vec<Rc<PeerLink>> = ids.iter().filter_map(|id| self.link(id)).collect();
-        let index = usize::try_from(turn / FAR_TURNS).ok()?;
-        let index = match goes_far {
-            true => index.checked_rem(links.len())?,
-            false => usize::try_from(turn).ok()?.checked_rem(links.len())?,
+            false => (order.members(), turn),
         };
+        let mut links: Vec<Rc<PeerLink>> = ids.iter().filter_map(|id| self.link(id)).collect();
+        let index = usize::try_from(turn).ok()?.checked_rem(links.len())?;
         Some(links.swap_remove(index))
     }
 }
 
-fn zones(table: &MemberTable) -> BTreeSet<ZoneName> {
-    table.iter().map(|record| record.zone.clone()).collect()
+fn zones<'r>(records: impl Iterator<Item = &'r MemberRecord>) -> BTreeSet<ZoneName> {
+    records.map(|record| record.zone.clone()).collect()
 }
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -16,7 +16,7 @@
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::member_table::RolloutStage;
 use crate::sidecar::peer_link::carry_frames;
-use crate::sidecar::request_server::accept_pause;
+use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sidecar_state::SidecarState;
 
 /// Frames that may wait on a connection; beyond that the other side does not read.
@@ -26,14 +26,10 @@
 
 /// Serves other daemons until the daemon ends.
 pub async fn serve_peers(state: Rc<SidecarState>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_peer(Rc::clone(&state), stream));
-            }
-            Err(error) => accept_pause("peers", &error).await,
-        }
-    }
+    accept_each(&listener, "peers", |stream| {
+        tokio::task::spawn_local(serve_peer(Rc::clone(&state), stream));
+    })
+    .await;
 }
 
 async fn serve_peer(state: Rc<SidecarState>, stream: TcpStream) {
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -1,7 +1,6 @@
 //! Serves the clients and the endpoint on the own VM.
 
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -82,28 +81,31 @@
     listener: TcpListener,
     mut stopping: watch::Receiver<bool>,
 ) {
+    let stop = stopping.clone();
+    let accepting = accept_each(&listener, "requests", |stream| {
+        tokio::task::spawn_local(serve_client(Rc::clone(&state), stream, stop.clone()));
+    });
+    tokio::select! {
+        () = accepting => {}
+        _ = stopping.changed() => {}
+    }
+}
+
+/// Hands each connection to `serve`; failures to accept one are logged, and followed by a pause.
+pub async fn accept_each(listener: &TcpListener, name: &str, serve: impl Fn(TcpStream)) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopping.changed() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let client = serve_client(Rc::clone(&state), stream, stopping.clone());
-                tokio::task::spawn_local(client);
+        match listener.accept().await {
+            Ok((stream, _)) => serve(stream),
+            Err(error) => {
+                let what = json!({"name": "accept_failed", "listener": name,
+                    "reason": error.to_string()});
+                warn!(target: DAEMON, "{what}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
-            Err(error) => accept_pause("requests", &error).await,
         }
     }
 }
 
-/// Logs that a connection could not be accepted, and waits a little.
-pub async fn accept_pause(listener: &str, error: &io::Error) {
-    let what = json!({"name": "accept_failed", "listener": listener, "reason": error.to_string()});
-    warn!(target: DAEMON, "{what}");
-    tokio::time::sleep(ACCEPT_PAUSE).await;
-}
-
 async fn serve_client(
     state: Rc<SidecarState>,
     stream: TcpStream,
--- a/coltsfootweir/src/sidecar/spread.rs
+++ b/coltsfootweir/src/sidecar/spread.rs
@@ -76,6 +76,12 @@
         &self.members[..self.members.len().min(ZONE_HEADS)]
     }
 
+    /// Returns whether `id` speaks for the zone.
+    #[must_use]
+    pub fn is_head(&self, id: &MemberId) -> bool {
+        self.heads().contains(id)
+    }
+
     /// Returns the daemon that hands configurations to `id`; `None` for the first one.
     #[must_use]
     pub fn parent(&self, id: &MemberId) -> Option<&MemberId> {
@@ -103,7 +109,7 @@
             _ => ZONE_TIME,
         };
         AskScope {
-            any_near: self.heads().contains(id) || waited >= PARENT_TIME,
+            any_near: self.is_head(id) || waited >= PARENT_TIME,
             far: waited >= far_time,
         }
     }
--- a/coltsfootweir/tests/sidecar_members.rs
+++ b/coltsfootweir/tests/sidecar_members.rs
@@ -1,31 +1,26 @@
 //! Member records of sidecars: which one counts, who watches the store, addresses used again.
 
+mod member_records;
+
 use std::collections::HashSet;
 use std::time::Duration;
 
 use coltsfootweir::ids::MemberId;
 use coltsfootweir::sidecar::member_desk::LinkScope;
 use coltsfootweir::sidecar::member_desk::MemberDesk;
-use coltsfootweir::sidecar::member_table::HostSize;
 use coltsfootweir::sidecar::member_table::MemberRecord;
 use coltsfootweir::sidecar::member_table::MemberTable;
 use coltsfootweir::sidecar::member_table::StoreReach;
 use proptest::prelude::*;
 
+use member_records::first_record;
+
 fn record(id: &str, incarnation: u64, counter: u64, store: StoreReach) -> MemberRecord {
     MemberRecord {
-        id: id.into(),
         incarnation,
         counter,
-        address: "10.0.0.1:80".parse().expect("an address"),
-        region: "north".into(),
-        zone: "a".into(),
-        size: HostSize::default(),
-        is_leaving: false,
         store,
-        endpoint: None,
-        stances: Vec::new(),
-        crashes: Vec::new(),
+        ..first_record(id)
     }
 }
 
--- a/coltsfootweir/tests/sidecar_spread.rs
+++ b/coltsfootweir/tests/sidecar_spread.rs
@@ -1,16 +1,19 @@
 //! Who passes news and configurations on, for zones of any size.
 
+mod member_records;
+
 use std::time::Duration;
 
 use coltsfootweir::sidecar::member_table::HostSize;
 use coltsfootweir::sidecar::member_table::MemberRecord;
 use coltsfootweir::sidecar::member_table::MemberTable;
-use coltsfootweir::sidecar::member_table::StoreReach;
 use coltsfootweir::sidecar::spread::ZoneOrder;
 use proptest::prelude::any;
 use proptest::prelude::prop;
 use proptest::proptest;
 
+use member_records::first_record;
+
 /// Daemons to which one may hand a configuration: what half a second on a link of 10 Mbit/s takes.
 const MOST_COPIES: usize = 4;
 
@@ -26,18 +29,9 @@
 
 fn record(id: &str, zone: &str, size: HostSize) -> MemberRecord {
     MemberRecord {
-        id: id.into(),
-        incarnation: 1,
-        counter: 1,
-        address: "10.0.0.1:80".parse().expect("an address"),
-        region: "north".into(),
         zone: zone.into(),
         size,
-        is_leaving: false,
-        store: StoreReach::Unknown,
-        endpoint: None,
-        stances: Vec::new(),
-        crashes: Vec::new(),
+        ..first_record(id)
     }
 }
 
