Order runs and lifetimes when the time of day was set back

Cause: a daemon or an endpoint that starts after its clock was set back has a lower number than its earlier run, and was passed over for as long as the earlier one was remembered. Change: who holds a record of a later run answers with it, and the daemon takes a higher number; an endpoint that seems older is taken when the one in place is down and it goes on announcing itself.

--- a/coltsfootweir/src/sidecar/announcement.rs
+++ b/coltsfootweir/src/sidecar/announcement.rs
@@ -77,6 +77,9 @@
     last_announced: Duration,
     is_down: bool,
     departed: Vec<(EndpointId, StartMillis)>,
+    /// Last announcement of a lifetime that seems older than the current one, received while that
+    /// one was down.
+    challenger: Option<(EndpointId, StartMillis, u64)>,
 }
 
 impl EndpointRegister {
@@ -104,7 +107,7 @@
         };
         if current.id != announcement.id || current.born != announcement.born {
             if announcement.born < current.born {
-                return RegisterChange::PassedOver("an older lifetime than the one in place");
+                return self.challenge(announcement, now);
             }
             return self.replace(announcement, now);
         }
@@ -181,6 +184,29 @@
         }
     }
 
+    /// Handles the announcement of a lifetime that seems older than the current one. A single one may
+    /// be late. If the current lifetime is down and the other one goes on announcing itself, the time
+    /// of day was set back before it started.
+    fn challenge(&mut self, announcement: EndpointAnnouncement, now: Duration) -> RegisterChange {
+        let passed_over = RegisterChange::PassedOver("an older lifetime than the one in place");
+        if !self.is_down {
+            self.challenger = None;
+            return passed_over;
+        }
+        let known = self.challenger.take();
+        let goes_on = known.is_some_and(|(id, born, sequence)| {
+            id == announcement.id && born == announcement.born && sequence < announcement.sequence
+        });
+        if !goes_on {
+            let id = announcement.id.clone();
+            self.challenger = Some((id, announcement.born, announcement.sequence));
+            return passed_over;
+        }
+        // The lifetime in place is not noted as departed: should it go on, it is the younger one.
+        self.current = None;
+        self.replace(announcement, now)
+    }
+
     fn replace(&mut self, announcement: EndpointAnnouncement, now: Duration) -> RegisterChange {
         if let Some(old) = self.current.take() {
             self.add_departed(old.id, old.born);
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -122,6 +122,7 @@
         let mut updates = Vec::new();
         for record in records {
             if record.id == own {
+                self.outdate(record);
                 continue;
             }
             if self.table.borrow_mut().merge(record) {
@@ -133,6 +134,35 @@
         updates
     }
 
+    /// Makes the own record newer than one of an earlier run of this daemon. The earlier run may seem
+    /// to be the later one, as the time of day tells them apart and may have been set back.
+    fn outdate(&self, earlier: &MemberRecord) {
+        let mut own = self.own.borrow_mut();
+        if earlier.incarnation <= own.incarnation {
+            return;
+        }
+        own.incarnation = earlier.incarnation + 1;
+        self.table.borrow_mut().merge(&own);
+        self.changed.borrow_mut().insert(own.id.clone());
+    }
+
+    /// Returns the records of later runs than those of `records`. A daemon that sends an old record
+    /// gets them in return, so that it learns of its successor, or that its own run is taken for an
+    /// earlier one.
+    #[must_use]
+    pub fn later_runs(&self, records: &[MemberRecord]) -> Vec<MemberRecord> {
+        let table = self.table.borrow();
+        let mut later = Vec::new();
+        for record in records {
+            let held = table.get(&record.id);
+            later.extend(
+                held.filter(|held| held.incarnation > record.incarnation)
+                    .cloned(),
+            );
+        }
+        later
+    }
+
     /// Records the generation of the configuration in force on another daemon.
     pub fn record_config_version(&self, id: MemberId, version: Generation) {
         self.config_versions.borrow_mut().insert(id, version);
--- a/coltsfootweir/tests/sidecar_announcements.rs
+++ b/coltsfootweir/tests/sidecar_announcements.rs
@@ -159,3 +159,36 @@
         }
     }
 }
+
+/// Time of day set back between two lifetimes: the second one seems to have started before the first.
+#[test]
+fn lifetime_started_with_the_clock_set_back_takes_over_from_a_silent_one() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, announcement("i-1", 5_000, 7, false));
+    // While the first one is up, the other is taken for an older one, however often it is heard.
+    for sequence in 1..4 {
+        let change = announce(&mut register, announcement("i-2", 3_000, sequence, false));
+        assert!(
+            matches!(change, RegisterChange::PassedOver(_)),
+            "{change:?}"
+        );
+    }
+    assert!(register.mark_down());
+    // A single announcement may be a late one.
+    let change = announce(&mut register, announcement("i-2", 3_000, 4, false));
+    assert!(
+        matches!(change, RegisterChange::PassedOver(_)),
+        "{change:?}"
+    );
+    let change = announce(&mut register, announcement("i-2", 3_000, 4, false));
+    assert!(
+        matches!(change, RegisterChange::PassedOver(_)),
+        "{change:?}"
+    );
+    let change = announce(&mut register, announcement("i-2", 3_000, 5, false));
+    assert_eq!(change, RegisterChange::Replaced);
+    assert_eq!(register.current().map(|current| &*current.id), Some("i-2"));
+    // The first one was only silent.
+    let change = announce(&mut register, announcement("i-1", 5_000, 8, false));
+    assert_eq!(change, RegisterChange::Replaced);
+}
