--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -1,20 +1,21 @@
 //! Routing of one client request: choice of an endpoint, retries, hedging and the final result.
 
+mod endpoint_choice;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::time::Duration;
 
-use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::balance::Candidate;
-use crate::deadline::LINK_RETURN_MARGIN;
-use crate::deadline::RETURN_MARGIN;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
 use crate::ids::VersionName;
-use crate::member::EndpointPhase;
 use crate::retry::RetryBudget;
+use crate::sidecar::answer::answer_hold::HeldBytes;
+use crate::sidecar::answer::answer_rest::AnswerRest;
+use crate::sidecar::answer::answer_rest::BodyPiece;
+use crate::sidecar::call_attempts::endpoint_choice::ChosenEndpoint;
 use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
@@ -24,10 +25,8 @@
 use crate::sidecar::frame::UnknownCause;
 use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::local_endpoint::wall_ms;
-use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
-use crate::sidecar::rollout::VersionChoice;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -51,10 +50,6 @@
 /// for the transfer from and to the client.
 const TARGET_SHARE: f64 = 0.9;
 
-/// Factor on the slots of endpoints in the local region, in tenths: a short wait there costs
-/// callers less time than the round trip to another region.
-const LOCAL_SLOT_TENTHS: u16 = 14;
-
 /// A request and the state of its attempts.
 pub struct CallAttempts<'a> {
     state: &'a SidecarState,
@@ -76,16 +71,18 @@
 pub struct AttemptsEnd {
     /// Result of the request.
     pub result: CallResult,
+    /// Rest of the answer, if it is too long to be held back.
+    pub rest: Option<AnswerRest>,
     /// Daemons that were tried, in order.
     pub tried: Vec<MemberId>,
     /// Number of endpoints that received the request.
     pub reached: u32,
 }
 
-#[derive(Clone)]
-struct ChosenEndpoint {
-    member: MemberId,
-    version: VersionName,
+/// Result of one attempt, and the rest of the answer if there is more than the result holds.
+struct AttemptEnd {
+    result: CallResult,
+    rest: Option<AnswerRest>,
 }
 
 impl<'a> CallAttempts<'a> {
@@ -125,25 +122,26 @@
     pub async fn run(self, call: &ForwardedCall) -> AttemptsEnd {
         self.with_budget(RetryBudget::on_call);
         let mut last_failure = None;
-        let result = loop {
+        let end = loop {
             let Some(chosen) = self.choose() else {
-                break self.no_endpoint_result();
+                break AttemptEnd::from(self.no_endpoint_result());
             };
-            let result = self.attempt_with_hedge(call, chosen).await;
-            if !self.should_retry(&result) {
-                break result;
+            let end = self.attempt_with_hedge(call, chosen).await;
+            if !self.should_retry(&end.result) {
+                break end;
             }
-            if is_failure(&result) {
-                last_failure = Some(result);
+            if is_failure(&end.result) {
+                last_failure = Some(end);
             }
         };
         // `NotRun` states that the request did not run, so it must hold for all attempts.
-        let result = match (result, last_failure) {
+        let end = match (&end.result, last_failure) {
             (CallResult::NotRun(_), Some(failure)) => failure,
-            (result, _) => result,
+            _ => end,
         };
         AttemptsEnd {
-            result,
+            result: end.result,
+            rest: end.rest,
             tried: self.tried.into_inner(),
             reached: self.reached.get(),
         }
@@ -151,7 +149,7 @@
 
     /// Sends the request to an endpoint, and to a second one when the response is overdue: it may be
     /// lost, or the endpoint may be much slower than others.
-    async fn attempt_with_hedge(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
+    async fn attempt_with_hedge(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> AttemptEnd {
         let Some(hedge_delay) = self.hedge_delay() else {
             return self.attempt(call, chosen).await;
         };
@@ -159,34 +157,34 @@
         let start = self.state.now();
         let first = self.attempt(call, chosen);
         tokio::pin!(first);
-        if let Ok(result) = tokio::time::timeout(hedge_delay, &mut first).await {
-            return result;
+        if let Ok(end) = tokio::time::timeout(hedge_delay, &mut first).await {
+            return end;
         }
         let Some(chosen) = self.choose_hedge() else {
             return first.await;
         };
         let second = self.attempt(call, chosen);
         tokio::pin!(second);
-        let (result, is_second) = tokio::select! {
-            result = &mut first => (result, false),
-            result = &mut second => (result, true),
+        let (end, is_second) = tokio::select! {
+            end = &mut first => (end, false),
+            end = &mut second => (end, true),
         };
-        let is_good = matches!(result, CallResult::Answer { .. }) && !is_failure(&result);
+        let is_good = matches!(end.result, CallResult::Answer { .. }) && !is_failure(&end.result);
         if !is_good {
             let other = match is_second {
                 true => first.await,
                 false => second.await,
             };
             // `NotRun` states that the request did not run, so it must hold for both attempts.
-            return match other {
-                CallResult::NotRun(_) => result,
-                other => other,
+            return match other.result {
+                CallResult::NotRun(_) => end,
+                _ => other,
             };
         }
         if is_second {
             self.count_straggler(&slow, start);
         }
-        result
+        end
     }
 
     /// Counts an attempt that is cancelled because the hedged one was answered first.
@@ -202,6 +200,11 @@
     /// Returns the delay before the request is sent to a second endpoint; `None` when it must not run
     /// twice or there is no time for it.
     fn hedge_delay(&self) -> Option<Duration> {
+        // The answer may be late because it waits for the network connection of its VM; a second one
+        // of that size would only make others wait.
+        if self.has_large_answer() {
+            return None;
+        }
         let run = self.expected_run();
         let hedge_delay = run.mul_f64(HEDGE_RUN_FACTOR);
         let left = self.deadline.saturating_sub(self.state.now());
@@ -214,6 +217,11 @@
         run_times.expected(self.route_hash)
     }
 
+    fn has_large_answer(&self) -> bool {
+        let sizes = self.state.routing.answer_sizes.borrow();
+        sizes.is_large(self.route_hash)
+    }
+
     fn choose_hedge(&self) -> Option<ChosenEndpoint> {
         if !self.may_repeat() {
             return None;
@@ -226,7 +234,7 @@
         Some(chosen)
     }
 
-    async fn attempt(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> CallResult {
+    async fn attempt(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> AttemptEnd {
         let start = self.state.now();
         let is_first = self.tried.borrow().is_empty();
         self.tried.borrow_mut().push(chosen.member.clone());
@@ -245,13 +253,18 @@
         };
         let mut running = RunningCall::start(self.state, &chosen.member);
         let own = self.state.settings().id.clone();
-        let (load, result) = match chosen.member == own {
+        let (load, begun) = match chosen.member == own {
             true => {
-                let result = self.state.run_locally(&call).await;
-                (Some(self.state.endpoint.load()), result)
+                let answer = self.state.run_locally(&call, Duration::ZERO).await;
+                let end = AttemptEnd {
+                    result: answer.result,
+                    rest: answer.rest,
+                };
+                (Some(self.state.endpoint.load()), end)
             }
             false => self.run_remote(&chosen.member, call).await,
         };
+        let AttemptEnd { result, rest } = self.hold_back(begun).await;
         running.end(load, &result);
         if let CallResult::Answer { run_ms, .. } = &result {
             let run = Duration::from_millis(u64::from(*run_ms));
@@ -262,7 +275,74 @@
             self.reached.set(self.reached.get() + 1);
             self.count_version(&chosen.version, &result, self.state.now() - start);
         }
-        result
+        AttemptEnd { result, rest }
+    }
+
+    /// Waits for the rest of an answer, so that one that breaks off can be replaced. A rest that is
+    /// too long to be held back, or not complete at the deadline, is returned.
+    async fn hold_back(&self, begun: AttemptEnd) -> AttemptEnd {
+        let (result, mut rest) = match begun {
+            AttemptEnd {
+                result,
+                rest: Some(rest),
+            } => (result, rest),
+            whole => {
+                self.record_size(&whole.result);
+                return whole;
+            }
+        };
+        let CallResult::Answer {
+            status,
+            headers,
+            body,
+            run_ms,
+        } = result
+        else {
+            return AttemptEnd::from(result);
+        };
+        let mut held = HeldBytes::new(&self.state.routing.hold_budget, body);
+        let mut is_whole = false;
+        while held.has_room() {
+            let left = self.deadline.saturating_sub(self.state.now());
+            let Ok(piece) = tokio::time::timeout(left, rest.next()).await else {
+                break;
+            };
+            match piece {
+                BodyPiece::Data(bytes) => held.add(&bytes),
+                BodyPiece::End => {
+                    is_whole = true;
+                    break;
+                }
+                BodyPiece::Broken => {
+                    return AttemptEnd::from(CallResult::Unknown(UnknownCause::AnswerBroken));
+                }
+                BodyPiece::Stalled if self.may_repeat() => {
+                    return AttemptEnd::from(CallResult::Unknown(UnknownCause::LinkLost));
+                }
+                BodyPiece::Stalled => {}
+            }
+        }
+        let result = CallResult::Answer {
+            status,
+            headers,
+            body: held.take(),
+            run_ms,
+        };
+        if is_whole {
+            self.record_size(&result);
+            return AttemptEnd::from(result);
+        }
+        AttemptEnd {
+            result,
+            rest: Some(rest),
+        }
+    }
+
+    fn record_size(&self, result: &CallResult) {
+        if let CallResult::Answer { body, .. } = result {
+            let mut sizes = self.state.routing.answer_sizes.borrow_mut();
+            sizes.record(self.route_hash, body.len() as u64);
+        }
     }
 
     /// Returns the result of a request for which no further endpoint can be chosen.
@@ -277,47 +357,23 @@
         })
     }
 
-    /// Returns whether an endpoint has a free slot in the local region, or is expected to finish a
-    /// request sent now by its target time. Records the expected wait otherwise.
-    fn has_capacity(&self, record: &MemberRecord, slots: u16, is_local: bool) -> bool {
-        let now = self.state.now();
-        let load = self.state.routing.chooser.borrow().load(&record.id, now);
-        let reported = self.state.routing.endpoint_loads.borrow();
-        let note = reported.note(&record.id);
-        let behind = note.map_or(0, |note| note.waiting_behind(self.route.rank));
-        let mean = note.map_or(0, |note| note.run_ms);
-        let mean = Duration::from_millis(u64::from(mean));
-        let ahead = (load + 1).saturating_sub(u32::from(slots) + u32::from(behind));
-        if ahead > 0 && is_local {
-            self.state.members.link_other_regions(now);
-        }
-        let wait = mean * ahead / u32::from(slots.max(1));
-        let round_trip = match is_local {
-            true => RETURN_MARGIN,
-            false => LINK_RETURN_MARGIN * 2,
-        };
-        let run = self.expected_run();
-        let has_capacity =
-            ahead == 0 && is_local || now + round_trip + wait + run <= self.finish_by;
-        if !has_capacity {
-            let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
-            self.shortest_wait.set(Some(shortest));
-        }
-        has_capacity
-    }
-
     async fn run_remote(
         &self,
         member: &MemberId,
         call: ForwardedCall,
-    ) -> (Option<EndpointLoad>, CallResult) {
+    ) -> (Option<EndpointLoad>, AttemptEnd) {
+        let unreachable = || (None, AttemptEnd::from(not_run(NotRunCause::Unreachable)));
         let Some(link) = self.state.members.link(member) else {
-            return (None, not_run(NotRunCause::Unreachable));
+            return unreachable();
         };
-        match link.call(call, || self.may_repeat()).await {
-            LinkOutcome::Replied(load, result) => (Some(load), result),
-            LinkOutcome::NotSent => (None, not_run(NotRunCause::Unreachable)),
-            LinkOutcome::Lost => (None, CallResult::Unknown(UnknownCause::LinkLost)),
+        let sent_ms = u64::try_from(self.state.now().as_millis()).unwrap_or(u64::MAX);
+        match link.call(call, sent_ms, || self.may_repeat()).await {
+            LinkOutcome::Replied(load, result, rest) => (Some(load), AttemptEnd { result, rest }),
+            LinkOutcome::NotSent => unreachable(),
+            LinkOutcome::Lost => {
+                let lost = CallResult::Unknown(UnknownCause::LinkLost);
+                (None, AttemptEnd::from(lost))
+            }
         }
     }
 
@@ -370,95 +426,6 @@
         })
     }
 
-    fn is_usable(&self, record: &MemberRecord) -> bool {
-        let Some(endpoint) = &record.endpoint else {
-            return false;
-        };
-        let is_own = record.id == self.state.settings.borrow().id;
-        endpoint.service == self.service
-            && endpoint.phase == EndpointPhase::Ready
-            && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
-    }
-
-    fn choose(&self) -> Option<ChosenEndpoint> {
-        let share = self.state.settings.borrow().bounds.canary_share;
-        let rollouts = self.state.rollouts.borrow();
-        let rollout = rollouts.get(&self.service);
-        let choice = rollout.map(|rollout| {
-            let point = rand::rng().random_range(0.0..1.0);
-            (rollout.choose(share, point), rollout.order.version.clone())
-        });
-        drop(rollouts);
-        let Some((choice, version)) = choice else {
-            return self.choose_version(|_| true);
-        };
-        match choice {
-            VersionChoice::OnlyNew => self.choose_version(|other| *other == version),
-            VersionChoice::Old => self.choose_version(|other| *other != version),
-            VersionChoice::New => self
-                .choose_version(|other| *other == version)
-                .or_else(|| self.choose_version(|other| *other != version)),
-        }
-    }
-
-    fn choose_version(&self, fits: impl Fn(&VersionName) -> bool) -> Option<ChosenEndpoint> {
-        let region = self.state.settings.borrow().region.clone();
-        let tried = self.tried.borrow();
-        let now = self.state.now();
-        let run = self.expected_run();
-        self.state.members.read(|table| {
-            let mut candidates = Vec::new();
-            let mut versions = Vec::new();
-            let mut tried_records = tried.iter().filter_map(|id| table.get(id));
-            // The round trip to another region is too long to be refused there twice.
-            let tried_remote = tried_records.any(|record| record.region != region);
-            let mut is_served_locally = false;
-            let usable: Vec<_> = table
-                .iter()
-                .filter(|record| self.is_usable(record))
-                .collect();
-            let reported = self.state.routing.endpoint_loads.borrow();
-            let ids = usable.iter().map(|record| &record.id);
-            let service_mean = reported.service_mean(ids, now);
-            for record in usable {
-                let endpoint = record.endpoint.as_ref()?;
-                if !fits(&endpoint.version) {
-                    continue;
-                }
-                let is_local = record.region == region;
-                is_served_locally |= is_local;
-                let is_remote_again = !is_local && tried_remote;
-                if is_remote_again || !self.has_capacity(record, endpoint.slots, is_local) {
-                    continue;
-                }
-                let slots = match is_local {
-                    true => endpoint.slots.saturating_mul(LOCAL_SLOT_TENTHS) / 10,
-                    false => endpoint.slots,
-                };
-                let pace = reported.relative_run_time(&record.id, service_mean);
-                versions.push(&endpoint.version);
-                candidates.push(Candidate {
-                    id: &record.id,
-                    zone: &record.zone,
-                    region: &record.region,
-                    slots,
-                    reachable: true,
-                    run_time_ratio: pace,
-                    is_late: now + run.mul_f64(pace) > self.finish_by,
-                });
-            }
-            if !is_served_locally {
-                self.state.members.link_other_regions(now);
-            }
-            let mut chooser = self.state.routing.chooser.borrow_mut();
-            let index = chooser.choose(&candidates, &tried, now)?;
-            Some(ChosenEndpoint {
-                member: candidates[index].id.clone(),
-                version: versions[index].clone(),
-            })
-        })
-    }
-
     fn count_version(&self, version: &VersionName, result: &CallResult, time: Duration) {
         let mut rollouts = self.state.rollouts.borrow_mut();
         if let Some(rollout) = rollouts.get_mut(&self.service) {
@@ -479,6 +446,12 @@
     }
 }
 
+impl From<CallResult> for AttemptEnd {
+    fn from(result: CallResult) -> AttemptEnd {
+        AttemptEnd { result, rest: None }
+    }
+}
+
 /// Converts a time to whole milliseconds, at most `u32::MAX`.
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- /dev/null
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -0,0 +1,166 @@
+//! Choice of the endpoint for an attempt.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::balance::Candidate;
+use crate::deadline::LINK_RETURN_MARGIN;
+use crate::deadline::RETURN_MARGIN;
+use crate::ids::MemberId;
+use crate::ids::VersionName;
+use crate::member::EndpointPhase;
+use crate::sidecar::call_attempts::CallAttempts;
+use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::rollout::VersionChoice;
+
+/// Factor on the slots of endpoints in the local region, in tenths: a short wait there costs
+/// callers less time than the round trip to another region.
+const LOCAL_SLOT_TENTHS: u16 = 14;
+
+/// The endpoint for an attempt.
+#[derive(Clone)]
+pub(super) struct ChosenEndpoint {
+    pub(super) member: MemberId,
+    pub(super) version: VersionName,
+}
+
+impl CallAttempts<'_> {
+    /// Returns whether the endpoint of a daemon can be reached and runs the service.
+    pub(super) fn is_usable(&self, record: &MemberRecord) -> bool {
+        let Some(endpoint) = &record.endpoint else {
+            return false;
+        };
+        let is_own = record.id == self.state.settings.borrow().id;
+        endpoint.service == self.service
+            && endpoint.phase == EndpointPhase::Ready
+            && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
+    }
+
+    /// Chooses an endpoint of the version that the request goes to during a rollout.
+    pub(super) fn choose(&self) -> Option<ChosenEndpoint> {
+        let share = self.state.settings.borrow().bounds.canary_share;
+        let rollouts = self.state.rollouts.borrow();
+        let rollout = rollouts.get(&self.service);
+        let choice = rollout.map(|rollout| {
+            let point = rand::rng().random_range(0.0..1.0);
+            (rollout.choose(share, point), rollout.order.version.clone())
+        });
+        drop(rollouts);
+        let Some((choice, version)) = choice else {
+            return self.choose_version(|_| true);
+        };
+        match choice {
+            VersionChoice::OnlyNew => self.choose_version(|other| *other == version),
+            VersionChoice::Old => self.choose_version(|other| *other != version),
+            VersionChoice::New => self
+                .choose_version(|other| *other == version)
+                .or_else(|| self.choose_version(|other| *other != version)),
+        }
+    }
+
+    fn choose_version(&self, fits: impl Fn(&VersionName) -> bool) -> Option<ChosenEndpoint> {
+        let region = self.state.settings.borrow().region.clone();
+        let tried = self.tried.borrow();
+        let now = self.state.now();
+        let run = self.expected_run();
+        self.state.members.read(|table| {
+            let mut candidates = Vec::new();
+            let mut versions = Vec::new();
+            let mut tried_records = tried.iter().filter_map(|id| table.get(id));
+            // The round trip to another region is too long to be refused there twice.
+            let tried_remote = tried_records.any(|record| record.region != region);
+            let mut is_served_locally = false;
+            let has_large_answer = self.has_large_answer();
+            let mut own = None;
+            let usable: Vec<_> = table
+                .iter()
+                .filter(|record| self.is_usable(record))
+                .collect();
+            let reported = self.state.routing.endpoint_loads.borrow();
+            let ids = usable.iter().map(|record| &record.id);
+            let service_mean = reported.service_mean(ids, now);
+            for record in usable {
+                let endpoint = record.endpoint.as_ref()?;
+                if !fits(&endpoint.version) {
+                    continue;
+                }
+                let is_local = record.region == region;
+                is_served_locally |= is_local;
+                let is_remote_again = !is_local && tried_remote;
+                if is_remote_again || !self.has_capacity(record, endpoint.slots, is_local) {
+                    continue;
+                }
+                let slots = match is_local {
+                    true => endpoint.slots.saturating_mul(LOCAL_SLOT_TENTHS) / 10,
+                    false => endpoint.slots,
+                };
+                let mut pace = reported.relative_run_time(&record.id, service_mean);
+                if has_large_answer && !run.is_zero() {
+                    let wait = reported.uplink_wait(&record.id, now);
+                    pace *= 1.0 + wait.as_secs_f64() / run.as_secs_f64();
+                }
+                if record.id == self.state.settings.borrow().id {
+                    own = Some(candidates.len());
+                }
+                versions.push(&endpoint.version);
+                candidates.push(Candidate {
+                    id: &record.id,
+                    zone: &record.zone,
+                    region: &record.region,
+                    slots,
+                    reachable: true,
+                    run_time_ratio: pace,
+                    is_late: now + run.mul_f64(pace) > self.finish_by,
+                });
+            }
+            if !is_served_locally {
+                self.state.members.link_other_regions(now);
+            }
+            let mut chooser = self.state.routing.chooser.borrow_mut();
+            let chosen = chooser.choose(&candidates, &tried, now)?;
+            // A large answer of the endpoint on this VM needs no network.
+            let own = own.filter(|own| has_large_answer && !tried.contains(candidates[*own].id));
+            let index = own.unwrap_or(chosen);
+            Some(ChosenEndpoint {
+                member: candidates[index].id.clone(),
+                version: versions[index].clone(),
+            })
+        })
+    }
+
+    /// Returns whether an endpoint has a free slot in the local region, or is expected to finish a
+    /// request sent now by its target time. Records the expected wait otherwise.
+    fn has_capacity(&self, record: &MemberRecord, slots: u16, is_local: bool) -> bool {
+        let now = self.state.now();
+        let load = self.state.routing.chooser.borrow().load(&record.id, now);
+        let reported = self.state.routing.endpoint_loads.borrow();
+        let note = reported.note(&record.id);
+        let behind = note.map_or(0, |note| note.waiting_behind(self.route.rank));
+        let mean = note.map_or(0, |note| note.run_ms);
+        let mean = Duration::from_millis(u64::from(mean));
+        let ahead = (load + 1).saturating_sub(u32::from(slots) + u32::from(behind));
+        let wait = mean * ahead / u32::from(slots.max(1));
+        // Large answers wait for those before them, while the request waits and runs.
+        let uplink_wait = match self.has_large_answer() {
+            true => reported.uplink_wait(&record.id, now),
+            false => Duration::ZERO,
+        };
+        let round_trip = match is_local {
+            true => RETURN_MARGIN,
+            false => LINK_RETURN_MARGIN * 2,
+        };
+        let run = self.expected_run();
+        if is_local && (ahead > 0 || uplink_wait > run) {
+            self.state.members.link_other_regions(now);
+        }
+        let has_capacity = ahead == 0 && is_local && uplink_wait <= run
+            || now + round_trip + uplink_wait.max(wait + run) <= self.finish_by;
+        if !has_capacity {
+            let wait = wait.max(uplink_wait);
+            let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
+            self.shortest_wait.set(Some(shortest));
+        }
+        has_capacity
+    }
+}
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -140,6 +140,14 @@
     metrics.set("endpoint_waiting", u64::from(load.total_waiting()));
     metrics.set("endpoint_connections", state.endpoint.connections_opened());
     metrics.set("log_lines_dropped", dropped_lines());
+    let (backlog, rate, window) = state.uplink.figures();
+    metrics.set("uplink_backlog_bytes", backlog);
+    metrics.set("uplink_bytes_per_second", rate);
+    metrics.set("uplink_window_bytes", window);
+    metrics.set(
+        "answers_held_bytes",
+        state.routing.hold_budget.held() as u64,
+    );
     Bytes::from(metrics.text())
 }
 
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -50,7 +50,8 @@
     pub left_ms: u32,
     /// Part of `left_ms` that the request may wait for a slot, in milliseconds.
     pub wait_ms: u32,
-    /// Time when the request was sent, in milliseconds since the Unix epoch.
+    /// Time when the request was sent, in milliseconds since the Unix epoch. Used only between
+    /// daemons of which one has no [`PeerFrame::TimedCall`].
     pub sent_at_ms: u64,
 }
 
@@ -75,6 +76,23 @@
     Unknown(UnknownCause),
 }
 
+/// Beginning of an answer whose rest follows in pieces.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers to forward.
+    pub headers: HeaderList,
+    /// Length of the whole body in bytes, if the endpoint stated it.
+    pub length: Option<u64>,
+    /// Time that the request ran until the head of the answer, in milliseconds.
+    pub run_ms: u32,
+}
+
+/// Bytes of a body or of a configuration.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PieceBytes(#[serde(with = "body_bytes")] pub Vec<u8>);
+
 /// Details of a call that was not run.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct NotRunReport {
@@ -101,6 +119,8 @@
     Unreachable,
     /// Requests of the same kind crash endpoints.
     Poison,
+    /// The answer could not be sent in time over the network connection of the endpoint's VM.
+    LinkFull,
 }
 
 /// Cause for which it is not known whether a call ran.
@@ -154,8 +174,9 @@
 /// A message between daemons.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerFrame {
-    /// First frame from the side that accepted the connection: its member id. Another daemon may
-    /// have reused the address of one that is gone.
+    /// First frame of each side: its member id. Another daemon may have reused the address of one
+    /// that is gone. A side that accepted the connection and gets one knows that the other side
+    /// understands answers in pieces.
     Hello(MemberId),
     /// Requests a call.
     Call(CallNumber, Box<ForwardedCall>),
@@ -181,6 +202,43 @@
     ConfigWanted(Generation),
     /// A configuration: the changes since the requested generation, or all of it.
     Config(Box<ConfigDelta>),
+    /// Response to [`PeerFrame::Hello`] of the side that dialed: the sender understands this frame
+    /// and those below.
+    Pieces,
+    /// Requests a call. The number is the time in milliseconds since the start of the sender.
+    TimedCall(CallNumber, u64, Box<ForwardedCall>),
+    /// The beginning of an answer in pieces.
+    AnswerHead(CallNumber, EndpointLoad, Box<AnswerHead>),
+    /// The next bytes of an answer.
+    AnswerPiece(CallNumber, PieceBytes),
+    /// The end of an answer in pieces; false if the endpoint broke it off.
+    AnswerEnd(CallNumber, bool),
+    /// Numbers of bytes of an answer that were received and consumed so far.
+    AnswerCredit(CallNumber, u64, u64),
+    /// The next bytes of a [`PeerFrame::Config`], by the number of the configuration on this link.
+    ConfigPiece(u32, PieceBytes),
+    /// The end of a configuration in pieces.
+    ConfigEnd(u32),
+    /// Number of bytes of a configuration that were received so far.
+    ConfigCredit(u32, u64),
+    /// Time in milliseconds that the answers on their way from the sender's VM take.
+    UplinkLoad(u32),
+}
+
+/// Encodes a configuration that is sent in pieces.
+///
+/// # Errors
+/// [`FrameError`] if it can't be encoded.
+pub fn encode_config(delta: &ConfigDelta) -> Result<Vec<u8>, FrameError> {
+    rmp_serde::to_vec(delta).map_err(|error| FrameError(error.to_string().into()))
+}
+
+/// Decodes a configuration that was received in pieces.
+///
+/// # Errors
+/// [`FrameError`] if the bytes are not a configuration.
+pub fn decode_config(bytes: &[u8]) -> Result<ConfigDelta, FrameError> {
+    rmp_serde::from_slice(bytes).map_err(|error| FrameError(error.to_string().into()))
 }
 
 /// Error for a frame that can't be encoded or decoded.
--- a/coltsfootweir/src/sidecar/http_exchange.rs
+++ b/coltsfootweir/src/sidecar/http_exchange.rs
@@ -7,23 +7,30 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::ReadHalf;
 
-/// Maximum size of a response head, in bytes; hyper's default for its read buffer.
-const HEAD_LIMIT: usize = 64 * 1024;
+use crate::sidecar::http_body::BodyFraming;
+use crate::sidecar::http_body::BodyReader;
+use crate::sidecar::http_body::HEAD_LIMIT;
+use crate::sidecar::http_body::SocketBuffer;
 
-/// Maximum size of a response body, in bytes. A quarter of the smallest VM's memory of 160 MB is
-/// 40 MB.
+/// Maximum size of a response body that is read whole, in bytes. A quarter of the smallest VM's
+/// memory of 160 MB is 40 MB.
 const BODY_LIMIT: usize = 32 * 1024 * 1024;
 
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
 
-/// Free buffer space reserved for each read from the socket, in bytes.
-const READ_SIZE: usize = 8 * 1024;
+/// Maximum number of interim responses and of responses to other requests that are skipped before
+/// the expected one. A server sends at most a few; without a limit, such bytes may never end.
+const MAX_SKIPPED: u32 = 8;
+
+/// Maximum size of the body of a skipped response, in bytes.
+const SKIPPED_BODY_LIMIT: usize = 1024 * 1024;
+
+/// Size of the pieces in which a body is read, in bytes.
+pub const PIECE_SIZE: usize = 16 * 1024;
 
 /// A complete response.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -130,179 +137,152 @@
         &mut self,
         request: WireRequest<'_>,
     ) -> Result<HttpResponse, ExchangeError> {
-        let (reader, mut writer) = self.stream.split();
-        let mut reader = ResponseReader {
-            reader,
-            buffer: &mut self.buffer,
-        };
-        let mut response = None;
-        let written = {
+        let (mut response, mut rest) = self.begin(request, BODY_LIMIT).await?;
+        if let Some(rest) = &mut rest
+            && self.next_piece(rest).await?.is_some()
+        {
+            return Err(ExchangeError::Malformed);
+        }
+        response.is_reusable &= self.buffer.is_empty();
+        Ok(response)
+    }
+
+    /// Sends a request and reads the head of the response and at least the first `limit` bytes of
+    /// its body, up to one piece more. Returns the reader of the rest if the end has not been read.
+    ///
+    /// # Errors
+    /// [`ExchangeError`]; the server may have run the request.
+    pub async fn begin(
+        &mut self,
+        request: WireRequest<'_>,
+        limit: usize,
+    ) -> Result<(HttpResponse, Option<BodyReader>), ExchangeError> {
+        let (response, is_written) = {
+            let (reader, mut writer) = self.stream.split();
+            let mut socket = SocketBuffer {
+                reader,
+                buffer: &mut self.buffer,
+            };
             let write = writer.write_all(request.bytes);
-            let read = reader.matching_response(request);
+            let read = matching_response(&mut socket, request, limit);
             tokio::pin!(write, read);
-            tokio::select! {
-                biased;
-                result = &mut write => result.is_ok(),
-                early = &mut read => {
-                    response = Some(early);
-                    false
+            let mut written = None;
+            // A write can fail although the response arrived before the connection was reset. The same
+            // read goes on after the write, since it may have consumed a part of the response.
+            let response = loop {
+                tokio::select! {
+                    biased;
+                    result = &mut write, if written.is_none() => written = Some(result.is_ok()),
+                    response = &mut read => break response,
                 }
-            }
-        };
-        let response = match response {
-            Some(early) => early,
-            // A write can fail although the response arrived before the connection was reset.
-            None => reader.matching_response(request).await,
+            };
+            (response, written == Some(true))
         };
-        let has_no_extra_bytes = self.buffer.is_empty();
-        response.map(|response| HttpResponse {
-            is_reusable: response.is_reusable && written && has_no_extra_bytes,
-            ..response
-        })
+        let (mut response, rest) = response?;
+        let is_whole = rest.is_none();
+        response.is_reusable &= is_written && (!is_whole || self.buffer.is_empty());
+        Ok((response, rest))
     }
-}
 
-/// How the length of a body is determined.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum BodyFraming {
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
-struct ResponseReader<'a> {
-    reader: ReadHalf<'a>,
-    buffer: &'a mut Vec<u8>,
-}
-
-impl ResponseReader<'_> {
-    async fn matching_response(
+    /// Reads the next piece of a body; `None` at its end.
+    ///
+    /// # Errors
+    /// [`ExchangeError`] if the body is malformed or the connection ends before it is complete.
+    pub async fn next_piece(
         &mut self,
-        request: WireRequest<'_>,
-    ) -> Result<HttpResponse, ExchangeError> {
-        let mut skipped = false;
-        loop {
-            let response = self.response(request.is_head).await?;
-            if (100..200).contains(&response.status) {
-                continue;
-            }
-            let received = request.identity.and_then(|(name, _)| response.header(name));
-            let is_match = match (received, request.identity) {
-                (Some(received), Some((_, expected))) => received == expected,
-                _ => !skipped,
-            };
-            if is_match {
-                let is_reusable = response.is_reusable && !skipped;
-                return Ok(HttpResponse {
-                    is_reusable,
-                    ..response
-                });
-            }
-            if !response.is_reusable {
-                return Err(ExchangeError::Ended);
-            }
-            skipped = true;
-        }
+        rest: &mut BodyReader,
+    ) -> Result<Option<Vec<u8>>, ExchangeError> {
+        let (reader, _writer) = self.stream.split();
+        let mut socket = SocketBuffer {
+            reader,
+            buffer: &mut self.buffer,
+        };
+        rest.next(&mut socket, PIECE_SIZE).await
     }
 
-    async fn response(&mut self, is_head: bool) -> Result<HttpResponse, ExchangeError> {
-        let (mut response, framing) = self.head(is_head).await?;
-        match framing {
-            BodyFraming::Length(length) if length > BODY_LIMIT => {
-                return Err(ExchangeError::Malformed);
-            }
-            BodyFraming::Length(length) => {
-                self.fill(length).await?;
-                response.body = self.buffer.drain(..length).collect();
-            }
-            BodyFraming::Chunked => response.body = self.chunks().await?,
-            BodyFraming::UntilClose => {
-                while self.read_more().await? {
-                    if self.buffer.len() > BODY_LIMIT {
-                        return Err(ExchangeError::Malformed);
-                    }
-                }
-                response.body = std::mem::take(self.buffer);
-                response.is_reusable = false;
-            }
-        }
-        Ok(response)
+    /// Returns whether bytes were received that belong to no response yet.
+    #[must_use]
+    pub fn has_extra_bytes(&self) -> bool {
+        !self.buffer.is_empty()
     }
+}
 
-    async fn head(&mut self, is_head: bool) -> Result<(HttpResponse, BodyFraming), ExchangeError> {
-        loop {
-            if let Some((length, response, framing)) = parse_head(self.buffer, is_head)? {
-                self.buffer.drain(..length);
-                return Ok((response, framing));
-            }
-            if self.buffer.len() > HEAD_LIMIT {
+/// Reads responses until the one to the request. Its body is read up to `limit` bytes.
+async fn matching_response(
+    socket: &mut SocketBuffer<'_>,
+    request: WireRequest<'_>,
+    limit: usize,
+) -> Result<(HttpResponse, Option<BodyReader>), ExchangeError> {
+    let mut skipped = 0;
+    let mut interim = 0;
+    loop {
+        let (mut response, framing) = read_head(socket, request.is_head).await?;
+        if (100..200).contains(&response.status) {
+            interim += 1;
+            if interim > MAX_SKIPPED {
                 return Err(ExchangeError::Malformed);
             }
-            if !self.read_more().await? {
-                return Err(ExchangeError::Ended);
-            }
+            continue;
         }
-    }
-
-    async fn chunks(&mut self) -> Result<Vec<u8>, ExchangeError> {
-        let mut body = Vec::new();
-        loop {
-            let parsed =
-                httparse::parse_chunk_size(self.buffer).map_err(|_| ExchangeError::Malformed)?;
-            let httparse::Status::Complete((start, size)) = parsed else {
-                if self.buffer.len() > HEAD_LIMIT || !self.read_more().await? {
-                    return Err(ExchangeError::Ended);
-                }
-                continue;
-            };
-            let size = usize::try_from(size).map_err(|_| ExchangeError::Malformed)?;
-            if body.len().saturating_add(size) > BODY_LIMIT {
-                return Err(ExchangeError::Malformed);
-            }
-            if size == 0 {
-                self.buffer.drain(..start);
-                self.trailers().await?;
-                return Ok(body);
-            }
-            self.fill(start + size + 2).await?;
-            body.extend_from_slice(&self.buffer[start..start + size]);
-            if &self.buffer[start + size..start + size + 2] != b"\r\n" {
-                return Err(ExchangeError::Malformed);
-            }
-            self.buffer.drain(..start + size + 2);
+        let mut body = BodyReader::new(framing);
+        let received = request.identity.and_then(|(name, _)| response.header(name));
+        let is_match = match (received, request.identity) {
+            (Some(received), Some((_, expected))) => received == expected,
+            _ => skipped == 0,
+        };
+        if is_match {
+            response.is_reusable &= skipped == 0 && framing != BodyFraming::UntilClose;
+            let is_whole = read_body(socket, &mut body, limit, &mut response.body).await?;
+            return Ok((response, (!is_whole).then_some(body)));
         }
-    }
-
-    async fn trailers(&mut self) -> Result<(), ExchangeError> {
-        loop {
-            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
-                self.buffer.drain(..end + 2);
-                if end == 0 {
-                    return Ok(());
-                }
-                continue;
-            }
-            if self.buffer.len() > HEAD_LIMIT || !self.read_more().await? {
-                return Err(ExchangeError::Ended);
-            }
+        let mut unwanted = Vec::new();
+        let is_whole = read_body(socket, &mut body, SKIPPED_BODY_LIMIT, &mut unwanted).await?;
+        skipped += 1;
+        if !response.is_reusable || !is_whole || skipped > MAX_SKIPPED {
+            return Err(ExchangeError::Ended);
         }
     }
+}
 
-    async fn fill(&mut self, length: usize) -> Result<(), ExchangeError> {
-        while self.buffer.len() < length {
-            if !self.read_more().await? {
-                return Err(ExchangeError::Ended);
-            }
+/// Reads a body into `bytes` until its end or until there are `limit` bytes. Returns whether the
+/// end was read.
+async fn read_body(
+    socket: &mut SocketBuffer<'_>,
+    body: &mut BodyReader,
+    limit: usize,
+    bytes: &mut Vec<u8>,
+) -> Result<bool, ExchangeError> {
+    if body
+        .length()
+        .is_some_and(|length| length > BODY_LIMIT as u64)
+        && limit >= BODY_LIMIT
+    {
+        return Err(ExchangeError::Malformed);
+    }
+    while bytes.len() < limit || body.is_at_end() {
+        match body.next(socket, PIECE_SIZE).await? {
+            Some(piece) => bytes.extend_from_slice(&piece),
+            None => return Ok(true),
         }
-        Ok(())
     }
+    Ok(false)
+}
 
-    /// Reads available bytes into the buffer. Returns `false` at the end of the stream.
-    async fn read_more(&mut self) -> Result<bool, ExchangeError> {
-        self.buffer.reserve(READ_SIZE);
-        let read = self.reader.read_buf(self.buffer).await;
-        read.map(|count| count > 0)
-            .map_err(|_| ExchangeError::Ended)
+async fn read_head(
+    socket: &mut SocketBuffer<'_>,
+    is_head: bool,
+) -> Result<(HttpResponse, BodyFraming), ExchangeError> {
+    loop {
+        if let Some((length, response, framing)) = parse_head(socket.buffer, is_head)? {
+            socket.buffer.drain(..length);
+            return Ok((response, framing));
+        }
+        if socket.buffer.len() > HEAD_LIMIT {
+            return Err(ExchangeError::Malformed);
+        }
+        if !socket.read_more().await? {
+            return Err(ExchangeError::Ended);
+        }
     }
 }
 
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,6 +27,11 @@
 use crate::sidecar::announcement::EndpointDeparture;
 use crate::sidecar::announcement::EndpointRegister;
 use crate::sidecar::announcement::RegisterChange;
+use crate::sidecar::answer::answer_rest::AnswerRest;
+use crate::sidecar::answer::answer_rest::INLINE_LIMIT;
+use crate::sidecar::answer::endpoint_body::EndpointBody;
+use crate::sidecar::endpoint_request::is_connection_header;
+use crate::sidecar::endpoint_request::write_request;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::frame::ForwardedCall;
@@ -59,10 +63,6 @@
 /// Minimum time before the deadline for sending a request to the endpoint.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Age above which a call's remaining time is reduced by the age. Smaller ages are ignored, since the
-/// clocks of VMs may differ slightly.
-const MIN_LATE_AGE: Duration = Duration::from_millis(250);
-
 /// Number of announcement intervals without an announcement after which the endpoint is down.
 const SILENT_INTERVALS: u32 = 4;
 
@@ -81,7 +81,7 @@
     clock: Arc<dyn DaemonClock>,
     headers: HeaderNames,
     register: RefCell<EndpointRegister>,
-    slots: SlotQueue,
+    slots: Rc<SlotQueue>,
     idle: RefCell<Vec<IdleConnection>>,
     idle_limit: Cell<Duration>,
     poison: Rc<RefCell<PoisonTable>>,
@@ -89,10 +89,19 @@
     opened: Cell<u64>,
 }
 
+/// Result of a call at the local endpoint.
+#[derive(Debug)]
+pub struct LocalAnswer {
+    /// Result of the call, with the first bytes of the body only if there is a rest.
+    pub result: CallResult,
+    /// Rest of the answer's body.
+    pub rest: Option<AnswerRest>,
+}
+
 /// Result of a call, and the crash facts to send to the other daemons.
 pub struct CallReport {
     /// Result of the call.
-    pub result: CallResult,
+    pub answer: LocalAnswer,
     /// Crash facts to send to the other daemons.
     pub crashes: Vec<CrashFact>,
 }
@@ -106,8 +115,8 @@
         clock: Arc<dyn DaemonClock>,
         headers: HeaderNames,
         poison: Rc<RefCell<PoisonTable>>,
-    ) -> LocalEndpoint {
-        LocalEndpoint {
+    ) -> Rc<LocalEndpoint> {
+        Rc::new(LocalEndpoint {
             member,
             incarnation,
             slots: SlotQueue::new(Arc::clone(&clock)),
@@ -119,7 +128,7 @@
             poison,
             crashes: Cell::new(0),
             opened: Cell::new(0),
-        }
+        })
     }
 
     /// Applies an announcement. Ignores endpoints of another `service` or at another `address`.
@@ -221,16 +230,34 @@
         self.opened.get()
     }
 
-    /// Runs a call at the endpoint. Dropping the future cancels the call.
-    pub async fn run(&self, call: &ForwardedCall) -> CallReport {
+    /// Runs a call at the endpoint that was delayed by `delay` on its way. Dropping the future, or
+    /// the rest of the answer, cancels the call.
+    pub async fn run(self: &Rc<Self>, call: &ForwardedCall, delay: Duration) -> CallReport {
         let mut crashes = Vec::new();
-        let result = self.run_call(call, &mut crashes).await;
-        CallReport { result, crashes }
+        let mut rest = None;
+        let result = self.run_call(call, delay, &mut crashes, &mut rest).await;
+        CallReport {
+            answer: LocalAnswer { result, rest },
+            crashes,
+        }
+    }
+
+    /// Returns the time after which a call that arrives now should have run.
+    #[must_use]
+    pub fn expected_time(&self, call: &ForwardedCall) -> Duration {
+        self.slots.expected_time(call.rank, call.kind)
     }
 
-    async fn run_call(&self, call: &ForwardedCall, crashes: &mut Vec<CrashFact>) -> CallResult {
+    async fn run_call(
+        self: &Rc<Self>,
+        call: &ForwardedCall,
+        delay: Duration,
+        crashes: &mut Vec<CrashFact>,
+        rest: &mut Option<AnswerRest>,
+    ) -> CallResult {
         let start = self.clock.now();
-        let deadline = start + self.time_left(call);
+        let left = Duration::from_millis(u64::from(call.left_ms));
+        let deadline = start + left.saturating_sub(delay);
         let call_fingerprint = fingerprint(&call.method, &call.path, &call.body);
         if self.poison.borrow().is_refused(call_fingerprint, start) {
             return not_run(NotRunCause::Poison);
@@ -241,9 +268,7 @@
         if current.service != call.service {
             return not_run(NotRunCause::Closed);
         }
-        let transit =
-            Duration::from_millis(u64::from(call.left_ms)).saturating_sub(deadline - start);
-        let wait = Duration::from_millis(u64::from(call.wait_ms)).saturating_sub(transit);
+        let wait = Duration::from_millis(u64::from(call.wait_ms)).saturating_sub(delay);
         let request = SlotRequest {
             fingerprint: call_fingerprint,
             route_hash: call.kind,
@@ -272,24 +297,47 @@
             return not_run(NotRunCause::Closed);
         };
         let left = deadline.saturating_sub(self.clock.now());
-        let bytes = self.write_request(call, &current, left);
+        let bytes = write_request(call, &self.headers, &current.id, left);
         permit.start();
         let request = WireRequest {
             bytes: &bytes,
             is_head: &*call.method == "HEAD",
             identity: Some((self.headers.request_id, &call.request_id)),
         };
-        let response =
-            tokio::time::timeout(left + RESPONSE_MARGIN, connection.exchange(request)).await;
-        let error = match response {
+        let response = tokio::time::timeout(
+            left + RESPONSE_MARGIN,
+            connection.begin(request, INLINE_LIMIT),
+        );
+        let error = match response.await {
             Err(_) => return CallResult::Unknown(UnknownCause::TimedOut),
-            Ok(Ok(response)) => {
-                let run = permit.finish();
+            Ok(Ok((mut response, reader))) => {
+                let run = permit.run_time();
                 self.poison
                     .borrow_mut()
                     .on_completed(call_fingerprint, self.clock.now());
-                self.store_connection(connection, &response);
-                return self.check_response(response, run);
+                let read = response.body.len() as u64;
+                let result = self.check_response(&mut response, run);
+                let Some(reader) = reader else {
+                    permit.finish();
+                    self.store_connection(connection, &response);
+                    return result;
+                };
+                if !matches!(result, CallResult::Answer { .. }) {
+                    return result;
+                }
+                let (pieces, body) = AnswerRest::channel(reader.length().map(|left| left + read));
+                let body_reader = EndpointBody {
+                    endpoint: Rc::clone(self),
+                    connection,
+                    reader,
+                    response,
+                    read,
+                    permit,
+                    request_id: call.request_id.clone(),
+                };
+                tokio::task::spawn_local(body_reader.forward(pieces));
+                *rest = Some(body);
+                return result;
             }
             Ok(Err(error)) => error,
         };
@@ -304,17 +352,6 @@
         CallResult::Unknown(UnknownCause::AnswerBroken)
     }
 
-    /// Returns the remaining time of a call, less than `left_ms` if the call was delayed in transit.
-    fn time_left(&self, call: &ForwardedCall) -> Duration {
-        let left = Duration::from_millis(u64::from(call.left_ms));
-        let age = wall_ms(self.clock.wall()).saturating_sub(call.sent_at_ms);
-        let age = Duration::from_millis(age);
-        match age > MIN_LATE_AGE {
-            true => left.saturating_sub(age),
-            false => left,
-        }
-    }
-
     fn refusal(&self, reason: RefusalReason, rank: u8) -> CallResult {
         let cause = match reason {
             RefusalReason::Overloaded => NotRunCause::Overloaded,
@@ -329,7 +366,8 @@
         })
     }
 
-    fn check_response(&self, response: HttpResponse, run: Duration) -> CallResult {
+    /// Checks a response and moves its body into the result.
+    fn check_response(&self, response: &mut HttpResponse, run: Duration) -> CallResult {
         let is_signed = response.header(self.headers.signature).is_some();
         if response.header(self.headers.not_run).is_some() || response.status == 421 {
             return CallResult::NotRun(NotRunReport {
@@ -344,43 +382,16 @@
         if (is_success && !is_signed) || NOT_RUN_STATUSES.contains(&response.status) {
             return CallResult::Unknown(UnknownCause::AnswerBroken);
         }
-        let mut headers = response.headers;
+        let mut headers = response.headers.clone();
         headers.retain(|(name, _)| !is_connection_header(name));
         CallResult::Answer {
             status: response.status,
             headers,
-            body: response.body,
+            body: std::mem::take(&mut response.body),
             run_ms: u32::try_from(run.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
-    fn write_request(
-        &self,
-        call: &ForwardedCall,
-        current: &EndpointAnnouncement,
-        left: Duration,
-    ) -> Vec<u8> {
-        let mut head = format!("{} {} HTTP/1.1\r\n", call.method, call.path).into_bytes();
-        for (name, value) in &call.headers {
-            head.extend_from_slice(name.as_bytes());
-            head.extend_from_slice(b": ");
-            head.extend_from_slice(value);
-            head.extend_from_slice(b"\r\n");
-        }
-        let mut own = String::new();
-        let names = &self.headers;
-        // Writing to a string cannot fail.
-        let _ = write!(own, "{}: {}\r\n", names.time_left, left.as_millis());
-        let _ = write!(own, "{}: {}\r\n", names.expected_endpoint, current.id);
-        if !call.body.is_empty() || matches!(&*call.method, "POST" | "PUT" | "PATCH") {
-            let _ = write!(own, "content-length: {}\r\n", call.body.len());
-        }
-        own.push_str("\r\n");
-        head.extend_from_slice(own.as_bytes());
-        head.extend_from_slice(&call.body);
-        head
-    }
-
     async fn connection(&self, address: SocketAddr) -> Result<HttpConnection, ExchangeError> {
         let now = self.clock.now();
         while let Some(idle) = self.take_idle() {
@@ -396,7 +407,8 @@
         self.idle.borrow_mut().pop()
     }
 
-    fn store_connection(&self, connection: HttpConnection, response: &HttpResponse) {
+    /// Keeps a connection for the next call if the response allows it.
+    pub(crate) fn store_connection(&self, connection: HttpConnection, response: &HttpResponse) {
         if let Some(limit) = response.idle_limit() {
             self.idle_limit.set(limit * IDLE_TENTHS / 10);
         }
@@ -458,25 +470,6 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns whether a header applies to a single connection or to the framing of a body, and must not
-/// be forwarded.
-#[must_use]
-pub fn is_connection_header(name: &str) -> bool {
-    const NAMES: [&str; 10] = [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    ];
-    NAMES.iter().any(|known| name.eq_ignore_ascii_case(known))
-}
-
 /// Returns the result of a call that reached no endpoint.
 #[must_use]
 pub fn not_run(cause: NotRunCause) -> CallResult {
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -9,6 +9,7 @@
 
 use crate::logging::MEMBERS;
 use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::link::link_side::LinkSide;
 use crate::sidecar::member_directory::LinkScope;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::StoreReach;
@@ -149,6 +150,7 @@
     loop {
         let now = state.now();
         state.members.check_links(now);
+        state.uplink.send_pieces();
         let called = state.routing.budgets.borrow().keys().cloned().collect();
         // During a rollout, store watchers need a link to every daemon to receive its rollout
         // status.
@@ -181,15 +183,21 @@
 async fn dial(state: Rc<SidecarState>, id: Box<str>, address: std::net::SocketAddr) {
     let clock = std::sync::Arc::clone(&state.clock);
     let receiver = Rc::clone(&state);
-    let on_frame = move |link: &PeerLink, frame| {
-        if let Some(reply) = handle_sync_frame(&receiver, frame) {
-            link.send(reply);
+    let peer = id.clone();
+    let on_frame = move |side: &LinkSide, frame| match frame {
+        PeerFrame::UplinkLoad(load_ms) => {
+            let load = Duration::from_millis(u64::from(load_ms));
+            let mut loads = receiver.routing.endpoint_loads.borrow_mut();
+            loads.record_uplink(peer.clone(), load, receiver.now());
         }
+        frame => handle_sync_frame(&receiver, side, frame),
     };
     let end_state = Rc::clone(&state);
     let end_id = id.clone();
     let on_end = move || end_state.members.on_link_end(&end_id, end_state.now());
-    let link = PeerLink::open(&id, address, move || clock.now(), on_frame, on_end).await;
+    let own = state.members.own().id;
+    let now = move || clock.now();
+    let link = PeerLink::open(&id, &own, address, &state.uplink, now, on_frame, on_end).await;
     let link = match link {
         Ok(link) => link,
         Err(DialError::OtherDaemon(other)) => {
--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -29,7 +29,7 @@
 }
 
 /// Names and help texts of the gauges. They are set when the metrics are requested.
-const GAUGES: [(&str, &str); 8] = [
+const GAUGES: [(&str, &str); 12] = [
     ("config_version", "version of the configuration in force"),
     ("members_live", "daemons in reach, this one included"),
     ("store_calls", "calls made to the store"),
@@ -38,6 +38,22 @@
     ("endpoint_waiting", "requests waiting for the endpoint"),
     ("endpoint_connections", "connections opened to the endpoint"),
     ("log_lines_dropped", "log lines that did not fit the queue"),
+    (
+        "uplink_backlog_bytes",
+        "large answers and configurations that wait, are expected or are on the way to other daemons",
+    ),
+    (
+        "uplink_bytes_per_second",
+        "measured rate of large transfers to other daemons, 0 before the first",
+    ),
+    (
+        "uplink_window_bytes",
+        "limit of the bytes of large transfers that are on the way",
+    ),
+    (
+        "answers_held_bytes",
+        "bytes of answers that are held back until they are complete",
+    ),
 ];
 
 impl SidecarMetrics {
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -8,16 +8,24 @@
 
 #[doc(hidden)]
 pub mod announcement;
+#[doc(hidden)]
+pub mod answer;
 pub mod call_attempts;
+pub mod client_response;
 pub mod config_holder;
 pub mod config_task;
 pub mod control_server;
 pub mod daemon;
+pub mod endpoint_request;
 pub mod event_log;
 #[doc(hidden)]
 pub mod frame;
 #[doc(hidden)]
+pub mod http_body;
+#[doc(hidden)]
 pub mod http_exchange;
+#[doc(hidden)]
+pub mod link;
 pub mod link_table;
 pub mod local_endpoint;
 pub mod member_directory;
@@ -39,6 +47,7 @@
 #[doc(hidden)]
 pub mod run_times;
 pub mod running_call;
+pub mod sent_answer;
 pub mod settings;
 pub mod sidecar_state;
 pub mod slot_queue;
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -10,29 +10,25 @@
 
 use flume::Receiver;
 use flume::Sender;
-use log::warn;
-use serde_json::json;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::ids::MemberId;
-use crate::logging::MEMBERS;
+use crate::sidecar::answer::answer_rest::AnswerRest;
+use crate::sidecar::answer::answer_rest::BodyPiece;
+use crate::sidecar::answer::answer_rest::PieceSender;
+use crate::sidecar::answer::link_body::LinkBody;
+use crate::sidecar::frame::AnswerHead;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::PeerFrame;
-use crate::sidecar::frame::read_frame;
-use crate::sidecar::frame::write_frame;
-
-/// Maximum number of frames queued on a link. It fills only if the peer stops reading.
-const FRAME_QUEUE: usize = 4096;
-
-/// Bytes reserved for each read from the socket.
-const READ_SIZE: usize = 4 * 1024;
+use crate::sidecar::frame::PieceBytes;
+use crate::sidecar::link::frame_io::exchange_frames;
+use crate::sidecar::link::link_side::LinkSide;
+use crate::sidecar::link::uplink::Uplink;
+use crate::sidecar::link::uplink_schedule::PIECE_BYTES;
+use crate::sidecar::link::uplink_schedule::TRANSFER_CREDIT;
 
 /// Time limit for connecting, and for the first frame after that: several round trips between
 /// regions.
@@ -49,10 +45,11 @@
 const PONG_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Outcome of a call over a link.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub enum LinkOutcome {
-    /// The peer sent its load and the result of the call.
-    Replied(EndpointLoad, CallResult),
+    /// The peer sent its load and the result of the call, or the beginning of an answer and the
+    /// rest of it.
+    Replied(EndpointLoad, CallResult, Option<AnswerRest>),
     /// The call was not sent.
     NotSent,
     /// The link was lost, so the call may have run.
@@ -87,6 +84,33 @@
     Silent,
     /// The peer sent its load and the result of the call.
     Replied(EndpointLoad, CallResult),
+    /// The peer sent its load and the beginning of an answer.
+    Started(EndpointLoad, Box<StartedAnswer>),
+}
+
+/// An answer in pieces whose head has been received.
+struct StartedAnswer {
+    /// The head; its body is empty.
+    result: CallResult,
+    /// Pieces as they are received.
+    received: Receiver<BodyPiece>,
+    /// Takes the pieces that [`StartedAnswer::rest`] returns.
+    pieces: PieceSender,
+    rest: AnswerRest,
+}
+
+/// A call that has no complete result yet.
+enum PendingCall {
+    /// Nothing was received.
+    Waiting(Sender<CallEvent>),
+    /// The answer is being received.
+    Body(InboundBody),
+}
+
+struct InboundBody {
+    pieces: Sender<BodyPiece>,
+    received: u64,
+    consumed: u64,
 }
 
 /// State of a link.
@@ -102,8 +126,8 @@
 
 /// A link to another daemon.
 pub struct PeerLink {
-    frames: Sender<PeerFrame>,
-    pending: RefCell<HashMap<CallNumber, Sender<CallEvent>>>,
+    side: Rc<LinkSide>,
+    pending: RefCell<HashMap<CallNumber, PendingCall>>,
     next_number: Cell<CallNumber>,
     last_received: Cell<Duration>,
     ping_sent: Cell<Option<Duration>>,
@@ -111,16 +135,18 @@
 }
 
 impl PeerLink {
-    /// Connects to the daemon `peer`, checks its id and starts to exchange frames. `on_frame` is
-    /// called for each frame that is not about a call, and `on_end` when the link ends.
+    /// Connects to the daemon `peer`, checks its id, sends the own one and starts to exchange frames.
+    /// `on_frame` is called for each frame that is not about a call, and `on_end` when the link ends.
     ///
     /// # Errors
     /// [`DialError`] if the connection fails or another daemon uses the address.
     pub async fn open(
         peer: &MemberId,
+        own: &MemberId,
         address: SocketAddr,
+        uplink: &Rc<Uplink>,
         now: impl Fn() -> Duration + 'static,
-        on_frame: impl Fn(&PeerLink, PeerFrame) + 'static,
+        on_frame: impl Fn(&LinkSide, PeerFrame) + 'static,
         on_end: impl FnOnce() + 'static,
     ) -> Result<Rc<PeerLink>, DialError> {
         let connecting = TcpStream::connect(address);
@@ -132,9 +158,10 @@
             .set_nodelay(true)
             .map_err(|_| DialError::Unreachable)?;
         let (hello, hellos) = flume::bounded(1);
-        let (frames, queue) = flume::bounded(FRAME_QUEUE);
+        let (side, queue) = LinkSide::new(uplink);
+        side.send(PeerFrame::Hello(own.clone()));
         let link = Rc::new(PeerLink {
-            frames,
+            side,
             pending: RefCell::default(),
             next_number: Cell::new(0),
             last_received: Cell::new(now()),
@@ -152,10 +179,14 @@
                 link.state.set(LinkState::Open);
                 match frame {
                     PeerFrame::Result(number, load, result) => link.finish(number, load, *result),
+                    PeerFrame::AnswerHead(number, load, head) => link.start(number, load, *head),
+                    PeerFrame::AnswerPiece(number, bytes) => link.receive(number, bytes),
+                    PeerFrame::AnswerEnd(number, is_whole) => link.end_body(number, is_whole),
+                    PeerFrame::Pieces => link.side.set_pieces(),
                     PeerFrame::Pong => {}
                     // Only the first `Hello` is awaited; later ones are ignored.
                     PeerFrame::Hello(id) => drop(hello.try_send(id)),
-                    frame => on_frame(&link, frame),
+                    frame => on_frame(&link.side, frame),
                 }
             };
             exchange_frames(stream, queue, take).await;
@@ -186,26 +217,51 @@
 
     /// Queues a frame; returns false if the queue is full or the link has ended.
     pub fn send(&self, frame: PeerFrame) -> bool {
-        self.frames.try_send(frame).is_ok()
+        self.side.send(frame)
     }
 
     /// Makes a call; dropping the future cancels it. When the link becomes silent, the call is also
     /// cancelled if `may_leave` returns true: it can be sent elsewhere then.
-    pub async fn call(&self, call: ForwardedCall, may_leave: impl Fn() -> bool) -> LinkOutcome {
+    /// `sent_ms` is the time in milliseconds since the start of this daemon.
+    pub async fn call(
+        self: &Rc<Self>,
+        call: ForwardedCall,
+        sent_ms: u64,
+        may_leave: impl Fn() -> bool,
+    ) -> LinkOutcome {
         if self.state.get() != LinkState::Open {
             return LinkOutcome::NotSent;
         }
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
         let (sender, receiver) = flume::unbounded();
-        if !self.send(PeerFrame::Call(number, Box::new(call))) {
+        let call = Box::new(call);
+        let frame = match self.side.has_pieces() {
+            true => PeerFrame::TimedCall(number, sent_ms, call),
+            false => PeerFrame::Call(number, call),
+        };
+        if !self.send(frame) {
             return LinkOutcome::NotSent;
         }
-        self.pending.borrow_mut().insert(number, sender);
-        let _running = RunningCall { link: self, number };
+        let pending = PendingCall::Waiting(sender);
+        self.pending.borrow_mut().insert(number, pending);
+        let guard = CallGuard {
+            link: Rc::clone(self),
+            number,
+        };
         while let Ok(event) = receiver.recv_async().await {
             match event {
-                CallEvent::Replied(load, result) => return LinkOutcome::Replied(load, result),
+                CallEvent::Replied(load, result) => {
+                    return LinkOutcome::Replied(load, result, None);
+                }
+                CallEvent::Started(load, answer) => {
+                    let body = LinkBody {
+                        received: answer.received,
+                        call: guard,
+                    };
+                    tokio::task::spawn_local(body.forward(answer.pieces));
+                    return LinkOutcome::Replied(load, answer.result, Some(answer.rest));
+                }
                 CallEvent::Silent if may_leave() => return LinkOutcome::Lost,
                 CallEvent::Silent => {}
             }
@@ -238,33 +294,110 @@
     }
 
     fn finish(&self, number: CallNumber, load: EndpointLoad, result: CallResult) {
-        let Some(caller) = self.pending.borrow_mut().remove(&number) else {
+        // Results of calls that were cancelled are not needed.
+        if let Some(PendingCall::Waiting(caller)) = self.pending.borrow_mut().remove(&number) {
+            // Fails if the caller is gone.
+            let _ = caller.send(CallEvent::Replied(load, result));
+        }
+    }
+
+    fn start(&self, number: CallNumber, load: EndpointLoad, head: AnswerHead) {
+        let mut pending = self.pending.borrow_mut();
+        let Some(PendingCall::Waiting(caller)) = pending.remove(&number) else {
             return;
         };
-        // Fails if the caller is gone; the result is not needed then.
-        let _ = caller.send(CallEvent::Replied(load, result));
+        let (sender, received) = flume::unbounded();
+        let body = InboundBody {
+            pieces: sender,
+            received: 0,
+            consumed: 0,
+        };
+        pending.insert(number, PendingCall::Body(body));
+        drop(pending);
+        let (pieces, rest) = AnswerRest::channel(head.length);
+        let result = CallResult::Answer {
+            status: head.status,
+            headers: head.headers,
+            body: Vec::new(),
+            run_ms: head.run_ms,
+        };
+        let answer = StartedAnswer {
+            result,
+            received,
+            pieces,
+            rest,
+        };
+        // Fails if the caller is gone, which cancels the call.
+        let _ = caller.send(CallEvent::Started(load, Box::new(answer)));
+    }
+
+    fn receive(&self, number: CallNumber, bytes: PieceBytes) {
+        let mut pending = self.pending.borrow_mut();
+        let Some(PendingCall::Body(body)) = pending.get_mut(&number) else {
+            return;
+        };
+        body.received += bytes.0.len() as u64;
+        if body.received - body.consumed > TRANSFER_CREDIT + PIECE_BYTES {
+            // The peer does not keep to the credit, so the memory for its answer is not bounded.
+            pending.remove(&number);
+            drop(pending);
+            self.send(PeerFrame::Cancel(number));
+            return;
+        }
+        let frame = PeerFrame::AnswerCredit(number, body.received, body.consumed);
+        // Fails if the consumer is gone, which cancels the call.
+        let _ = body.pieces.send(BodyPiece::Data(bytes.0));
+        drop(pending);
+        self.send(frame);
+    }
+
+    fn end_body(&self, number: CallNumber, is_whole: bool) {
+        if let Some(PendingCall::Body(body)) = self.pending.borrow_mut().remove(&number) {
+            let end = match is_whole {
+                true => BodyPiece::End,
+                false => BodyPiece::Broken,
+            };
+            // Fails if the consumer is gone.
+            let _ = body.pieces.send(end);
+        }
+    }
+
+    /// Records that `consumed` bytes of an answer were passed on, and tells the peer.
+    pub(crate) fn record_consumed(&self, number: CallNumber, consumed: u64) {
+        let mut pending = self.pending.borrow_mut();
+        let Some(PendingCall::Body(body)) = pending.get_mut(&number) else {
+            return;
+        };
+        body.consumed = consumed;
+        let frame = PeerFrame::AnswerCredit(number, body.received, consumed);
+        drop(pending);
+        self.send(frame);
     }
 
     fn notify_silence(&self) {
-        for caller in self.pending.borrow().values() {
-            // Fails if the caller has just cancelled the call.
-            let _ = caller.send(CallEvent::Silent);
+        for call in self.pending.borrow().values() {
+            // Both fail if the caller has just cancelled the call.
+            match call {
+                PendingCall::Waiting(caller) => drop(caller.send(CallEvent::Silent)),
+                PendingCall::Body(body) => drop(body.pieces.send(BodyPiece::Stalled)),
+            }
         }
     }
 
     fn close(&self) {
         self.state.set(LinkState::Closed);
         self.pending.borrow_mut().clear();
+        self.side.close();
     }
 }
 
-/// A call in progress; sends a cancel frame when dropped before the result.
-struct RunningCall<'a> {
-    link: &'a PeerLink,
-    number: CallNumber,
+/// A call in progress; sends a cancel frame when dropped before the end of the result.
+pub(crate) struct CallGuard {
+    pub(crate) link: Rc<PeerLink>,
+    pub(crate) number: CallNumber,
 }
 
-impl Drop for RunningCall<'_> {
+impl Drop for CallGuard {
     fn drop(&mut self) {
         let pending = self.link.pending.borrow_mut().remove(&self.number);
         if pending.is_some() {
@@ -272,55 +405,3 @@
         }
     }
 }
-
-/// Sends the frames of `queue` and passes received ones to `take`, until the connection or the
-/// queue ends.
-pub async fn exchange_frames(
-    stream: TcpStream,
-    queue: Receiver<PeerFrame>,
-    take: impl FnMut(PeerFrame),
-) {
-    let (reader, writer) = stream.into_split();
-    tokio::select! {
-        () = read_frames(reader, take) => {}
-        () = write_frames(writer, queue) => {}
-    }
-}
-
-async fn read_frames(mut reader: OwnedReadHalf, mut take: impl FnMut(PeerFrame)) {
-    let mut bytes = Vec::new();
-    loop {
-        loop {
-            match read_frame(&mut bytes) {
-                Ok(Some(frame)) => take(frame),
-                Ok(None) => break,
-                Err(error) => {
-                    let event = json!({"name": "link_unreadable", "reason": error.to_string()});
-                    warn!(target: MEMBERS, "{event}");
-                    return;
-                }
-            }
-        }
-        bytes.reserve(READ_SIZE);
-        match reader.read_buf(&mut bytes).await {
-            Ok(count) if count > 0 => {}
-            _ => return,
-        }
-    }
-}
-
-async fn write_frames(mut writer: OwnedWriteHalf, queue: Receiver<PeerFrame>) {
-    let mut bytes = Vec::new();
-    while let Ok(frame) = queue.recv_async().await {
-        bytes.clear();
-        for frame in std::iter::once(frame).chain(queue.try_iter()) {
-            if let Err(error) = write_frame(&frame, &mut bytes) {
-                let event = json!({"name": "frame_not_sent", "reason": error.to_string()});
-                warn!(target: MEMBERS, "{event}");
-            }
-        }
-        if writer.write_all(&bytes).await.is_err() {
-            return;
-        }
-    }
-}
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -4,28 +4,36 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
-use flume::Sender;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::logging::MEMBERS;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
 use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::link::call_age::wall_delay;
+use crate::sidecar::link::frame_io::exchange_frames;
+use crate::sidecar::link::link_side::LinkSide;
+use crate::sidecar::link::uplink::TransferKind;
 use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::RolloutStage;
-use crate::sidecar::peer_link::exchange_frames;
 use crate::sidecar::request_server::accept_each;
+use crate::sidecar::sent_answer::SentAnswer;
 use crate::sidecar::sidecar_state::SidecarState;
 
-/// Maximum number of frames queued on a connection. It fills only if the peer stops reading.
-const FRAME_QUEUE: usize = 4096;
-
 type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
 
+/// A connection from another daemon.
+#[derive(Clone)]
+struct AcceptedLink {
+    state: Rc<SidecarState>,
+    side: Rc<LinkSide>,
+    calls: RunningCalls,
+}
+
 /// Accepts connections from other daemons until this daemon stops.
 pub async fn serve_peers(state: Rc<SidecarState>, listener: TcpListener) {
     accept_each(&listener, "peers", |stream| {
@@ -38,100 +46,119 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let (frames, queue) = flume::bounded(FRAME_QUEUE);
-    send(&frames, PeerFrame::Hello(state.members.own().id));
-    send(&frames, state.config_held_frame());
-    let calls = RunningCalls::default();
-    let running = Rc::clone(&calls);
-    let take = move |frame| handle_frame(&state, &frames, &running, frame);
-    exchange_frames(stream, queue, take).await;
+    let (side, queue) = LinkSide::new(&state.uplink);
+    side.send(PeerFrame::Hello(state.members.own().id));
+    side.send(state.config_held_frame());
+    let link = AcceptedLink {
+        state,
+        side: Rc::clone(&side),
+        calls: RunningCalls::default(),
+    };
+    let calls = Rc::clone(&link.calls);
+    exchange_frames(stream, queue, move |frame| link.handle(frame)).await;
     // The results can't be sent any more.
     for (_, call) in calls.borrow_mut().drain() {
         call.abort();
     }
+    side.close();
 }
 
-fn handle_frame(
-    state: &Rc<SidecarState>,
-    frames: &Sender<PeerFrame>,
-    calls: &RunningCalls,
-    frame: PeerFrame,
-) {
-    match frame {
-        PeerFrame::Call(number, call) => start_call(state, frames, calls, number, call),
-        PeerFrame::Cancel(number) => {
-            if let Some(call) = calls.borrow_mut().remove(&number) {
-                call.abort();
+impl AcceptedLink {
+    fn handle(&self, frame: PeerFrame) {
+        match frame {
+            PeerFrame::Hello(_) => {
+                self.side.set_pieces();
+                self.side.send(PeerFrame::Pieces);
             }
-        }
-        other => {
-            if let Some(reply) = handle_sync_frame(state, other) {
-                send(frames, reply);
+            PeerFrame::Call(number, call) => {
+                let delay = wall_delay(call.sent_at_ms, self.state.clock.wall());
+                self.start_call(number, call, delay);
             }
+            PeerFrame::TimedCall(number, sent_ms, call) => {
+                let delay = self.side.call_delay(sent_ms, self.state.now());
+                self.start_call(number, call, delay);
+            }
+            PeerFrame::Cancel(number) => {
+                if let Some(call) = self.calls.borrow_mut().remove(&number) {
+                    call.abort();
+                }
+                self.side.cancel_transfer(TransferKind::Answer(number));
+            }
+            PeerFrame::AnswerCredit(number, received, consumed) => {
+                let kind = TransferKind::Answer(number);
+                self.side.acknowledge(kind, received, consumed);
+            }
+            other => handle_sync_frame(&self.state, &self.side, other),
+        }
+    }
+
+    fn start_call(&self, number: CallNumber, call: Box<ForwardedCall>, delay: Duration) {
+        if refuses_calls(&self.state) {
+            let result = Box::new(not_run(NotRunCause::Closed));
+            let load = self.state.endpoint.load();
+            self.side.send(PeerFrame::Result(number, load, result));
+            return;
         }
+        let link = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let answer = SentAnswer {
+                state: &link.state,
+                side: &link.side,
+                number,
+                call: &call,
+            };
+            answer.run(delay).await;
+            link.calls.borrow_mut().remove(&number);
+        });
+        self.calls.borrow_mut().insert(number, task.abort_handle());
     }
 }
 
-/// Handles a frame that is not about a call; returns the frame to send back, if any.
-pub fn handle_sync_frame(state: &SidecarState, frame: PeerFrame) -> Option<PeerFrame> {
+/// Handles a frame that is not about a call, and sends the response, if any, on the same connection.
+pub fn handle_sync_frame(state: &SidecarState, side: &LinkSide, frame: PeerFrame) {
     match frame {
-        PeerFrame::Ping => Some(PeerFrame::Pong),
+        PeerFrame::Ping => {
+            side.send(PeerFrame::Pong);
+        }
         PeerFrame::Members(records) => {
             state.merge_records(&records);
-            None
+            let later = state.members.later_runs(&records);
+            if !later.is_empty() {
+                side.send(PeerFrame::Members(later));
+            }
         }
         PeerFrame::Digests(digests) => {
             let records = state.members.read(|table| table.differing(&digests));
-            (!records.is_empty()).then_some(PeerFrame::Members(records))
+            if !records.is_empty() {
+                side.send(PeerFrame::Members(records));
+            }
         }
         PeerFrame::Rollouts(id, rollout_statuses, counts) => {
             state.merge_peer_rollouts(id, rollout_statuses, counts);
-            None
         }
         PeerFrame::ConfigHeld(id, version) => {
             state.members.record_config_version(id, version);
             state.request_config();
-            None
         }
         PeerFrame::ConfigWanted(held) => {
-            let delta = state.config.delta_from(held)?;
-            Some(PeerFrame::Config(Box::new(delta)))
+            if let Some(delta) = state.config.delta_from(held) {
+                side.send_config(delta, state.now());
+            }
         }
-        PeerFrame::Config(delta) => {
-            if state.config.adopt_delta(*delta, "peer") {
-                state.announce_config();
+        PeerFrame::Config(delta) => state.adopt_config(*delta),
+        PeerFrame::ConfigPiece(number, bytes) => side.receive_config(number, &bytes),
+        PeerFrame::ConfigEnd(number) => {
+            if let Some(delta) = side.finish_config(number) {
+                state.adopt_config(delta);
             }
-            None
         }
-        _ => None,
-    }
-}
-
-fn start_call(
-    state: &Rc<SidecarState>,
-    frames: &Sender<PeerFrame>,
-    calls: &RunningCalls,
-    number: CallNumber,
-    call: Box<ForwardedCall>,
-) {
-    if refuses_calls(state) {
-        let result = Box::new(not_run(NotRunCause::Closed));
-        send(
-            frames,
-            PeerFrame::Result(number, state.endpoint.load(), result),
-        );
-        return;
+        PeerFrame::ConfigCredit(number, received) => {
+            let kind = TransferKind::Configuration(number);
+            side.acknowledge(kind, received, received);
+        }
+        // Frames of the other direction.
+        _ => {}
     }
-    let state = Rc::clone(state);
-    let frames = frames.clone();
-    let running = Rc::clone(calls);
-    let task = tokio::task::spawn_local(async move {
-        let result = state.run_locally(&call).await;
-        running.borrow_mut().remove(&number);
-        let load = state.endpoint.load();
-        send(&frames, PeerFrame::Result(number, load, Box::new(result)));
-    });
-    calls.borrow_mut().insert(number, task.abort_handle());
 }
 
 /// Returns whether forwarded calls are refused, because this daemon is stopping or a rollout has
@@ -154,14 +181,3 @@
         RolloutStage::TakenBack => is_new,
     }
 }
-
-/// Queues a frame, or drops it if the queue is full. A peer that does not read finds its own pings
-/// unanswered and gives up the link.
-fn send(frames: &Sender<PeerFrame>, frame: PeerFrame) {
-    if frames.try_send(frame).is_err() {
-        log::debug!(
-            target: MEMBERS,
-            "dropped a frame to a peer: queue of {FRAME_QUEUE} frames is full or closed"
-        );
-    }
-}
--- a/coltsfootweir/src/sidecar/reported_loads.rs
+++ b/coltsfootweir/src/sidecar/reported_loads.rs
@@ -22,6 +22,8 @@
 #[derive(Default)]
 pub struct ReportedLoads {
     reports: HashMap<MemberId, ReportedLoad>,
+    /// Times that the answers on their way from a VM take, and when they were reported.
+    uplinks: HashMap<MemberId, (Duration, Duration)>,
 }
 
 /// Mean run time over the endpoints of one service, the reference for relative run times.
@@ -37,6 +39,21 @@
         self.reports.insert(id, ReportedLoad { note, at: now });
     }
 
+    /// Records the time that the answers on their way from a daemon's VM take.
+    pub fn record_uplink(&mut self, id: MemberId, backlog: Duration, now: Duration) {
+        self.uplinks.insert(id, (backlog, now));
+    }
+
+    /// Returns the time after which the answers on their way from a daemon's VM at its last report
+    /// have been sent.
+    #[must_use]
+    pub fn uplink_wait(&self, id: &MemberId, now: Duration) -> Duration {
+        let report = self.uplinks.get(id);
+        report.map_or(Duration::ZERO, |(backlog, at)| {
+            (*at + *backlog).saturating_sub(now)
+        })
+    }
+
     /// Returns the latest load reported by a daemon.
     #[must_use]
     pub fn note(&self, id: &MemberId) -> Option<&EndpointLoad> {
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -5,17 +5,14 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header;
-use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,7 +20,6 @@
 use hyper_util::rt::TokioTimer;
 use log::info;
 use log::warn;
-use rand::RngExt;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -31,15 +27,24 @@
 
 use crate::logging::CALLS;
 use crate::logging::DAEMON;
+use crate::sidecar::answer::answer_rest::AnswerRest;
+use crate::sidecar::answer::client_body::ClientBody;
+use crate::sidecar::answer::client_body::PassedBody;
+use crate::sidecar::answer::client_body::RunningCount;
 use crate::sidecar::call_attempts::AttemptsEnd;
 use crate::sidecar::call_attempts::CallAttempts;
+use crate::sidecar::client_response::daemon_response;
+use crate::sidecar::client_response::endpoint_response;
+use crate::sidecar::client_response::jittered;
+use crate::sidecar::client_response::not_run_name;
+use crate::sidecar::client_response::unknown_name;
 use crate::sidecar::config_holder::ActiveConfig;
+use crate::sidecar::endpoint_request::is_connection_header;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::HeaderList;
 use crate::sidecar::frame::NotRunCause;
 use crate::sidecar::frame::UnknownCause;
-use crate::sidecar::local_endpoint::is_connection_header;
 use crate::sidecar::mesh_config::ClientLimits;
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -48,11 +53,9 @@
 /// deadline arrive.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(80);
 
-/// Minimum `Retry-After` of a refused request, before jitter.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-
-/// Maximum `Retry-After` of a refused request, before jitter; queue waits are seldom longer.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Time after the deadline in which an answer that has begun may be completed: clients that wait
+/// longer than the route allows still get it.
+const BODY_MARGIN: Duration = Duration::from_millis(300);
 
 /// `Retry-After` while there is no configuration or no endpoint, about the time in which a restarted
 /// daemon gets them.
@@ -155,15 +158,17 @@
     start: Duration,
 }
 
-async fn serve_request(state: &SidecarState, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    state.running.set(state.running.get() + 1);
-    let _count = RunningCount(state);
+async fn serve_request(
+    state: &Rc<SidecarState>,
+    request: Request<Incoming>,
+) -> Response<ClientBody> {
+    let running = RunningCount::new(state);
     let id = header_text(
         request.headers(),
         state.platform_adapter.headers().request_id,
     );
     let id = id.unwrap_or_default().to_owned();
-    let mut response = respond(state, request, &id).await;
+    let mut response = respond(state, request, &id, running).await;
     if state.is_leaving.get() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -172,10 +177,11 @@
 }
 
 async fn respond(
-    state: &SidecarState,
+    state: &Rc<SidecarState>,
     request: Request<Incoming>,
     id: &str,
-) -> Response<Full<Bytes>> {
+    running: RunningCount,
+) -> Response<ClientBody> {
     let start = state.now();
     let Some(active) = state.config.active() else {
         let trace = RequestTrace::unrouted(id, 0, start);
@@ -244,11 +250,15 @@
         Ok(end) => end,
         Err(_) => AttemptsEnd {
             result: CallResult::Unknown(UnknownCause::TimedOut),
+            rest: None,
             tried: Vec::new(),
             reached: 0,
         },
     };
-    end_request(state, &trace, end)
+    let left = (deadline + BODY_MARGIN).saturating_sub(state.now());
+    end_request(state, &trace, end, |first, rest| {
+        PassedBody::new(first, rest, left, id, running)
+    })
 }
 
 fn find_route<'c>(active: &'c ActiveConfig, host: &str, path: &str) -> Option<&'c MeshRoute> {
@@ -294,7 +304,7 @@
     trace: &RequestTrace<'_>,
     status: StatusCode,
     cause: &'static str,
-) -> Response<Full<Bytes>> {
+) -> Response<ClientBody> {
     let retry_after = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(UNREADY_RETRY_AFTER);
     log_end(state, trace, status.as_u16(), cause, &[], 0);
     daemon_response(state, trace.id, status, cause, retry_after)
@@ -304,7 +314,8 @@
     state: &SidecarState,
     trace: &RequestTrace<'_>,
     end: AttemptsEnd,
-) -> Response<Full<Bytes>> {
+    pass_rest: impl FnOnce(Vec<u8>, AnswerRest) -> PassedBody,
+) -> Response<ClientBody> {
     let (status, cause, retry_after) = match end.result {
         CallResult::Answer {
             status,
@@ -313,6 +324,10 @@
             ..
         } => {
             log_end(state, trace, status, "answered", &end.tried, end.reached);
+            let body = match end.rest {
+                None => ClientBody::whole(body),
+                Some(rest) => ClientBody::Pieces(Box::new(pass_rest(body, rest))),
+            };
             return endpoint_response(status, headers, body);
         }
         CallResult::NotRun(report) => {
@@ -343,50 +358,6 @@
     daemon_response(state, trace.id, status, cause, retry_after)
 }
 
-/// Limits a `Retry-After` pause and multiplies it by a random factor from 0.5 to 1.5, so that refused
-/// clients do not retry all at once.
-fn jittered(pause: Duration) -> Duration {
-    let factor = rand::rng().random_range(0.5..1.5);
-    pause
-        .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-        .mul_f64(factor)
-}
-
-fn endpoint_response(status: u16, headers: HeaderList, body: Vec<u8>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in headers {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        let value = HeaderValue::from_bytes(&value);
-        // Both were already parsed as part of a response head.
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
-}
-
-fn daemon_response(
-    state: &SidecarState,
-    id: &str,
-    status: StatusCode,
-    cause: &'static str,
-    retry_after: Option<Duration>,
-) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(cause.as_bytes())));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    let name = HeaderName::from_static(state.platform_adapter.headers().request_id);
-    if let Ok(id) = HeaderValue::from_str(id) {
-        headers.insert(name, id);
-    }
-    let seconds = retry_after.map(|pause| format!("{:.3}", pause.as_secs_f64()));
-    if let Some(seconds) = seconds.and_then(|text| HeaderValue::from_str(&text).ok()) {
-        headers.insert(header::RETRY_AFTER, seconds);
-    }
-    response
-}
-
 fn log_end(
     state: &SidecarState,
     trace: &RequestTrace<'_>,
@@ -410,35 +381,6 @@
     info!(target: CALLS, "{what}");
 }
 
-fn not_run_name(cause: NotRunCause) -> &'static str {
-    match cause {
-        NotRunCause::Overloaded => "overloaded",
-        NotRunCause::Closed => "endpoint_closed",
-        NotRunCause::TooLate => "too_late",
-        NotRunCause::Rejected => "endpoint_rejected",
-        NotRunCause::Unreachable => "no_endpoint",
-        NotRunCause::Poison => "crashes_endpoints",
-    }
-}
-
-fn unknown_name(cause: UnknownCause) -> &'static str {
-    match cause {
-        UnknownCause::AnswerBroken => "answer_broken",
-        UnknownCause::EndpointCrashed => "endpoint_crashed",
-        UnknownCause::TimedOut => "timed_out",
-        UnknownCause::LinkLost => "link_lost",
-    }
-}
-
 fn header_text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
     headers.get(name)?.to_str().ok()
 }
-
-/// Decrements the count of requests in progress when dropped.
-struct RunningCount<'a>(&'a SidecarState);
-
-impl Drop for RunningCount<'_> {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -24,10 +24,13 @@
 use crate::logging::MOVES;
 use crate::poison::PoisonTable;
 use crate::retry::RetryBudget;
+use crate::sidecar::answer::answer_hold::HoldBudget;
+use crate::sidecar::answer::answer_sizes::AnswerSizes;
 use crate::sidecar::config_holder::ConfigHolder;
-use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::link::uplink::Uplink;
+use crate::sidecar::local_endpoint::LocalAnswer;
 use crate::sidecar::local_endpoint::LocalEndpoint;
 use crate::sidecar::local_endpoint::wall_ms;
 use crate::sidecar::member_directory::ConfigHolders;
@@ -37,6 +40,7 @@
 use crate::sidecar::member_table::RolloutStatus;
 use crate::sidecar::member_table::StoreReach;
 use crate::sidecar::member_table::VersionCount;
+use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::TrafficSplitter;
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::platform_adapter::PlatformAdapter;
@@ -69,6 +73,10 @@
     pub run_times: RefCell<RunTimes>,
     /// Load of each endpoint, as last reported by the daemon on its VM.
     pub endpoint_loads: RefCell<ReportedLoads>,
+    /// Sizes of answers by route.
+    pub answer_sizes: RefCell<AnswerSizes>,
+    /// Bytes of answers that are held back until they are complete.
+    pub hold_budget: Rc<HoldBudget>,
 }
 
 /// Rollout status received from another daemon.
@@ -95,7 +103,9 @@
     /// Known daemons and the links to them.
     pub members: MemberDirectory,
     /// Endpoint on this VM.
-    pub endpoint: LocalEndpoint,
+    pub endpoint: Rc<LocalEndpoint>,
+    /// Large transfers to other daemons.
+    pub uplink: Rc<Uplink>,
     /// Endpoint selection and retry limits.
     pub routing: CallRouting,
     /// Rollout status of other daemons.
@@ -164,7 +174,10 @@
                 poison,
                 run_times: RefCell::default(),
                 endpoint_loads: RefCell::default(),
+                answer_sizes: RefCell::default(),
+                hold_budget: Rc::default(),
             },
+            uplink: Uplink::new(Arc::clone(&clock)),
             peer_rollouts: RefCell::default(),
             rollouts: RefCell::default(),
             metrics: SidecarMetrics::new(),
@@ -271,6 +284,13 @@
         PeerFrame::ConfigHeld(self.members.own().id, self.config.version())
     }
 
+    /// Puts a configuration from another daemon in force if it is newer, and announces it.
+    pub fn adopt_config(&self, delta: ConfigDelta) {
+        if self.config.adopt_delta(delta, "peer") {
+            self.announce_config();
+        }
+    }
+
     /// Announces the version of the active configuration to the peers.
     pub fn announce_config(&self) {
         self.members.send_config_notice(&self.config_held_frame());
@@ -295,15 +315,16 @@
         self.members.send_changed_records();
     }
 
-    /// Runs a call at the endpoint on this VM. Dropping the future cancels the call.
-    pub async fn run_locally(&self, call: &ForwardedCall) -> CallResult {
+    /// Runs a call at the endpoint on this VM that was delayed by `delay` on its way. Dropping the
+    /// future cancels the call.
+    pub async fn run_locally(&self, call: &ForwardedCall, delay: Duration) -> LocalAnswer {
         let start = self.now();
-        let report = self.endpoint.run(call).await;
+        let report = self.endpoint.run(call, delay).await;
         self.metrics.count_run(self.now() - start);
         if self.endpoint.summary() != self.members.own().endpoint || !report.crashes.is_empty() {
             self.publish_crashes(report.crashes);
         }
-        report.result
+        report.answer
     }
 
     /// Adds crash facts to this daemon's record and publishes it.
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -1,6 +1,7 @@
 //! Slots of the local endpoint and the queue of requests that wait for one.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,7 +50,7 @@
 impl SlotQueue {
     /// Creates the queue of an endpoint that has not been announced yet.
     #[must_use]
-    pub fn new(clock: Arc<dyn DaemonClock>) -> SlotQueue {
+    pub fn new(clock: Arc<dyn DaemonClock>) -> Rc<SlotQueue> {
         let mut guard = GuardState::new(0, 0);
         guard.set_phase(EndpointPhase::Down, clock.now());
         let state = QueueState {
@@ -58,10 +59,10 @@
             run_times: RunTimes::default(),
             next_id: 0,
         };
-        SlotQueue {
+        Rc::new(SlotQueue {
             state: RefCell::new(state),
             clock,
-        }
+        })
     }
 
     /// Resets the queue for another lifetime of the endpoint. Waiting requests are refused; requests
@@ -111,6 +112,13 @@
         self.state.borrow().guard.wait_time(rank)
     }
 
+    /// Returns the time after which a request of `rank` that arrives now should have run.
+    #[must_use]
+    pub fn expected_time(&self, rank: u8, route_hash: u32) -> Duration {
+        let state = self.state.borrow();
+        state.guard.wait_time(rank) + state.run_times.expected(route_hash)
+    }
+
     /// Returns the fingerprints of the running requests.
     #[must_use]
     pub fn running(&self) -> Vec<Fingerprint> {
@@ -121,7 +129,7 @@
     ///
     /// # Errors
     /// The reason why the request is not run.
-    pub async fn admit(&self, request: SlotRequest) -> Result<SlotPermit<'_>, RefusalReason> {
+    pub async fn admit(self: &Rc<Self>, request: SlotRequest) -> Result<SlotPermit, RefusalReason> {
         let (id, waiter) = {
             let mut state = self.state.borrow_mut();
             let now = self.clock.now();
@@ -147,7 +155,7 @@
             (id, waiter)
         };
         let permit = SlotPermit {
-            queue: self,
+            queue: Rc::clone(self),
             id,
             route_hash: request.route_hash,
             started: None,
@@ -172,19 +180,26 @@
 }
 
 /// A slot reserved for one request.
-pub struct SlotPermit<'a> {
-    queue: &'a SlotQueue,
+pub struct SlotPermit {
+    queue: Rc<SlotQueue>,
     id: u64,
     route_hash: u32,
     started: Option<Duration>,
 }
 
-impl SlotPermit<'_> {
+impl SlotPermit {
     /// Records that the request is sent to the endpoint.
     pub fn start(&mut self) {
         self.started = Some(self.queue.clock.now());
     }
 
+    /// Returns the time since the request was sent to the endpoint.
+    #[must_use]
+    pub fn run_time(&self) -> Duration {
+        let now = self.queue.clock.now();
+        now.saturating_sub(self.started.unwrap_or(now))
+    }
+
     /// Records that the request completed and releases the slot. Returns the run time.
     pub fn finish(mut self) -> Duration {
         let now = self.queue.clock.now();
@@ -198,7 +213,7 @@
     }
 }
 
-impl Drop for SlotPermit<'_> {
+impl Drop for SlotPermit {
     fn drop(&mut self) {
         let now = self.queue.clock.now();
         let mut state = self.queue.state.borrow_mut();
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -15,6 +15,7 @@
 use coltsfootweir::sidecar::frame::CallResult;
 use coltsfootweir::sidecar::frame::ForwardedCall;
 use coltsfootweir::sidecar::frame::NotRunCause;
+use coltsfootweir::sidecar::link::call_age::wall_delay;
 use coltsfootweir::sidecar::local_endpoint::LocalEndpoint;
 use coltsfootweir::sidecar::local_endpoint::wall_ms;
 use coltsfootweir::sidecar::platform_adapter::HeaderNames;
@@ -29,7 +30,7 @@
     caller: "caller",
 };
 
-fn endpoint() -> LocalEndpoint {
+fn endpoint() -> Rc<LocalEndpoint> {
     let poison = Rc::new(RefCell::new(PoisonTable::new()));
     let clock = Arc::new(SystemClock::new());
     LocalEndpoint::new("m".into(), 1, clock, HEADERS, poison)
@@ -76,7 +77,8 @@
     let address = listener.local_addr().expect("an address");
     let endpoint = endpoint();
     prepare(&endpoint, address);
-    endpoint.run(&call).await.result
+    let delay = wall_delay(call.sent_at_ms, SystemTime::now());
+    endpoint.run(&call, delay).await.answer.result
 }
 
 fn is_closed(result: &CallResult) -> bool {
--- a/programs/tests/common/caller.rs
+++ b/programs/tests/common/caller.rs
@@ -224,11 +224,31 @@
         headers,
         body: Vec::new(),
     };
-    let length: usize = answer.header("content-length").parse().unwrap_or(0);
     let body = &bytes[end + 4..];
+    if answer.header("transfer-encoding") == "chunked" {
+        answer.body = parse_chunks(body)?;
+        return Some(answer);
+    }
+    let length: usize = answer.header("content-length").parse().unwrap_or(0);
     if body.len() < length {
         return None;
     }
     answer.body = body[..length].to_vec();
     Some(answer)
 }
+
+/// Returns the body of an answer in chunks, once its last chunk is there.
+fn parse_chunks(mut bytes: &[u8]) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let end = bytes.windows(2).position(|part| part == b"\r\n")?;
+        let size = std::str::from_utf8(&bytes[..end]).ok()?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        let chunk = bytes.get(end + 2..end + 2 + size)?;
+        body.extend_from_slice(chunk);
+        bytes = bytes.get(end + 2 + size + 2..)?;
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -20,6 +20,7 @@
 
 use serde_json::json;
 
+use super::large_answer::LargeAnswer;
 use super::send;
 use crate::common::caller_threads::pause;
 
@@ -33,7 +34,7 @@
 const LOST_TIME: Duration = Duration::from_secs(10);
 
 /// Requests whose answer one of the endpoints has lost; the next one to run it answers.
-static LOST_IDS: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+pub static LOST_IDS: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
 
 /// A request as the endpoint saw it.
 #[derive(Clone, Debug)]
@@ -54,15 +55,15 @@
     }
 }
 
-struct EndpointState {
-    id: String,
+pub struct EndpointState {
+    pub id: String,
     service: String,
     version: String,
     slots: u16,
     address: SocketAddr,
     seen: Mutex<Vec<SeenRequest>>,
     /// Requests whose connection was closed while they ran.
-    abandoned: AtomicU64,
+    pub abandoned: AtomicU64,
     sequence: AtomicU64,
     is_leaving: AtomicBool,
     is_gone: AtomicBool,
@@ -189,6 +190,9 @@
 
 /// Answers a request; returns whether the connection goes on.
 fn answer(state: &EndpointState, mode: &str, id: &str, mut out: &TcpStream) -> bool {
+    if let Some(wanted) = LargeAnswer::parse(mode) {
+        return wanted.write(state, id, out);
+    }
     let good = good_answer(&state.id, id, "a whole body");
     if mode == "lost-once"
         && LOST_IDS
--- a/programs/tests/sidecar/mod.rs
+++ b/programs/tests/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod large_answer;
 pub mod mesh_endpoint;
 pub mod row_store;
 pub mod sidecar_fleet;
--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -65,6 +65,18 @@
         self.lines = lines;
     }
 
+    /// Largest memory that the process has had, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("the status of a running process");
+        let mut lines = text.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|text| text.trim().strip_suffix(" kB"));
+        kib.and_then(|text| text.parse::<u64>().ok())
+            .expect("a size")
+            * 1024
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
     }
@@ -89,12 +101,17 @@
 
     /// Version of the configuration in force as the metrics tell it.
     pub fn config_version(&self) -> u64 {
+        self.gauge("config_version")
+    }
+
+    /// A gauge of the metrics; 0 if it is not there.
+    pub fn gauge(&self, name: &str) -> u64 {
         let Some((_, text)) = send("GET", self.ready, "/metrics", "") else {
             return 0;
         };
         let mut lines = text.lines();
-        let version = lines.find_map(|line| line.strip_prefix("config_version "));
-        version.and_then(|text| text.parse().ok()).unwrap_or(0)
+        let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 
     pub fn call(&self, spec: &CallSpec) -> Option<WholeAnswer> {
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use crate::port_holder::PortHolder;
+use crate::relay_pump::PaceClock;
 use crate::relay_pump::PumpEnd;
 use crate::relay_pump::RelayDirection;
 use crate::relay_pump::pump_bytes;
@@ -42,6 +43,8 @@
     FreezeAnswers,
     /// Passes every byte on after this time.
     Delay(Duration),
+    /// Passes answers on at this rate in bytes per millisecond, all connections together.
+    Pace(u32),
     /// Closes each connection once this many bytes went back to the client.
     HalfAnswer(usize),
 }
@@ -68,6 +71,7 @@
 struct RelayCounts {
     requests: AtomicU64,
     answers: AtomicU64,
+    pace: PaceClock,
 }
 
 #[derive(Debug)]
@@ -204,6 +208,7 @@
         RelayDirection::Request,
         modes.clone(),
         &counts.requests,
+        &counts.pace,
     );
     let answers = pump_bytes(
         &server_reader,
@@ -211,6 +216,7 @@
         RelayDirection::Answer,
         modes.clone(),
         &counts.answers,
+        &counts.pace,
     );
     let cut = modes.wait_for(|mode| *mode == RelayMode::Cut);
     select! {
--- a/standins/src/relay_pump.rs
+++ b/standins/src/relay_pump.rs
@@ -1,8 +1,10 @@
 //! One direction of a relayed connection.
 
 use std::io;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use flume::Receiver;
 use flume::Sender;
@@ -39,6 +41,21 @@
     Broken,
 }
 
+/// Time at which a paced relay has passed on everything that it took so far.
+#[derive(Debug, Default)]
+pub struct PaceClock(Mutex<Option<Instant>>);
+
+impl PaceClock {
+    /// Returns the time at which `bytes` more have passed at `rate` bytes per millisecond.
+    fn pass(&self, bytes: usize, rate: u32) -> Instant {
+        let mut free_at = self.0.lock().expect("no holder panicked");
+        let start = free_at.map_or_else(Instant::now, |at| at.max(Instant::now()));
+        let end = start + Duration::from_secs_f64(bytes as f64 / f64::from(rate) / 1_000.0);
+        *free_at = Some(end);
+        end
+    }
+}
+
 struct HeldChunk {
     arrived: Instant,
     bytes: Vec<u8>,
@@ -52,6 +69,7 @@
     direction: RelayDirection,
     modes: watch::Receiver<RelayMode>,
     count: &AtomicU64,
+    pace: &PaceClock,
 ) -> PumpEnd {
     let (chunk_sender, chunks) = flume::bounded(MAX_HELD_CHUNKS);
     let reading = async {
@@ -62,7 +80,7 @@
         return PumpEnd::Finished;
     };
     let end = select! {
-        end = write_chunks(open_writer, direction, modes, count, chunks) => end,
+        end = write_chunks(open_writer, direction, modes, (count, pace), chunks) => end,
         () = reading => PumpEnd::Broken,
     };
     if end == PumpEnd::Finished {
@@ -97,7 +115,7 @@
     writer: &OwnedWriteHalf,
     direction: RelayDirection,
     mut modes: watch::Receiver<RelayMode>,
-    count: &AtomicU64,
+    (count, pace): (&AtomicU64, &PaceClock),
     chunks: Receiver<HeldChunk>,
 ) -> PumpEnd {
     let mut answer_len = 0;
@@ -108,6 +126,11 @@
         if let RelayMode::Delay(delay) = mode {
             sleep_until(chunk.arrived + delay).await;
         }
+        if let RelayMode::Pace(rate) = mode
+            && direction == RelayDirection::Answer
+        {
+            sleep_until(pace.pass(chunk.bytes.len(), rate)).await;
+        }
         let mut bytes = &chunk.bytes[..];
         let mut is_last = false;
         if let RelayMode::HalfAnswer(limit) = mode
