Let more bytes wait for the link and fewer be on the way; leave regions that refused alone

Cause: at 16 Mbit/s the 1 MB that may wait for the link was full in usual overload, so endpoints could not write their answers and small calls found no slot (calls of 22 ms took 126 ms); 50 ms of delay on the way made each refusal by a daemon behind a busy link take over 100 ms; answers were 560 ms in the middle where 540 were allowed, as the estimate of the link is off by up to a quarter; 18,847 requests were refused by the other region after a round trip of 60 ms each. Change: 3 MB wait, 25 ms of delay, a margin of a quarter on the estimate; a region that refused is not asked for 250 ms; a link that is known to be full for longer than there is time is not asked; the last refusal's cause is told.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -63,6 +63,8 @@
     tried: RefCell<Vec<MemberId>>,
     /// Shortest expected wait for a slot among the endpoints skipped for lack of capacity.
     shortest_wait: Cell<Option<Duration>>,
+    /// Cause of the last refusal for lack of capacity.
+    refused_for: Cell<NotRunCause>,
     /// Number of endpoints that received the request.
     reached: Cell<u32>,
 }
@@ -113,6 +115,7 @@
             finish_by,
             route_hash: xxh3_64(route.name.as_bytes()) as u32,
             shortest_wait: Cell::new(None),
+            refused_for: Cell::new(NotRunCause::Overloaded),
             tried: RefCell::default(),
             reached: Cell::new(0),
         }
@@ -290,8 +293,17 @@
         }
         let wait = Duration::from_millis(u64::from(report.retry_after_ms));
         let now = self.state.now();
+        let region = self.state.members.read(|table| {
+            let record = table.get(member);
+            record.map(|record| record.region.clone())
+        });
+        let own_region = self.state.settings().region.clone();
         let mut loads = self.state.routing.endpoint_loads.borrow_mut();
         loads.record_refusal(member.clone(), self.route_hash, wait, now);
+        if let Some(region) = region.filter(|region| *region != own_region) {
+            loads.record_region_refusal(region, self.route_hash, now);
+        }
+        self.refused_for.set(report.cause);
     }
 
     /// Waits for the rest of an answer, so that one that breaks off can be replaced. A rest that is
@@ -367,7 +379,7 @@
             return not_run(NotRunCause::Unreachable);
         };
         CallResult::NotRun(NotRunReport {
-            cause: NotRunCause::Overloaded,
+            cause: self.refused_for.get(),
             reached: false,
             retry_after_ms: millis(wait),
         })
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -132,7 +132,9 @@
     ///
     /// An endpoint of the local region is asked unless it has just refused such a request: its daemon
     /// knows its queue, reports about it are soon out of date, and to be refused takes little time.
-    /// One of another region must be expected to finish the request in time.
+    /// One of another region must be expected to finish the request in time, and its region must not
+    /// have refused one lately. The network connection of the VM must be expected to carry a large
+    /// answer in time, as a refusal has to pass it too.
     fn has_capacity(&self, record: &MemberRecord, slots: u16, is_local: bool) -> bool {
         let now = self.state.now();
         let load = self.state.routing.chooser.borrow().load(&record.id, now);
@@ -151,10 +153,15 @@
         if is_local && (ahead > 0 || uplink_wait > run) {
             self.state.members.link_other_regions(now);
         }
-        let refused_for = reported.refused_for(&record.id, self.route_hash, now);
+        let mut refused_for = reported.refused_for(&record.id, self.route_hash, now);
+        if !is_local {
+            let region_for = reported.refused_for(&record.region, self.route_hash, now);
+            refused_for = refused_for.max(region_for);
+        }
         let wait = (mean * ahead / u32::from(slots.max(1))).max(uplink_wait);
         let is_in_time = || now + LINK_RETURN_MARGIN * 2 + wait + run <= self.finish_by;
-        let has_capacity = refused_for.is_zero() && (is_local || is_in_time());
+        let is_carried = now + uplink_wait <= self.finish_by;
+        let has_capacity = refused_for.is_zero() && is_carried && (is_local || is_in_time());
         if !has_capacity {
             let wait = wait.max(refused_for);
             let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
--- a/coltsfootweir/src/sidecar/link/uplink.rs
+++ b/coltsfootweir/src/sidecar/link/uplink.rs
@@ -19,10 +19,10 @@
 use crate::sidecar::link::uplink_schedule::TransferSpec;
 use crate::sidecar::link::uplink_schedule::UplinkSchedule;
 
-/// Maximum number of bytes that wait to be sent, of all transfers together. Endpoints whose answers
-/// find no room wait to write them. Answers that would wait for more than this at 16 Mbit/s are
-/// refused before they run.
-const BUFFER_LIMIT: usize = 1024 * 1024;
+/// Maximum number of bytes that wait to be sent, of all transfers together: more than a second of a
+/// link of 16 Mbit/s, for which few requests would wait. Endpoints whose answers find no room wait to
+/// write them and keep their slots, which small calls need, too.
+const BUFFER_LIMIT: usize = 3 * 1024 * 1024;
 
 /// What the pieces of a transfer are part of, with its number on the link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/coltsfootweir/src/sidecar/link/uplink_schedule.rs
+++ b/coltsfootweir/src/sidecar/link/uplink_schedule.rs
@@ -28,9 +28,9 @@
 /// a round trip of 60 ms.
 const WINDOW_BOUNDS: (f64, f64) = (48.0 * 1024.0, 1024.0 * 1024.0);
 
-/// Delay in the network that the bytes on the way may cause, a tenth of the limit after which a
-/// link counts as silent.
-const DELAY_TARGET: Duration = Duration::from_millis(50);
+/// Delay in the network that the bytes on the way may cause. Calls to this VM wait for it twice, when
+/// they are refused and when they come back, and should be done within 100 ms.
+const DELAY_TARGET: Duration = Duration::from_millis(25);
 
 /// Bytes after which the rate is measured, several pieces: single acknowledgements arrive unevenly.
 const RATE_SAMPLE: u64 = 4 * PIECE_BYTES;
--- a/coltsfootweir/src/sidecar/reported_loads.rs
+++ b/coltsfootweir/src/sidecar/reported_loads.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::MemberId;
+use crate::ids::RegionName;
 use crate::sidecar::frame::EndpointLoad;
 
 /// Time after which a reported run time expires, so that an endpoint that was slow is tried again.
@@ -17,6 +18,10 @@
 /// a few runs, and to be refused in the own region takes less than two milliseconds.
 const REFUSAL_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(60));
 
+/// Time for which another region is not asked again after a refusal, several of the round trips that
+/// each further one would cost the client.
+const REGION_REFUSAL_TIME: Duration = Duration::from_millis(250);
+
 /// Number of refusals above which those that are over are removed.
 const MAX_REFUSALS: usize = 1024;
 
@@ -31,8 +36,9 @@
     reports: HashMap<MemberId, ReportedLoad>,
     /// Times that the answers on their way from a VM take, and when they were reported.
     uplinks: HashMap<MemberId, (Duration, Duration)>,
-    /// Times until which requests of a route, by the hash of its name, are not sent to an endpoint.
-    refusals: HashMap<(MemberId, u32), Duration>,
+    /// Times until which requests of a route, by the hash of its name, are not sent to the endpoint of
+    /// a daemon or to a region.
+    refusals: HashMap<(Box<str>, u32), Duration>,
 }
 
 /// Mean run time over the endpoints of one service, the reference for relative run times.
@@ -66,19 +72,34 @@
     /// Records that a request of a route was refused for lack of capacity at `now`. Others of that
     /// route are refused there for `wait`, within bounds.
     pub fn record_refusal(&mut self, id: MemberId, route_hash: u32, wait: Duration, now: Duration) {
+        let (low, high) = REFUSAL_BOUNDS;
+        self.refuse_until(id, route_hash, now + wait.clamp(low, high), now);
+    }
+
+    /// Records that an endpoint of another region refused a request of a route for lack of capacity.
+    /// The others of its region are probably full too.
+    pub fn record_region_refusal(&mut self, region: RegionName, route_hash: u32, now: Duration) {
+        self.refuse_until(region, route_hash, now + REGION_REFUSAL_TIME, now);
+    }
+
+    /// Returns the number of refusals that are remembered.
+    #[must_use]
+    pub fn refusal_count(&self) -> usize {
+        self.refusals.len()
+    }
+
+    fn refuse_until(&mut self, id: Box<str>, route_hash: u32, until: Duration, now: Duration) {
         if self.refusals.len() >= MAX_REFUSALS {
             self.refusals.retain(|_, until| now < *until);
         }
-        let (low, high) = REFUSAL_BOUNDS;
-        let until = now + wait.clamp(low, high);
         self.refusals.insert((id, route_hash), until);
     }
 
-    /// Returns for how long requests of a route are still refused at an endpoint, if its last refusal
-    /// is recent.
+    /// Returns for how long requests of a route are still refused at an endpoint or in another region,
+    /// if its last refusal is recent.
     #[must_use]
-    pub fn refused_for(&self, id: &MemberId, route_hash: u32, now: Duration) -> Duration {
-        let until = self.refusals.get(&(id.clone(), route_hash));
+    pub fn refused_for(&self, id: &str, route_hash: u32, now: Duration) -> Duration {
+        let until = self.refusals.get(&(id.into(), route_hash));
         until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
     }
 
--- a/coltsfootweir/src/sidecar/sent_answer.rs
+++ b/coltsfootweir/src/sidecar/sent_answer.rs
@@ -21,6 +21,10 @@
 /// much as such daemons read.
 const WHOLE_LIMIT: usize = 32 * 1024 * 1024;
 
+/// Factor on the time that the answers on their way should take, as a fraction. The estimate is off by
+/// up to a quarter, as small frames share the link.
+const LINK_MARGIN: (u32, u32) = (5, 4);
+
 /// A call of another daemon and its answer.
 pub(crate) struct SentAnswer<'a> {
     pub(crate) state: &'a SidecarState,
@@ -80,7 +84,8 @@
         let run = self.state.endpoint.expected_time(self.call);
         let backlog = uplink.time_for(0);
         let transfer = uplink.time_for(expected).saturating_sub(backlog);
-        let excess = (now + run.max(backlog) + transfer).saturating_sub(finish_by);
+        let sending = (backlog + transfer) * LINK_MARGIN.0 / LINK_MARGIN.1;
+        let excess = (now + sending.max(run + transfer)).saturating_sub(finish_by);
         (!excess.is_zero()).then(|| NotRunReport {
             cause: NotRunCause::LinkFull,
             reached: false,
