--- a/coltsfootweir/src/sidecar/link/uplink.rs
+++ b/coltsfootweir/src/sidecar/link/uplink.rs
@@ -25,7 +25,7 @@
 const BUFFER_LIMIT: usize = 3 * 1024 * 1024;
 
 /// What the pieces of a transfer are part of, with its number on the link.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum TransferKind {
     /// The answer to a call.
     Answer(CallNumber),
@@ -42,17 +42,11 @@
     is_ended: bool,
 }
 
-impl OutgoingTransfer {
-    fn is_config(&self) -> bool {
-        matches!(self.kind, TransferKind::Configuration(_))
-    }
-}
-
 #[derive(Default)]
 struct UplinkState {
     schedule: UplinkSchedule,
     outgoing: HashMap<TransferId, OutgoingTransfer>,
-    numbers: HashMap<(LinkId, u32), TransferId>,
+    ids: HashMap<(LinkId, TransferKind), TransferId>,
     buffered: usize,
     next_link: LinkId,
 }
@@ -89,7 +83,6 @@
         for id in state.schedule.close_link(link) {
             state.drop_outgoing(id);
         }
-        state.numbers.retain(|(other, _), _| *other != link);
         drop(state);
         self.send_pieces();
     }
@@ -111,7 +104,7 @@
             is_ended: false,
         };
         state.outgoing.insert(id, transfer);
-        state.numbers.insert((spec.link, kind.number()), id);
+        state.ids.insert((spec.link, kind), id);
         TransferSender {
             uplink: Rc::clone(self),
             id,
@@ -123,18 +116,15 @@
     #[must_use]
     pub fn is_sending_config(&self, link: LinkId) -> bool {
         let state = self.state.borrow();
-        let mut transfers = state.numbers.iter();
-        transfers.any(|((other, _), id)| {
-            let out = state.outgoing.get(id);
-            *other == link && out.is_some_and(OutgoingTransfer::is_config)
-        })
+        let mut transfers = state.ids.keys();
+        transfers
+            .any(|(other, kind)| *other == link && matches!(kind, TransferKind::Configuration(_)))
     }
 
     /// Records how much of a transfer the receiver has received and consumed.
     pub fn acknowledge(&self, link: LinkId, kind: TransferKind, received: u64, consumed: u64) {
         let mut state = self.state.borrow_mut();
-        let number = kind.number();
-        let Some(id) = state.numbers.get(&(link, number)).copied() else {
+        let Some(id) = state.ids.get(&(link, kind)).copied() else {
             return;
         };
         let now = self.clock.now();
@@ -150,7 +140,7 @@
     /// Drops a transfer that the receiver does not want any more.
     pub fn cancel(&self, link: LinkId, kind: TransferKind) {
         let mut state = self.state.borrow_mut();
-        if let Some(id) = state.numbers.get(&(link, kind.number())).copied() {
+        if let Some(id) = state.ids.get(&(link, kind)).copied() {
             state.drop_outgoing(id);
         }
         drop(state);
@@ -239,7 +229,7 @@
 
     fn drop_outgoing(&mut self, id: TransferId) {
         self.schedule.close(id);
-        self.numbers.retain(|_, other| *other != id);
+        self.ids.retain(|_, other| *other != id);
         let Some(transfer) = self.outgoing.remove(&id) else {
             return;
         };
@@ -248,17 +238,6 @@
     }
 }
 
-impl TransferKind {
-    /// Returns the number of the transfer on its link. Those of configurations have the highest bit
-    /// set, so that the two kinds differ.
-    fn number(self) -> u32 {
-        match self {
-            TransferKind::Answer(number) => number,
-            TransferKind::Configuration(number) => number | 1 << 31,
-        }
-    }
-}
-
 /// Removes `count` bytes from the front of `pieces`.
 fn take_bytes(pieces: &mut VecDeque<Vec<u8>>, count: usize) -> Vec<u8> {
     let mut taken = Vec::with_capacity(count);
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -391,6 +391,14 @@
     }
 }
 
+impl Drop for PeerLink {
+    /// Drops the transfers to the peer: they hold the connection open, and nobody is left to handle
+    /// its acknowledgements.
+    fn drop(&mut self) {
+        self.side.close();
+    }
+}
+
 /// A call in progress; sends a cancel frame when dropped before the end of the result.
 pub(crate) struct CallGuard {
     pub(crate) link: Rc<PeerLink>,
--- a/programs/tests/common/caller.rs
+++ b/programs/tests/common/caller.rs
@@ -226,6 +226,10 @@
     };
     let body = &bytes[end + 4..];
     if answer.header("transfer-encoding") == "chunked" {
+        // Long answers would be parsed again at each read otherwise.
+        if !body.ends_with(b"0\r\n\r\n") {
+            return None;
+        }
         answer.body = parse_chunks(body)?;
         return Some(answer);
     }
