No answer of unknown length is passed on in part to a client without chunks

Cause: a client of HTTP/1.0 takes the end of the connection for the end of an answer without a length, also when the answer broke off: found while reading the diff. Change: such an answer that is too long to be held back ends 502.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -1,5 +1,6 @@
 //! Routing of one client request: choice of an endpoint, retries, hedging and the final result.
 
+pub mod attempts_end;
 mod endpoint_choice;
 
 use std::cell::Cell;
@@ -15,6 +16,7 @@
 use crate::sidecar::answer::answer_hold::HeldBytes;
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::answer_rest::BodyPiece;
+use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
 use crate::sidecar::call_attempts::endpoint_choice::ChosenEndpoint;
 use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::frame::CallResult;
@@ -69,18 +71,6 @@
     reached: Cell<u32>,
 }
 
-/// Result of a request and the attempts that led to it.
-pub struct AttemptsEnd {
-    /// Result of the request.
-    pub result: CallResult,
-    /// Rest of the answer, if it is too long to be held back.
-    pub rest: Option<AnswerRest>,
-    /// Daemons that were tried, in order.
-    pub tried: Vec<MemberId>,
-    /// Number of endpoints that received the request.
-    pub reached: u32,
-}
-
 /// Result of one attempt, and the rest of the answer if there is more than the result holds.
 struct AttemptEnd {
     result: CallResult,
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -31,8 +32,8 @@
 use crate::sidecar::answer::client_body::ClientBody;
 use crate::sidecar::answer::client_body::PassedBody;
 use crate::sidecar::answer::client_body::RunningCount;
-use crate::sidecar::call_attempts::AttemptsEnd;
 use crate::sidecar::call_attempts::CallAttempts;
+use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
 use crate::sidecar::client_response::daemon_response;
 use crate::sidecar::client_response::endpoint_response;
 use crate::sidecar::client_response::jittered;
@@ -249,6 +250,13 @@
     let attempts = CallAttempts::new(state, &active, route, service.clone(), deadline);
     let left = (deadline + RESPONSE_MARGIN).saturating_sub(state.now());
     let end = match tokio::time::timeout(left, attempts.run(&call)).await {
+        // A client without chunks takes the end of the connection for the end of such an answer, also
+        // when it broke off.
+        Ok(end) if parts.version < Version::HTTP_11 && end.has_unknown_length() => AttemptsEnd {
+            result: CallResult::Unknown(UnknownCause::AnswerBroken),
+            rest: None,
+            ..end
+        },
         Ok(end) => end,
         Err(_) => AttemptsEnd {
             result: CallResult::Unknown(UnknownCause::TimedOut),
--- a/programs/tests/sidecar_large.rs
+++ b/programs/tests/sidecar_large.rs
@@ -95,6 +95,28 @@
     }
 }
 
+/// A client of HTTP/1.0 knows no chunks, so the end of the connection would be the end of the answer.
+#[test]
+fn answer_of_unknown_length_that_breaks_off_is_no_success_without_chunks() {
+    let fleet = SidecarFleet::start_ready(&[(STALLS, "v1")]);
+    for (shape, length, status) in [
+        ("chunk-cut", LONG * 8, "502"),
+        ("chunked", LONG * 8, "502"),
+        ("chunked", MIDDLE, "200"),
+        ("sized", LONG, "200"),
+    ] {
+        let text = format!(
+            "GET /free/{shape}-{length} HTTP/1.0\r\nhost: test\r\nrequest-id: {shape}-{length}\r\n\r\n"
+        );
+        let mut stream = send_raw(fleet.sidecars[0].requests, text.as_bytes());
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).expect("an orderly end");
+        let head = String::from_utf8_lossy(&bytes[..20]).to_string();
+        assert!(head.contains(status), "{shape}-{length}: {head}");
+        assert_eq!(bytes.len() > length, status == "200", "{shape}-{length}");
+    }
+}
+
 /// Bytes that are no answer come without end, in each place of a head and a body. The connection is
 /// closed, the caller gets no success, memory is bounded and other calls go on.
 #[test]
