An attempt after the target time may use a free slot again

Replayed with the events printed, beside twelve busy processes: the second attempt is due after 1.7 run times, 450 ms there, which is the target time, and since the round about reports no endpoint was asked after it. Change: the wait for the link is looked at only if there is one.

--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -160,7 +160,8 @@
         }
         let wait = (mean * ahead / u32::from(slots.max(1))).max(uplink_wait);
         let is_in_time = || now + LINK_RETURN_MARGIN * 2 + wait + run <= self.finish_by;
-        let is_carried = now + uplink_wait <= self.finish_by;
+        // Without a wait for the link, an attempt after the target time may still use a free slot.
+        let is_carried = uplink_wait.is_zero() || now + uplink_wait <= self.finish_by;
         let has_capacity = refused_for.is_zero() && is_carried && (is_local || is_in_time());
         if !has_capacity {
             let wait = wait.max(refused_for);
