--- a/review/standins/rejoin_case.rs
+++ b/review/standins/rejoin_case.rs
@@ -21,8 +21,17 @@
 /// Calm time between the end of the cut and the new configuration.
 const CALM: Duration = Duration::from_millis(7_000);
 
-/// Requests to each route from each machine in the steady state.
-const REQUESTS: usize = 20;
+/// Paths on the first routes, as often as clients ask for them.
+const FIRST_PATHS: [&str; 5] = [
+    "/feed/w20",
+    "/feed/w20",
+    "/stalls/w20",
+    "/feed/w20",
+    "/feed/w20",
+];
+
+/// Requests to the added route from each machine in the steady state.
+const ROUNDS: usize = 10;
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
     let Some(mut fleet) = Fleet::new(record.clone()) else {
@@ -30,14 +39,10 @@
     };
     let cut = RegionCut::default();
     fleet.cut = Some(cut.clone());
-    for (zone, region, service) in [
-        ("zaandam", STORE_REGION, "stalboek"),
-        ("gouda", "zuid-holland", "paardregister"),
-        ("gouda", "zuid-holland", "paardregister"),
-        ("gouda", "zuid-holland", "paardregister"),
-        ("delft", "zuid-holland", "paardregister"),
-        ("delft", "zuid-holland", "paardregister"),
-    ] {
+    let mut places = vec![("zaandam", STORE_REGION, "stalboek")];
+    places.extend([("gouda", "zuid-holland", "paardregister"); 4]);
+    places.extend([("delft", "zuid-holland", "paardregister"); 3]);
+    for (zone, region, service) in places {
         let spec = MachineSpec {
             zone,
             region,
@@ -60,53 +65,68 @@
         target_ms: 600,
         priority: 2,
     };
-    let first = [
-        route("feed-stock", "/feed/", "paardregister"),
-        route("stall-lookup", "/stalls/", "stalboek"),
-    ];
-    fleet.put_config(1, &first);
+    let feed = || route("feed-stock", "/feed/", "paardregister");
+    let lookup = || route("stall-lookup", "/stalls/", "stalboek");
+    fleet.put_config(1, &[feed(), lookup()]);
     // Both services are served at each machine, also across the regions.
     if !fleet.wait_served("/feed/w20") || !fleet.wait_served("/stalls/w20") {
         return Verdict::NotRun("the daemons didn't get ready");
     }
     fleet.end_bootstrap();
-    use_for(&fleet, STABILITY);
+    use_for(&fleet, &FIRST_PATHS, STABILITY);
     if has_trouble {
         record.write("the regions lose each other");
         cut.set(true);
     }
-    use_for(&fleet, CUT);
+    use_for(&fleet, &FIRST_PATHS, CUT);
     cut.set(false);
     record.write("the regions reach each other");
-    use_for(&fleet, CALM);
-    let [feed, stalls] = first;
+    use_for(&fleet, &FIRST_PATHS, CALM);
     let added = route("stall-history", "/history/", "stalboek");
-    fleet.put_config(2, &[feed, stalls, added]);
-    use_for(&fleet, CONFIG_APPLY + Duration::from_millis(500));
-    let [mut old_served, mut added_served] = [0, 0];
-    for _ in 0..REQUESTS {
+    fleet.put_config(2, &[feed(), lookup(), added]);
+    let settled = CONFIG_APPLY + Duration::from_millis(500);
+    use_for(&fleet, &FIRST_PATHS, settled);
+    let (mut first, mut added) = (Served::default(), Served::default());
+    for _ in 0..ROUNDS {
         for machine in &fleet.machines {
-            old_served += usize::from(fleet.get(machine, "/feed/w20", 1_500).status() == 200);
-            added_served += usize::from(fleet.get(machine, "/history/w20", 1_500).status() == 200);
+            for path in FIRST_PATHS {
+                first.count(fleet.get(machine, path, 1_500).status());
+            }
+            added.count(fleet.get(machine, "/history/w20", 1_500).status());
         }
     }
-    let all = REQUESTS * fleet.machines.len();
     record.write(&format!(
-        "in the steady state {added_served} of {all} requests to the added route were served, {old_served} of {all} to the first one"
+        "in the steady state {} of {} requests to the added route were served, {} of {} to the first ones",
+        added.served, added.all, first.served, first.all
     ));
-    match added_served * 4 < old_served {
+    match added.served * first.all * 4 < first.served * added.all {
         true => Verdict::Broken,
         false => Verdict::Held,
     }
 }
 
+/// Requests in the steady state.
+#[derive(Default)]
+struct Served {
+    served: usize,
+    all: usize,
+}
+
+impl Served {
+    fn count(&mut self, status: u16) {
+        self.all += 1;
+        self.served += usize::from(status == 200);
+    }
+}
+
 /// Sends a few requests at each machine.
-fn use_for(fleet: &Fleet, time: Duration) {
+fn use_for(fleet: &Fleet, paths: &[&str], time: Duration) {
     let until = Instant::now() + time;
     while Instant::now() < until {
         for machine in &fleet.machines {
-            fleet.get(machine, "/feed/w20", 1_500);
-            fleet.get(machine, "/stalls/w20", 300);
+            for path in paths {
+                fleet.get(machine, path, 1_500);
+            }
         }
         thread::sleep(Duration::from_millis(100));
     }
