--- a/review/standins/poison_case.rs
+++ b/review/standins/poison_case.rs
@@ -28,6 +28,12 @@
 /// Slots of each endpoint, as at the smallest site.
 const SLOTS: usize = 6;
 
+/// Work of the clients that leave: the longest `stall-lookup`, 450 ms, at one of the slowest endpoints, 1.6 times as long.
+const LONG_WORK: &str = "/stalls/w720";
+
+/// Time after which they leave.
+const PATIENCE_MS: u64 = 120;
+
 const POISON: &str = "/stalls/crash";
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
@@ -96,13 +102,12 @@
         for _ in 0..LEAVERS {
             let (requests, sender) = (fleet.requests(), sender.clone());
             clients.push(thread::spawn(move || {
-                requests.send(&sender, "GET", "/stalls/w450", "", 1_500, 120);
+                requests.send(&sender, "GET", LONG_WORK, "", 1_500, PATIENCE_MS);
             }));
-            thread::sleep(Duration::from_millis(10));
+            thread::sleep(Duration::from_millis(5));
         }
-    }
-    for client in clients {
-        let _ = client.join();
+        // The last of them leave; the endpoints are full until the first work ends.
+        thread::sleep(Duration::from_millis(PATIENCE_MS));
     }
     let start = Instant::now();
     let mut turn = 0;
@@ -119,6 +124,9 @@
         let _ = bystander.join();
         turn += 1;
     }
+    for client in clients {
+        let _ = client.join();
+    }
     let mut crashes = Vec::new();
     let mut arrivals = Vec::new();
     for endpoint in &fleet.endpoints {
