--- a/review/standins/endpoint.rs
+++ b/review/standins/endpoint.rs
@@ -82,6 +82,7 @@
     is_up: AtomicBool,
     /// Whether the port is open; it closes before the connections, as when a process ends.
     is_listening: AtomicBool,
+    is_pinging: AtomicBool,
     arrivals: Mutex<Vec<Arrival>>,
     streams: Mutex<Vec<TcpStream>>,
     /// Whether it sends additional bytes after some of its answers.
@@ -109,6 +110,7 @@
                 life: AtomicU64::new(0),
                 is_up: AtomicBool::new(false),
                 is_listening: AtomicBool::new(false),
+                is_pinging: AtomicBool::new(true),
                 arrivals: Mutex::default(),
                 streams: Mutex::default(),
                 is_garbling: AtomicBool::new(false),
@@ -122,7 +124,7 @@
         thread::spawn(move || {
             loop {
                 let state = &pinging.state;
-                if state.is_up.load(Ordering::SeqCst) {
+                if state.is_up.load(Ordering::SeqCst) && state.is_pinging.load(Ordering::SeqCst) {
                     let body = pinging.ping_body();
                     pinging.send_ping(&body);
                 }
@@ -187,6 +189,17 @@
         call(self.state.spec.admin, "PUT", &path, &headers, body, limit).status() == 200
     }
 
+    /// Sends its departure and no ping after it; returns whether it was acknowledged.
+    pub fn depart(&self) -> bool {
+        self.state.is_pinging.store(false, Ordering::SeqCst);
+        let path = format!("/coltsfootweir/endpoints/{}", self.state.spec.id);
+        let body = format!(r#"{{"born":{}}}"#, self.state.born.load(Ordering::SeqCst));
+        let headers = [("Content-Type", "application/json")];
+        let limit = Duration::from_secs(1);
+        let admin = self.state.spec.admin;
+        call(admin, "DELETE", &path, &headers, &body, limit).status() == 200
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.arrivals.lock().unwrap().clone()
     }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! `standins CASE RECORD` plays a case and ends with 1 if the rule was broken, 0 if it held and 2 if
 //! the case couldn't run. With `TROUBLE=0` it plays it without the disruption.
 
+mod drain_case;
 mod endpoint;
 mod extra_bytes_case;
 mod fleet;
@@ -39,6 +40,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let verdict = match case.as_str() {
+        "drain" => drain_case::play(&record, has_trouble),
         "rejoin" => rejoin_case::play(&record, has_trouble),
         "twice" => extra_bytes_case::play(&record, has_trouble),
         "crash" => photo_case::play(&record, has_trouble),
