Review: case 3 takes less time

Change: 6 instead of 10 rounds of requests after the cut; still 48 to the added route, where the rule asks for 20.

--- a/review/standins/rejoin_case.rs
+++ b/review/standins/rejoin_case.rs
@@ -31,7 +31,7 @@
 ];
 
 /// Requests to the added route from each machine in the steady state.
-const ROUNDS: usize = 10;
+const ROUNDS: usize = 6;
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
     let Some(mut fleet) = Fleet::new(record.clone()) else {
