Logs tell which daemon sent a configuration, who was asked for it and who watches the store

Cause: config_in_force said 'peer' for all daemons, requests and the duty to watch the store were not logged, so a late configuration could not be traced to the daemon that held it up. Change: the id of the other daemon as the source, config_requested with the time overdue, store_watch_started and store_watch_ended. One line for each decision, none for a request of a client.

--- a/coltsfootweir/src/sidecar/config_holder.rs
+++ b/coltsfootweir/src/sidecar/config_holder.rs
@@ -90,7 +90,8 @@
     /// Activates a configuration if it is newer than the active one. Returns whether it was
     /// activated.
     ///
-    /// `source` names the origin of the configuration in the log.
+    /// `source` names the origin of the configuration in the log: the store, or the daemon that sent
+    /// it.
     pub fn adopt(&self, config: MeshConfig, source: &str) -> bool {
         let before = self.version();
         if config.version <= before && before != 0 {
--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use log::info;
 use log::warn;
 use serde_json::json;
 
@@ -65,6 +66,7 @@
         state,
         cursor: None,
         failures: 0,
+        is_watching: false,
     };
     loop {
         watch.step().await;
@@ -77,12 +79,23 @@
     cursor: Option<RowVersion>,
     /// Failed calls in a row.
     failures: u32,
+    /// Whether this daemon watched the store in the last step.
+    is_watching: bool,
 }
 
 impl OrderWatch {
     /// Makes one call to the store, or waits if this daemon does not have to watch it.
     async fn step(&mut self) {
-        if !self.must_watch() {
+        let must_watch = self.must_watch();
+        if must_watch != std::mem::replace(&mut self.is_watching, must_watch) {
+            let name = match must_watch {
+                true => "store_watch_started",
+                false => "store_watch_ended",
+            };
+            let event = json!({"name": name, "version": self.state.config.version()});
+            info!(target: CONFIG, "{event}");
+        }
+        if !must_watch {
             // The peers deliver changes from now on, so a later watch starts with a full read.
             self.cursor = None;
             match self.state.members.own().store {
--- a/coltsfootweir/src/sidecar/link/link_side.rs
+++ b/coltsfootweir/src/sidecar/link/link_side.rs
@@ -10,6 +10,7 @@
 use log::warn;
 use serde_json::json;
 
+use crate::ids::MemberId;
 use crate::logging::MEMBERS;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
@@ -42,6 +43,7 @@
     config: RefCell<ConfigPieces>,
     next_config: Cell<u32>,
     told_load: Cell<u32>,
+    peer: RefCell<Option<MemberId>>,
 }
 
 impl LinkSide {
@@ -58,6 +60,7 @@
             config: RefCell::default(),
             next_config: Cell::new(0),
             told_load: Cell::new(0),
+            peer: RefCell::default(),
         };
         (Rc::new(side), queue)
     }
@@ -75,6 +78,18 @@
         is_sent
     }
 
+    /// Records the id of the peer.
+    pub fn set_peer(&self, peer: MemberId) {
+        self.peer.replace(Some(peer));
+    }
+
+    /// Returns the id of the peer, or a placeholder for the log before the peer has sent it.
+    #[must_use]
+    pub fn peer_name(&self) -> MemberId {
+        let peer = self.peer.borrow();
+        peer.clone().unwrap_or_else(|| "unidentified daemon".into())
+    }
+
     /// Records that the peer understands answers in pieces.
     pub fn set_pieces(&self) {
         self.has_pieces.set(true);
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -159,6 +159,7 @@
             .map_err(|_| DialError::Unreachable)?;
         let (hello, hellos) = flume::bounded(1);
         let (side, queue) = LinkSide::new(uplink);
+        side.set_peer(peer.clone());
         side.send(PeerFrame::Hello(own.clone()));
         let link = Rc::new(PeerLink {
             side,
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -66,7 +66,8 @@
 impl AcceptedLink {
     fn handle(&self, frame: PeerFrame) {
         match frame {
-            PeerFrame::Hello(_) => {
+            PeerFrame::Hello(id) => {
+                self.side.set_peer(id);
                 self.side.set_pieces();
                 self.side.send(PeerFrame::Pieces);
             }
@@ -145,11 +146,11 @@
                 side.send_config(delta, state.now());
             }
         }
-        PeerFrame::Config(delta) => state.adopt_config(*delta),
+        PeerFrame::Config(delta) => state.adopt_config(*delta, &side.peer_name()),
         PeerFrame::ConfigPiece(number, bytes) => side.receive_config(number, &bytes),
         PeerFrame::ConfigEnd(number) => {
             if let Some(delta) = side.finish_config(number) {
-                state.adopt_config(delta);
+                state.adopt_config(delta, &side.peer_name());
             }
         }
         PeerFrame::ConfigCredit(number, received) => {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -20,6 +20,7 @@
 use crate::ids::MemberId;
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
+use crate::logging::CONFIG;
 use crate::logging::MEMBERS;
 use crate::logging::MOVES;
 use crate::poison::PoisonTable;
@@ -284,9 +285,9 @@
         PeerFrame::ConfigHeld(self.members.own().id, self.config.version())
     }
 
-    /// Puts a configuration from another daemon in force if it is newer, and announces it.
-    pub fn adopt_config(&self, delta: ConfigDelta) {
-        if self.config.adopt_delta(delta, "peer") {
+    /// Puts a configuration from the daemon `source` in force if it is newer, and announces it.
+    pub fn adopt_config(&self, delta: ConfigDelta, source: &str) {
+        if self.config.adopt_delta(delta, source) {
             self.announce_config();
         }
     }
@@ -436,6 +437,10 @@
         if let Some(link) = self.members.link(&id) {
             self.config_requested.set((version, now));
             link.send(PeerFrame::ConfigWanted(held));
+            let overdue = now.saturating_sub(since).as_millis();
+            let event = json!({"name": "config_requested", "peer": id, "version": version,
+                "held": held, "overdue_ms": overdue as u64});
+            info!(target: CONFIG, "{event}");
         }
     }
 }
