--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -33,6 +33,12 @@
 pub const STALLS: &str = "stalls";
 pub const HORSES: &str = "horses";
 
+/// Where a sidecar stands: zone and region.
+pub type SidecarPlace = (&'static str, &'static str);
+
+/// Place of sidecars that are added without one.
+const DEFAULT_PLACE: SidecarPlace = ("a", "north");
+
 /// A sidecar process, killed on drop.
 pub struct SidecarProcess {
     child: Child,
@@ -174,18 +180,40 @@
         fleet
     }
 
+    /// Starts sidecars in zones, with an endpoint of a service and a configuration in force on each.
+    pub fn start_in_zones(members: &[(&str, SidecarPlace)]) -> SidecarFleet {
+        let mut fleet = SidecarFleet::start(&[]);
+        for (service, place) in members {
+            fleet.add_in(service, "v1", free_address(), *place);
+        }
+        fleet.put_config(1, "");
+        fleet.wait_config(1);
+        fleet.wait_served();
+        fleet
+    }
+
     pub fn add(&mut self, service: &str, version: &str) -> usize {
         self.add_at(service, version, free_address())
     }
 
     /// Adds a sidecar that other daemons reach at `peers`, which an earlier one may have had.
     pub fn add_at(&mut self, service: &str, version: &str, peers: SocketAddr) -> usize {
+        self.add_in(service, version, peers, DEFAULT_PLACE)
+    }
+
+    fn add_in(
+        &mut self,
+        service: &str,
+        version: &str,
+        peers: SocketAddr,
+        place: SidecarPlace,
+    ) -> usize {
         let number = self.sidecars.len();
         let name = format!("vm-{number}");
         let listener = TcpListener::bind(free_address()).expect("a free port");
         let endpoint = listener.local_addr().expect("an address");
         let store = self.store.open_address();
-        let sidecar = start_sidecar(&name, service, endpoint, peers, store.address);
+        let sidecar = start_sidecar(&name, service, endpoint, peers, store.address, place);
         self.stores.push(store);
         let id = format!("i-{number}");
         let endpoint = MeshEndpoint::start(listener, sidecar.admin, &id, service, version);
@@ -225,9 +253,20 @@
         }
     }
 
-    /// Waits until each sidecar has heard its endpoint and reaches one of each service that the fleet
-    /// has.
+    /// Waits until each sidecar serves requests and has reached all others.
     pub fn wait_endpoints(&self) {
+        self.wait_served();
+        let count = self.sidecars.len();
+        for sidecar in &self.sidecars {
+            wait_for(&format!("peers of {}", sidecar.name), PATIENCE, || {
+                sidecar.events("peer_reached").len() >= count - 1
+            });
+        }
+    }
+
+    /// Waits until each sidecar has heard its endpoint and reaches one of each service that the fleet
+    /// has. Not all sidecars of several regions are linked.
+    fn wait_served(&self) {
         for sidecar in &self.sidecars {
             wait_for(&format!("endpoint of {}", sidecar.name), PATIENCE, || {
                 !sidecar.events("endpoint_announced").is_empty()
@@ -247,12 +286,6 @@
                 });
             }
         }
-        let count = self.sidecars.len();
-        for sidecar in &self.sidecars {
-            wait_for(&format!("peers of {}", sidecar.name), PATIENCE, || {
-                sidecar.events("peer_reached").len() >= count - 1
-            });
-        }
     }
 
     fn has_service(&self, service: &str) -> bool {
@@ -277,14 +310,15 @@
     endpoint: SocketAddr,
     peers: SocketAddr,
     store: SocketAddr,
+    (zone, region): SidecarPlace,
 ) -> SidecarProcess {
     let [requests, ready, admin] = [(); 3].map(|()| free_address());
     let text = format!(
         r#"
 [self]
 node_id = "{name}"
-zone = "a"
-region = "north"
+zone = "{zone}"
+region = "{region}"
 local_app = "{endpoint}"
 service = "{service}"
 [network.listen]
