A daemon that does not send a configuration is passed over for another one

Cause: a request without an answer went to the parent in the tree, or to the same other daemon, again for as long as the link to it counted as open (3.6 s when idle). Who did not respond within 700 ms, or did not go on with a long response, is asked again only after the others. Replaces the three fields of ConfigHolders; who may be asked when (FetchScope) is unchanged.

--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -1,15 +1,15 @@
 //! The other daemons of the deployment: their records, the links to them and how changes are sent.
 
+mod link_checks;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::ids::Generation;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
@@ -25,9 +25,6 @@
 /// Number of daemons that watch the store for all; the second one is a backup.
 const STORE_WATCHERS: usize = 2;
 
-/// Every nth comparison of member tables goes to another zone.
-const OTHER_ZONE_TURNS: u64 = 4;
-
 /// Maximum number of links within the region: enough for about 8 daemons of each service in call
 /// chains seven services deep, the own service and those it calls.
 const MAX_REGION_LINKS: usize = 96;
@@ -48,25 +45,12 @@
     All,
 }
 
-/// Reachable daemons with a newer configuration, and its generation.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct ConfigHolders {
-    /// The parent in the tree that distributes configurations.
-    pub parent: Option<(MemberId, Generation)>,
-    /// A daemon of the own zone.
-    pub same_zone: Option<(MemberId, Generation)>,
-    /// A daemon of another zone.
-    pub other_zone: Option<(MemberId, Generation)>,
-}
-
 /// Member records, links and the changes that are not sent yet.
 pub struct MemberDirectory {
     table: RefCell<MemberTable>,
     own: RefCell<MemberRecord>,
     links: LinkTable,
     changed: RefCell<HashSet<MemberId>>,
-    /// Generations of the configuration in force on other daemons.
-    config_versions: RefCell<HashMap<MemberId, Generation>>,
     /// Time of the last comparison of member tables over a new link.
     compared_at: Cell<Duration>,
     /// Time until which endpoints of other regions are linked.
@@ -84,7 +68,6 @@
             own: RefCell::new(own),
             links: LinkTable::default(),
             changed: RefCell::default(),
-            config_versions: RefCell::default(),
             compared_at: Cell::default(),
             other_regions_until: Cell::default(),
         }
@@ -163,34 +146,11 @@
         later
     }
 
-    /// Records the generation of the configuration in force on another daemon.
-    pub fn record_config_version(&self, id: MemberId, version: Generation) {
-        self.config_versions.borrow_mut().insert(id, version);
-    }
-
-    /// Returns the reachable daemons with the newest configuration, if it is newer than `held`.
+    /// Returns the daemon that sends configurations to this one in the tree of the zone.
     #[must_use]
-    pub fn config_holders(&self, held: Generation) -> ConfigHolders {
-        let mut holders = ConfigHolders::default();
+    pub fn parent(&self) -> Option<MemberId> {
         let own = self.own.borrow();
-        let order = self.zone_order(&own.zone);
-        let parent = order.parent(&own.id);
-        for (id, version) in self.config_versions.borrow().iter() {
-            if *version <= held || !self.is_reachable(id) {
-                continue;
-            }
-            if Some(id) == parent {
-                holders.parent = Some((id.clone(), *version));
-            }
-            let newest = match self.is_in_own_zone(id) {
-                true => &mut holders.same_zone,
-                false => &mut holders.other_zone,
-            };
-            if newest.as_ref().is_none_or(|(_, known)| known < version) {
-                *newest = Some((id.clone(), *version));
-            }
-        }
-        holders
+        self.zone_order(&own.zone).parent(&own.id).cloned()
     }
 
     /// Returns from where this daemon may request a configuration that is overdue by `waited`.
@@ -396,18 +356,10 @@
         self.links.on_end(id, now);
     }
 
-    /// Checks the liveness of all links and forgets daemons that are gone.
-    pub fn check_links(&self, now: Duration) {
-        for id in self.links.check(now) {
-            self.forget(&id);
-        }
-    }
-
-    /// Removes a daemon's link, record and configuration generation.
+    /// Removes a daemon's link and record.
     pub fn forget(&self, id: &MemberId) {
         self.links.remove(id);
         self.table.borrow_mut().remove(id);
-        self.config_versions.borrow_mut().remove(id);
     }
 
     /// Sends the records that changed since the last call. The own record goes to the own zone and
@@ -451,26 +403,6 @@
             link.send(PeerFrame::Members(records.to_vec()));
         }
     }
-
-    /// Returns the link over which to compare member tables in this turn. Turns rotate over the
-    /// links of the own zone; on a relay, some turns go to the relays of other zones.
-    #[must_use]
-    pub fn comparison_link(&self, turn: u64) -> Option<Rc<PeerLink>> {
-        let own = self.own.borrow();
-        let table = self.table.borrow();
-        let order = self.zone_order(&own.zone);
-        let is_other_zone = order.is_relay(&own.id) && turn.is_multiple_of(OTHER_ZONE_TURNS);
-        let (ids, turn) = match is_other_zone {
-            true => {
-                let others = table.iter().filter(|record| record.zone != own.zone);
-                (self.relays_of(zones(others)), turn / OTHER_ZONE_TURNS)
-            }
-            false => (order.members(), turn),
-        };
-        let mut links: Vec<Rc<PeerLink>> = ids.iter().filter_map(|id| self.link(id)).collect();
-        let index = usize::try_from(turn).ok()?.checked_rem(links.len())?;
-        Some(links.swap_remove(index))
-    }
 }
 
 fn zones<'r>(records: impl Iterator<Item = &'r MemberRecord>) -> BTreeSet<ZoneName> {
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -51,6 +51,8 @@
 pub mod settings;
 pub mod sidecar_state;
 pub mod slot_queue;
+#[doc(hidden)]
+pub mod spread;
 pub mod store_client;
 #[doc(hidden)]
 pub mod wait_factors;
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -138,7 +138,7 @@
             state.merge_peer_rollouts(id, rollout_statuses, counts);
         }
         PeerFrame::ConfigHeld(id, version) => {
-            state.members.record_config_version(id, version);
+            state.spread.record(id, version);
             state.request_config();
         }
         PeerFrame::ConfigWanted(held) => {
@@ -147,7 +147,10 @@
             }
         }
         PeerFrame::Config(delta) => state.adopt_config(*delta, &side.peer_name()),
-        PeerFrame::ConfigPiece(number, bytes) => side.receive_config(number, &bytes),
+        PeerFrame::ConfigPiece(number, bytes) => {
+            state.spread.on_piece(state.now());
+            side.receive_config(number, &bytes);
+        }
         PeerFrame::ConfigEnd(number) => {
             if let Some(delta) = side.finish_config(number) {
                 state.adopt_config(delta, &side.peer_name());
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -15,7 +15,6 @@
 use crate::balance::EndpointChooser;
 use crate::clock::DaemonClock;
 use crate::fact::CrashFact;
-use crate::ids::Generation;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::RowVersion;
@@ -34,7 +33,6 @@
 use crate::sidecar::local_endpoint::LocalAnswer;
 use crate::sidecar::local_endpoint::LocalEndpoint;
 use crate::sidecar::local_endpoint::wall_ms;
-use crate::sidecar::member_directory::ConfigHolders;
 use crate::sidecar::member_directory::MemberDirectory;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::RolloutStage;
@@ -50,13 +48,9 @@
 use crate::sidecar::rollout::RolloutState;
 use crate::sidecar::run_times::RunTimes;
 use crate::sidecar::settings::SidecarSettings;
+use crate::sidecar::spread::config_spread::ConfigSpread;
 use crate::sidecar::store_client::StoreClient;
 
-/// Time within which a peer has to send a requested configuration before it is requested again.
-/// Covers four copies of a change of 1,400 routes on a 10 Mbit/s link, and the scheduling pauses of a
-/// daemon with a tenth of a core.
-const CONFIG_RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
 const MAX_PUBLISHED_CRASHES: usize = 32;
 
@@ -101,6 +95,8 @@
     pub store: StoreClient,
     /// Active configuration.
     pub config: ConfigHolder,
+    /// Configurations in force on other daemons.
+    pub spread: ConfigSpread,
     /// Known daemons and the links to them.
     pub members: MemberDirectory,
     /// Endpoint on this VM.
@@ -123,11 +119,6 @@
     pub is_leaving: Cell<bool>,
     /// Number of client requests in progress.
     pub running: Cell<u32>,
-    /// Time at which another daemon was first known to have a newer configuration; `None` if this
-    /// daemon is up to date.
-    behind_since: Cell<Option<Duration>>,
-    /// Version that was requested last, and the time of that request.
-    config_requested: Cell<(Generation, Duration)>,
 }
 
 impl SidecarState {
@@ -166,6 +157,7 @@
         SidecarState {
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
             config: ConfigHolder::default(),
+            spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
             endpoint,
             routing: CallRouting {
@@ -186,8 +178,6 @@
             dial_now: Notify::new(),
             is_leaving: Cell::new(false),
             running: Cell::new(0),
-            behind_since: Cell::new(None),
-            config_requested: Cell::new((0, Duration::ZERO)),
             settings: RefCell::new(Rc::new(settings)),
             platform_adapter,
             clock,
@@ -412,36 +402,21 @@
         }
     }
 
-    /// Requests the configuration from a daemon that has a newer one: the parent in the zone's tree
-    /// first, and other daemons if the parent does not deliver it in time.
+    /// Requests the configuration from a daemon that has a newer one, if a request is due.
     pub fn request_config(&self) {
-        let now = self.now();
         let held = self.config.version();
-        let holders = self.members.config_holders(held);
-        if holders == ConfigHolders::default() {
-            self.behind_since.set(None);
-            return;
-        }
-        let since = self.behind_since.get().unwrap_or(now);
-        self.behind_since.set(Some(since));
-        let scope = self.members.fetch_scope(now.saturating_sub(since));
-        let near = holders.same_zone.filter(|_| scope.any_in_zone);
-        let far = holders.other_zone.filter(|_| scope.other_zones);
-        let Some((id, version)) = holders.parent.or(near).or(far) else {
+        let request = self.spread.next_request(&self.members, held, self.now());
+        let Some(request) = request else {
             return;
         };
-        let (requested, at) = self.config_requested.get();
-        if requested >= version && now < at + CONFIG_RESPONSE_TIMEOUT {
+        let Some(link) = self.members.link(&request.peer) else {
             return;
-        }
-        if let Some(link) = self.members.link(&id) {
-            self.config_requested.set((version, now));
-            link.send(PeerFrame::ConfigWanted(held));
-            let overdue = now.saturating_sub(since).as_millis();
-            let event = json!({"name": "config_requested", "peer": id, "version": version,
-                "held": held, "overdue_ms": overdue as u64});
-            info!(target: CONFIG, "{event}");
-        }
+        };
+        link.send(PeerFrame::ConfigWanted(held));
+        let event = json!({"name": "config_requested", "peer": request.peer,
+            "version": request.version, "held": held,
+            "overdue_ms": request.overdue.as_millis() as u64});
+        info!(target: CONFIG, "{event}");
     }
 }
 
