Daemons that are next to watch the store notice within a second that the watchers stand still

Cause: their successors notice by their links, an idle one of which is pinged after 3 s. Change: the four daemons that come next, and the watchers themselves, ping the watchers after 300 ms. The others keep to 3 s: what they need comes from these.

--- a/coltsfootweir/src/sidecar/link_table.rs
+++ b/coltsfootweir/src/sidecar/link_table.rs
@@ -145,11 +145,20 @@
         info!(target: MEMBERS, "{event}");
     }
 
-    /// Checks the liveness of all links and returns the daemons that are gone.
-    pub fn check(&self, now: Duration) -> Vec<MemberId> {
+    /// Checks the liveness of all links and returns the daemons that are gone. `idle_ping_time` returns
+    /// how long an idle link to a daemon may be without received frames before it is pinged.
+    pub fn check(
+        &self,
+        now: Duration,
+        idle_ping_time: impl Fn(&MemberId) -> Duration,
+    ) -> Vec<MemberId> {
         let mut gone = Vec::new();
         for (id, slot) in self.slots.borrow().iter() {
-            if slot.link.as_ref().is_some_and(|link| link.check(now)) {
+            if slot
+                .link
+                .as_ref()
+                .is_some_and(|link| link.check(now, idle_ping_time(id)))
+            {
                 let event = json!({"name": "peer_silent", "peer": id});
                 info!(target: MEMBERS, "{event}");
             }
--- a/coltsfootweir/src/sidecar/member_directory/link_checks.rs
+++ b/coltsfootweir/src/sidecar/member_directory/link_checks.rs
@@ -4,20 +4,47 @@
 use std::time::Duration;
 
 use super::MemberDirectory;
+use super::STORE_WATCHERS;
 use super::zones;
+use crate::ids::MemberId;
 use crate::sidecar::peer_link::PeerLink;
 
+/// Number of daemons that are next to watch the store and notice soon when the watchers fail. That
+/// these all stand still at a time is left to the other ways.
+const STANDBY_WATCHERS: usize = 4;
+
+/// Time without received frames after which a standby watcher pings a store watcher. With the time
+/// limit of the response and a read of the store, a change is in force within 2.5 s.
+const STANDBY_PING_TIME: Duration = Duration::from_millis(300);
+
+/// Time without received frames after which any other idle link is pinged.
+const IDLE_PING_TIME: Duration = Duration::from_secs(3);
+
 /// Every nth comparison of member tables goes to another zone.
 const OTHER_ZONE_TURNS: u64 = 4;
 
 impl MemberDirectory {
     /// Checks the liveness of all links and forgets daemons that are gone.
     pub fn check_links(&self, now: Duration) {
-        for id in self.links.check(now) {
+        let watched = self.watched_closely();
+        let idle_ping_time = |id: &MemberId| match () {
+            () if watched.contains(id) => STANDBY_PING_TIME,
+            () => IDLE_PING_TIME,
+        };
+        for id in self.links.check(now, idle_ping_time) {
             self.forget(&id);
         }
     }
 
+    /// Returns the store watchers if this daemon is one of those that replace them. The others learn
+    /// of their failure in time from what these do.
+    fn watched_closely(&self) -> Vec<MemberId> {
+        match self.is_among_nearest(STORE_WATCHERS + STANDBY_WATCHERS) {
+            true => self.nearest(STORE_WATCHERS),
+            false => Vec::new(),
+        }
+    }
+
     /// Returns the link over which to compare member tables in this turn. Turns rotate over the
     /// links of the own zone; on a relay, some turns go to the relays of other zones.
     #[must_use]
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -37,9 +37,6 @@
 /// Time without received frames after which a link with calls in progress is pinged.
 const BUSY_PING_TIME: Duration = Duration::from_millis(250);
 
-/// Time without received frames after which an idle link is pinged.
-const IDLE_PING_TIME: Duration = Duration::from_secs(3);
-
 /// Time limit for the response to a ping: a round trip between regions, and the scheduling pauses
 /// of a daemon that is limited to a fifth of a core.
 const PONG_TIMEOUT: Duration = Duration::from_millis(600);
@@ -271,8 +268,9 @@
     }
 
     /// Sends a ping when one is due, and marks the link as silent when the response is overdue; to
-    /// be called several times a second. Returns whether the link has become silent in this call.
-    pub fn check(&self, now: Duration) -> bool {
+    /// be called several times a second. An idle link is pinged after `idle_ping_time` without
+    /// received frames. Returns whether the link has become silent in this call.
+    pub fn check(&self, now: Duration, idle_ping_time: Duration) -> bool {
         if self.state.get() == LinkState::Closed {
             return false;
         }
@@ -285,8 +283,8 @@
             return false;
         }
         let limit = match self.is_busy() {
-            true => BUSY_PING_TIME,
-            false => IDLE_PING_TIME,
+            true => BUSY_PING_TIME.min(idle_ping_time),
+            false => idle_ping_time,
         };
         if now >= self.last_received.get() + limit && self.send(PeerFrame::Ping) {
             self.ping_sent.set(Some(now));
