A zone has a configuration in time when both its relays stand still

Cause: a notice of a new version went once to the two relays of each other zone. If these were frozen, nobody repeated it to the daemons behind them; these compared tables with other zones every 8.4 s, and that only after the relays had been found silent (3.6 s on an idle link). Change: every 300 ms a daemon tells another one its version, two times of three in another zone, and who has a newer one answers. Who gets a configuration from another zone first tells its own zone. Links to relays are pinged after 1 s, and a daemon that becomes a relay compares members and versions with the relays of other zones at once, so that member records do not wait either.

--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -218,7 +218,7 @@
         match self.state.platform_adapter.order_row(row) {
             Ok(OrderRow::Config(config)) => {
                 if self.state.config.adopt(config, "store") {
-                    self.state.announce_config();
+                    self.state.announce_config(true);
                 }
                 None
             }
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -162,8 +162,10 @@
 
     /// Sends a frame to the daemons that distribute a new configuration: always to this daemon's
     /// children in the tree, from a relay or a store watcher also to the relays of all zones, and
-    /// from a relay also to all daemons of its zone.
-    pub fn send_config_notice(&self, frame: &PeerFrame) {
+    /// from a relay also to all daemons of its zone. `is_first_in_zone` tells that the configuration
+    /// did not come from the own zone: then its daemons are told by this one, as the relays may not
+    /// have it.
+    pub fn send_config_notice(&self, frame: &PeerFrame, is_first_in_zone: bool) {
         let own = self.own.borrow();
         let table = self.table.borrow();
         let order = self.zone_order(&own.zone);
@@ -172,7 +174,7 @@
         if is_relay || self.is_watcher() {
             targets.extend(self.relays_of(zones(table.iter())));
         }
-        if is_relay {
+        if is_relay || is_first_in_zone {
             for record in table.iter().filter(|record| record.zone == own.zone) {
                 targets.push(record.id.clone());
             }
--- a/coltsfootweir/src/sidecar/member_directory/link_checks.rs
+++ b/coltsfootweir/src/sidecar/member_directory/link_checks.rs
@@ -1,8 +1,11 @@
 //! Liveness checks of links, and comparisons with other daemons over them.
 
+use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use super::MemberDirectory;
 use super::STORE_WATCHERS;
 use super::zones;
@@ -17,9 +20,16 @@
 /// limit of the response and a read of the store, a change is in force within 2.5 s.
 const STANDBY_PING_TIME: Duration = Duration::from_millis(300);
 
+/// Time without received frames after which an idle link to a relay is pinged. A relay of 90 daemons
+/// answers as many pings a second.
+const RELAY_PING_TIME: Duration = Duration::from_secs(1);
+
 /// Time without received frames after which any other idle link is pinged.
 const IDLE_PING_TIME: Duration = Duration::from_secs(3);
 
+/// Every nth comparison of configuration generations stays in the own zone.
+const OWN_ZONE_TURNS: u64 = 3;
+
 /// Every nth comparison of member tables goes to another zone.
 const OTHER_ZONE_TURNS: u64 = 4;
 
@@ -27,8 +37,10 @@
     /// Checks the liveness of all links and forgets daemons that are gone.
     pub fn check_links(&self, now: Duration) {
         let watched = self.watched_closely();
+        let relays = self.watched_relays();
         let idle_ping_time = |id: &MemberId| match () {
             () if watched.contains(id) => STANDBY_PING_TIME,
+            () if relays.contains(id) => RELAY_PING_TIME,
             () => IDLE_PING_TIME,
         };
         for id in self.links.check(now, idle_ping_time) {
@@ -45,6 +57,54 @@
         }
     }
 
+    /// Returns the relays on which this daemon depends: those of its zone and, if it is one, those of
+    /// other zones.
+    fn watched_relays(&self) -> Vec<MemberId> {
+        let own = self.own.borrow();
+        let order = self.zone_order(&own.zone);
+        match order.is_relay(&own.id) {
+            true => self.relays_of(zones(self.table.borrow().iter())),
+            false => order.relays().to_vec(),
+        }
+    }
+
+    /// Returns whether this daemon is a relay of its zone.
+    #[must_use]
+    pub fn is_relay(&self) -> bool {
+        let own = self.own.borrow();
+        self.zone_order(&own.zone).is_relay(&own.id)
+    }
+
+    /// Returns the open links to the relays of other zones.
+    #[must_use]
+    pub fn other_zone_links(&self) -> Vec<Rc<PeerLink>> {
+        let own = self.own.borrow();
+        let table = self.table.borrow();
+        let others = table.iter().filter(|record| record.zone != own.zone);
+        let relays = self.relays_of(zones(others));
+        relays.iter().filter_map(|id| self.link(id)).collect()
+    }
+
+    /// Returns the link over which to compare the generation of the configuration in this turn, so
+    /// that no daemon depends on notices. Each turn picks another daemon, most of them in other zones:
+    /// what keeps a configuration from one daemon of a zone may keep it from all.
+    #[must_use]
+    pub fn version_check_link(&self, turn: u64) -> Option<Rc<PeerLink>> {
+        let own = self.own.borrow();
+        let is_own_zone = turn.is_multiple_of(OWN_ZONE_TURNS);
+        let mut links = Vec::new();
+        for record in self.table.borrow().iter() {
+            if (record.zone == own.zone) == is_own_zone {
+                links.extend(self.link(&record.id));
+            }
+        }
+        let mut hasher = Xxh3::new();
+        hasher.write(own.id.as_bytes());
+        hasher.write_u64(turn);
+        let index = hasher.finish().checked_rem(links.len() as u64)?;
+        Some(links.swap_remove(usize::try_from(index).ok()?))
+    }
+
     /// Returns the link over which to compare member tables in this turn. Turns rotate over the
     /// links of the own zone; on a relay, some turns go to the relays of other zones.
     #[must_use]
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -29,6 +29,9 @@
 /// Number of link checks between two comparisons of member tables.
 const COMPARE_TICKS: u64 = 14;
 
+/// Number of link checks between two comparisons of configuration generations.
+const VERSION_CHECK_TICKS: u64 = 2;
+
 /// Pause before a retry of reading or writing member rows.
 const ROW_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -147,6 +150,7 @@
 /// Maintains the links to other daemons and compares member tables over them.
 pub async fn keep_links(state: Rc<SidecarState>) {
     let mut tick: u64 = 0;
+    let mut was_relay = false;
     loop {
         let now = state.now();
         state.members.check_links(now);
@@ -166,7 +170,21 @@
         if state.endpoint.check_silence(settings.announce_interval) {
             state.publish();
         }
+        let is_relay = state.members.is_relay();
+        if is_relay && !was_relay {
+            // Those that were relays before may have received updates and not passed them on.
+            for link in state.members.other_zone_links() {
+                link.send(state.digests());
+                link.send(state.config_held_frame());
+            }
+        }
+        was_relay = is_relay;
         tick += 1;
+        if tick.is_multiple_of(VERSION_CHECK_TICKS)
+            && let Some(link) = state.members.version_check_link(tick / VERSION_CHECK_TICKS)
+        {
+            link.send(state.config_held_frame());
+        }
         if tick.is_multiple_of(COMPARE_TICKS)
             && let Some(link) = state.members.comparison_link(tick / COMPARE_TICKS)
         {
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -139,6 +139,9 @@
         }
         PeerFrame::ConfigHeld(id, version) => {
             state.spread.record(id, version);
+            if version < state.config.version() {
+                side.send(state.config_held_frame());
+            }
             state.request_config();
         }
         PeerFrame::ConfigWanted(held) => {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -278,13 +278,15 @@
     /// Puts a configuration from the daemon `source` in force if it is newer, and announces it.
     pub fn adopt_config(&self, delta: ConfigDelta, source: &str) {
         if self.config.adopt_delta(delta, source) {
-            self.announce_config();
+            self.announce_config(!self.members.is_in_own_zone(&source.into()));
         }
     }
 
-    /// Announces the version of the active configuration to the peers.
-    pub fn announce_config(&self) {
-        self.members.send_config_notice(&self.config_held_frame());
+    /// Announces the version of the active configuration to the peers. `is_first_in_zone` tells that
+    /// it did not come from a daemon of the own zone.
+    pub fn announce_config(&self, is_first_in_zone: bool) {
+        let frame = self.config_held_frame();
+        self.members.send_config_notice(&frame, is_first_in_zone);
     }
 
     /// Updates and publishes whether the store is reachable. A change between lost and reached is
