An answer that names no request answers none

Cause: matching_response took a response without Request-Id for the expected one if none was skipped before it. Endpoints echo the id in all their responses, rejections too. Change: only a response with the id of the request answers it; others are skipped, counted in endpoint_answers_skipped and end the use of the connection. A request without an id, whose answer can't be told from another one, gets a connection of its own. Evidence: answers_that_name_no_request_answer_none failed before (503 instead of the answer), passes.

--- a/coltsfootweir/src/sidecar/endpoint_request.rs
+++ b/coltsfootweir/src/sidecar/endpoint_request.rs
@@ -52,3 +52,12 @@
     ];
     NAMES.iter().any(|known| name.eq_ignore_ascii_case(known))
 }
+
+/// Returns the header name and value that identify the response to a request; `None` if the client
+/// sent no id.
+pub(crate) fn response_identity<'i>(
+    name: &'i str,
+    request_id: &'i str,
+) -> Option<(&'i str, &'i str)> {
+    (!request_id.is_empty()).then_some((name, request_id))
+}
--- a/coltsfootweir/src/sidecar/http_exchange.rs
+++ b/coltsfootweir/src/sidecar/http_exchange.rs
@@ -43,6 +43,8 @@
     pub body: Vec<u8>,
     /// Whether the connection can be used for another request.
     pub is_reusable: bool,
+    /// Number of responses to other requests, or to none, that were received before this one.
+    pub skipped: u32,
 }
 
 impl HttpResponse {
@@ -86,8 +88,8 @@
     pub bytes: &'a [u8],
     /// Whether this is a `HEAD` request, so that responses have no body.
     pub is_head: bool,
-    /// Header name and value that identify the response. A response without the header is accepted,
-    /// unless another response was skipped before it.
+    /// Header name and value that identify the response; one without them belongs to no request. If
+    /// `None`, the first response is accepted.
     pub identity: Option<(&'a str, &'a str)>,
 }
 
@@ -225,12 +227,11 @@
             continue;
         }
         let mut body = BodyReader::new(framing);
-        let received = request.identity.and_then(|(name, _)| response.header(name));
-        let is_match = match (received, request.identity) {
-            (Some(received), Some((_, expected))) => received == expected,
-            _ => skipped == 0,
-        };
+        let is_match = request
+            .identity
+            .is_none_or(|(name, expected)| response.header(name) == Some(expected));
         if is_match {
+            response.skipped = skipped;
             response.is_reusable &= skipped == 0 && framing != BodyFraming::UntilClose;
             let is_whole = read_body(socket, &mut body, limit, &mut response.body).await?;
             return Ok((response, (!is_whole).then_some(body)));
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -31,6 +31,7 @@
 use crate::sidecar::answer::answer_rest::INLINE_LIMIT;
 use crate::sidecar::answer::endpoint_body::EndpointBody;
 use crate::sidecar::endpoint_request::is_connection_header;
+use crate::sidecar::endpoint_request::response_identity;
 use crate::sidecar::endpoint_request::write_request;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
@@ -287,7 +288,13 @@
         if left < MIN_TIME_LEFT {
             return not_run(NotRunCause::TooLate);
         }
-        let Ok(mut connection) = self.connection(current.address).await else {
+        let identity = response_identity(self.headers.request_id, &call.request_id);
+        // Without an id, an additional response of an earlier request can't be told from the own one.
+        let opened = match identity {
+            Some(_) => self.connection(current.address).await,
+            None => self.open_connection(current.address).await,
+        };
+        let Ok(mut connection) = opened else {
             if self.register.borrow_mut().mark_down() {
                 let what = json!({"name": "endpoint_unreachable", "endpoint": current.id,
                     "request": call.request_id});
@@ -302,7 +309,7 @@
         let request = WireRequest {
             bytes: &bytes,
             is_head: &*call.method == "HEAD",
-            identity: Some((self.headers.request_id, &call.request_id)),
+            identity,
         };
         let response = tokio::time::timeout(
             left + RESPONSE_MARGIN,
@@ -312,6 +319,12 @@
             Err(_) => return CallResult::Unknown(UnknownCause::TimedOut),
             Ok(Ok((mut response, reader))) => {
                 let run = permit.run_time();
+                if response.skipped > 0 {
+                    let what = json!({"name": "endpoint_answers_skipped", "endpoint": current.id,
+                        "request": call.request_id, "count": response.skipped});
+                    info!(target: UPSTREAM, "{what}");
+                }
+                response.is_reusable &= identity.is_some();
                 self.poison
                     .borrow_mut()
                     .on_completed(call_fingerprint, self.clock.now());
@@ -399,6 +412,10 @@
                 return Ok(idle.connection);
             }
         }
+        self.open_connection(address).await
+    }
+
+    async fn open_connection(&self, address: SocketAddr) -> Result<HttpConnection, ExchangeError> {
         self.opened.set(self.opened.get() + 1);
         HttpConnection::open(address, CONNECT_TIMEOUT).await
     }
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -173,12 +173,11 @@
         let expected = seen.header("expected-instance").to_owned();
         let mut out = stream;
         if !expected.is_empty() && expected != state.id {
-            let _ = out.write_all(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n");
+            let _ = out.write_all(&refused_answer(421, &id));
             continue;
         }
         if mode == "shed" {
-            let text = "HTTP/1.1 503 Busy\r\nnot-processed: 1\r\ncontent-length: 0\r\n\r\n";
-            let _ = out.write_all(text.as_bytes());
+            let _ = out.write_all(&refused_answer(503, &id));
             continue;
         }
         state.seen.lock().expect("no holder panicked").push(seen);
@@ -221,21 +220,39 @@
         "cut" => (good[..good.len() - 4].to_vec(), false),
         "garbage" => (b"no answer at all\r\n\r\n".to_vec(), false),
         "unsigned" => {
-            let text = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-            (text.as_bytes().to_vec(), true)
+            let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}");
+            let text = format!("{head}\r\ncontent-length: 2\r\n\r\nok");
+            (text.into_bytes(), true)
         }
         "busy" => (failed_answer(503, id), true),
         "v2fails" if state.version != "v2" => (good, true),
         "fail" | "v2fails" => (failed_answer(500, id), true),
         "unframed" => {
-            let head = "HTTP/1.1 200 OK\r\nupstream-signature: s\r\n\r\nuntil the end";
-            (head.as_bytes().to_vec(), false)
+            let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: s");
+            (format!("{head}\r\n\r\nuntil the end").into_bytes(), false)
         }
         "chunked" => {
-            let head = "HTTP/1.1 200 OK\r\nupstream-signature: s\r\ntransfer-encoding: chunked";
-            let text = format!("{head}\r\n\r\n5\r\nhello\r\n6\r\n there\r\n0\r\n\r\n");
+            let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: s");
+            let text = format!(
+                "{head}\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n there\r\n0\r\n\r\n"
+            );
             (text.into_bytes(), true)
         }
+        // An answer that names no request stands before the own one.
+        "bare-shed" => (
+            [bare_answer("503 Busy\r\nnot-processed: 1"), good].concat(),
+            true,
+        ),
+        "bare-misdirected" => ([bare_answer("421 Misdirected"), good].concat(), true),
+        "bare-bad" => ([bare_answer("400 Bad"), good].concat(), true),
+        "bare-signed" => (
+            [bare_answer("200 OK\r\nupstream-signature: s"), good].concat(),
+            true,
+        ),
+        // Only such a refusal comes, though the request runs.
+        "bare-shed-only" => (bare_answer("503 Busy\r\nnot-processed: 1"), true),
+        // The refusal of an earlier request comes once more.
+        "shed-again" => ([refused_answer(503, "earlier"), good].concat(), true),
         // An answer to nobody's request stands before the own one.
         "stale" => (
             [good_answer(&state.id, "other", "not yours"), good].concat(),
@@ -259,6 +276,17 @@
     format!("{head}\r\n\r\n{body}").into_bytes()
 }
 
+/// An answer without the id of a request.
+fn bare_answer(start: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {start}\r\ncontent-length: 0\r\n\r\n").into_bytes()
+}
+
+/// The answer to a request that is not run.
+fn refused_answer(status: u16, id: &str) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status} No\r\nrequest-id: {id}\r\nnot-processed: 1");
+    format!("{head}\r\ncontent-length: 0\r\n\r\n").into_bytes()
+}
+
 fn failed_answer(status: u16, id: &str) -> Vec<u8> {
     let head = format!("HTTP/1.1 {status} No\r\nrequest-id: {id}\r\nupstream-signature: s");
     format!("{head}\r\ncontent-length: 2\r\n\r\nno").into_bytes()
--- a/programs/tests/sidecar_calls.rs
+++ b/programs/tests/sidecar_calls.rs
@@ -111,6 +111,33 @@
     }
 }
 
+/// Guards against a refusal, a failure or a success that names no request, or an earlier one, and is taken
+/// for the answer to the request that runs: it ran twice, or was reported as not run.
+#[test]
+fn answers_that_name_no_request_answer_none() {
+    let fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1"), (STALLS, "v1")]);
+    for mode in [
+        "bare-shed",
+        "bare-misdirected",
+        "bare-bad",
+        "bare-signed",
+        "shed-again",
+    ] {
+        for number in 0..6 {
+            let id = format!("{mode}-{number}");
+            let spec = request("POST", &format!("/book/{mode}"), &id, 1_500);
+            let answer = fleet.sidecars[0].call(&spec).expect("a whole answer");
+            assert_eq!((answer.status, answer.text()), (200, "a whole body".into()));
+            assert_eq!(answer.header("request-id"), id);
+            assert_eq!(fleet.runs_of(&id), 1, "{id}");
+        }
+    }
+    let spec = request("POST", "/book/bare-shed-only", "only", 600);
+    let answer = fleet.sidecars[0].call(&spec).expect("a whole answer");
+    assert_eq!(answer.status, 504, "it may have run");
+    assert_eq!(fleet.runs_of("only"), 1);
+}
+
 #[test]
 fn idempotent_request_is_repeated_at_another_endpoint() {
     let fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (STALLS, "v1")]);
