--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -253,6 +253,9 @@
         "bare-shed-only" => (bare_answer("503 Busy\r\nnot-processed: 1"), true),
         // The refusal of an earlier request comes once more.
         "shed-again" => ([refused_answer(503, "earlier"), good].concat(), true),
+        // The endpoint stops in the middle of a line of the head, or after one.
+        "half-line" => (good[..good.len() / 2].to_vec(), false),
+        "half-head" => (half_head(&good), false),
         // An answer to nobody's request stands before the own one.
         "stale" => (
             [good_answer(&state.id, "other", "not yours"), good].concat(),
@@ -287,6 +290,13 @@
     format!("{head}\r\ncontent-length: 0\r\n\r\n").into_bytes()
 }
 
+/// The lines of a head without the last one, which states the length.
+fn half_head(answer: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(answer);
+    let (head, _) = text.split_once("content-length").expect("a length");
+    head.as_bytes().to_vec()
+}
+
 fn failed_answer(status: u16, id: &str) -> Vec<u8> {
     let head = format!("HTTP/1.1 {status} No\r\nrequest-id: {id}\r\nupstream-signature: s");
     format!("{head}\r\ncontent-length: 2\r\n\r\nno").into_bytes()
--- a/programs/tests/sidecar_calls.rs
+++ b/programs/tests/sidecar_calls.rs
@@ -69,7 +69,15 @@
 #[test]
 fn answers_that_prove_nothing_are_neither_success_nor_refusal() {
     let fleet = SidecarFleet::start_ready(&[(STALLS, "v1")]);
-    for mode in ["unsigned", "cut", "garbage", "close", "busy"] {
+    for mode in [
+        "unsigned",
+        "cut",
+        "garbage",
+        "close",
+        "busy",
+        "half-line",
+        "half-head",
+    ] {
         let id = format!("post-{mode}");
         let spec = request("POST", &format!("/book/{mode}"), &id, 1_500);
         let answer = fleet.sidecars[0].call(&spec).expect("a whole answer");
