A member record with a number too large displaces no daemon

What callers would see: the report of an odd entry that ends machines, or keeps one out; here a row of another writer under the name of a daemon. Cause: a daemon that hears of a later run of itself takes the next number. After the largest one that panics in a debug build and gives 0 in a release build, whose records nobody believes; a record of the same run with a larger count was never displaced. Change: a run beyond the year 9999 is no record; a daemon also goes beyond a larger count. Evidence: record_with_a_number_too_large_displaces_no_daemon panicked before ('attempt to add with overflow') and passes.

--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -117,11 +117,12 @@
         updates
     }
 
-    /// Makes the own record newer than one of an earlier run of this daemon. The earlier run may seem
-    /// to be the later one, as the time of day tells them apart and may have been set back.
+    /// Makes the own record newer than one of an earlier run of this daemon, or of another writer. The
+    /// earlier run may seem to be the later one, as the time of day tells them apart and may have been
+    /// set back.
     fn outdate(&self, earlier: &MemberRecord) {
         let mut own = self.own.borrow_mut();
-        if earlier.incarnation <= own.incarnation {
+        if !earlier.is_plausible() || !own.is_before(earlier) {
             return;
         }
         own.incarnation = earlier.incarnation + 1;
--- a/coltsfootweir/src/sidecar/member_table.rs
+++ b/coltsfootweir/src/sidecar/member_table.rs
@@ -133,7 +133,23 @@
     pub crashes: Vec<CrashFact>,
 }
 
+/// Highest run that a record may name: the year 9999, in milliseconds since the Unix epoch. A number
+/// without room for a later run would keep the daemon of that name out.
+const MAX_INCARNATION: Incarnation = 253_402_300_799_999;
+
 impl MemberRecord {
+    /// Returns whether a daemon may have published the record.
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        self.incarnation <= MAX_INCARNATION
+    }
+
+    /// Returns whether `other` was published later, or seems so.
+    #[must_use]
+    pub fn is_before(&self, other: &MemberRecord) -> bool {
+        self.rank() < other.rank()
+    }
+
     fn rank(&self) -> (Incarnation, u64) {
         (self.incarnation, self.counter)
     }
@@ -150,6 +166,9 @@
 impl MemberTable {
     /// Merges a record; returns whether it was newer than the stored one.
     pub fn merge(&mut self, record: &MemberRecord) -> bool {
+        if !record.is_plausible() {
+            return false;
+        }
         let gone = self.gone.get(&record.id);
         if gone.is_some_and(|gone| *gone >= record.incarnation) {
             return false;
--- a/coltsfootweir/tests/sidecar_members.rs
+++ b/coltsfootweir/tests/sidecar_members.rs
@@ -90,6 +90,26 @@
     assert_eq!(held, Some(directory.own()));
 }
 
+/// Guards against a row of another writer with a number that leaves no room for a successor: the daemon
+/// of that name ended, or no other one believed its record again.
+#[test]
+fn record_with_a_number_too_large_displaces_no_daemon() {
+    let directory = MemberDirectory::new(record("m", 5, 0, StoreReach::Unknown));
+    let other = MemberDirectory::new(record("n", 5, 0, StoreReach::Unknown));
+    for forged in [(u64::MAX, 0), (u64::MAX - 1, u64::MAX), (5, u64::MAX)] {
+        let forged = record("m", forged.0, forged.1, StoreReach::Lost);
+        other.merge(std::slice::from_ref(&forged));
+        // What the other daemon holds is sent to this one when tables are compared.
+        let held = other.read(|table| table.get(&"m".into()).cloned());
+        directory.merge(&[held.unwrap_or(forged)]);
+        let own = directory.own();
+        assert_eq!(own.store, StoreReach::Unknown);
+        other.merge(std::slice::from_ref(&own));
+        let held = other.read(|table| table.get(&"m".into()).cloned());
+        assert_eq!(held, Some(own));
+    }
+}
+
 #[test]
 fn forgotten_daemon_is_neither_dialed_nor_counted() {
     let directory = MemberDirectory::new(record("m", 5, 0, StoreReach::Unknown));
