One odd row of a reply of the store hides no other row

What callers would see: the report of an odd entry among those of the endpoints; daemons that read the table stop following it. Cause: a reply was parsed as a whole, so a value that is no Base64, a number too large or deep nesting in one row made all of them unreadable, in each read.

--- a/programs/tests/sidecar/row_store.rs
+++ b/programs/tests/sidecar/row_store.rs
@@ -108,10 +108,15 @@
 
     /// Writes a row as the operator does.
     pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.put_encoded(table, key, STANDARD.encode(value));
+    }
+
+    /// Writes a row whose value is given as it stands in replies, Base64 or not.
+    pub fn put_encoded(&self, table: &str, key: &str, value: String) {
         let mut state = self.lock();
         state.version += 1;
         let row = StoredRow {
-            value: Some(STANDARD.encode(value)),
+            value: Some(value),
             version: state.version,
         };
         state.rows.insert((table.to_owned(), key.to_owned()), row);
--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use common::PATIENCE;
 use common::caller::KeptCaller;
 use common::hold_for;
@@ -58,6 +60,39 @@
     });
 }
 
+/// Guards against one odd row among those of the daemons, or of the orders, that ends those that read it
+/// or keeps them from the others.
+#[test]
+fn odd_rows_of_another_writer_are_passed_over() {
+    let mut fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (HORSES, "v1")]);
+    for (number, value) in [
+        "no base 64".to_owned(),
+        STANDARD.encode("no record"),
+        // Lists in lists, in the format of the rows.
+        STANDARD.encode(vec![0x91; 100_000]),
+        STANDARD.encode([&[0x9c, 0xa4][..], b"vm-1", &[0xcf], &[0xff; 8], &[0x93; 60]].concat()),
+        String::new(),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        for table in ["members", "op"] {
+            let key = format!("odd-{number}");
+            fleet.store.put_encoded(table, &key, value.clone());
+        }
+    }
+    // A daemon that starts reads all rows.
+    fleet.add(STALLS, "v1");
+    fleet.put_config(4, "");
+    fleet.wait_config(4);
+    fleet.wait_endpoints();
+    for sidecar in &mut fleet.sidecars {
+        assert!(!sidecar.has_ended(), "{}", sidecar.name);
+        assert_eq!(sidecar.get("/v4/ok", "new").status, 200);
+    }
+    assert!(!fleet.sidecars[2].events("member_row_unreadable").is_empty());
+}
+
 #[test]
 fn configurations_go_forward_and_unreadable_ones_change_nothing() {
     let fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (HORSES, "v1")]);
