Daemons that were out of reach for minutes are used again

Cause: a daemon out of reach for 60 s was forgotten and its run refused for good. Change: it is dialed on with a growing pause (2 s, 5 s after 10 minutes, 60 s at most), and refused only if the store answers and holds no row of it. Rows are read for that once a minute at most. A relay that dials another zone compares member tables at once. Not done: a rollout leader on either side of a cut.

--- a/coltsfootweir/src/sidecar/link_table.rs
+++ b/coltsfootweir/src/sidecar/link_table.rs
@@ -18,7 +18,7 @@
 /// Time for which an idle link is kept after it was last wanted, as requests come in bursts.
 const IDLE_LINK_TIME: Duration = Duration::from_secs(20);
 
-/// Time after which an unreachable daemon is reported as gone.
+/// Time after which an unreachable daemon may be gone. Only its row in the store tells.
 const GONE_TIME: Duration = Duration::from_secs(60);
 
 /// Pause between two attempts to dial a daemon.
@@ -28,10 +28,17 @@
 /// restarts of a few seconds.
 const SHORT_PAUSE_TIME: Duration = Duration::from_secs(15);
 
-/// Pause between two attempts to dial a daemon that has been unreachable for longer. A daemon that
-/// recovers dials the others itself.
+/// Shortest pause between two attempts to dial a daemon that has been unreachable for longer. A
+/// daemon that recovers dials the others itself.
 const LONG_DIAL_PAUSE: Duration = Duration::from_secs(2);
 
+/// Longest pause between two attempts to dial an unreachable daemon.
+const MAX_DIAL_PAUSE: Duration = Duration::from_secs(60);
+
+/// Part of the time for which a daemon has been unreachable that is the pause between two attempts to
+/// dial it: 5 s after 10 minutes.
+const DIAL_PAUSE_DIVISOR: u32 = 120;
+
 struct LinkSlot {
     link: Option<Rc<PeerLink>>,
     address: SocketAddr,
@@ -117,7 +124,8 @@
         let Some(link) = link else {
             let lost_at = *slot.lost_at.get_or_insert(now);
             if now >= lost_at + SHORT_PAUSE_TIME {
-                slot.dial_at = now + LONG_DIAL_PAUSE;
+                let pause = (now - lost_at) / DIAL_PAUSE_DIVISOR;
+                slot.dial_at = now + pause.clamp(LONG_DIAL_PAUSE, MAX_DIAL_PAUSE);
             }
             return;
         };
@@ -145,14 +153,9 @@
         info!(target: MEMBERS, "{event}");
     }
 
-    /// Checks the liveness of all links and returns the daemons that are gone. `idle_ping_time` returns
-    /// how long an idle link to a daemon may be without received frames before it is pinged.
-    pub fn check(
-        &self,
-        now: Duration,
-        idle_ping_time: impl Fn(&MemberId) -> Duration,
-    ) -> Vec<MemberId> {
-        let mut gone = Vec::new();
+    /// Checks the liveness of all links. `idle_ping_time` returns how long an idle link to a daemon may
+    /// be without received frames before it is pinged.
+    pub fn check(&self, now: Duration, idle_ping_time: impl Fn(&MemberId) -> Duration) {
         for (id, slot) in self.slots.borrow().iter() {
             if slot
                 .link
@@ -162,13 +165,17 @@
                 let event = json!({"name": "peer_silent", "peer": id});
                 info!(target: MEMBERS, "{event}");
             }
-            if slot.lost_at.is_some_and(|at| now >= at + GONE_TIME) {
-                gone.push(id.clone());
-            }
         }
         let is_needed = |link: &Rc<PeerLink>| link.is_busy() && link.state() != LinkState::Closed;
         self.retired.borrow_mut().retain(is_needed);
-        gone
+    }
+
+    /// Returns the daemons that have been unreachable for so long that they may be gone.
+    #[must_use]
+    pub fn maybe_gone(&self, now: Duration) -> Vec<MemberId> {
+        let slots = self.slots.borrow();
+        let lost = slots.iter().filter(|(_, slot)| slot.may_be_gone(now));
+        lost.map(|(id, _)| id.clone()).collect()
     }
 
     /// Updates the address of a daemon after a new record of it, and allows dialing it at once. A
@@ -202,6 +209,10 @@
         }
     }
 
+    fn may_be_gone(&self, now: Duration) -> bool {
+        self.lost_at.is_some_and(|at| now >= at + GONE_TIME)
+    }
+
     fn is_unwanted(&self, now: Duration) -> bool {
         let is_busy = self.link.as_ref().is_some_and(|link| link.is_busy());
         now >= self.wanted_at + IDLE_LINK_TIME && !is_busy && !self.is_dialing
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -227,7 +227,7 @@
     }
 
     /// Returns the number of known daemons that are not leaving, including this one. Allowances of
-    /// the deployment are divided by it.
+    /// the deployment are divided by it. Daemons out of reach count, as they may be in use elsewhere.
     #[must_use]
     pub fn known_count(&self) -> usize {
         let table = self.table.borrow();
--- a/coltsfootweir/src/sidecar/member_directory/link_checks.rs
+++ b/coltsfootweir/src/sidecar/member_directory/link_checks.rs
@@ -10,6 +10,7 @@
 use super::STORE_WATCHERS;
 use super::zones;
 use crate::ids::MemberId;
+use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::peer_link::PeerLink;
 
 /// Number of daemons that are next to watch the store and notice soon when the watchers fail. That
@@ -34,7 +35,7 @@
 const OTHER_ZONE_TURNS: u64 = 4;
 
 impl MemberDirectory {
-    /// Checks the liveness of all links and forgets daemons that are gone.
+    /// Checks the liveness of all links.
     pub fn check_links(&self, now: Duration) {
         let watched = self.watched_closely();
         let relays = self.watched_relays();
@@ -43,8 +44,23 @@
             () if relays.contains(id) => RELAY_PING_TIME,
             () => IDLE_PING_TIME,
         };
-        for id in self.links.check(now, idle_ping_time) {
-            self.forget(&id);
+        self.links.check(now, idle_ping_time);
+    }
+
+    /// Returns whether any daemon has been unreachable for so long that it may be gone.
+    #[must_use]
+    pub fn has_maybe_gone(&self, now: Duration) -> bool {
+        !self.links.maybe_gone(now).is_empty()
+    }
+
+    /// Forgets the daemons that have been unreachable for long and have no row in the store. A row
+    /// stands until its daemon ends as planned, so those with one are dialed on: they may have been
+    /// cut off.
+    pub fn forget_gone(&self, rows: &[MemberRecord], now: Duration) {
+        for id in self.links.maybe_gone(now) {
+            if !rows.iter().any(|row| row.id == id) {
+                self.forget(&id);
+            }
         }
     }
 
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -38,8 +38,11 @@
 /// Pause between two reads of the member rows while no other daemon is reachable.
 const ISOLATED_READ_PAUSE: Duration = Duration::from_secs(2);
 
+/// Pause between two reads of the member rows while a daemon has been out of reach for long.
+const GONE_READ_PAUSE: Duration = Duration::from_secs(60);
+
 /// Writes this daemon's row to the store if it is missing, and reads the member rows, again and
-/// again while no other daemon is reachable.
+/// again while no other daemon is reachable, or one has been out of reach for long.
 ///
 /// A daemon writes before it reads, so of two that start at the same time the later one finds the
 /// other. A daemon that restarts at its address finds its row there and only reads. This matters
@@ -58,10 +61,17 @@
         read_rows_with_retries(&state).await;
     }
     state.members_read.set(true);
+    let mut next_gone_read = Duration::ZERO;
     loop {
         tokio::time::sleep(ISOLATED_READ_PAUSE).await;
+        let now = state.now();
         if !state.members.has_open_link() {
             read_rows_with_retries(&state).await;
+        } else if now >= next_gone_read && state.members.has_maybe_gone(now) {
+            next_gone_read = now + GONE_READ_PAUSE;
+            if let Err(fault) = read_rows(&state).await {
+                log_unread_rows(fault);
+            }
         }
     }
 }
@@ -75,14 +85,18 @@
                 return has_own;
             }
             Err(fault) => {
-                let event = json!({"name": "member_rows_not_read", "reason": fault.to_string()});
-                warn!(target: MEMBERS, "{event}");
+                log_unread_rows(fault);
                 tokio::time::sleep(ROW_RETRY_PAUSE).await;
             }
         }
     }
 }
 
+fn log_unread_rows(fault: StoreFault) {
+    let event = json!({"name": "member_rows_not_read", "reason": fault.to_string()});
+    warn!(target: MEMBERS, "{event}");
+}
+
 async fn write_own_row(state: &SidecarState) -> Result<(), StoreFault> {
     let own = state.members.own();
     let row = MemberRecord {
@@ -120,6 +134,7 @@
     let mut stored = records.iter();
     let has_own = stored.any(|record| record.id == own.id && record.address == own.address);
     state.merge_records(&records);
+    state.members.forget_gone(&records, state.now());
     Ok(has_own)
 }
 
@@ -232,7 +247,8 @@
     };
     link.send(PeerFrame::Members(vec![state.members.own()]));
     link.send(state.config_held_frame());
-    if state.members.is_in_own_zone(&id) && state.members.start_comparison(state.now()) {
+    let may_compare = state.members.is_in_own_zone(&id) || state.members.is_relay();
+    if may_compare && state.members.start_comparison(state.now()) {
         link.send(state.digests());
     }
     state.members.on_dialed(&id, Some(link), state.now());
--- a/coltsfootweir/tests/sidecar_members.rs
+++ b/coltsfootweir/tests/sidecar_members.rs
@@ -110,6 +110,58 @@
     }
 }
 
+/// Dials the daemon `n` without success once a second until `until_s`; returns the times of the attempts.
+fn failed_dials(directory: &MemberDirectory, from_s: u64, until_s: u64) -> Vec<u64> {
+    let mut times = Vec::new();
+    for second in from_s..until_s {
+        let now = Duration::from_secs(second);
+        directory.check_links(now);
+        for (id, _) in directory.take_dials(&HashSet::new(), LinkScope::Needed, now) {
+            directory.on_dialed(&id, None, now);
+            times.push(second);
+        }
+    }
+    times
+}
+
+/// Guards against regions that lose each other for more than a minute and never use each other's
+/// endpoints again.
+#[test]
+fn daemon_out_of_reach_is_dialed_as_long_as_its_row_stands() {
+    let directory = MemberDirectory::new(record("m", 5, 0, StoreReach::Unknown));
+    let row = record("n", 5, 0, StoreReach::Within(1));
+    directory.merge(std::slice::from_ref(&row));
+    for (from_s, until_s) in [(0, 72), (72, 600), (600, 7_200)] {
+        let times = failed_dials(&directory, from_s, until_s);
+        directory.forget_gone(std::slice::from_ref(&row), Duration::from_secs(until_s));
+        // The pause until the next attempt after an end of the cut at any time.
+        let longest = times.windows(2).map(|pair| pair[1] - pair[0]).max();
+        let allowed = (until_s / 100).max(3);
+        assert!(
+            longest.is_some_and(|pause| pause <= allowed),
+            "{longest:?} until {until_s} s"
+        );
+        assert_eq!(directory.known_count(), 2);
+    }
+    // Another change of it is believed after that.
+    let changed = record("n", 5, 1, StoreReach::Within(1));
+    assert_eq!(directory.merge(std::slice::from_ref(&changed)).len(), 1);
+    directory.forget_gone(&[], Duration::from_secs(7_200));
+    assert_eq!(directory.known_count(), 1);
+    assert!(directory.merge(&[changed]).is_empty(), "it has ended");
+}
+
+/// A daemon whose row is not seen is kept while it is in reach, or out of reach for a short time.
+#[test]
+fn daemon_without_a_row_is_kept_while_it_may_be_in_reach() {
+    let directory = MemberDirectory::new(record("m", 5, 0, StoreReach::Unknown));
+    directory.merge(&[record("n", 5, 0, StoreReach::Within(1))]);
+    directory.forget_gone(&[], Duration::from_secs(100));
+    failed_dials(&directory, 100, 150);
+    directory.forget_gone(&[], Duration::from_secs(150));
+    assert_eq!(directory.known_count(), 2);
+}
+
 #[test]
 fn forgotten_daemon_is_neither_dialed_nor_counted() {
     let directory = MemberDirectory::new(record("m", 5, 0, StoreReach::Unknown));
