Test: a configuration reaches a zone in which the relays and their successors are frozen

The mutant that ends the comparisons of versions survived configuration_reaches_a_zone_whose_relays_are_frozen: there, relays that are pinged each second and the comparison of a new relay are in time, too. Here the successors of the relays are frozen as well, so that only the comparisons are. The mutant names this test.

--- a/programs/tests/sidecar_config_spread.rs
+++ b/programs/tests/sidecar_config_spread.rs
@@ -77,6 +77,15 @@
     assert!(time < APPLY_TIME, "{time:?}");
 }
 
+/// Guards against members of a zone that hear of a configuration only by way of relays: those that would
+/// take the place of the frozen ones are frozen, too.
+#[test]
+fn configuration_reaches_a_zone_in_which_most_daemons_are_frozen() {
+    let fleet = two_zones(6);
+    let time = apply_time_without(&fleet, &[2, 3, 4, 5]);
+    assert!(time < APPLY_TIME, "{time:?}");
+}
+
 /// Guards against a configuration that nobody reads while both daemons that watch the store are frozen.
 #[test]
 fn configuration_is_read_while_both_store_watchers_are_frozen() {
