An acknowledged departure outlives the daemon that acknowledged it

Cause: the promise was kept in the memory of one process. `EndpointRegister` of a new run knew no departure, so any announcement of the lifetime put it back as ready; nothing else held it: a member record names the current endpoint only, and a new run replaces it. Ruled out with the logs (`endpoint_announced`, outcome `Replaced`, at the restarted daemon, then requests of all daemons): old records of other daemons do not matter, as the daemon beside the endpoint decides about each call; the order of announcements is kept within a run. The same cause: `draining`, a kill at the acknowledgement, neighbours that end at the same moment, the store away.

Change: a departure is acknowledged once it is kept outside of the process: in a row of the store, written under a condition, and by daemons of two other zones. If one of the two ways fails, the other one must do; if both fail, the answer is 503 and the endpoint asks again. Writes that failed are made up for. A daemon that starts reads its row before its endpoint is used; without the store it waits for the reports of the daemons that dial it or that it dials. What it learns later closes the endpoint, too. The frames are sent only to daemons that know them. The queue of the endpoint still closes at once, before anything is kept. An idle connection to the store is not reused after two seconds, as it may have become silent.

--- a/coltsfootweir/src/sidecar/announcement.rs
+++ b/coltsfootweir/src/sidecar/announcement.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::ServiceName;
 use crate::ids::VersionName;
 use crate::ids::ZoneName;
@@ -21,6 +24,12 @@
 /// one of them. An address has a few lifetimes a day.
 const MAX_DEPARTED: usize = 64;
 
+/// Maximum number of departures to keep beyond the run of the daemon.
+pub const MAX_LEAVING: usize = 16;
+
+/// Number of departures noted in a run of the daemon.
+pub type DepartureCount = u64;
+
 /// An endpoint's description of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointAnnouncement {
@@ -55,6 +64,26 @@
     pub born: Option<StartMillis>,
 }
 
+/// A lifetime of an endpoint that has announced its departure and receives no more requests. It
+/// covers earlier lifetimes of the same identity.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DepartedLifetime {
+    /// Identity.
+    pub id: EndpointId,
+    /// Start time of the lifetime.
+    pub born: StartMillis,
+    /// Time of day of the departure, in milliseconds since the Unix epoch.
+    pub departed_at: u64,
+}
+
+impl DepartedLifetime {
+    /// Returns whether the lifetime `born` of the endpoint `id` is this one or an earlier one.
+    #[must_use]
+    pub fn covers(&self, id: &EndpointId, born: StartMillis) -> bool {
+        self.id == *id && born <= self.born
+    }
+}
+
 /// Effect of an announcement or a departure on the register.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RegisterChange {
@@ -77,6 +106,13 @@
     last_announced: Duration,
     is_down: bool,
     departed: Vec<(EndpointId, StartMillis)>,
+    /// Lifetimes that announced their departure, also those that still serve. The acknowledgement
+    /// is a promise that a later run of the daemon must keep.
+    leaving: Vec<DepartedLifetime>,
+    /// Number of lifetimes added to `leaving`.
+    leaving_count: DepartureCount,
+    /// Whether departures acknowledged by an earlier run of the daemon may be missing here.
+    awaits_departures: bool,
     /// Last announcement of a lifetime that seems older than the current one, received while that
     /// one was down.
     challenger: Option<(EndpointId, StartMillis, u64)>,
@@ -86,12 +122,14 @@
     /// Applies an announcement received at `now`, a time since the start of the daemon.
     ///
     /// Ignores endpoints of a service other than `service` or at an address other than `address`.
+    /// `wall` is the time of day in milliseconds since the Unix epoch.
     pub fn announce(
         &mut self,
-        announcement: EndpointAnnouncement,
+        mut announcement: EndpointAnnouncement,
         service: &ServiceName,
         address: SocketAddr,
         now: Duration,
+        wall: StartMillis,
     ) -> RegisterChange {
         if announcement.address != address {
             return RegisterChange::PassedOver("address is not that of the endpoint on this VM");
@@ -99,6 +137,14 @@
         if announcement.service != *service {
             return RegisterChange::PassedOver("service is not that of this VM");
         }
+        if announcement.is_leaving {
+            self.note_leaving(announcement.id.clone(), announcement.born, wall);
+        }
+        announcement.is_leaving = self.is_leaving(&announcement.id, announcement.born);
+        self.apply(announcement, now)
+    }
+
+    fn apply(&mut self, announcement: EndpointAnnouncement, now: Duration) -> RegisterChange {
         if self.has_departed(&announcement.id, announcement.born) {
             return RegisterChange::PassedOver("lifetime has departed");
         }
@@ -138,19 +184,72 @@
     /// A daemon that has just started may receive the departure before any announcement of that
     /// lifetime. A departure without a start time then covers all lifetimes started until `wall`.
     pub fn depart(&mut self, departure: &EndpointDeparture, wall: StartMillis) -> RegisterChange {
+        let current = self.current.as_ref();
+        let own_born = current
+            .filter(|current| current.id == departure.id)
+            .map(|current| current.born);
+        let born = departure.born.or(own_born).unwrap_or(wall);
+        self.add_departed(departure.id.clone(), born);
+        self.note_leaving(departure.id.clone(), born, wall);
+        match own_born {
+            Some(own_born) if own_born <= born => self.close_current(),
+            Some(_) => RegisterChange::PassedOver("a later lifetime is in place"),
+            None if self.current.is_some() => {
+                RegisterChange::PassedOver("another endpoint is in place")
+            }
+            None => RegisterChange::PassedOver("no endpoint is in place"),
+        }
+    }
+
+    /// Makes the endpoint wait until [`EndpointRegister::end_wait`] before it accepts requests,
+    /// because a lifetime that announces itself may have departed in an earlier run of the daemon.
+    pub fn await_departures(&mut self) {
+        self.awaits_departures = true;
+    }
+
+    /// Ends what [`EndpointRegister::await_departures`] began. Returns whether the endpoint accepts
+    /// requests from now on and did not before.
+    pub fn end_wait(&mut self) -> bool {
+        let did_wait = std::mem::replace(&mut self.awaits_departures, false);
+        did_wait && self.phase() == EndpointPhase::Ready
+    }
+
+    /// Adds departures that an earlier run of the daemon acknowledged.
+    pub fn restore(&mut self, departures: &[DepartedLifetime]) -> RegisterChange {
+        let mut change = RegisterChange::Same;
+        for lifetime in departures {
+            if self.is_leaving(&lifetime.id, lifetime.born) {
+                continue;
+            }
+            self.add_departed(lifetime.id.clone(), lifetime.born);
+            self.note_leaving(lifetime.id.clone(), lifetime.born, lifetime.departed_at);
+            let current = self.current.as_ref();
+            if current.is_some_and(|current| lifetime.covers(&current.id, current.born)) {
+                change = self.close_current();
+            }
+        }
+        change
+    }
+
+    /// Returns the number of departures noted so far and the latest of them, in their order.
+    #[must_use]
+    pub fn leaving(&self) -> (DepartureCount, &[DepartedLifetime]) {
+        (self.leaving_count, &self.leaving)
+    }
+
+    /// Returns whether a lifetime has announced its departure.
+    #[must_use]
+    pub fn is_leaving(&self, id: &EndpointId, born: StartMillis) -> bool {
+        self.leaving
+            .iter()
+            .any(|lifetime| lifetime.covers(id, born))
+    }
+
+    fn close_current(&mut self) -> RegisterChange {
         let Some(current) = &mut self.current else {
-            self.add_departed(departure.id.clone(), departure.born.unwrap_or(wall));
-            return RegisterChange::PassedOver("no endpoint is in place");
+            return RegisterChange::Same;
         };
-        let is_same =
-            current.id == departure.id && departure.born.is_none_or(|born| born == current.born);
-        if !is_same {
-            return RegisterChange::PassedOver("another lifetime is in place");
-        }
-        let was_leaving = std::mem::replace(&mut current.is_leaving, true);
-        let lifetime = (current.id.clone(), current.born);
-        self.add_departed(lifetime.0, lifetime.1);
-        match was_leaving {
+        match std::mem::replace(&mut current.is_leaving, true) {
             true => RegisterChange::Same,
             false => RegisterChange::Closed,
         }
@@ -179,7 +278,7 @@
     pub fn phase(&self) -> EndpointPhase {
         match &self.current {
             Some(current) if current.is_leaving => EndpointPhase::Leaving,
-            Some(_) if !self.is_down => EndpointPhase::Ready,
+            Some(_) if !self.is_down && !self.awaits_departures => EndpointPhase::Ready,
             _ => EndpointPhase::Down,
         }
     }
@@ -222,6 +321,21 @@
         departed.any(|(departed_id, last_born)| departed_id == id && born <= *last_born)
     }
 
+    fn note_leaving(&mut self, id: EndpointId, born: StartMillis, wall: StartMillis) {
+        if self.is_leaving(&id, born) {
+            return;
+        }
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.remove(0);
+        }
+        self.leaving_count += 1;
+        self.leaving.push(DepartedLifetime {
+            id,
+            born,
+            departed_at: wall,
+        });
+    }
+
     fn add_departed(&mut self, id: EndpointId, born: StartMillis) {
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.remove(0);
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -23,6 +23,7 @@
 
 use crate::logging::UPSTREAM;
 use crate::sidecar::announcement::RegisterChange;
+use crate::sidecar::departures::departure_task::keep_beyond_run;
 use crate::sidecar::event_log::dropped_lines;
 use crate::sidecar::platform_adapter::ControlCall;
 use crate::sidecar::request_server::accept_each;
@@ -81,17 +82,21 @@
         },
         ControlCall::Announce(announcement) => {
             let settings = state.settings();
+            let is_leaving = announcement.is_leaving;
             let change =
                 state
                     .endpoint
                     .announce(announcement, &settings.service, settings.endpoint);
             publish_change(state, change);
-            accepted(state)
+            match is_leaving {
+                true => departure_reply(state).await,
+                false => accepted(state),
+            }
         }
         ControlCall::Depart(departure) => {
             let change = state.endpoint.depart(&departure);
             publish_change(state, change);
-            accepted(state)
+            departure_reply(state).await
         }
         ControlCall::Metrics => reply(StatusCode::OK, metrics_text(state)),
         ControlCall::Unknown => reply(StatusCode::NOT_FOUND, Bytes::new()),
@@ -103,9 +108,18 @@
     }
 }
 
+/// Acknowledges a departure once it outlives this daemon: after a restart, a late announcement would
+/// have the endpoint used again.
+async fn departure_reply(state: &Rc<SidecarState>) -> Response<Full<Bytes>> {
+    match keep_beyond_run(state).await {
+        true => accepted(state),
+        false => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
+}
+
 /// Publishes a change of the endpoint to the peers. This precedes the response to the endpoint, so
 /// that peers stop sending requests once the endpoint has its response.
-fn publish_change(state: &Rc<SidecarState>, change: RegisterChange) {
+pub(crate) fn publish_change(state: &Rc<SidecarState>, change: RegisterChange) {
     match change {
         RegisterChange::Same | RegisterChange::PassedOver(_) => return,
         RegisterChange::Closed => close_queue_later(state),
--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -28,6 +28,8 @@
 use crate::logging::DAEMON;
 use crate::sidecar::config_task::watch_orders;
 use crate::sidecar::control_server::serve_control;
+use crate::sidecar::departures::departure_task::keep_departures;
+use crate::sidecar::departures::departure_task::sweep_departures;
 use crate::sidecar::member_task::find_members;
 use crate::sidecar::member_task::keep_links;
 use crate::sidecar::member_task::remove_own_row;
@@ -143,6 +145,9 @@
     if let Some(address) = options.advertised {
         state.members.change_own(|own| own.address = address);
     }
+    if !state.settings().is_first_start {
+        state.endpoint.await_departures();
+    }
     let state = Rc::new(state);
     let (stop, stopping) = watch::channel(false);
     tokio::task::spawn_local(serve_requests(Rc::clone(&state), requests, stopping));
@@ -154,6 +159,8 @@
     }
     tokio::task::spawn_local(find_members(Rc::clone(&state)));
     tokio::task::spawn_local(keep_links(Rc::clone(&state)));
+    tokio::task::spawn_local(keep_departures(Rc::clone(&state)));
+    tokio::task::spawn_local(sweep_departures(Rc::clone(&state)));
     tokio::task::spawn_local(watch_orders(Rc::clone(&state)));
     tokio::task::spawn_local(run_rollouts(Rc::clone(&state)));
     let mut modified = modified_at(path);
--- /dev/null
+++ b/coltsfootweir/src/sidecar/departures/departure_task.rs
@@ -0,0 +1,330 @@
+//! Keeps departures in the platform's store and at other daemons, and learns those that an earlier
+//! run of this daemon acknowledged.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::ids::MemberId;
+use crate::logging::UPSTREAM;
+use crate::sidecar::announcement::DepartedLifetime;
+use crate::sidecar::announcement::DepartureCount;
+use crate::sidecar::control_server::publish_change;
+use crate::sidecar::departures::departure_book::DepartureBook;
+use crate::sidecar::departures::departure_book::DepartureSafety;
+use crate::sidecar::departures::departure_rows::decode_departures;
+use crate::sidecar::departures::departure_rows::encode_departures;
+use crate::sidecar::departures::departure_rows::expired_rows;
+use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::link::link_side::LinkSide;
+use crate::sidecar::local_endpoint::wall_ms;
+use crate::sidecar::platform_adapter::StoreCall;
+use crate::sidecar::platform_adapter::StoreFault;
+use crate::sidecar::platform_adapter::StoreTable;
+use crate::sidecar::sidecar_state::SidecarState;
+
+/// Longest wait of an endpoint for the acknowledgement of its departure. It calls again when it has
+/// none after a second.
+const KEEP_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time from the first link to another daemon in which the others report what they keep for this
+/// one, if the store does not answer.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// Interval between checks for the reports of other daemons.
+const REPORT_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Pause before the first retry of a call to the store; doubled with each further one.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause between two tries to reach the store.
+const MAX_STORE_RETRY_PAUSE: Duration = Duration::from_secs(5);
+
+/// Interval between removals of old rows by the first of the daemons that watch the store.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(600);
+
+/// Most rows that one call removes.
+const MAX_SWEPT_ROWS: usize = 50;
+
+/// Departures of the endpoint on this VM and of those on other VMs, and where they are kept.
+#[derive(Default)]
+pub struct DepartureKeeper {
+    book: RefCell<DepartureBook>,
+    /// Notified when the store lacks a departure.
+    unstored: Notify,
+    /// Notified when the store or another daemon has confirmed a departure.
+    confirmed: Notify,
+}
+
+impl DepartureKeeper {
+    /// Keeps departures for the daemon `owner`.
+    pub fn hold(
+        &self,
+        owner: &MemberId,
+        departures: Vec<DepartedLifetime>,
+        is_known: impl Fn(&MemberId) -> bool,
+    ) {
+        self.book.borrow_mut().hold(owner, departures, is_known);
+    }
+
+    /// Returns a frame with the departures kept for the daemon `owner`.
+    #[must_use]
+    pub fn report(&self, owner: &MemberId) -> PeerFrame {
+        PeerFrame::DeparturesHeld(0, self.book.borrow().held(owner))
+    }
+}
+
+/// Maintains this daemon's row of departures until the daemon ends. Lets the endpoint accept requests
+/// once the departures of earlier runs are known.
+pub async fn keep_departures(state: Rc<SidecarState>) {
+    if state.settings().is_first_start {
+        state.departures.book.borrow_mut().set_row(Some(0));
+    } else {
+        tokio::select! {
+            () = read_with_retries(&state) => {}
+            () = await_reports(&state) => {}
+        }
+        if state.endpoint.end_wait() {
+            state.publish();
+        }
+    }
+    let mut pause = STORE_RETRY_PAUSE;
+    loop {
+        match sync_row(&state).await {
+            Ok(()) => {
+                pause = STORE_RETRY_PAUSE;
+                state.departures.unstored.notified().await;
+            }
+            Err(fault) => {
+                log_fault(fault);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_STORE_RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+async fn read_with_retries(state: &Rc<SidecarState>) {
+    let mut pause = STORE_RETRY_PAUSE;
+    while let Err(fault) = read_row(state).await {
+        log_fault(fault);
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_STORE_RETRY_PAUSE);
+    }
+}
+
+/// Waits until the other daemons have had time to report what they keep for this one.
+async fn await_reports(state: &SidecarState) {
+    let mut linked_at = None;
+    loop {
+        let now = state.now();
+        if state.members.has_open_link() && now >= *linked_at.get_or_insert(now) + REPORT_TIME {
+            return;
+        }
+        tokio::time::sleep(REPORT_POLL_INTERVAL).await;
+    }
+}
+
+/// Brings the own row up to date.
+async fn sync_row(state: &Rc<SidecarState>) -> Result<(), StoreFault> {
+    if state.departures.book.borrow().row().is_none() {
+        read_row(state).await?;
+    }
+    let (count, departures) = state.endpoint.leaving();
+    if !state.departures.book.borrow().is_unstored(count) {
+        return Ok(());
+    }
+    match write_row(state, &departures).await {
+        Ok(()) => {
+            state.departures.book.borrow_mut().on_stored(count);
+            state.departures.confirmed.notify_waiters();
+            // More may have departed meanwhile.
+            state.departures.unstored.notify_one();
+            Ok(())
+        }
+        Err(fault) => Err(fault),
+    }
+}
+
+async fn write_row(
+    state: &SidecarState,
+    departures: &[DepartedLifetime],
+) -> Result<(), StoreFault> {
+    let key = state.settings().id.clone();
+    let value = encode_departures(departures).map_err(|_| StoreFault::Unreadable)?;
+    let row = state.departures.book.borrow().row().unwrap_or_default();
+    let call = StoreCall::Write {
+        table: StoreTable::Departures,
+        // An earlier write without an answer may still be carried out, so the row must be as it was
+        // read.
+        conditions: vec![(key.clone(), row)],
+        puts: vec![(key, value)],
+        removals: Vec::new(),
+    };
+    let reply = state.store.call(&call).await;
+    let row = match &reply {
+        Ok(reply) => Some(reply.version),
+        Err(StoreFault::Refused(_)) => Some(row),
+        Err(_) => None,
+    };
+    state.departures.book.borrow_mut().set_row(row);
+    reply.map(|_| ())
+}
+
+/// Reads the own row and applies its departures.
+async fn read_row(state: &Rc<SidecarState>) -> Result<(), StoreFault> {
+    let key = state.settings().id.clone();
+    let call = StoreCall::ReadRow {
+        table: StoreTable::Departures,
+        key: key.clone(),
+    };
+    let reply = state.store.call(&call).await?;
+    let row = reply.rows.iter().find(|row| row.key == key);
+    let stored = match row.map(decode_departures) {
+        None => Vec::new(),
+        Some(Ok(departures)) => departures,
+        Some(Err(error)) => {
+            let event = json!({"name": "departures_row_unreadable", "key": key,
+                "reason": error.to_string()});
+            warn!(target: UPSTREAM, "{event}");
+            Vec::new()
+        }
+    };
+    apply(state, &stored, "store");
+    let (count, departures) = state.endpoint.leaving();
+    let mut book = state.departures.book.borrow_mut();
+    book.set_row(Some(row.map_or(0, |row| row.version)));
+    if departures.iter().all(|lifetime| stored.contains(lifetime)) {
+        book.on_stored(count);
+    }
+    Ok(())
+}
+
+/// Applies departures that an earlier run of this daemon acknowledged.
+fn apply(state: &Rc<SidecarState>, departures: &[DepartedLifetime], source: &str) {
+    let (before, _) = state.endpoint.leaving();
+    let change = state.endpoint.restore(departures);
+    let (count, _) = state.endpoint.leaving();
+    if count == before {
+        return;
+    }
+    let event = json!({"name": "departures_restored", "source": source, "count": count - before,
+        "change": format!("{change:?}")});
+    info!(target: UPSTREAM, "{event}");
+    publish_change(state, change);
+    send_departures(state);
+    state.departures.unstored.notify_one();
+}
+
+/// Sends the departures to the daemons that do not keep all of them yet.
+fn send_departures(state: &SidecarState) {
+    let (count, departures) = state.endpoint.leaving();
+    let book = state.departures.book.borrow();
+    for (id, _) in state.members.reachable() {
+        if book.confirmed(&id).is_none_or(|known| known >= count) {
+            continue;
+        }
+        if let Some(link) = state.members.link(&id) {
+            link.send(PeerFrame::HoldDepartures(count, departures.clone()));
+        }
+    }
+}
+
+/// Keeps the departures noted so far, in the store and at other daemons, so that they outlive this
+/// run of the daemon. Returns false if that failed; the departures must not be acknowledged then.
+pub async fn keep_beyond_run(state: &SidecarState) -> bool {
+    let (count, _) = state.endpoint.leaving();
+    if state.departures.book.borrow().is_acknowledged(count) {
+        return true;
+    }
+    let start = state.now();
+    send_departures(state);
+    state.departures.unstored.notify_one();
+    let safety = loop {
+        let confirmed = state.departures.confirmed.notified();
+        let safety = safety(state, count);
+        let left = (start + KEEP_TIMEOUT).saturating_sub(state.now());
+        if safety == DepartureSafety::Kept || left.is_zero() {
+            break safety;
+        }
+        // An error means that the time is over.
+        let _ = tokio::time::timeout(left, confirmed).await;
+    };
+    let is_kept = safety != DepartureSafety::Lost;
+    if is_kept {
+        state.departures.book.borrow_mut().on_acknowledged(count);
+    }
+    let event = json!({"name": "departure_kept", "count": count, "safety": format!("{safety:?}"),
+        "ms": (state.now() - start).as_millis() as u64});
+    info!(target: UPSTREAM, "{event}");
+    is_kept
+}
+
+fn safety(state: &SidecarState, count: DepartureCount) -> DepartureSafety {
+    let zone = state.settings().zone.clone();
+    let reachable = state.members.reachable();
+    let book = state.departures.book.borrow();
+    book.safety(count, &zone, &reachable)
+}
+
+/// Handles what another daemon keeps for this one: the first `count` departures of this run, and
+/// `departures` of earlier runs.
+pub fn on_departures_held(
+    state: &Rc<SidecarState>,
+    side: &LinkSide,
+    count: DepartureCount,
+    departures: &[DepartedLifetime],
+) {
+    let Some(keeper) = side.peer() else {
+        return;
+    };
+    apply(state, departures, &keeper);
+    let mut book = state.departures.book.borrow_mut();
+    book.on_confirmed(keeper, count);
+    drop(book);
+    let (own_count, own) = state.endpoint.leaving();
+    if count < own_count {
+        side.send(PeerFrame::HoldDepartures(own_count, own));
+    }
+    state.departures.confirmed.notify_waiters();
+}
+
+/// Removes the rows of old departures, at the first of the daemons that watch the store.
+pub async fn sweep_departures(state: Rc<SidecarState>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        if !state.members.is_rollout_leader() {
+            continue;
+        }
+        if let Err(fault) = sweep(&state).await {
+            log_fault(fault);
+        }
+    }
+}
+
+async fn sweep(state: &SidecarState) -> Result<(), StoreFault> {
+    let reply = state.store.read_all(StoreTable::Departures).await?;
+    let expired = expired_rows(&reply.rows, wall_ms(state.clock.wall()));
+    for rows in expired.chunks(MAX_SWEPT_ROWS) {
+        let call = StoreCall::Write {
+            table: StoreTable::Departures,
+            conditions: rows.to_vec(),
+            puts: Vec::new(),
+            removals: rows.iter().map(|(key, _)| key.clone()).collect(),
+        };
+        state.store.call(&call).await?;
+    }
+    let event = json!({"name": "departures_swept", "rows": expired.len()});
+    info!(target: UPSTREAM, "{event}");
+    Ok(())
+}
+
+fn log_fault(fault: StoreFault) {
+    let event = json!({"name": "departures_not_stored", "reason": fault.to_string()});
+    warn!(target: UPSTREAM, "{event}");
+}
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -8,6 +8,8 @@
 use crate::ids::Generation;
 use crate::ids::MemberId;
 use crate::ids::ServiceName;
+use crate::sidecar::announcement::DepartedLifetime;
+use crate::sidecar::announcement::DepartureCount;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::RolloutStatus;
 use crate::sidecar::member_table::VersionCount;
@@ -176,7 +178,8 @@
 pub enum PeerFrame {
     /// First frame of each side: its member id. Another daemon may have reused the address of one
     /// that is gone. A side that accepted the connection and gets one knows that the other side
-    /// understands answers in pieces.
+    /// understands answers in pieces; a second one tells that it understands
+    /// [`PeerFrame::DeparturesHeld`].
     Hello(MemberId),
     /// Requests a call.
     Call(CallNumber, Box<ForwardedCall>),
@@ -223,6 +226,13 @@
     ConfigCredit(u32, u64),
     /// Time in milliseconds that the answers on their way from the sender's VM take.
     UplinkLoad(u32),
+    /// Number of departures on the sender's VM so far, and the latest of them. The receiver keeps
+    /// them for the sender. Sent only on dialed connections whose other side has sent
+    /// [`PeerFrame::DeparturesHeld`].
+    HoldDepartures(DepartureCount, Vec<DepartedLifetime>),
+    /// Number of departures that the sender keeps for the receiver. The response to the second
+    /// [`PeerFrame::Hello`] has those of all runs of the receiver, and the number 0.
+    DeparturesHeld(DepartureCount, Vec<DepartedLifetime>),
 }
 
 /// Encodes a configuration that is sent in pieces.
--- a/coltsfootweir/src/sidecar/link/link_side.rs
+++ b/coltsfootweir/src/sidecar/link/link_side.rs
@@ -83,11 +83,16 @@
         self.peer.replace(Some(peer));
     }
 
+    /// Returns the id of the peer; `None` before the peer has sent it.
+    #[must_use]
+    pub fn peer(&self) -> Option<MemberId> {
+        self.peer.borrow().clone()
+    }
+
     /// Returns the id of the peer, or a placeholder for the log before the peer has sent it.
     #[must_use]
     pub fn peer_name(&self) -> MemberId {
-        let peer = self.peer.borrow();
-        peer.clone().unwrap_or_else(|| "unidentified daemon".into())
+        self.peer().unwrap_or_else(|| "unidentified daemon".into())
     }
 
     /// Records that the peer understands answers in pieces.
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -1,5 +1,7 @@
 //! The endpoint on the local VM: its state, slots, connections and running requests.
 
+mod lifetimes;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -18,15 +20,10 @@
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
-use crate::ids::ServiceName;
 use crate::logging::UPSTREAM;
-use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
 use crate::poison::PoisonTable;
-use crate::sidecar::announcement::EndpointAnnouncement;
-use crate::sidecar::announcement::EndpointDeparture;
 use crate::sidecar::announcement::EndpointRegister;
-use crate::sidecar::announcement::RegisterChange;
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::answer_rest::INLINE_LIMIT;
 use crate::sidecar::answer::endpoint_body::EndpointBody;
@@ -64,9 +61,6 @@
 /// Minimum time before the deadline for sending a request to the endpoint.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Number of announcement intervals without an announcement after which the endpoint is down.
-const SILENT_INTERVALS: u32 = 4;
-
 /// HTTP statuses that a daemon sends only when a request was not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -132,79 +126,6 @@
         })
     }
 
-    /// Applies an announcement. Ignores endpoints of another `service` or at another `address`.
-    pub fn announce(
-        &self,
-        announcement: EndpointAnnouncement,
-        service: &ServiceName,
-        address: SocketAddr,
-    ) -> RegisterChange {
-        let (id, sequence, leaving) = (
-            announcement.id.clone(),
-            announcement.sequence,
-            announcement.is_leaving,
-        );
-        let slots = announcement.slots;
-        let now = self.clock.now();
-        let change = self
-            .register
-            .borrow_mut()
-            .announce(announcement, service, address, now);
-        match change {
-            RegisterChange::Same => return change,
-            RegisterChange::Replaced => {
-                self.idle.borrow_mut().clear();
-                self.slots.replace(slots);
-            }
-            RegisterChange::Updated => self.slots.set_slots(slots),
-            RegisterChange::Closed | RegisterChange::PassedOver(_) => {}
-        }
-        self.sync_phase();
-        let what = json!({"name": "endpoint_announced", "endpoint": id, "sequence": sequence,
-            "leaving": leaving, "outcome": format!("{change:?}")});
-        info!(target: UPSTREAM, "{what}");
-        change
-    }
-
-    /// Applies a departure.
-    pub fn depart(&self, departure: &EndpointDeparture) -> RegisterChange {
-        let wall = wall_ms(self.clock.wall());
-        let change = self.register.borrow_mut().depart(departure, wall);
-        self.sync_phase();
-        let what = json!({"name": "endpoint_departed", "endpoint": departure.id,
-            "outcome": format!("{change:?}")});
-        info!(target: UPSTREAM, "{what}");
-        change
-    }
-
-    /// Refuses the requests that still wait for a leaving endpoint. Called at the end of the grace
-    /// period in which they may start.
-    pub fn close_queue(&self) {
-        if self.register.borrow().phase() == EndpointPhase::Leaving {
-            self.slots.set_phase(EndpointPhase::Down);
-        }
-    }
-
-    /// Marks the endpoint as down when it has sent no announcement for several announcement intervals.
-    /// Returns whether its state changed.
-    pub fn check_silence(&self, interval: Duration) -> bool {
-        let silent_for = self
-            .clock
-            .now()
-            .saturating_sub(self.register.borrow().last_announced());
-        if silent_for < interval * SILENT_INTERVALS {
-            return false;
-        }
-        let changed = self.register.borrow_mut().mark_down();
-        if changed {
-            let what =
-                json!({"name": "endpoint_silent", "silent_ms": silent_for.as_millis() as u64});
-            info!(target: UPSTREAM, "{what}");
-            self.sync_phase();
-        }
-        changed
-    }
-
     /// Returns the summary of the endpoint for the other daemons; `None` before an announcement.
     #[must_use]
     pub fn summary(&self) -> Option<EndpointSummary> {
--- /dev/null
+++ b/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
@@ -0,0 +1,126 @@
+//! Announcements and departures of the endpoint on the local VM.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::info;
+use serde_json::json;
+
+use super::LocalEndpoint;
+use super::wall_ms;
+use crate::ids::ServiceName;
+use crate::logging::UPSTREAM;
+use crate::member::EndpointPhase;
+use crate::sidecar::announcement::DepartedLifetime;
+use crate::sidecar::announcement::DepartureCount;
+use crate::sidecar::announcement::EndpointAnnouncement;
+use crate::sidecar::announcement::EndpointDeparture;
+use crate::sidecar::announcement::RegisterChange;
+
+/// Number of announcement intervals without an announcement after which the endpoint is down.
+const SILENT_INTERVALS: u32 = 4;
+
+impl LocalEndpoint {
+    /// Applies an announcement. Ignores endpoints of another `service` or at another `address`.
+    pub fn announce(
+        &self,
+        announcement: EndpointAnnouncement,
+        service: &ServiceName,
+        address: SocketAddr,
+    ) -> RegisterChange {
+        let (id, sequence, leaving) = (
+            announcement.id.clone(),
+            announcement.sequence,
+            announcement.is_leaving,
+        );
+        let slots = announcement.slots;
+        let now = self.clock.now();
+        let wall = wall_ms(self.clock.wall());
+        let change = self
+            .register
+            .borrow_mut()
+            .announce(announcement, service, address, now, wall);
+        match change {
+            RegisterChange::Same => return change,
+            RegisterChange::Replaced => {
+                self.idle.borrow_mut().clear();
+                self.slots.replace(slots);
+            }
+            RegisterChange::Updated => self.slots.set_slots(slots),
+            RegisterChange::Closed | RegisterChange::PassedOver(_) => {}
+        }
+        self.sync_phase();
+        let what = json!({"name": "endpoint_announced", "endpoint": id, "sequence": sequence,
+            "leaving": leaving, "outcome": format!("{change:?}")});
+        info!(target: UPSTREAM, "{what}");
+        change
+    }
+
+    /// Applies a departure.
+    pub fn depart(&self, departure: &EndpointDeparture) -> RegisterChange {
+        let wall = wall_ms(self.clock.wall());
+        let change = self.register.borrow_mut().depart(departure, wall);
+        self.sync_phase();
+        let what = json!({"name": "endpoint_departed", "endpoint": departure.id,
+            "outcome": format!("{change:?}")});
+        info!(target: UPSTREAM, "{what}");
+        change
+    }
+
+    /// Has an endpoint that announces itself wait until [`LocalEndpoint::end_wait`], as it may have
+    /// departed in an earlier run of the daemon.
+    pub fn await_departures(&self) {
+        self.register.borrow_mut().await_departures();
+    }
+
+    /// Ends what [`LocalEndpoint::await_departures`] began. Returns whether the endpoint accepts
+    /// requests from now on and did not before.
+    pub fn end_wait(&self) -> bool {
+        let changed = self.register.borrow_mut().end_wait();
+        self.sync_phase();
+        changed
+    }
+
+    /// Adds departures that an earlier run of the daemon acknowledged.
+    pub fn restore(&self, departures: &[DepartedLifetime]) -> RegisterChange {
+        let change = self.register.borrow_mut().restore(departures);
+        self.sync_phase();
+        change
+    }
+
+    /// Returns the number of departures noted so far and the latest of them.
+    #[must_use]
+    pub fn leaving(&self) -> (DepartureCount, Vec<DepartedLifetime>) {
+        let register = self.register.borrow();
+        let (count, departures) = register.leaving();
+        (count, departures.to_vec())
+    }
+
+    /// Refuses the requests that still wait for a leaving endpoint. Called at the end of the grace
+    /// period in which they may start.
+    pub fn close_queue(&self) {
+        if self.register.borrow().phase() == EndpointPhase::Leaving {
+            self.slots.set_phase(EndpointPhase::Down);
+        }
+    }
+
+    /// Marks the endpoint as down when it has sent no announcement for several announcement intervals.
+    /// Returns whether its state changed.
+    pub fn check_silence(&self, interval: Duration) -> bool {
+        let silent_for = self
+            .clock
+            .now()
+            .saturating_sub(self.register.borrow().last_announced());
+        if silent_for < interval * SILENT_INTERVALS {
+            return false;
+        }
+        let changed = self.register.borrow_mut().mark_down();
+        if changed {
+            let what =
+                json!({"name": "endpoint_silent", "silent_ms": silent_for.as_millis() as u64});
+            info!(target: UPSTREAM, "{what}");
+            self.sync_phase();
+        }
+        changed
+    }
+}
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -199,6 +199,18 @@
         self.links.is_open(id)
     }
 
+    /// Returns the other daemons whose links are open, and their zones.
+    #[must_use]
+    pub fn reachable(&self) -> Vec<(MemberId, ZoneName)> {
+        let mut reachable = Vec::new();
+        for record in self.table.borrow().iter() {
+            if self.links.is_open(&record.id) {
+                reachable.push((record.id.clone(), record.zone.clone()));
+            }
+        }
+        reachable
+    }
+
     /// Returns whether a daemon is in this daemon's zone.
     #[must_use]
     pub fn is_in_own_zone(&self, id: &MemberId) -> bool {
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::logging::MEMBERS;
+use crate::sidecar::departures::departure_task::on_departures_held;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::link::link_side::LinkSide;
 use crate::sidecar::member_directory::LinkScope;
@@ -223,6 +224,9 @@
             let mut loads = receiver.routing.endpoint_loads.borrow_mut();
             loads.record_uplink(peer.clone(), load, receiver.now());
         }
+        PeerFrame::DeparturesHeld(count, departures) => {
+            on_departures_held(&receiver, side, count, &departures);
+        }
         frame => handle_sync_frame(&receiver, side, frame),
     };
     let end_state = Rc::clone(&state);
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -16,6 +16,8 @@
 pub mod config_task;
 pub mod control_server;
 pub mod daemon;
+#[doc(hidden)]
+pub mod departures;
 pub mod endpoint_request;
 pub mod event_log;
 #[doc(hidden)]
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -158,6 +158,7 @@
         let (side, queue) = LinkSide::new(uplink);
         side.set_peer(peer.clone());
         side.send(PeerFrame::Hello(own.clone()));
+        side.send(PeerFrame::Hello(own.clone()));
         let link = Rc::new(PeerLink {
             side,
             pending: RefCell::default(),
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -10,6 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::sidecar::announcement::DepartedLifetime;
+use crate::sidecar::announcement::DepartureCount;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
@@ -66,11 +68,17 @@
 impl AcceptedLink {
     fn handle(&self, frame: PeerFrame) {
         match frame {
+            PeerFrame::Hello(id) if self.side.peer().as_ref() == Some(&id) => {
+                self.side.send(self.state.departures.report(&id));
+            }
             PeerFrame::Hello(id) => {
                 self.side.set_peer(id);
                 self.side.set_pieces();
                 self.side.send(PeerFrame::Pieces);
             }
+            PeerFrame::HoldDepartures(count, departures) => {
+                self.hold_departures(count, departures);
+            }
             PeerFrame::Call(number, call) => {
                 let delay = wall_delay(call.sent_at_ms, self.state.clock.wall());
                 self.start_call(number, call, delay);
@@ -93,6 +101,18 @@
         }
     }
 
+    /// Keeps departures for the daemon that dialed.
+    fn hold_departures(&self, count: DepartureCount, departures: Vec<DepartedLifetime>) {
+        let Some(owner) = self.side.peer() else {
+            return;
+        };
+        self.state.members.read(|table| {
+            let keeper = &self.state.departures;
+            keeper.hold(&owner, departures, |id| table.get(id).is_some());
+        });
+        self.side.send(PeerFrame::DeparturesHeld(count, Vec::new()));
+    }
+
     fn start_call(&self, number: CallNumber, call: Box<ForwardedCall>, delay: Duration) {
         if refuses_calls(&self.state) {
             let result = Box::new(not_run(NotRunCause::Closed));
--- a/coltsfootweir/src/sidecar/platform_adapter.rs
+++ b/coltsfootweir/src/sidecar/platform_adapter.rs
@@ -85,6 +85,8 @@
     Reports,
     /// Member records of the daemons, used for discovery.
     Members,
+    /// Departures of endpoints that daemons have acknowledged.
+    Departures,
 }
 
 /// A call to the store.
@@ -97,6 +99,13 @@
         /// First key.
         from: Box<str>,
     },
+    /// Reads one row of a table; later ones may follow it in the reply.
+    ReadRow {
+        /// The table.
+        table: StoreTable,
+        /// Key.
+        key: Box<str>,
+    },
     /// Waits for changes to a table.
     Watch {
         /// The table.
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -27,6 +27,7 @@
 use crate::sidecar::answer::answer_hold::HoldBudget;
 use crate::sidecar::answer::answer_sizes::AnswerSizes;
 use crate::sidecar::config_holder::ConfigHolder;
+use crate::sidecar::departures::departure_task::DepartureKeeper;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::link::uplink::Uplink;
@@ -101,6 +102,8 @@
     pub members: MemberDirectory,
     /// Endpoint on this VM.
     pub endpoint: Rc<LocalEndpoint>,
+    /// Departures of endpoints and where they are kept.
+    pub departures: DepartureKeeper,
     /// Large transfers to other daemons.
     pub uplink: Rc<Uplink>,
     /// Endpoint selection and retry limits.
@@ -170,6 +173,7 @@
                 answer_sizes: RefCell::default(),
                 hold_budget: Rc::default(),
             },
+            departures: DepartureKeeper::default(),
             uplink: Uplink::new(Arc::clone(&clock)),
             peer_rollouts: RefCell::default(),
             rollouts: RefCell::default(),
--- a/coltsfootweir/src/sidecar/store_client.rs
+++ b/coltsfootweir/src/sidecar/store_client.rs
@@ -22,11 +22,20 @@
 /// Time limit for connecting: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time for which an idle connection is reused. One that has become silent meanwhile costs the time
+/// limit of a call.
+const IDLE_LIMIT: Duration = Duration::from_secs(2);
+
+struct IdleConnection {
+    connection: HttpConnection,
+    since: Instant,
+}
+
 /// Client of the store. A connection serves one call at a time, so a watch occupies one.
 pub struct StoreClient {
     platform_adapter: Rc<dyn PlatformAdapter>,
     address: SocketAddr,
-    idle: RefCell<Vec<HttpConnection>>,
+    idle: RefCell<Vec<IdleConnection>>,
     connect_time: Cell<Option<Duration>>,
     calls: Cell<u64>,
     faults: Cell<u64>,
@@ -124,16 +133,18 @@
             return Err(StoreFault::NoAnswer);
         };
         if answer.is_reusable {
-            self.idle.borrow_mut().push(connection);
+            let since = Instant::now();
+            let idle = IdleConnection { connection, since };
+            self.idle.borrow_mut().push(idle);
         }
         self.platform_adapter
             .store_reply(answer.status, &answer.body)
     }
 
     async fn connection(&self) -> Result<HttpConnection, StoreFault> {
-        while let Some(connection) = self.take_idle() {
-            if connection.is_clean() {
-                return Ok(connection);
+        while let Some(idle) = self.take_idle() {
+            if idle.since.elapsed() < IDLE_LIMIT && idle.connection.is_clean() {
+                return Ok(idle.connection);
             }
         }
         let start = Instant::now();
@@ -149,7 +160,7 @@
         Ok(connection)
     }
 
-    fn take_idle(&self) -> Option<HttpConnection> {
+    fn take_idle(&self) -> Option<IdleConnection> {
         self.idle.borrow_mut().pop()
     }
 }
--- a/coltsfootweir/tests/sidecar_announcements.rs
+++ b/coltsfootweir/tests/sidecar_announcements.rs
@@ -37,6 +37,7 @@
         &"stalls".into(),
         address,
         Duration::from_secs(1),
+        DEPARTED_AT,
     )
 }
 
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -24,6 +24,9 @@
 use super::send;
 use crate::common::caller_threads::pause;
 
+/// Start of an endpoint's lifetime, in milliseconds since the Unix epoch.
+const BORN: u64 = 1_700_000_000_000;
+
 /// Pause between two announcements.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -76,6 +79,19 @@
     admin: SocketAddr,
 }
 
+/// An announcement that is held up on its way.
+pub struct LateAnnouncement {
+    body: String,
+    endpoint: MeshEndpoint,
+}
+
+impl LateAnnouncement {
+    pub fn arrive(&self) -> Option<u16> {
+        self.endpoint
+            .announce_body(&self.endpoint.state.id, &self.body)
+    }
+}
+
 impl MeshEndpoint {
     /// Starts an endpoint at a free address and announces it to the sidecar at `admin`.
     pub fn start(
@@ -150,18 +166,36 @@
         send("PUT", self.admin, &path, body).map(|(status, _)| status)
     }
 
+    /// An announcement of the lifetime before it leaves, to be sent late.
+    pub fn late_announcement(&self) -> LateAnnouncement {
+        LateAnnouncement {
+            body: self.announcement("healthy", 0),
+            endpoint: self.clone(),
+        }
+    }
+
+    /// Announces a later lifetime of the same id, which started `later_ms` after this one.
+    pub fn announce_successor(&self, later_ms: u64) -> Option<u16> {
+        self.announce_body(&self.state.id, &self.announcement("healthy", later_ms))
+    }
+
     fn announce(&self) -> bool {
-        let state = &self.state;
-        let word = match state.is_leaving.load(Ordering::Relaxed) {
+        let word = match self.state.is_leaving.load(Ordering::Relaxed) {
             true => "draining",
             false => "healthy",
         };
+        let body = self.announcement(word, 0);
+        self.announce_body(&self.state.id, &body) == Some(200)
+    }
+
+    fn announcement(&self, word: &str, later_ms: u64) -> String {
+        let state = &self.state;
         let sequence = state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = json!({"address": state.address, "born": 1_700_000_000_000_u64,
+        let body = json!({"address": state.address, "born": BORN + later_ms,
             "info": {"service": state.service, "version": state.version, "zone": "a",
                 "capacity": state.slots},
             "status": {"state": word, "sequence": sequence, "warmup_left_ms": 0}});
-        self.announce_body(&state.id, &body.to_string()) == Some(200)
+        body.to_string()
     }
 }
 
