Each request that a stopping daemon has read is answered before it exits

What callers would see: in a planned stop, requests that came late in the grace, or that waited for a slot, were passed on to an endpoint and cut without an answer when the daemon exited, bookings among them (LOST). Reported by other operators; shown here by tests.

Cause: after SIGTERM a request was handled as at any other time.

Change: a stop has times (`planned_stop::stop_window`). Until clients have noticed it, requests are served in the time that is left, which is also what endpoints and queues are told; later ones are refused at once as not run unless their whole time fits. A quarter of a second before the exit, what has no answer gets one: 503 if its body was not complete, 504 if it was handed over. Once the daemon ends early, nothing is taken any more.

--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -34,6 +34,7 @@
 use crate::sidecar::member_task::keep_links;
 use crate::sidecar::member_task::remove_own_row;
 use crate::sidecar::peer_server::serve_peers;
+use crate::sidecar::planned_stop::stop_window::StopWindow;
 use crate::sidecar::platform_adapter::PlatformAdapter;
 use crate::sidecar::request_server::serve_requests;
 use crate::sidecar::rollout_task::run_rollouts;
@@ -46,13 +47,6 @@
 /// Interval between checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Time after SIGTERM in which new connections are still accepted from clients that have not noticed
-/// the shutdown yet. Covers two missed readiness checks at one per second.
-const SHUTDOWN_NOTICE_TIME: Duration = Duration::from_millis(2_500);
-
-/// Time before SIGKILL at which the daemon exits even if requests are still running.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
 /// Interval between checks for running requests during shutdown.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -229,20 +223,21 @@
 /// running requests to finish.
 async fn shut_down(state: &SidecarState, stop: &watch::Sender<bool>) {
     let start = state.now();
+    let window = StopWindow::new(start, state.settings().bounds.stop_grace);
+    state.stop.set(window);
     state.is_leaving.set(true);
     state.publish();
     let event = json!({"name": "stopping", "running": state.running.get()});
     info!(target: DAEMON, "{event}");
-    let grace = state.settings().bounds.stop_grace;
-    let until = start + grace.saturating_sub(EXIT_MARGIN);
-    let notice = (start + SHUTDOWN_NOTICE_TIME).min(until);
-    remove_row_within(state, notice).await;
-    tokio::time::sleep(notice.saturating_sub(state.now())).await;
+    remove_row_within(state, window.notice_by).await;
+    tokio::time::sleep(window.notice_by.saturating_sub(state.now())).await;
     // No connections are accepted any more, and open ones close after their current request.
     stop.send_replace(true);
-    while state.now() < until && !is_idle(state) {
+    while state.now() < window.exit_by && !is_idle(state) {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
+    // Connections without a request so far are still open: what comes on them now is refused.
+    state.stop.set(window.ended(state.now()));
     // Leaves time for the last responses to be sent.
     tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     let event = json!({"name": "stopped", "running": state.running.get(),
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -39,6 +39,8 @@
 pub mod metrics;
 pub mod peer_link;
 pub mod peer_server;
+#[doc(hidden)]
+pub mod planned_stop;
 pub mod platform_adapter;
 #[doc(hidden)]
 pub mod reported_loads;
--- /dev/null
+++ b/coltsfootweir/src/sidecar/planned_stop/stop_control.rs
@@ -0,0 +1,51 @@
+//! State of a planned stop that the requests watch.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::sidecar::planned_stop::stop_window::StopWindow;
+
+/// The planned stop of the daemon, if one has begun.
+#[derive(Debug, Default)]
+pub struct StopControl {
+    window: watch::Sender<Option<StopWindow>>,
+}
+
+impl StopControl {
+    /// Begins the stop, or changes its times.
+    pub fn set(&self, window: StopWindow) {
+        self.window.send_replace(Some(window));
+    }
+
+    /// Returns the deadline of a request that is complete at `now`; `None` if it must be refused
+    /// because of the stop.
+    #[must_use]
+    pub fn admit(&self, now: Duration, deadline: Duration) -> Option<Duration> {
+        match *self.window.borrow() {
+            Some(window) => window.admit(now, deadline),
+            None => Some(deadline),
+        }
+    }
+
+    /// Waits until requests without an answer must get one. `now` returns the time since the start
+    /// of the daemon.
+    pub async fn answers_due(&self, now: impl Fn() -> Duration) {
+        let mut windows = self.window.subscribe();
+        loop {
+            let window = *windows.borrow_and_update();
+            let left = window.map(|window| window.answer_by.saturating_sub(now()));
+            let due = async {
+                match left {
+                    Some(left) => tokio::time::sleep(left).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = due => return,
+                // The sender is in `self`, so it outlives this.
+                _ = windows.changed() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootweir/src/sidecar/planned_stop/stop_window.rs
@@ -0,0 +1,63 @@
+//! Times of a planned stop.
+
+use std::time::Duration;
+
+use crate::sidecar::request_server::RESPONSE_MARGIN;
+
+/// Time after SIGTERM in which new connections are still accepted from clients that have not noticed
+/// the shutdown yet. Covers two missed readiness checks at one per second.
+const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time before SIGKILL at which the daemon exits even if requests are still running.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time before the exit at which requests without an answer get one from the daemon.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+
+/// Times of a planned stop, since the start of the daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopWindow {
+    /// Until when clients may not have noticed the stop.
+    pub notice_by: Duration,
+    /// When the daemon answers the requests that have no answer.
+    pub answer_by: Duration,
+    /// When the daemon exits.
+    pub exit_by: Duration,
+}
+
+impl StopWindow {
+    /// Returns the times of a stop that began at `start` and is followed by SIGKILL after `grace`.
+    #[must_use]
+    pub fn new(start: Duration, grace: Duration) -> StopWindow {
+        let exit_by = start + grace.saturating_sub(EXIT_MARGIN);
+        StopWindow {
+            notice_by: (start + NOTICE_TIME).min(exit_by),
+            answer_by: start.max(exit_by.saturating_sub(ANSWER_MARGIN)),
+            exit_by,
+        }
+    }
+
+    /// Returns the window of a daemon that exits at `now`, because nothing runs any more.
+    #[must_use]
+    pub fn ended(self, now: Duration) -> StopWindow {
+        StopWindow {
+            notice_by: self.notice_by.min(now),
+            answer_by: self.answer_by.min(now),
+            exit_by: self.exit_by.min(now),
+        }
+    }
+
+    /// Returns the deadline of a request that is complete at `now` and would have the deadline
+    /// `deadline`; `None` if it must be refused.
+    ///
+    /// Until clients notice the stop, they are served, in the time that is left. Later requests are
+    /// stragglers, which would be cut off at the exit unless their whole time fits.
+    #[must_use]
+    pub fn admit(&self, now: Duration, deadline: Duration) -> Option<Duration> {
+        let last = self.answer_by.saturating_sub(RESPONSE_MARGIN);
+        match now < self.notice_by {
+            true => Some(deadline.min(last)).filter(|deadline| now < *deadline),
+            false => Some(deadline).filter(|deadline| *deadline <= last),
+        }
+    }
+}
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -52,7 +52,7 @@
 
 /// Time after the deadline at which a request times out. It lets the endpoint's own response at the
 /// deadline arrive.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(80);
+pub const RESPONSE_MARGIN: Duration = Duration::from_millis(80);
 
 /// Time after the deadline in which an answer that has begun may be completed: clients that wait
 /// longer than the route allows still get it.
@@ -218,7 +218,15 @@
     let limit = active.config.limits.body_bytes.min(BODY_LIMIT);
     let (parts, body) = request.into_parts();
     let body = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
-    let body = match body.collect().await {
+    let answers_due = state.stop.answers_due(|| state.now());
+    tokio::pin!(answers_due);
+    let body = tokio::select! {
+        body = body.collect() => body,
+        () = answers_due.as_mut() => {
+            return end_early(state, &trace, StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        }
+    };
+    let body = match body {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<LengthLimitError>() => {
             return end_early(
@@ -230,6 +238,9 @@
         }
         Err(_) => return end_early(state, &trace, StatusCode::BAD_REQUEST, "body_unreadable"),
     };
+    let Some(deadline) = state.stop.admit(state.now(), deadline) else {
+        return end_early(state, &trace, StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    };
     let target = parts
         .uri
         .path_and_query()
@@ -249,16 +260,21 @@
     };
     let attempts = CallAttempts::new(state, &active, route, service.clone(), deadline);
     let left = (deadline + RESPONSE_MARGIN).saturating_sub(state.now());
-    let end = match tokio::time::timeout(left, attempts.run(&call)).await {
+    let attempts = tokio::time::timeout(left, attempts.run(&call));
+    let end = tokio::select! {
+        end = attempts => end.ok(),
+        () = answers_due => None,
+    };
+    let end = match end {
         // A client without chunks takes the end of the connection for the end of such an answer, also
         // when it broke off.
-        Ok(end) if parts.version < Version::HTTP_11 && end.has_unknown_length() => AttemptsEnd {
+        Some(end) if parts.version < Version::HTTP_11 && end.has_unknown_length() => AttemptsEnd {
             result: CallResult::Unknown(UnknownCause::AnswerBroken),
             rest: None,
             ..end
         },
-        Ok(end) => end,
-        Err(_) => AttemptsEnd {
+        Some(end) => end,
+        None => AttemptsEnd {
             result: CallResult::Unknown(UnknownCause::TimedOut),
             rest: None,
             tried: Vec::new(),
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -43,6 +43,7 @@
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::TrafficSplitter;
 use crate::sidecar::metrics::SidecarMetrics;
+use crate::sidecar::planned_stop::stop_control::StopControl;
 use crate::sidecar::platform_adapter::PlatformAdapter;
 use crate::sidecar::platform_adapter::RolloutOrder;
 use crate::sidecar::reported_loads::ReportedLoads;
@@ -118,6 +119,8 @@
     pub members_read: Cell<bool>,
     /// Notified to make missing links immediately instead of at the next check.
     pub dial_now: Notify,
+    /// Planned stop, if one has begun.
+    pub stop: StopControl,
     /// Whether the daemon is shutting down.
     pub is_leaving: Cell<bool>,
     /// Number of client requests in progress.
@@ -180,6 +183,7 @@
             metrics: SidecarMetrics::new(),
             members_read: Cell::new(false),
             dial_now: Notify::new(),
+            stop: StopControl::default(),
             is_leaving: Cell::new(false),
             running: Cell::new(0),
             settings: RefCell::new(Rc::new(settings)),
--- a/programs/tests/common/caller.rs
+++ b/programs/tests/common/caller.rs
@@ -45,7 +45,7 @@
         self
     }
 
-    fn encode(&self) -> Vec<u8> {
+    pub fn encode(&self) -> Vec<u8> {
         let mut text = format!("{} {} HTTP/1.1\r\nhost: test\r\n", self.method, self.path);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
--- /dev/null
+++ b/programs/tests/sidecar_stops.rs
@@ -0,0 +1,199 @@
+//! Planned stops of sidecars: each request that a stopping daemon has read gets an answer.
+
+mod common;
+mod sidecar;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use common::PATIENCE;
+use common::caller::CallEnd;
+use common::caller::CallSpec;
+use common::caller::call_once;
+use common::caller::read_answer;
+use common::caller::send_raw;
+use common::caller_threads::pause;
+use common::wait_for;
+use sidecar::sidecar_fleet::HORSES;
+use sidecar::sidecar_fleet::STALLS;
+use sidecar::sidecar_fleet::SidecarFleet;
+use sidecar::sidecar_fleet::request;
+
+/// Time between SIGTERM and SIGKILL, as in the settings of the fleet.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Status that promises that a request was not run and will not be.
+const PROMISE: u16 = 503;
+
+/// Bytes of a request that are sent late: a part of the body, or the end of the head.
+const REST_BYTES: usize = 2;
+
+/// A request whose last bytes were not sent yet: its id, the connection and these bytes.
+type BegunCall = (String, TcpStream, Vec<u8>);
+
+/// A stop that began, of the daemon 0.
+struct PlannedStop {
+    fleet: SidecarFleet,
+    start: Instant,
+}
+
+impl PlannedStop {
+    fn begin(endpoints: &[(&str, &str)]) -> PlannedStop {
+        let fleet = SidecarFleet::start_ready(endpoints);
+        fleet.sidecars[0].signal("TERM");
+        PlannedStop {
+            fleet,
+            start: Instant::now(),
+        }
+    }
+
+    fn requests(&self) -> SocketAddr {
+        self.fleet.sidecars[0].requests
+    }
+
+    fn pause_until(&self, at: Duration) {
+        pause(at.saturating_sub(self.start.elapsed()));
+    }
+
+    /// Opens a connection, sends all but the last bytes of a request on it, and returns these.
+    fn begin_call(&self, spec: &CallSpec) -> (TcpStream, Vec<u8>) {
+        let mut bytes = spec.encode();
+        let rest = bytes.split_off(bytes.len() - REST_BYTES);
+        (send_raw(self.requests(), &bytes), rest)
+    }
+
+    /// Begins calls without a body, of which the daemon has no whole head yet.
+    fn begin_calls(&self, count: usize, path: &str) -> Vec<BegunCall> {
+        let mut calls = Vec::new();
+        for number in 0..count {
+            let id = format!("late-{number}");
+            let mut spec = request("POST", path, &id, 2_500);
+            spec.body.clear();
+            let (stream, rest) = self.begin_call(&spec);
+            calls.push((id, stream, rest));
+        }
+        calls
+    }
+
+    /// Sends the last bytes of the calls, the first at `start` and the others one after another;
+    /// returns how each ended.
+    fn end_calls(
+        &self,
+        calls: Vec<BegunCall>,
+        mut start: Duration,
+        step: Duration,
+    ) -> Vec<(String, CallEnd)> {
+        let mut reading = Vec::new();
+        for (id, mut stream, rest) in calls {
+            self.pause_until(start);
+            start += step;
+            // A daemon that has closed the connection answers nothing.
+            let _ = stream.write_all(&rest);
+            let end = std::thread::spawn(move || read_answer(&mut stream));
+            reading.push((id, end));
+        }
+        let mut ends = Vec::new();
+        for (id, end) in reading {
+            ends.push((id, end.join().expect("no panic")));
+        }
+        ends
+    }
+
+    /// Sends a request that runs for two seconds, on a connection of its own.
+    fn call_slow(&self, id: &str) -> JoinHandle<CallEnd> {
+        let requests = self.requests();
+        let spec = request("POST", "/book/slower", id, 5_000);
+        std::thread::spawn(move || call_once(requests, &spec))
+    }
+
+    /// Checks that a request was answered, and that the answer is true.
+    fn check(&self, id: &str, end: &CallEnd) -> u16 {
+        let CallEnd::Whole(answer) = end else {
+            panic!("{id}: {end:?}, {} runs", self.fleet.runs_of(id));
+        };
+        let most = usize::from(answer.status != PROMISE);
+        let runs = self.fleet.runs_of(id);
+        assert!(runs <= most, "{id}: {} and {runs} runs", answer.status);
+        answer.status
+    }
+
+    fn wait_end(&mut self) {
+        wait_for("the end", PATIENCE, || self.fleet.sidecars[0].has_ended());
+        assert!(self.start.elapsed() < GRACE);
+    }
+}
+
+/// Guards against requests that are complete late in the grace, are passed on then and cut at its
+/// end.
+#[test]
+fn request_that_comes_late_in_a_stop_is_answered() {
+    let mut stop = PlannedStop::begin(&[(HORSES, "v1"), (STALLS, "v1"), (STALLS, "v1")]);
+    stop.pause_until(Duration::from_millis(2_200));
+    // Keeps the daemon from ending early.
+    let running = stop.call_slow("running");
+    let calls = stop.begin_calls(8, "/book/slower");
+    let late = stop.end_calls(
+        calls,
+        Duration::from_millis(2_700),
+        Duration::from_millis(200),
+    );
+    for (id, end) in late {
+        stop.check(&id, &end);
+    }
+    let end = running.join().expect("no panic");
+    assert_eq!(stop.check("running", &end), 200);
+    stop.wait_end();
+}
+
+/// Guards against requests that wait for a slot until the daemon exits and are cut without an answer.
+#[test]
+fn request_that_waits_for_a_slot_at_the_end_of_a_stop_is_answered() {
+    let mut stop = PlannedStop::begin(&[(HORSES, "v1"), (STALLS, "v1")]);
+    stop.pause_until(Duration::from_millis(2_200));
+    let ids: Vec<String> = (0..10).map(|number| format!("waiting-{number}")).collect();
+    let calls: Vec<_> = ids.iter().map(|id| stop.call_slow(id)).collect();
+    for (id, call) in ids.iter().zip(calls) {
+        stop.check(id, &call.join().expect("no panic"));
+    }
+    stop.wait_end();
+}
+
+/// Guards against a request taken between the last check for running requests and the exit.
+#[test]
+fn request_that_comes_while_an_idle_daemon_exits_is_answered_or_not_read() {
+    let mut stop = PlannedStop::begin(&[(HORSES, "v1"), (STALLS, "v1")]);
+    let calls = stop.begin_calls(12, "/book/slow");
+    let late = stop.end_calls(
+        calls,
+        Duration::from_millis(2_540),
+        Duration::from_millis(10),
+    );
+    for (id, end) in late {
+        match end {
+            // The daemon closed the connection without having read the request.
+            CallEnd::Closed => assert_eq!(stop.fleet.runs_of(&id), 0, "{id}"),
+            end => drop(stop.check(&id, &end)),
+        }
+    }
+    stop.wait_end();
+}
+
+/// Guards against a request whose body is complete late in the grace and that is passed on then.
+#[test]
+fn request_whose_body_comes_late_in_a_stop_is_answered() {
+    let mut stop = PlannedStop::begin(&[(HORSES, "v1"), (STALLS, "v1")]);
+    stop.pause_until(Duration::from_millis(2_300));
+    let mut spec = request("POST", "/book/slower", "body", 2_500);
+    spec.body = b"a body".to_vec();
+    let (mut stream, rest) = stop.begin_call(&spec);
+    let running = stop.call_slow("running");
+    stop.pause_until(Duration::from_millis(3_300));
+    stream.write_all(&rest).expect("bytes are sent");
+    assert_eq!(stop.check("body", &read_answer(&mut stream)), PROMISE);
+    stop.check("running", &running.join().expect("no panic"));
+    stop.wait_end();
+}
