Margins of a planned stop follow the grace

What callers would see: with a grace below six seconds, the fixed margins answered running requests before the last sixth of the grace, in which alone a request may be broken off (LOST). Change: both are at most a twelfth and a 24th of the grace.

--- a/coltsfootweir/src/sidecar/planned_stop/stop_window.rs
+++ b/coltsfootweir/src/sidecar/planned_stop/stop_window.rs
@@ -8,12 +8,16 @@
 /// the shutdown yet. Covers two missed readiness checks at one per second.
 const NOTICE_TIME: Duration = Duration::from_millis(2_500);
 
-/// Time before SIGKILL at which the daemon exits even if requests are still running.
+/// Longest time before SIGKILL at which the daemon exits even if requests are still running.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
-/// Time before the exit at which requests without an answer get one from the daemon.
+/// Longest time before the exit at which requests without an answer get one from the daemon.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
+/// Part of the grace that the exit margin takes at most, and twice that of the answer margin: running
+/// requests may use the grace up to its last sixth.
+const MARGIN_DIVISOR: u32 = 12;
+
 /// Times of a planned stop, since the start of the daemon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopWindow {
@@ -29,10 +33,12 @@
     /// Returns the times of a stop that began at `start` and is followed by SIGKILL after `grace`.
     #[must_use]
     pub fn new(start: Duration, grace: Duration) -> StopWindow {
-        let exit_by = start + grace.saturating_sub(EXIT_MARGIN);
+        let exit_margin = EXIT_MARGIN.min(grace / MARGIN_DIVISOR);
+        let answer_margin = ANSWER_MARGIN.min(grace / MARGIN_DIVISOR / 2);
+        let exit_by = start + grace.saturating_sub(exit_margin);
         StopWindow {
             notice_by: (start + NOTICE_TIME).min(exit_by),
-            answer_by: start.max(exit_by.saturating_sub(ANSWER_MARGIN)),
+            answer_by: start.max(exit_by.saturating_sub(answer_margin)),
             exit_by,
         }
     }
--- a/programs/tests/sidecar_stops.rs
+++ b/programs/tests/sidecar_stops.rs
@@ -132,7 +132,7 @@
 #[test]
 fn request_that_comes_late_in_a_stop_is_answered() {
     let mut stop = PlannedStop::begin(&[(HORSES, "v1"), (STALLS, "v1"), (STALLS, "v1")]);
-    stop.pause_until(Duration::from_millis(2_200));
+    stop.pause_until(Duration::from_millis(2_000));
     // Keeps the daemon from ending early.
     let running = stop.call_slow("running");
     let calls = stop.begin_calls(8, "/book/slower");
