--- a/coltsfootweir/tests/sidecar_announcements.rs
+++ b/coltsfootweir/tests/sidecar_announcements.rs
@@ -136,6 +136,66 @@
     assert_eq!(register.phase(), EndpointPhase::Ready);
 }
 
+/// Guards against a lifetime that left in an earlier run of the daemon and is used again.
+#[test]
+fn restored_departure_closes_its_lifetime_only() {
+    let mut register = EndpointRegister::default();
+    announce(&mut register, announcement("i-1", 5, 1, false));
+    depart(&mut register, "i-1", None);
+    let (_, departures) = register.leaving();
+    let departures = departures.to_vec();
+    for is_early in [true, false] {
+        // The earlier run is known before the late announcement, or after it.
+        let mut restarted = EndpointRegister::default();
+        if is_early {
+            restarted.restore(&departures);
+        }
+        announce(&mut restarted, announcement("i-1", 5, 2, false));
+        if !is_early {
+            assert_eq!(restarted.phase(), EndpointPhase::Ready);
+            assert_eq!(restarted.restore(&departures), RegisterChange::Closed);
+        }
+        assert_ne!(restarted.phase(), EndpointPhase::Ready);
+        announce(&mut restarted, announcement("i-1", 9, 1, false));
+        assert_eq!(restarted.phase(), EndpointPhase::Ready);
+        assert_eq!(restarted.restore(&departures), RegisterChange::Same);
+        assert_eq!(restarted.phase(), EndpointPhase::Ready);
+    }
+}
+
+/// Guards against an endpoint that is used before the departures of the earlier run are known.
+#[test]
+fn endpoint_waits_for_the_departures_of_earlier_runs() {
+    let mut register = EndpointRegister::default();
+    register.await_departures();
+    announce(&mut register, announcement("i-1", 5, 1, false));
+    assert_eq!(register.phase(), EndpointPhase::Down);
+    assert!(register.end_wait());
+    assert_eq!(register.phase(), EndpointPhase::Ready);
+    assert!(!register.end_wait());
+}
+
+/// Guards against a lifetime that said that it leaves while another one was in place, and is used
+/// when that one is silent.
+#[test]
+fn lifetime_that_left_beside_another_one_does_not_take_over() {
+    for is_departure in [true, false] {
+        let mut register = EndpointRegister::default();
+        announce(&mut register, announcement("i-2", 9, 1, false));
+        match is_departure {
+            true => depart(&mut register, "i-1", Some(5)),
+            false => announce(&mut register, announcement("i-1", 5, 7, true)),
+        };
+        assert!(register.mark_down());
+        for sequence in 8..12 {
+            announce(&mut register, announcement("i-1", 5, sequence, false));
+            assert_ne!(register.phase(), EndpointPhase::Ready);
+        }
+        announce(&mut register, announcement("i-2", 9, 2, false));
+        assert_eq!(register.phase(), EndpointPhase::Ready);
+    }
+}
+
 proptest! {
     /// For any order of announcements, the current lifetime is the youngest one announced, and it
     /// stays in the phase `Leaving` once it has announced that it leaves.
