--- a/programs/tests/soak/mod.rs
+++ b/programs/tests/soak/mod.rs
@@ -21,6 +21,7 @@
 use crate::common::caller::KeptCaller;
 use crate::common::caller_threads::pause;
 use crate::common::wait_for;
+use crate::sidecar::mesh_endpoint::LateAnnouncement;
 use crate::sidecar::row_store::StoreMood;
 use crate::sidecar::sidecar_fleet::HORSES;
 use crate::sidecar::sidecar_fleet::STALLS;
@@ -33,6 +34,9 @@
 /// Time in which all is served again once the last fault is over.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
 
+/// Time from the start of a daemon until a late announcement arrives at it.
+const LATE_TIME: Duration = Duration::from_millis(500);
+
 /// Callers at each daemon; two endpoints run two requests each at once, so some have to wait.
 const CALLERS: usize = 3;
 
@@ -74,6 +78,8 @@
     CalmStore,
     AnswerStore(usize),
     Start(usize),
+    /// An announcement from before the endpoint left arrives.
+    Announce(usize),
 }
 
 struct SoakRun {
@@ -81,6 +87,8 @@
     version: u64,
     repairs: Vec<(Instant, Repair)>,
     leaves: Vec<AckedLeave>,
+    /// Announcements that are held up, of the endpoints that left.
+    late: Vec<(usize, LateAnnouncement)>,
 }
 
 /// Runs the soak of a seed to its end; the caller checks what it saw.
@@ -106,6 +114,7 @@
         version: 1,
         repairs: Vec::new(),
         leaves: Vec::new(),
+        late: Vec::new(),
     };
     run.carry_out(&plan);
     run.recover(seed);
@@ -200,9 +209,14 @@
     fn leave(&mut self, target: usize) {
         let is_needed = target == 0 || self.leaves.len() + 2 >= self.fleet.endpoints.len();
         let has_left = self.leaves.iter().any(|leave| leave.endpoint == target);
-        if is_needed || has_left || !self.fleet.endpoints[target].leave() {
+        if is_needed || has_left {
+            return;
+        }
+        let late = self.fleet.endpoints[target].late_announcement();
+        if !self.fleet.endpoints[target].leave() {
             return;
         }
+        self.late.push((target, late));
         self.leaves.push(AckedLeave {
             endpoint: target,
             at: Instant::now(),
@@ -227,7 +241,16 @@
             Repair::OpenLink(target) => self.fleet.sidecars[target].relay.set_mode(RelayMode::Pass),
             Repair::CalmStore => self.fleet.store.set_mood(StoreMood::Sound),
             Repair::AnswerStore(target) => self.fleet.stores[target].answer_at_address(),
-            Repair::Start(target) => self.fleet.sidecars[target].restart(),
+            Repair::Start(target) => {
+                self.fleet.sidecars[target].restart();
+                let soon = Instant::now() + LATE_TIME;
+                self.repairs.push((soon, Repair::Announce(target)));
+            }
+            Repair::Announce(target) => {
+                let late = self.late.iter().filter(|(of, _)| *of == target);
+                // A daemon that is down again takes none.
+                late.for_each(|(_, announcement)| drop(announcement.arrive()));
+            }
         }
     }
 
