--- a/coltsfootweir/tests/sidecar_departures.rs
+++ b/coltsfootweir/tests/sidecar_departures.rs
@@ -116,7 +116,7 @@
     let wall = 10 * HOUR_MS;
     let old = lifetime("i-1", wall - HOUR_MS - 1);
     let rows = [
-        row("vm-1", &[old.clone()]),
+        row("vm-1", std::slice::from_ref(&old)),
         row("vm-2", &[old, lifetime("i-2", wall - HOUR_MS + 1)]),
         row("vm-3", &[lifetime("i-3", wall + 5_000)]),
         StoreRow {
--- a/programs/tests/soak/mod.rs
+++ b/programs/tests/soak/mod.rs
@@ -247,9 +247,12 @@
                 self.repairs.push((soon, Repair::Announce(target)));
             }
             Repair::Announce(target) => {
-                let late = self.late.iter().filter(|(of, _)| *of == target);
-                // A daemon that is down again takes none.
-                late.for_each(|(_, announcement)| drop(announcement.arrive()));
+                for (of, announcement) in &self.late {
+                    if *of == target {
+                        // A daemon that is down again takes none.
+                        let _ = announcement.arrive();
+                    }
+                }
             }
         }
     }
