A request that crashes endpoints in the middle of an answer is refused, and so is one that was rejected once

Cause: a crash was looked for only if the connection ended before the first 16 KB of the answer, and a request counted as survived, and is not blamed for 60 s, once the head of any answer had come, also of a rejection. Change: a request is survived when its whole answer came from a run. Evidence: sidecar_local_endpoint, two tests, without the network's help: two crashes at 60,000 of 90,000 bytes, then refused; a rejection, then a crash: blamed; a whole answer, then a crash: not blamed.

--- a/coltsfootweir/src/sidecar/answer/endpoint_body.rs
+++ b/coltsfootweir/src/sidecar/answer/endpoint_body.rs
@@ -1,10 +1,12 @@
 //! Reads the rest of an answer from the local endpoint.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use log::info;
 use serde_json::json;
 
+use crate::ids::Fingerprint;
 use crate::logging::UPSTREAM;
 use crate::sidecar::answer::answer_rest::BodyPiece;
 use crate::sidecar::answer::answer_rest::PieceSender;
@@ -28,6 +30,10 @@
     pub(crate) permit: SlotPermit,
     /// Id of the request, for the log.
     pub(crate) request_id: Box<str>,
+    /// Hash of the request, by which it is blamed for a crash.
+    pub(crate) fingerprint: Fingerprint,
+    /// Address of the endpoint that answers.
+    pub(crate) address: SocketAddr,
 }
 
 impl EndpointBody {
@@ -52,9 +58,16 @@
             }
         };
         let end = match error {
-            None => BodyPiece::End,
+            None => {
+                self.endpoint.record_completed(self.fingerprint);
+                BodyPiece::End
+            }
             Some(error) => {
-                self.log_broken(error, bytes);
+                let suspects = match error {
+                    ExchangeError::Ended => self.blame().await,
+                    ExchangeError::NotConnected | ExchangeError::Malformed => 0,
+                };
+                self.log_broken(error, bytes, suspects);
                 BodyPiece::Broken
             }
         };
@@ -68,9 +81,16 @@
         }
     }
 
-    fn log_broken(&self, error: ExchangeError, bytes: u64) {
+    async fn blame(&self) -> usize {
+        let blame = self
+            .endpoint
+            .blame_broken_answer(self.fingerprint, self.address);
+        blame.await
+    }
+
+    fn log_broken(&self, error: ExchangeError, bytes: u64, suspects: usize) {
         let event = json!({"name": "endpoint_answer_broken", "request": self.request_id,
-            "bytes": bytes, "reason": format!("{error:?}")});
+            "bytes": bytes, "reason": format!("{error:?}"), "suspects": suspects});
         info!(target: UPSTREAM, "{event}");
     }
 }
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -81,6 +81,8 @@
     idle_limit: Cell<Duration>,
     poison: Rc<RefCell<PoisonTable>>,
     crashes: Cell<u64>,
+    /// Facts about crashes that were found after a call had returned its result.
+    unpublished_crashes: RefCell<Vec<CrashFact>>,
     opened: Cell<u64>,
 }
 
@@ -122,6 +124,7 @@
             idle_limit: Cell::new(DEFAULT_IDLE_LIMIT),
             poison,
             crashes: Cell::new(0),
+            unpublished_crashes: RefCell::default(),
             opened: Cell::new(0),
         })
     }
@@ -246,12 +249,13 @@
                     info!(target: UPSTREAM, "{what}");
                 }
                 response.is_reusable &= identity.is_some();
-                self.poison
-                    .borrow_mut()
-                    .on_completed(call_fingerprint, self.clock.now());
                 let read = response.body.len() as u64;
                 let result = self.check_response(&mut response, run);
                 let Some(reader) = reader else {
+                    // A request that was rejected has not run, so the endpoint has not survived it.
+                    if matches!(result, CallResult::Answer { .. }) {
+                        self.record_completed(call_fingerprint);
+                    }
                     permit.finish();
                     self.store_connection(connection, &response);
                     return result;
@@ -268,6 +272,8 @@
                     read,
                     permit,
                     request_id: call.request_id.clone(),
+                    fingerprint: call_fingerprint,
+                    address: current.address,
                 };
                 tokio::task::spawn_local(body_reader.forward(pieces));
                 *rest = Some(body);
@@ -286,6 +292,34 @@
         CallResult::Unknown(UnknownCause::AnswerBroken)
     }
 
+    /// Records that the endpoint has sent the whole answer to a request, and so has survived it.
+    pub(crate) fn record_completed(&self, fingerprint: Fingerprint) {
+        let now = self.clock.now();
+        self.poison.borrow_mut().on_completed(fingerprint, now);
+    }
+
+    /// Blames a request whose answer broke off, and those that ran beside it, if the endpoint has
+    /// crashed. Returns the number of suspects.
+    pub(crate) async fn blame_broken_answer(
+        &self,
+        fingerprint: Fingerprint,
+        address: SocketAddr,
+    ) -> usize {
+        if !self.has_crashed(address).await {
+            return 0;
+        }
+        let facts = self.crash_facts(fingerprint);
+        let count = facts.len();
+        self.unpublished_crashes.borrow_mut().extend(facts);
+        count
+    }
+
+    /// Returns the crash facts that no call has reported, to send to the other daemons.
+    #[must_use]
+    pub fn take_crashes(&self) -> Vec<CrashFact> {
+        std::mem::take(&mut *self.unpublished_crashes.borrow_mut())
+    }
+
     fn refusal(&self, reason: RefusalReason, rank: u8) -> CallResult {
         let cause = match reason {
             RefusalReason::Overloaded => NotRunCause::Overloaded,
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -322,14 +322,16 @@
         let start = self.now();
         let report = self.endpoint.run(call, delay).await;
         self.metrics.count_run(self.now() - start);
-        if self.endpoint.summary() != self.members.own().endpoint || !report.crashes.is_empty() {
-            self.publish_crashes(report.crashes);
-        }
+        self.publish_crashes(report.crashes);
         report.answer
     }
 
-    /// Adds crash facts to this daemon's record and publishes it.
-    fn publish_crashes(&self, facts: Vec<CrashFact>) {
+    /// Adds crash facts to this daemon's record, and publishes it if that or the endpoint's state has
+    /// changed.
+    pub fn publish_crashes(&self, facts: Vec<CrashFact>) {
+        if self.endpoint.summary() == self.members.own().endpoint && facts.is_empty() {
+            return;
+        }
         self.members.change_own(|own| {
             own.crashes.extend(facts);
             let excess = own.crashes.len().saturating_sub(MAX_PUBLISHED_CRASHES);
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -1,5 +1,5 @@
 //! Tests of the local endpoint: calls that it must refuse, because it is leaving, serves another service
-//! or the call is late.
+//! or the call is late, and calls that crash it.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -12,6 +12,7 @@
 use coltsfootweir::poison::PoisonTable;
 use coltsfootweir::sidecar::announcement::EndpointAnnouncement;
 use coltsfootweir::sidecar::announcement::EndpointDeparture;
+use coltsfootweir::sidecar::answer::answer_rest::BodyPiece;
 use coltsfootweir::sidecar::frame::CallResult;
 use coltsfootweir::sidecar::frame::ForwardedCall;
 use coltsfootweir::sidecar::frame::NotRunCause;
@@ -19,7 +20,10 @@
 use coltsfootweir::sidecar::local_endpoint::LocalEndpoint;
 use coltsfootweir::sidecar::local_endpoint::wall_ms;
 use coltsfootweir::sidecar::platform_adapter::HeaderNames;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::task::LocalSet;
 
 const HEADERS: HeaderNames = HeaderNames {
     request_id: "id",
@@ -132,3 +136,103 @@
         if report.cause == NotRunCause::TooLate && !report.reached);
     assert!(is_late, "{result:?}");
 }
+
+/// Serves one request at `listener`, with `answer`, and ends like a process that crashes: the port closes before
+/// the connection.
+async fn crash_after(listener: TcpListener, answer: Vec<u8>) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let read = stream.read(&mut [0; 4096]).await.expect("a request");
+    assert!(read > 0);
+    stream.write_all(&answer).await.expect("an open connection");
+    drop(listener);
+}
+
+/// The head of a long answer and `sent` bytes of its body.
+fn long_answer(sent: usize) -> Vec<u8> {
+    let head = "HTTP/1.1 200 OK\r\nid: r\r\nsigned: s\r\ncontent-length: 90000\r\n\r\n";
+    [head.as_bytes(), &vec![b'x'; sent]].concat()
+}
+
+/// Runs a call to its end; returns whether its answer was whole, and the result.
+async fn run_whole(endpoint: &Rc<LocalEndpoint>) -> (bool, CallResult) {
+    let mut slow = call("stalls");
+    slow.left_ms = 5_000;
+    slow.wait_ms = 5_000;
+    let answer = endpoint.run(&slow, Duration::ZERO).await.answer;
+    let Some(mut rest) = answer.rest else {
+        return (true, answer.result);
+    };
+    while let Some(piece) = rest.pieces.recv().await {
+        match piece {
+            BodyPiece::Data(_) | BodyPiece::Stalled => {}
+            BodyPiece::End => return (true, answer.result),
+            BodyPiece::Broken => return (false, answer.result),
+        }
+    }
+    (false, answer.result)
+}
+
+fn announce_again(endpoint: &LocalEndpoint, address: SocketAddr, sequence: u64) {
+    let announcement = EndpointAnnouncement {
+        id: "i".into(),
+        born: sequence,
+        sequence,
+        address,
+        service: "stalls".into(),
+        version: "v1".into(),
+        zone: "a".into(),
+        slots: 2,
+        is_leaving: false,
+        warmup_left: Duration::ZERO,
+    };
+    endpoint.announce(announcement, &"stalls".into(), address);
+}
+
+/// Guards against a request that crashes endpoints while they send a long answer and is never refused
+/// (`review/4`).
+#[tokio::test(flavor = "current_thread")]
+async fn request_that_crashes_endpoints_in_the_middle_of_an_answer_is_refused() {
+    let run = async {
+        let endpoint = endpoint();
+        let mut listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        for number in 1..3 {
+            announce_again(&endpoint, address, number);
+            tokio::task::spawn_local(crash_after(listener, long_answer(60_000)));
+            let (is_whole, _) = run_whole(&endpoint).await;
+            assert!(!is_whole);
+            assert_eq!(endpoint.take_crashes().len(), 1, "crash {number}");
+            listener = TcpListener::bind(address).await.expect("the port again");
+        }
+        announce_again(&endpoint, address, 3);
+        let (_, result) = run_whole(&endpoint).await;
+        let is_refused = matches!(&result, CallResult::NotRun(report)
+            if report.cause == NotRunCause::Poison);
+        assert!(is_refused, "{result:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a request that counts as survived because an endpoint rejected it, and against one that
+/// was survived and is blamed for the crash of another.
+#[tokio::test(flavor = "current_thread")]
+async fn request_is_survived_only_when_its_whole_answer_came() {
+    let rejection = b"HTTP/1.1 503 Full\r\nid: r\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    for (first, facts) in [(rejection.to_vec(), 1), (long_answer(90_000), 0)] {
+        let run = async {
+            let endpoint = endpoint();
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("an address");
+            announce_again(&endpoint, address, 1);
+            tokio::task::spawn_local(crash_after(listener, first));
+            run_whole(&endpoint).await;
+            let listener = TcpListener::bind(address).await.expect("the port again");
+            announce_again(&endpoint, address, 2);
+            tokio::task::spawn_local(crash_after(listener, long_answer(60_000)));
+            let (is_whole, _) = run_whole(&endpoint).await;
+            assert!(!is_whole);
+            assert_eq!(endpoint.take_crashes().len(), facts);
+        };
+        LocalSet::new().run_until(run).await;
+    }
+}
