--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -152,6 +152,8 @@
     pub store: RowStore,
     /// The store as each sidecar reaches it.
     pub stores: Vec<RowStore>,
+    /// Through which each sidecar reaches its address of the store.
+    pub store_relays: Vec<TcpRelay>,
     pub sidecars: Vec<SidecarProcess>,
     pub endpoints: Vec<MeshEndpoint>,
 }
@@ -162,6 +164,7 @@
         let mut fleet = SidecarFleet {
             store: RowStore::start(),
             stores: Vec::new(),
+            store_relays: Vec::new(),
             sidecars: Vec::new(),
             endpoints: Vec::new(),
         };
@@ -213,8 +216,10 @@
         let listener = TcpListener::bind(free_address()).expect("a free port");
         let endpoint = listener.local_addr().expect("an address");
         let store = self.store.open_address();
-        let sidecar = start_sidecar(&name, service, endpoint, peers, store.address, place);
+        let relay = TcpRelay::start(store.address).expect("a free port");
+        let sidecar = start_sidecar(&name, service, endpoint, peers, relay.address(), place);
         self.stores.push(store);
+        self.store_relays.push(relay);
         let id = format!("i-{number}");
         let endpoint = MeshEndpoint::start(listener, sidecar.admin, &id, service, version);
         self.sidecars.push(sidecar);
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -47,6 +47,8 @@
     Pace(u32),
     /// Closes each connection once this many bytes went back to the client.
     HalfAnswer(usize),
+    /// Makes the connections that are open silent for good. Later ones pass everything on.
+    Sever,
 }
 
 /// Bytes passed on by a relay.
@@ -151,7 +153,8 @@
     changes: Receiver<ModeChange>,
     counts: Arc<RelayCounts>,
 ) {
-    let (modes, _) = watch::channel(RelayMode::Pass);
+    let (mut modes, _) = watch::channel(RelayMode::Pass);
+    let mut severed = Vec::new();
     let mut listener = None;
     loop {
         let change = select! {
@@ -165,7 +168,13 @@
         let Ok(change) = change else {
             return;
         };
-        modes.send_replace(change.mode);
+        if change.mode == RelayMode::Sever {
+            modes.send_replace(RelayMode::Freeze);
+            let (later, _) = watch::channel(RelayMode::Pass);
+            severed.push(std::mem::replace(&mut modes, later));
+        } else {
+            modes.send_replace(change.mode);
+        }
         if change.mode == RelayMode::Cut {
             listener = None;
         } else if listener.is_none() {
