Tests of departures and stops find what three mutants showed them to miss

Late announcements came at once, so that the endpoint counted as silent before the wait for reports ended; no request was sent before a stop with time until after its end; the requests that came at the exit of an idle daemon were refused for their time, not for the exit. Change: late announcements come every 400 ms for four seconds, ten of them; a test of requests sent before the stop, with 20 s of time; requests of one second at the exit.

--- a/programs/tests/sidecar_departures.rs
+++ b/programs/tests/sidecar_departures.rs
@@ -17,8 +17,10 @@
 use sidecar::sidecar_fleet::SidecarPlace;
 use sidecar::sidecar_fleet::request;
 
-/// Time for which requests are sent once the late announcements have arrived.
-const WATCH_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which requests are sent while the late announcements arrive, one after each pause: as often as
+/// those of an endpoint that lives.
+const WATCH_TIME: Duration = Duration::from_millis(4_000);
+const LATE_PAUSE: Duration = Duration::from_millis(400);
 
 /// The endpoint that leaves; its daemon has the same number.
 const LEAVING: usize = 1;
@@ -84,9 +86,12 @@
     wait_served(fleet, LEAVING);
     let start = Instant::now();
     let mut number = 0;
+    let mut late = late.iter();
+    let mut next_late = Duration::ZERO;
     while start.elapsed() < WATCH_TIME {
-        if let Some(announcement) = late.get(number) {
-            announcement.arrive();
+        if start.elapsed() >= next_late {
+            next_late += LATE_PAUSE;
+            late.next().map(LateAnnouncement::arrive);
         }
         for sidecar in &fleet.sidecars {
             number += 1;
@@ -121,7 +126,7 @@
 fn departure_outlives_a_daemon_killed_at_the_acknowledgement() {
     for message in [LeaveMessage::Departure, LeaveMessage::Draining] {
         let mut fleet = start_fleet();
-        let late = leave(&fleet, message, 6);
+        let late = leave(&fleet, message, 10);
         restart(&mut fleet, &[LEAVING]);
         assert_unused(&fleet, &late);
     }
@@ -131,7 +136,7 @@
 #[test]
 fn departure_outlives_all_daemons() {
     let mut fleet = start_fleet();
-    let late = leave(&fleet, LeaveMessage::Departure, 3);
+    let late = leave(&fleet, LeaveMessage::Departure, 10);
     restart(&mut fleet, &[0, 1, 2]);
     assert_unused(&fleet, &late);
 }
@@ -140,7 +145,7 @@
 #[test]
 fn departure_is_known_after_a_restart_while_the_store_is_away() {
     let mut fleet = start_fleet();
-    let late = leave(&fleet, LeaveMessage::Departure, 3);
+    let late = leave(&fleet, LeaveMessage::Departure, 10);
     fleet.store.set_mood(StoreMood::Silent);
     restart(&mut fleet, &[LEAVING]);
     assert_unused(&fleet, &late);
@@ -152,7 +157,7 @@
     for mood in [StoreMood::Silent, StoreMood::Refusing(503)] {
         let mut fleet = start_zones();
         fleet.store.set_mood(mood);
-        let late = leave(&fleet, LeaveMessage::Departure, 3);
+        let late = leave(&fleet, LeaveMessage::Departure, 10);
         restart(&mut fleet, &[0, 1]);
         assert_unused(&fleet, &late);
     }
@@ -164,7 +169,7 @@
 fn departure_is_stored_when_the_store_is_back() {
     let mut fleet = start_fleet();
     fleet.store.set_mood(StoreMood::Silent);
-    let late = leave(&fleet, LeaveMessage::Departure, 3);
+    let late = leave(&fleet, LeaveMessage::Departure, 10);
     restart(&mut fleet, &[LEAVING]);
     wait_served(&fleet, LEAVING);
     fleet.store.set_mood(StoreMood::Sound);
--- a/programs/tests/sidecar_stops.rs
+++ b/programs/tests/sidecar_stops.rs
@@ -67,11 +67,11 @@
     }
 
     /// Begins calls without a body, of which the daemon has no whole head yet.
-    fn begin_calls(&self, count: usize, path: &str) -> Vec<BegunCall> {
+    fn begin_calls(&self, count: usize, path: &str, limit_ms: u64) -> Vec<BegunCall> {
         let mut calls = Vec::new();
         for number in 0..count {
             let id = format!("late-{number}");
-            let mut spec = request("POST", path, &id, 2_500);
+            let mut spec = request("POST", path, &id, limit_ms);
             spec.body.clear();
             let (stream, rest) = self.begin_call(&spec);
             calls.push((id, stream, rest));
@@ -135,7 +135,7 @@
     stop.pause_until(Duration::from_millis(2_000));
     // Keeps the daemon from ending early.
     let running = stop.call_slow("running");
-    let calls = stop.begin_calls(8, "/book/slower");
+    let calls = stop.begin_calls(8, "/book/slower", 2_500);
     let late = stop.end_calls(
         calls,
         Duration::from_millis(2_700),
@@ -162,11 +162,45 @@
     stop.wait_end();
 }
 
+/// Guards against requests that were sent before the stop, have time until after its end, and are cut while they
+/// wait for a slot.
+#[test]
+fn request_sent_before_a_stop_is_answered_at_its_end() {
+    let more = r#",{"name":"long","authority":"test","prefix":"/long/","kind":"non_idempotent",
+        "timeout_ms":20000,"target_latency_ms":20000,"priority":2,"service":"stalls","attempts":1}"#;
+    let fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1")]);
+    fleet.put_config(2, more);
+    fleet.wait_config(2);
+    let requests = fleet.sidecars[0].requests;
+    let mut calls = Vec::new();
+    for number in 0..12 {
+        let id = format!("before-{number}");
+        let spec = request("POST", "/long/slower", &id, 20_000);
+        let call = std::thread::spawn(move || call_once(requests, &spec));
+        calls.push((id, call));
+    }
+    wait_for("a run", PATIENCE, || {
+        !fleet.endpoints[1]
+            .seen()
+            .iter()
+            .all(|seen| !seen.id().starts_with("before"))
+    });
+    fleet.sidecars[0].signal("TERM");
+    let mut stop = PlannedStop {
+        fleet,
+        start: Instant::now(),
+    };
+    for (id, call) in calls {
+        stop.check(&id, &call.join().expect("no panic"));
+    }
+    stop.wait_end();
+}
+
 /// Guards against a request taken between the last check for running requests and the exit.
 #[test]
 fn request_that_comes_while_an_idle_daemon_exits_is_answered_or_not_read() {
     let mut stop = PlannedStop::begin(&[(HORSES, "v1"), (STALLS, "v1")]);
-    let calls = stop.begin_calls(12, "/book/slow");
+    let calls = stop.begin_calls(12, "/book/slow", 1_000);
     let late = stop.end_calls(
         calls,
         Duration::from_millis(2_540),
