--- a/coltsfootweir/src/sidecar/departures/departure_task.rs
+++ b/coltsfootweir/src/sidecar/departures/departure_task.rs
@@ -139,16 +139,12 @@
     if !state.departures.book.borrow().is_unstored(count) {
         return Ok(());
     }
-    match write_row(state, &departures).await {
-        Ok(()) => {
-            state.departures.book.borrow_mut().on_stored(count);
-            state.departures.confirmed.notify_waiters();
-            // More may have departed meanwhile.
-            state.departures.unstored.notify_one();
-            Ok(())
-        }
-        Err(fault) => Err(fault),
-    }
+    write_row(state, &departures).await?;
+    state.departures.book.borrow_mut().on_stored(count);
+    state.departures.confirmed.notify_waiters();
+    // More may have departed meanwhile.
+    state.departures.unstored.notify_one();
+    Ok(())
 }
 
 async fn write_row(
@@ -235,8 +231,9 @@
     }
 }
 
-/// Keeps the departures noted so far, in the store and at other daemons, so that they outlive this
-/// run of the daemon. Returns false if that failed; the departures must not be acknowledged then.
+/// Waits until the departures noted so far are kept in the store and by other daemons, so that they
+/// outlive this run of the daemon. Returns false if that failed; the departures must not be
+/// acknowledged then.
 pub async fn keep_beyond_run(state: &SidecarState) -> bool {
     let (count, _) = state.endpoint.leaving();
     if state.departures.book.borrow().is_acknowledged(count) {
