Test of the planned stop: waits for a run before SIGTERM, not for a moment with exactly one

Cause, traced: `asked: [vm-1, vm-0]`, one run at each. The request may be repeated and goes to a second endpoint when its answer takes longer than most do; with both runs begun between two looks of the test, there never is a moment with one. Change: the wait, which is no assertion of the test, asks for a run. All that the test asserts is as before.

--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -305,7 +305,8 @@
     let mut kept = KeptCaller::new(requests);
     let first = kept.call(&request("GET", "/free/ok", "before", 1_000));
     assert_eq!(first.whole().expect("a whole answer").status, 200);
-    wait_for("the run", PATIENCE, || fleet.runs_of("running") == 1);
+    // It may run at both endpoints, as it may be repeated.
+    wait_for("the run", PATIENCE, || fleet.runs_of("running") > 0);
     fleet.sidecars[0].signal("TERM");
     let start = Instant::now();
     wait_for("not ready", PATIENCE, || !fleet.sidecars[0].is_ready());
