--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -236,7 +236,7 @@
     while state.now() < window.exit_by && !is_idle(state) {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
-    // Connections without a request so far are still open: what comes on them now is refused.
+    // Connections on which a part of a request was read are still open: its rest may come now.
     state.stop.set(window.ended(state.now()));
     // Leaves time for the last responses to be sent.
     tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
--- a/coltsfootweir/src/sidecar/departures/departure_task.rs
+++ b/coltsfootweir/src/sidecar/departures/departure_task.rs
@@ -322,6 +322,6 @@
 }
 
 fn log_fault(fault: StoreFault) {
-    let event = json!({"name": "departures_not_stored", "reason": fault.to_string()});
+    let event = json!({"name": "departures_call_failed", "reason": fault.to_string()});
     warn!(target: UPSTREAM, "{event}");
 }
