Interfaces for teams, regions, evacuated zones, cold endpoints and large bodies

Cause: deployments with API keys, usage caps, allowed regions and cold endpoints are not known to the daemon; a request of a team is forwarded with its key. The configuration, its deltas, the settings and the frames between daemons carry the new terms; unused terms are not sent, and new frames go only to peers that announced the feature with a third hello. Requests are identified by the digest of their key, answered with 401 if it is unknown, and forwarded with the team's name instead of the key. Bodies of calls are shared instead of copied.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -32,6 +32,7 @@
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
+use crate::sidecar::teams::caller::RequestCaller;
 
 /// Number of tried daemons from which on a refused request is not sent to another one; each costs a
 /// round trip.
@@ -56,6 +57,7 @@
 pub struct CallAttempts<'a> {
     state: &'a SidecarState,
     route: &'a MeshRoute,
+    caller: RequestCaller<'a>,
     service: ServiceName,
     deadline: Duration,
     /// Time by which the request should finish, at most `deadline`.
@@ -89,17 +91,19 @@
         state: &'a SidecarState,
         active: &'a ActiveConfig,
         route: &'a MeshRoute,
+        caller: RequestCaller<'a>,
         service: ServiceName,
         deadline: Duration,
     ) -> CallAttempts<'a> {
         let target = Duration::from_millis(u64::from(route.target_ms)).mul_f64(TARGET_SHARE);
-        let finish_by = match active.is_preferred(&service, route.rank) {
+        let finish_by = match active.is_preferred(&service, caller.rank) {
             true => deadline,
             false => deadline.min(state.now() + target),
         };
         CallAttempts {
             state,
             route,
+            caller,
             service,
             deadline,
             finish_by,
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -140,7 +140,7 @@
         let load = self.state.routing.chooser.borrow().load(&record.id, now);
         let reported = self.state.routing.endpoint_loads.borrow();
         let note = reported.note(&record.id);
-        let behind = note.map_or(0, |note| note.waiting_behind(self.route.rank));
+        let behind = note.map_or(0, |note| note.waiting_behind(self.caller.rank));
         let mean = note.map_or(0, |note| note.run_ms);
         let mean = Duration::from_millis(u64::from(mean));
         let ahead = (load + 1).saturating_sub(u32::from(slots) + u32::from(behind));
--- a/coltsfootweir/src/sidecar/config_holder.rs
+++ b/coltsfootweir/src/sidecar/config_holder.rs
@@ -14,8 +14,11 @@
 use crate::ids::ServiceName;
 use crate::logging::CONFIG;
 use crate::sidecar::mesh_config::ConfigDelta;
+use crate::sidecar::mesh_config::DeltaTerms;
 use crate::sidecar::mesh_config::MeshConfig;
 use crate::sidecar::mesh_config::RouteFinder;
+use crate::sidecar::teams::team::TeamName;
+use crate::sidecar::teams::team_table::TeamTable;
 
 /// Changes kept to build deltas for daemons with an older version. Covers a daemon that is cut off
 /// for ten seconds while the configuration changes four times a second.
@@ -30,22 +33,27 @@
     pub finder: RouteFinder,
     /// Highest rank number, which is the least urgent one, among the routes to each service.
     pub last_ranks: HashMap<ServiceName, u8>,
+    /// Lookup of teams by API key.
+    pub teams: TeamTable,
 }
 
 impl ActiveConfig {
     fn new(config: MeshConfig) -> ActiveConfig {
         let mut last_ranks: HashMap<ServiceName, u8> = HashMap::new();
+        let last_team_rank = config.teams.values().filter_map(|team| team.rank).max();
         for route in config.routes.values() {
             for part in &route.parts {
                 let last = last_ranks.entry(part.service.clone()).or_default();
-                *last = route.rank.max(*last);
+                *last = route.rank.max(last_team_rank.unwrap_or(0)).max(*last);
             }
         }
         let finder = RouteFinder::new(&config);
+        let teams = TeamTable::new(&config.teams);
         ActiveConfig {
             config,
             finder,
             last_ranks,
+            teams,
         }
     }
 
@@ -58,12 +66,14 @@
     }
 }
 
-/// Names of the routes that one configuration change added, modified or removed.
+/// What one configuration change added, modified or removed.
 #[derive(Debug)]
 struct ConfigChange {
     /// Version that was active before the change.
     base: Generation,
     names: Vec<RouteName>,
+    teams: Vec<TeamName>,
+    has_new_services: bool,
 }
 
 /// Holds the active configuration and its recent changes.
@@ -138,8 +148,12 @@
             return Some(active.config.delta_from(None));
         };
         let mut changed_names = BTreeSet::new();
+        let mut changed_teams = BTreeSet::new();
+        let mut has_new_services = false;
         for change in changes.range(first..) {
             changed_names.extend(&change.names);
+            changed_teams.extend(&change.teams);
+            has_new_services |= change.has_new_services;
         }
         let mut delta = ConfigDelta {
             base: held,
@@ -147,7 +161,15 @@
             changed: Vec::new(),
             removed: Vec::new(),
             limits: active.config.limits,
+            terms: DeltaTerms::default(),
         };
+        delta.terms.services = has_new_services.then(|| active.config.services.clone());
+        for name in changed_teams {
+            match active.config.teams.get(name) {
+                Some(team) => delta.terms.changed_teams.push(team.clone()),
+                None => delta.terms.removed_teams.push(name.clone()),
+            }
+        }
         for name in changed_names {
             match active.config.routes.get(name) {
                 Some(route) => delta.changed.push(route.clone()),
@@ -163,6 +185,10 @@
         for route in delta.changed {
             names.push(route.name);
         }
+        let mut teams = delta.terms.removed_teams;
+        for team in delta.terms.changed_teams {
+            teams.push(team.name);
+        }
         let mut changes = self.changes.borrow_mut();
         if changes.len() >= MAX_KEPT_CHANGES {
             changes.pop_front();
@@ -170,6 +196,8 @@
         changes.push_back(ConfigChange {
             base: before.version,
             names,
+            teams,
+            has_new_services: delta.terms.services.is_some(),
         });
     }
 }
--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -223,7 +223,7 @@
                 None
             }
             Ok(OrderRow::Rollout(order)) => Some(order),
-            Ok(OrderRow::Other) => None,
+            Ok(OrderRow::Evacuation { .. } | OrderRow::Other) => None,
             Err(error) => {
                 let event = json!({"name": "order_unreadable", "key": row.key,
                     "row": row.version, "reason": error.to_string()});
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -2,18 +2,22 @@
 
 use std::fmt;
 
+use hyper::body::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::ids::Generation;
 use crate::ids::MemberId;
+use crate::ids::RowVersion;
 use crate::ids::ServiceName;
+use crate::ids::ZoneName;
 use crate::sidecar::announcement::DepartedLifetime;
 use crate::sidecar::announcement::DepartureCount;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::member_table::RolloutStatus;
 use crate::sidecar::member_table::VersionCount;
 use crate::sidecar::mesh_config::ConfigDelta;
+use crate::sidecar::teams::team::TeamName;
 
 /// Maximum size of a frame, in bytes: the largest response body that is read, and its headers.
 const FRAME_LIMIT: usize = 40 * 1024 * 1024;
@@ -40,7 +44,7 @@
     pub headers: HeaderList,
     /// Body.
     #[serde(with = "body_bytes")]
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Id of the client's attempt.
     pub request_id: Box<str>,
     /// Priority rank of the route; 0 is the highest.
@@ -55,6 +59,9 @@
     /// Time when the request was sent, in milliseconds since the Unix epoch. Used only between
     /// daemons of which one has no [`PeerFrame::TimedCall`].
     pub sent_at_ms: u64,
+    /// Team of the client; `None` for calls of endpoints and in deployments without teams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<TeamName>,
 }
 
 /// Result of a forwarded call.
@@ -233,6 +240,67 @@
     /// Number of departures that the sender keeps for the receiver. The response to the second
     /// [`PeerFrame::Hello`] has those of all runs of the receiver, and the number 0.
     DeparturesHeld(DepartureCount, Vec<DepartedLifetime>),
+    /// Features of the sender, as bits of [`PEER_FEATURES`]. The side that accepted the connection
+    /// sends it after the third [`PeerFrame::Hello`], and the other side responds with its own.
+    Features(u32),
+    /// Zones that are evacuated, and the store version of the read that found them.
+    Evacuations(RowVersion, Vec<ZoneName>),
+    /// Asks when the receiver knew that its configuration was the newest one. The number is repeated
+    /// in the response.
+    FreshnessWanted(u32),
+    /// Response to [`PeerFrame::FreshnessWanted`]: this generation was the newest one that many
+    /// milliseconds before the response.
+    Freshness(u32, Generation, u32),
+    /// Asks the holder of a slot for tokens of teams. The numbers are that of the request and that
+    /// of the slot.
+    TokensWanted(u32, u8, Vec<TokenDemand>),
+    /// Response to [`PeerFrame::TokensWanted`]; empty if the sender does not hold the slot.
+    TokensGranted(u32, Vec<TokenGrant>),
+    /// Requests a call as [`PeerFrame::TimedCall`]. The body, of the given length, follows in pieces
+    /// as far as it is granted.
+    OfferedCall(CallNumber, u64, Box<ForwardedCall>, u64),
+    /// Number of bytes of the body of a call that may have been sent.
+    BodyGrant(CallNumber, u64),
+    /// The next bytes of the body of a call.
+    BodyPiece(CallNumber, PieceBytes),
+}
+
+/// [`PeerFrame::Evacuations`] is understood.
+pub const FEATURE_EVACUATIONS: u32 = 1;
+
+/// [`PeerFrame::FreshnessWanted`] is understood.
+pub const FEATURE_FRESHNESS: u32 = 2;
+
+/// [`PeerFrame::TokensWanted`] is understood.
+pub const FEATURE_TOKENS: u32 = 4;
+
+/// [`PeerFrame::OfferedCall`] is understood.
+pub const FEATURE_OFFERS: u32 = 8;
+
+/// Features of this build.
+pub const PEER_FEATURES: u32 =
+    FEATURE_EVACUATIONS | FEATURE_FRESHNESS | FEATURE_TOKENS | FEATURE_OFFERS;
+
+/// Tokens of a team that a daemon asks for.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TokenDemand {
+    /// The team.
+    pub team: TeamName,
+    /// Number of tokens.
+    pub wanted: u32,
+}
+
+/// Tokens of a team that a holder grants.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TokenGrant {
+    /// The team.
+    pub team: TeamName,
+    /// Number of tokens.
+    pub granted: u32,
+    /// Time for which they may be used, in milliseconds since the request was sent.
+    pub valid_ms: u32,
+    /// Time until the next token, in milliseconds, if fewer were granted than asked for.
+    pub next_ms: u32,
 }
 
 /// Encodes a configuration that is sent in pieces.
@@ -324,10 +392,10 @@
         serializer.serialize_bytes(body)
     }
 
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+    pub(super) fn deserialize<'de, D: Deserializer<'de>, B: From<Vec<u8>>>(
         deserializer: D,
-    ) -> Result<Vec<u8>, D::Error> {
-        deserializer.deserialize_byte_buf(BodyVisitor)
+    ) -> Result<B, D::Error> {
+        deserializer.deserialize_byte_buf(BodyVisitor).map(B::from)
     }
 
     struct BodyVisitor;
--- a/coltsfootweir/src/sidecar/link/link_side.rs
+++ b/coltsfootweir/src/sidecar/link/link_side.rs
@@ -39,6 +39,8 @@
     frames: Sender<PeerFrame>,
     uplink: Rc<Uplink>,
     has_pieces: Cell<bool>,
+    features: Cell<u32>,
+    hellos: Cell<u32>,
     age: RefCell<CallAge>,
     config: RefCell<ConfigPieces>,
     next_config: Cell<u32>,
@@ -56,6 +58,8 @@
             frames,
             uplink: Rc::clone(uplink),
             has_pieces: Cell::new(false),
+            features: Cell::new(0),
+            hellos: Cell::new(0),
             age: RefCell::default(),
             config: RefCell::default(),
             next_config: Cell::new(0),
@@ -106,6 +110,23 @@
         self.has_pieces.get()
     }
 
+    /// Counts a received [`PeerFrame::Hello`] and returns how many there were.
+    pub fn count_hello(&self) -> u32 {
+        self.hellos.set(self.hellos.get() + 1);
+        self.hellos.get()
+    }
+
+    /// Records the features of the peer. Returns whether they were not known before.
+    pub fn set_features(&self, features: u32) -> bool {
+        self.features.replace(features) == 0
+    }
+
+    /// Returns whether the peer has a feature, one of the bits of [`crate::sidecar::frame::PEER_FEATURES`].
+    #[must_use]
+    pub fn has_feature(&self, feature: u32) -> bool {
+        self.features.get() & feature != 0
+    }
+
     /// Returns by how much a call was delayed on its way, if it was sent at `sent_ms` since the
     /// start of the peer.
     pub fn call_delay(&self, sent_ms: u64, now: Duration) -> Duration {
--- a/coltsfootweir/src/sidecar/mesh_config.rs
+++ b/coltsfootweir/src/sidecar/mesh_config.rs
@@ -8,8 +8,11 @@
 use serde::Serialize;
 
 use crate::ids::Generation;
+use crate::ids::RegionName;
 use crate::ids::RouteName;
 use crate::ids::ServiceName;
+use crate::sidecar::teams::team::Team;
+use crate::sidecar::teams::team::TeamName;
 
 /// A service that receives part of a route's traffic.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -41,6 +44,36 @@
     pub attempts: u32,
     /// Priority; 0 is the most urgent.
     pub rank: u8,
+    /// Terms that few deployments use.
+    #[serde(default, skip_serializing_if = "RouteTerms::is_default")]
+    pub terms: RouteTerms,
+}
+
+/// Terms of a route that few deployments use. They are not sent between daemons when unused, so that
+/// earlier builds can read the routes of other deployments.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RouteTerms {
+    /// Regions in which the route's requests may run and be stored; empty for all.
+    pub allowed_regions: Vec<RegionName>,
+    /// Whether requests without an API key are allowed in a configuration with teams.
+    pub allows_anonymous: bool,
+    /// Whether requests have large bodies.
+    pub is_upload: bool,
+}
+
+impl RouteTerms {
+    fn is_default(&self) -> bool {
+        *self == RouteTerms::default()
+    }
+}
+
+/// Terms of a service.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ServiceTerms {
+    /// Requests per second that a cold endpoint tolerates; 0 if its endpoints are never paced.
+    pub warmup_per_s: f64,
+    /// Time for which an endpoint is cold after its start, in milliseconds.
+    pub warmup_ms: u32,
 }
 
 /// Size and time limits on clients.
@@ -65,6 +98,10 @@
     pub routes: BTreeMap<RouteName, MeshRoute>,
     /// Limits on clients.
     pub limits: ClientLimits,
+    /// Terms of services by name, of those that have any.
+    pub services: BTreeMap<ServiceName, ServiceTerms>,
+    /// Teams by name; empty if requests need no API key.
+    pub teams: BTreeMap<TeamName, Team>,
 }
 
 /// Difference between a configuration and a newer one.
@@ -80,6 +117,27 @@
     pub removed: Vec<RouteName>,
     /// Limits on clients.
     pub limits: ClientLimits,
+    /// Changes of services and teams.
+    #[serde(default, skip_serializing_if = "DeltaTerms::is_default")]
+    pub terms: DeltaTerms,
+}
+
+/// Changes of services and teams in a [`ConfigDelta`]. They are not sent when there are none, so that
+/// earlier builds can read the deltas of other deployments.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct DeltaTerms {
+    /// Terms of all services, if any of them changed.
+    pub services: Option<BTreeMap<ServiceName, ServiceTerms>>,
+    /// New and changed teams.
+    pub changed_teams: Vec<Team>,
+    /// Names of removed teams.
+    pub removed_teams: Vec<TeamName>,
+}
+
+impl DeltaTerms {
+    fn is_default(&self) -> bool {
+        *self == DeltaTerms::default()
+    }
 }
 
 impl MeshConfig {
@@ -93,6 +151,7 @@
             changed: Vec::new(),
             removed: Vec::new(),
             limits: self.limits,
+            terms: DeltaTerms::default(),
         };
         for (name, route) in &self.routes {
             if base.and_then(|base| base.routes.get(name)) != Some(route) {
@@ -104,27 +163,55 @@
                 delta.removed.push(name.clone());
             }
         }
+        let no_services = BTreeMap::new();
+        if base.map_or(&no_services, |base| &base.services) != &self.services {
+            delta.terms.services = Some(self.services.clone());
+        }
+        for (name, team) in &self.teams {
+            if base.and_then(|base| base.teams.get(name)) != Some(team) {
+                delta.terms.changed_teams.push(team.clone());
+            }
+        }
+        for name in base.iter().flat_map(|base| base.teams.keys()) {
+            if !self.teams.contains_key(name) {
+                delta.terms.removed_teams.push(name.clone());
+            }
+        }
         delta
     }
 
     /// Applies a delta. Returns `None` when the delta does not apply to the version of `base`.
     #[must_use]
     pub fn apply(base: Option<&MeshConfig>, delta: ConfigDelta) -> Option<MeshConfig> {
-        let mut routes = match base {
-            _ if delta.base == 0 => BTreeMap::new(),
-            Some(base) if base.version == delta.base => base.routes.clone(),
+        let base = match base {
+            _ if delta.base == 0 => None,
+            Some(base) if base.version == delta.base => Some(base),
             _ => return None,
         };
+        let mut routes = base.map_or_else(BTreeMap::new, |base| base.routes.clone());
+        let mut teams = base.map_or_else(BTreeMap::new, |base| base.teams.clone());
+        let services = match delta.terms.services {
+            Some(services) => services,
+            None => base.map_or_else(BTreeMap::new, |base| base.services.clone()),
+        };
         for name in &delta.removed {
             routes.remove(name);
         }
         for route in delta.changed {
             routes.insert(route.name.clone(), route);
         }
+        for name in &delta.terms.removed_teams {
+            teams.remove(name);
+        }
+        for team in delta.terms.changed_teams {
+            teams.insert(team.name.clone(), team);
+        }
         Some(MeshConfig {
             version: delta.version,
             routes,
             limits: delta.limits,
+            services,
+            teams,
         })
     }
 }
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -43,6 +43,8 @@
 pub mod planned_stop;
 pub mod platform_adapter;
 #[doc(hidden)]
+pub mod rate_limits;
+#[doc(hidden)]
 pub mod reported_loads;
 pub mod request_server;
 #[doc(hidden)]
@@ -59,6 +61,8 @@
 pub mod spread;
 pub mod store_client;
 #[doc(hidden)]
+pub mod teams;
+#[doc(hidden)]
 pub mod wait_factors;
 #[doc(hidden)]
 pub mod zone_order;
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -22,6 +22,7 @@
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::frame::ForwardedCall;
+use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
 use crate::sidecar::link::frame_io::exchange_frames;
@@ -41,6 +42,9 @@
 /// of a daemon that is limited to a fifth of a core.
 const PONG_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Number of [`PeerFrame::Hello`] that the side that dialed sends.
+const HELLO_COUNT: u32 = 3;
+
 /// Outcome of a call over a link.
 #[derive(Debug)]
 pub enum LinkOutcome {
@@ -157,8 +161,10 @@
         let (hello, hellos) = flume::bounded(1);
         let (side, queue) = LinkSide::new(uplink);
         side.set_peer(peer.clone());
-        side.send(PeerFrame::Hello(own.clone()));
-        side.send(PeerFrame::Hello(own.clone()));
+        // Each further one tells that more kinds of frames are understood.
+        for _ in 0..HELLO_COUNT {
+            side.send(PeerFrame::Hello(own.clone()));
+        }
         let link = Rc::new(PeerLink {
             side,
             pending: RefCell::default(),
@@ -182,6 +188,11 @@
                     PeerFrame::AnswerPiece(number, bytes) => link.receive(number, bytes),
                     PeerFrame::AnswerEnd(number, is_whole) => link.end_body(number, is_whole),
                     PeerFrame::Pieces => link.side.set_pieces(),
+                    PeerFrame::Features(features) => {
+                        if link.side.set_features(features) {
+                            link.side.send(PeerFrame::Features(PEER_FEATURES));
+                        }
+                    }
                     PeerFrame::Pong => {}
                     // Only the first `Hello` is awaited; later ones are ignored.
                     PeerFrame::Hello(id) => drop(hello.try_send(id)),
@@ -208,6 +219,12 @@
         self.state.get()
     }
 
+    /// Returns whether the peer has a feature, one of the bits of [`PEER_FEATURES`].
+    #[must_use]
+    pub fn has_feature(&self, feature: u32) -> bool {
+        self.side.has_feature(feature)
+    }
+
     /// Returns whether calls are in progress.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -10,11 +10,13 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::ids::MemberId;
 use crate::sidecar::announcement::DepartedLifetime;
 use crate::sidecar::announcement::DepartureCount;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::link::call_age::wall_delay;
 use crate::sidecar::link::frame_io::exchange_frames;
@@ -68,13 +70,9 @@
 impl AcceptedLink {
     fn handle(&self, frame: PeerFrame) {
         match frame {
-            PeerFrame::Hello(id) if self.side.peer().as_ref() == Some(&id) => {
-                self.side.send(self.state.departures.report(&id));
-            }
-            PeerFrame::Hello(id) => {
-                self.side.set_peer(id);
-                self.side.set_pieces();
-                self.side.send(PeerFrame::Pieces);
+            PeerFrame::Hello(id) => self.greet(id),
+            PeerFrame::Features(features) => {
+                self.side.set_features(features);
             }
             PeerFrame::HoldDepartures(count, departures) => {
                 self.hold_departures(count, departures);
@@ -101,6 +99,24 @@
         }
     }
 
+    /// Handles a [`PeerFrame::Hello`]: each further one tells that the peer understands more frames.
+    fn greet(&self, id: MemberId) {
+        let is_known = self.side.peer().as_ref() == Some(&id);
+        match (self.side.count_hello(), is_known) {
+            (_, false) => {
+                self.side.set_peer(id);
+                self.side.set_pieces();
+                self.side.send(PeerFrame::Pieces);
+            }
+            (2, true) => {
+                self.side.send(self.state.departures.report(&id));
+            }
+            (_, true) => {
+                self.side.send(PeerFrame::Features(PEER_FEATURES));
+            }
+        }
+    }
+
     /// Keeps departures for the daemon that dialed.
     fn hold_departures(&self, count: DepartureCount, departures: Vec<DepartedLifetime>) {
         let Some(owner) = self.side.peer() else {
--- a/coltsfootweir/src/sidecar/platform_adapter.rs
+++ b/coltsfootweir/src/sidecar/platform_adapter.rs
@@ -9,6 +9,7 @@
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
 use crate::ids::VersionName;
+use crate::ids::ZoneName;
 use crate::sidecar::announcement::EndpointAnnouncement;
 use crate::sidecar::announcement::EndpointDeparture;
 use crate::sidecar::mesh_config::MeshConfig;
@@ -57,6 +58,12 @@
     pub not_run: &'static str,
     /// Service on the VM that the request comes from.
     pub caller: &'static str,
+    /// Team of the client.
+    pub team: &'static str,
+    /// API key of the client.
+    pub authorization: &'static str,
+    /// Time for which an endpoint stays cold, in milliseconds, on its health responses.
+    pub warmup_left: &'static str,
 }
 
 /// A call from the platform or the endpoint to the daemon.
@@ -87,6 +94,8 @@
     Members,
     /// Departures of endpoints that daemons have acknowledged.
     Departures,
+    /// Leases of the holders of rate limits.
+    RateLimits,
 }
 
 /// A call to the store.
@@ -219,6 +228,13 @@
     Config(MeshConfig),
     /// An order for a roll-out.
     Rollout(RolloutOrder),
+    /// An order to evacuate a zone, or its end.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether the order is in force; false if its row was removed.
+        is_active: bool,
+    },
     /// A row that the daemon ignores.
     Other,
 }
@@ -231,6 +247,9 @@
     /// [`PlatformFormatError`] with the first field that is missing or invalid.
     fn settings(&self, text: &str) -> Result<SidecarSettings, PlatformFormatError>;
 
+    /// Returns the API key in the value of the authorization header; `None` if it has another form.
+    fn api_key<'v>(&self, value: &'v [u8]) -> Option<&'v [u8]>;
+
     /// Returns the header names.
     fn headers(&self) -> &HeaderNames;
 
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -48,7 +48,12 @@
 use crate::sidecar::frame::UnknownCause;
 use crate::sidecar::mesh_config::ClientLimits;
 use crate::sidecar::mesh_config::MeshRoute;
+use crate::sidecar::rate_limits::LimitRefusal;
+use crate::sidecar::rate_limits::take_token;
 use crate::sidecar::sidecar_state::SidecarState;
+use crate::sidecar::teams::caller::KeyRefusal;
+use crate::sidecar::teams::caller::RequestCaller;
+use crate::sidecar::teams::caller::identify;
 
 /// Time after the deadline at which a request times out. It lets the endpoint's own response at the
 /// deadline arrive.
@@ -155,6 +160,7 @@
     id: &'a str,
     route: &'a str,
     service: &'a str,
+    team: &'a str,
     rank: u8,
     version: u64,
     start: Duration,
@@ -202,14 +208,28 @@
         .next_service(route)
         .cloned();
     let service = chosen.unwrap_or_default();
-    let trace = RequestTrace {
+    let mut trace = RequestTrace {
         id,
         route: &route.name,
         service: &service,
+        team: "",
         rank: route.rank,
         version,
         start,
     };
+    let caller = match identify(state, &active, route, request.headers()) {
+        Ok(caller) => caller,
+        Err(KeyRefusal::Unknown) => {
+            return end_early(state, &trace, StatusCode::UNAUTHORIZED, "unknown_key");
+        }
+    };
+    trace.team = caller.team.map_or("", |team| &team.name);
+    trace.rank = caller.rank;
+    if let Some(team) = caller.team
+        && let Err(refusal) = take_token(state, team).await
+    {
+        return end_limited(state, &trace, refusal);
+    }
     let headers = state.platform_adapter.headers();
     let time_left = header_text(request.headers(), headers.time_left);
     let time_left = time_left.and_then(|text| text.trim().parse().ok());
@@ -249,16 +269,17 @@
         service: service.clone(),
         method: parts.method.as_str().into(),
         path: target.into(),
-        headers: forwarded_headers(state, &parts.headers),
-        body: body.to_vec(),
+        headers: forwarded_headers(state, &active, caller, &parts.headers),
+        body,
         request_id: id.into(),
-        rank: route.rank,
+        rank: caller.rank,
         kind: 0,
         left_ms: 0,
         wait_ms: 0,
         sent_at_ms: 0,
+        team: caller.team.map(|team| team.name.clone()),
     };
-    let attempts = CallAttempts::new(state, &active, route, service.clone(), deadline);
+    let attempts = CallAttempts::new(state, &active, route, caller, service.clone(), deadline);
     let left = (deadline + RESPONSE_MARGIN).saturating_sub(state.now());
     let attempts = tokio::time::timeout(left, attempts.run(&call));
     let end = tokio::select! {
@@ -293,9 +314,17 @@
 }
 
 /// Returns the headers to forward: all except connection headers and those that the daemon sets.
-fn forwarded_headers(state: &SidecarState, headers: &HeaderMap) -> HeaderList {
+fn forwarded_headers(
+    state: &SidecarState,
+    active: &ActiveConfig,
+    caller: RequestCaller<'_>,
+    headers: &HeaderMap,
+) -> HeaderList {
     let names = state.platform_adapter.headers();
     let replaced = [names.time_left, names.expected_endpoint, names.caller];
+    // Without teams, both are headers like any other.
+    let has_teams = !active.config.teams.is_empty();
+    let team_headers = [names.authorization, names.team];
     let named = header_text(headers, "connection").unwrap_or_default();
     let mut list = HeaderList::new();
     for (name, value) in headers {
@@ -303,6 +332,9 @@
         let is_named = named
             .split(',')
             .any(|word| word.trim().eq_ignore_ascii_case(name));
+        if has_teams && team_headers.contains(&name) {
+            continue;
+        }
         if is_named || is_connection_header(name) || replaced.contains(&name) || name == "expect" {
             continue;
         }
@@ -310,6 +342,9 @@
     }
     let service = state.settings().service.clone();
     list.push((names.caller.into(), service.as_bytes().into()));
+    if let Some(team) = caller.team {
+        list.push((names.team.into(), team.name.as_bytes().into()));
+    }
     list
 }
 
@@ -319,6 +354,7 @@
             id,
             route: "",
             service: "",
+            team: "",
             rank: 0,
             version,
             start,
@@ -337,6 +373,22 @@
     daemon_response(state, trace.id, status, cause, retry_after)
 }
 
+/// Refuses a request because of its team's limit.
+fn end_limited(
+    state: &SidecarState,
+    trace: &RequestTrace<'_>,
+    refusal: LimitRefusal,
+) -> Response<ClientBody> {
+    let (status, cause, pause) = match refusal {
+        LimitRefusal::Exceeded(pause) => (StatusCode::TOO_MANY_REQUESTS, "over_limit", pause),
+        LimitRefusal::NoHolder(pause) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no_limit_holder", pause)
+        }
+    };
+    log_end(state, trace, status.as_u16(), cause, &[], 0);
+    daemon_response(state, trace.id, status, cause, Some(pause))
+}
+
 fn end_request(
     state: &SidecarState,
     trace: &RequestTrace<'_>,
@@ -396,14 +448,14 @@
     let time = state.now() - trace.start;
     let outcome = match status {
         200..=399 => "served",
-        503 => "refused",
+        429 | 503 => "refused",
         _ => "failed",
     };
     state
         .metrics
         .count_request(trace.service, outcome, cause, time);
     let what = json!({"name": "request_ended", "request": trace.id, "route": trace.route,
-        "service": trace.service, "rank": trace.rank, "config": trace.version, "status": status, "cause": cause,
+        "service": trace.service, "team": trace.team, "rank": trace.rank, "config": trace.version, "status": status, "cause": cause,
         "asked": tried, "reached": reached, "ms": time.as_millis() as u64});
     info!(target: CALLS, "{what}");
 }
--- a/coltsfootweir/src/sidecar/settings.rs
+++ b/coltsfootweir/src/sidecar/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a sidecar, read from the platform's settings file.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -34,6 +35,19 @@
     pub announce_interval: Duration,
     /// Limits that the deployment guarantees to its users.
     pub bounds: MeshBounds,
+    /// Regions by availability zone; empty if the platform does not tell.
+    pub zones: BTreeMap<ZoneName, RegionName>,
+    /// Resource limits of the process.
+    pub host_limits: HostLimits,
+}
+
+/// Resource limits of the process; `None` if the platform does not tell.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HostLimits {
+    /// Memory, in bytes.
+    pub memory_bytes: Option<u64>,
+    /// Open descriptors.
+    pub descriptors: Option<u32>,
 }
 
 /// Addresses the daemon listens on.
@@ -62,4 +76,33 @@
     pub retry_slack: u32,
     /// Largest share of a service's requests that a canary version may receive.
     pub canary_share: f64,
+    /// Limits on the rate of requests to cold endpoints.
+    pub warmup: WarmupBounds,
+    /// Time after an acknowledged evacuation in which endpoints of the zone may still receive requests.
+    pub evacuation: Option<Duration>,
+    /// Time after a withdrawn API key's acknowledgement from which on it must not be used by any
+    /// daemon, in touch or not; `None` if only daemons in touch are bound.
+    pub revocation: Option<Duration>,
+    /// Limits on the requests of a team beyond its rate.
+    pub quota: Option<QuotaBounds>,
+}
+
+/// Limits on the rate of requests to cold endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WarmupBounds {
+    /// Factor on the rate that a cold endpoint tolerates.
+    pub overage: f64,
+    /// Number of requests per second in addition.
+    pub slack: f64,
+}
+
+/// Limits on the requests of a team in a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the window.
+    pub window: Duration,
+    /// Allowed share beyond the team's limit.
+    pub overage: f64,
+    /// Number of requests in addition.
+    pub slack: f64,
 }
--- /dev/null
+++ b/coltsfootweir/src/sidecar/teams/mod.rs
@@ -0,0 +1,6 @@
+//! Teams: owners of API keys, their priorities and limits.
+
+pub mod caller;
+pub mod key_digest;
+pub mod team;
+pub mod team_table;
--- /dev/null
+++ b/coltsfootweir/src/sidecar/teams/team_table.rs
@@ -0,0 +1,34 @@
+//! Lookup of teams by API key.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::sidecar::teams::key_digest::KeyDigest;
+use crate::sidecar::teams::team::Team;
+use crate::sidecar::teams::team::TeamName;
+
+/// Lookup of teams by the digests of their API keys.
+#[derive(Debug, Default)]
+pub struct TeamTable {
+    names: HashMap<KeyDigest, TeamName>,
+}
+
+impl TeamTable {
+    /// Builds the table of a configuration. A key of several teams belongs to the first one by name.
+    #[must_use]
+    pub fn new(teams: &BTreeMap<TeamName, Team>) -> TeamTable {
+        let mut names = HashMap::new();
+        for team in teams.values() {
+            for key in &team.keys {
+                names.entry(*key).or_insert_with(|| team.name.clone());
+            }
+        }
+        TeamTable { names }
+    }
+
+    /// Returns the team that owns a key.
+    #[must_use]
+    pub fn owner(&self, key: &[u8]) -> Option<&TeamName> {
+        self.names.get(&KeyDigest::of(key))
+    }
+}
--- a/coltsfootweir/tests/sidecar_config.rs
+++ b/coltsfootweir/tests/sidecar_config.rs
@@ -8,6 +8,7 @@
 use coltsfootweir::sidecar::mesh_config::MeshConfig;
 use coltsfootweir::sidecar::mesh_config::MeshRoute;
 use coltsfootweir::sidecar::mesh_config::RouteFinder;
+use coltsfootweir::sidecar::mesh_config::RouteTerms;
 use coltsfootweir::sidecar::mesh_config::TrafficPart;
 use coltsfootweir::sidecar::mesh_config::TrafficSplitter;
 use proptest::prelude::*;
@@ -30,6 +31,7 @@
         target_ms: 300,
         attempts: 2,
         rank,
+        terms: RouteTerms::default(),
     }
 }
 
@@ -47,6 +49,8 @@
             header_ms: 3_000,
             idle_ms: 15_000,
         },
+        services: BTreeMap::new(),
+        teams: BTreeMap::new(),
     }
 }
 
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -32,6 +32,9 @@
     expected_endpoint: "expected",
     not_run: "not-run",
     caller: "caller",
+    team: "team",
+    authorization: "key",
+    warmup_left: "warmup-left",
 };
 
 fn endpoint() -> Rc<LocalEndpoint> {
@@ -62,13 +65,14 @@
         method: "GET".into(),
         path: "/".into(),
         headers: Vec::new(),
-        body: Vec::new(),
+        body: Default::default(),
         request_id: "r".into(),
         rank: 0,
         kind: 0,
         left_ms: 300,
         wait_ms: 300,
         sent_at_ms: wall_ms(SystemTime::now()),
+        team: None,
     }
 }
 
