API keys: withdrawn keys are refused once the configuration is not proven to be the newest

Cause: a daemon that is cut off, frozen or restarted with an old configuration would accept a key for any time after it was withdrawn. Change: with a bound on withdrawn keys, requests with keys are served only while the daemon can prove that its configuration was the newest one within the bound. Store watchers date a proof at the begin of a read; others ask them and date it at their own question, so that no delay makes a proof younger. Ages are taken from the boot clock, which counts the time of a suspended VM. Test fleets take further settings, services and teams.

--- a/coltsfootweir/src/clock.rs
+++ b/coltsfootweir/src/clock.rs
@@ -4,6 +4,9 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// Source of time.
 pub trait DaemonClock: Send + Sync {
     /// Time since the clock was made; never goes back.
@@ -11,6 +14,12 @@
 
     /// Time of day.
     fn wall(&self) -> SystemTime;
+
+    /// Time since the boot of the VM. Unlike [`DaemonClock::now`] it includes the time for which the
+    /// VM was suspended.
+    fn boot(&self) -> Duration {
+        self.now()
+    }
 }
 
 /// Both times of a clock at one moment.
@@ -52,4 +61,9 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::try_from(time).unwrap_or_default()
+    }
 }
--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -29,6 +29,10 @@
 /// daemon then has to deliver a change within its limit of 2.5 s.
 const WATCH_WAIT_MS: u64 = 1_000;
 
+/// The same while requests must prove that their API keys are not withdrawn: the age of a proof starts
+/// with the call, and must leave most of the bound for the time in which the store is out of reach.
+const PROOF_WATCH_WAIT_MS: u64 = 500;
+
 /// Time after the start after which a daemon that has not found any peers reads the orders itself.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -45,6 +49,9 @@
 /// Upper limit of the backoff after failed calls.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(1_000);
 
+/// The same while requests must prove that their API keys are not withdrawn.
+const MAX_PROOF_RETRY_BACKOFF: Duration = Duration::from_millis(300);
+
 /// Failed calls in a row after which the store counts as lost and another daemon watches it. A
 /// single call without a response has the same effect.
 const MAX_FAILURES: u32 = 2;
@@ -67,6 +74,7 @@
         cursor: None,
         failures: 0,
         is_watching: false,
+        is_config_unreadable: false,
     };
     loop {
         watch.step().await;
@@ -81,6 +89,9 @@
     failures: u32,
     /// Whether this daemon watched the store in the last step.
     is_watching: bool,
+    /// Whether the store holds a configuration that could not be read, so that the active one is not
+    /// the newest.
+    is_config_unreadable: bool,
 }
 
 impl OrderWatch {
@@ -104,6 +115,7 @@
             }
             return;
         }
+        let begun = self.state.clock.boot();
         let read = match self.cursor {
             None => self.read_orders().await,
             Some(after) => self.watch(after).await,
@@ -113,6 +125,9 @@
             Ok(version) => {
                 self.cursor = Some(version);
                 self.failures = 0;
+                if !self.is_config_unreadable {
+                    self.state.prove_config(begun);
+                }
                 self.publish_reached();
             }
             Err(StoreFault::HistoryGone) => self.cursor = None,
@@ -155,7 +170,11 @@
         }
         let factor = 1 << self.failures.min(8);
         let pause = RETRY_BACKOFF_BASE.saturating_mul(factor);
-        tokio::time::sleep(pause.min(MAX_RETRY_BACKOFF)).await;
+        let limit = match self.state.revocation_bound() {
+            Some(_) => MAX_PROOF_RETRY_BACKOFF,
+            None => MAX_RETRY_BACKOFF,
+        };
+        tokio::time::sleep(pause.min(limit)).await;
     }
 
     /// Reads all orders; returns the store version of the read.
@@ -193,11 +212,14 @@
     }
 
     /// Waits for changes after version `after` and applies them; returns the new version.
-    async fn watch(&self, after: RowVersion) -> Result<RowVersion, StoreFault> {
+    async fn watch(&mut self, after: RowVersion) -> Result<RowVersion, StoreFault> {
         let call = StoreCall::Watch {
             table: StoreTable::Orders,
             after,
-            wait_ms: WATCH_WAIT_MS,
+            wait_ms: match self.state.revocation_bound() {
+                Some(_) => PROOF_WATCH_WAIT_MS,
+                None => WATCH_WAIT_MS,
+            },
         };
         let reply = self.state.store.call(&call).await?;
         for row in &reply.rows {
@@ -214,9 +236,10 @@
 
     /// Activates the configuration in a row, or returns the rollout order in it. An unreadable row
     /// is logged and ignored.
-    fn apply_row(&self, row: &StoreRow) -> Option<RolloutOrder> {
+    fn apply_row(&mut self, row: &StoreRow) -> Option<RolloutOrder> {
         match self.state.platform_adapter.order_row(row) {
             Ok(OrderRow::Config(config)) => {
+                self.is_config_unreadable = false;
                 if self.state.config.adopt(config, "store") {
                     self.state.announce_config(true);
                 }
@@ -225,6 +248,7 @@
             Ok(OrderRow::Rollout(order)) => Some(order),
             Ok(OrderRow::Evacuation { .. } | OrderRow::Other) => None,
             Err(error) => {
+                self.is_config_unreadable |= error.is_config();
                 let event = json!({"name": "order_unreadable", "key": row.key,
                     "row": row.version, "reason": error.to_string()});
                 warn!(target: CONFIG, "{event}");
--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -40,6 +40,7 @@
 use crate::sidecar::rollout_task::run_rollouts;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::sidecar_state::SidecarState;
+use crate::sidecar::teams::freshness_task::keep_freshness;
 
 /// Connections that may wait to be accepted. Covers bursts of clients that each open a new one.
 const LISTEN_BACKLOG: i32 = 1024;
@@ -157,6 +158,7 @@
     tokio::task::spawn_local(sweep_departures(Rc::clone(&state)));
     tokio::task::spawn_local(watch_orders(Rc::clone(&state)));
     tokio::task::spawn_local(run_rollouts(Rc::clone(&state)));
+    tokio::task::spawn_local(keep_freshness(Rc::clone(&state)));
     let mut modified = modified_at(path);
     loop {
         tokio::select! {
--- a/coltsfootweir/src/sidecar/member_directory/link_checks.rs
+++ b/coltsfootweir/src/sidecar/member_directory/link_checks.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::MemberDirectory;
 use super::STORE_WATCHERS;
@@ -91,6 +92,33 @@
         self.zone_order(&own.zone).is_relay(&own.id)
     }
 
+    /// Returns the daemons to ask when the configuration was known to be the newest one, in order: on
+    /// a relay the store watchers and then the relays of all zones, otherwise the relays of the own
+    /// zone and then the store watchers. Half of a zone begins with its second relay.
+    #[must_use]
+    pub fn freshness_sources(&self) -> Vec<MemberId> {
+        let own = self.own.borrow();
+        let order = self.zone_order(&own.zone);
+        let watchers = self.nearest(STORE_WATCHERS);
+        let mut sources = match order.is_relay(&own.id) || watchers.contains(&own.id) {
+            true => {
+                let mut sources = watchers;
+                sources.extend(self.relays_of(zones(self.table.borrow().iter())));
+                sources
+            }
+            false => {
+                let mut sources = order.relays().to_vec();
+                if xxh3_64(own.id.as_bytes()).is_multiple_of(2) {
+                    sources.reverse();
+                }
+                sources.extend(watchers);
+                sources
+            }
+        };
+        sources.retain(|id| *id != own.id);
+        sources
+    }
+
     /// Returns the open links to the relays of other zones.
     #[must_use]
     pub fn other_zone_links(&self) -> Vec<Rc<PeerLink>> {
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -27,6 +27,8 @@
 use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sent_answer::SentAnswer;
 use crate::sidecar::sidecar_state::SidecarState;
+use crate::sidecar::teams::freshness_task::answer_freshness;
+use crate::sidecar::teams::freshness_task::take_freshness;
 
 type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
 
@@ -199,6 +201,10 @@
             let kind = TransferKind::Configuration(number);
             side.acknowledge(kind, received, received);
         }
+        PeerFrame::FreshnessWanted(number) => answer_freshness(state, side, number),
+        PeerFrame::Freshness(number, version, age_ms) => {
+            take_freshness(state, &side.peer_name(), number, version, age_ms);
+        }
         // Frames of the other direction.
         _ => {}
     }
--- a/coltsfootweir/src/sidecar/platform_adapter.rs
+++ b/coltsfootweir/src/sidecar/platform_adapter.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// Subject of errors about a configuration.
+pub const CONFIG_SUBJECT: &str = "configuration";
+
+impl PlatformFormatError {
+    /// Returns whether a configuration could not be parsed.
+    #[must_use]
+    pub fn is_config(&self) -> bool {
+        self.subject == CONFIG_SUBJECT
+    }
+}
+
 impl fmt::Display for PlatformFormatError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} cannot be read: {}", self.subject, self.reason)
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -222,6 +222,14 @@
         Err(KeyRefusal::Unknown) => {
             return end_early(state, &trace, StatusCode::UNAUTHORIZED, "unknown_key");
         }
+        Err(KeyRefusal::Unproven) => {
+            return end_early(
+                state,
+                &trace,
+                StatusCode::SERVICE_UNAVAILABLE,
+                "config_unproven",
+            );
+        }
     };
     trace.team = caller.team.map_or("", |team| &team.name);
     trace.rank = caller.rank;
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -52,6 +52,7 @@
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::spread::config_spread::ConfigSpread;
 use crate::sidecar::store_client::StoreClient;
+use crate::sidecar::teams::config_freshness::ConfigFreshness;
 
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
 const MAX_PUBLISHED_CRASHES: usize = 32;
@@ -97,6 +98,8 @@
     pub store: StoreClient,
     /// Active configuration.
     pub config: ConfigHolder,
+    /// Proof that the active configuration was the newest one a short time ago.
+    pub freshness: RefCell<ConfigFreshness>,
     /// Configurations in force on other daemons.
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
@@ -163,6 +166,7 @@
         SidecarState {
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
             config: ConfigHolder::default(),
+            freshness: RefCell::default(),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
             endpoint,
@@ -204,6 +208,23 @@
         self.clock.now()
     }
 
+    /// Returns the time for which a withdrawn API key may be used at most; `None` in deployments
+    /// without such a bound or without keys.
+    #[must_use]
+    pub fn revocation_bound(&self) -> Option<Duration> {
+        let bound = self.settings.borrow().bounds.revocation?;
+        let active = self.config.active()?;
+        (!active.config.teams.is_empty()).then_some(bound)
+    }
+
+    /// Records that no configuration newer than the active one existed at `at`, a time since the boot
+    /// of the VM.
+    pub fn prove_config(&self, at: Duration) {
+        let version = self.config.version();
+        let mut freshness = self.freshness.borrow_mut();
+        freshness.record(version, at, version);
+    }
+
     /// Returns whether clients may send requests to this daemon: it is not shutting down, it has a
     /// configuration, and an endpoint or another daemon is reachable.
     #[must_use]
--- a/coltsfootweir/src/sidecar/teams/caller.rs
+++ b/coltsfootweir/src/sidecar/teams/caller.rs
@@ -1,5 +1,7 @@
 //! Identifies the client of a request by its API key.
 
+use std::time::Duration;
+
 use hyper::HeaderMap;
 
 use crate::sidecar::config_holder::ActiveConfig;
@@ -7,6 +9,9 @@
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::team::Team;
 
+/// Part of the bound on the use of withdrawn keys that is left for the rounding of times.
+const PROOF_MARGIN: Duration = Duration::from_millis(100);
+
 /// Client of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestCaller<'a> {
@@ -21,6 +26,8 @@
 pub enum KeyRefusal {
     /// The request has no key, or one that the configuration in force does not hold.
     Unknown,
+    /// It is not known whether the key has been withdrawn.
+    Unproven,
 }
 
 /// Returns the client of a request. A configuration without teams requires no key.
@@ -48,6 +55,9 @@
             false => Err(KeyRefusal::Unknown),
         };
     };
+    if !is_config_proven(state) {
+        return Err(KeyRefusal::Unproven);
+    }
     // With several values it would not be clear which key counts.
     if values.next().is_some() {
         return Err(KeyRefusal::Unknown);
@@ -61,3 +71,14 @@
         rank: team.rank.unwrap_or(route.rank),
     })
 }
+
+/// Returns whether the active configuration was the newest one so short a time ago that none of its
+/// keys may have been withdrawn for longer than the deployment allows. The request has been received
+/// by now, so this holds for the time at which it was sent, too.
+fn is_config_proven(state: &SidecarState) -> bool {
+    let Some(bound) = state.revocation_bound() else {
+        return true;
+    };
+    let freshness = state.freshness.borrow();
+    freshness.is_proven(state.clock.boot(), bound.saturating_sub(PROOF_MARGIN))
+}
--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -42,6 +42,7 @@
 /// A sidecar process, killed on drop.
 pub struct SidecarProcess {
     child: Child,
+    arguments: Vec<String>,
     lines: Arc<Mutex<Vec<String>>>,
     pub requests: SocketAddr,
     pub ready: SocketAddr,
@@ -66,7 +67,7 @@
     /// Starts the process again with the same settings.
     pub fn restart(&mut self) {
         self.kill();
-        let (child, lines) = spawn(&self.settings, self.relay.address());
+        let (child, lines) = spawn(&self.settings, self.relay.address(), &self.arguments);
         self.child = child;
         self.lines = lines;
     }
@@ -147,8 +148,48 @@
     spec.with("request-id", id).with("timeout-ms", time_left_ms)
 }
 
+/// Settings of a fleet's sidecars beyond the usual ones, as TOML.
+#[derive(Clone, Debug, Default)]
+pub struct SidecarTerms {
+    /// Lines of the table `self.limits`.
+    pub limits: String,
+    /// Further lines of the table `terms.bounds`.
+    pub bounds: String,
+    /// Lines of the table `network.zones`.
+    pub zones: String,
+    /// Further arguments of the program.
+    pub arguments: Vec<String>,
+}
+
+/// Parts of a configuration beyond the routes of the tests, as JSON.
+#[derive(Clone, Debug)]
+pub struct ConfigTerms {
+    /// Further routes, each after a comma.
+    pub routes: String,
+    /// Further members of the configuration, each after a comma, such as teams.
+    pub members: String,
+    /// Services with terms, as a list.
+    pub services: String,
+    /// Limits on clients.
+    pub limits: String,
+}
+
+impl Default for ConfigTerms {
+    fn default() -> ConfigTerms {
+        ConfigTerms {
+            routes: String::new(),
+            members: String::new(),
+            services: "[]".to_owned(),
+            limits: r#"{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
+            "idle_timeout_ms":15000}"#
+                .to_owned(),
+        }
+    }
+}
+
 /// Sidecars with an endpoint each.
 pub struct SidecarFleet {
+    terms: SidecarTerms,
     pub store: RowStore,
     /// The store as each sidecar reaches it.
     pub stores: Vec<RowStore>,
@@ -161,7 +202,13 @@
 impl SidecarFleet {
     /// Starts sidecars whose endpoints are of these services and versions.
     pub fn start(endpoints: &[(&str, &str)]) -> SidecarFleet {
+        SidecarFleet::start_with(&SidecarTerms::default(), endpoints)
+    }
+
+    /// Starts sidecars with further settings.
+    pub fn start_with(terms: &SidecarTerms, endpoints: &[(&str, &str)]) -> SidecarFleet {
         let mut fleet = SidecarFleet {
+            terms: terms.clone(),
             store: RowStore::start(),
             stores: Vec::new(),
             store_relays: Vec::new(),
@@ -185,7 +232,15 @@
 
     /// Starts sidecars in zones, with an endpoint of a service and a configuration in force on each.
     pub fn start_in_zones(members: &[(&str, SidecarPlace)]) -> SidecarFleet {
-        let mut fleet = SidecarFleet::start(&[]);
+        SidecarFleet::start_in_zones_with(&SidecarTerms::default(), members)
+    }
+
+    /// Starts sidecars in zones with further settings, and a configuration in force on each.
+    pub fn start_in_zones_with(
+        terms: &SidecarTerms,
+        members: &[(&str, SidecarPlace)],
+    ) -> SidecarFleet {
+        let mut fleet = SidecarFleet::start_with(terms, &[]);
         for (service, place) in members {
             fleet.add_in(service, "v1", free_address(), *place);
         }
@@ -217,7 +272,8 @@
         let endpoint = listener.local_addr().expect("an address");
         let store = self.store.open_address();
         let relay = TcpRelay::start(store.address).expect("a free port");
-        let sidecar = start_sidecar(&name, service, endpoint, peers, relay.address(), place);
+        let addresses = [endpoint, peers, relay.address()];
+        let sidecar = start_sidecar(&name, service, addresses, place, &self.terms);
         self.stores.push(store);
         self.store_relays.push(relay);
         let id = format!("i-{number}");
@@ -230,6 +286,15 @@
     /// Writes a configuration with the routes of the tests and one under `/VERSION/` that tells
     /// versions apart; `more` is further JSON routes, each after a comma.
     pub fn put_config(&self, version: u64, more: &str) {
+        let terms = ConfigTerms {
+            routes: more.to_owned(),
+            ..ConfigTerms::default()
+        };
+        self.put_config_with(version, &terms);
+    }
+
+    /// Writes a configuration with the routes of the tests and further parts.
+    pub fn put_config_with(&self, version: u64, terms: &ConfigTerms) {
         let mut routes = String::new();
         for (name, prefix, kind, service, rank) in [
             ("free", "/free/", "idempotent", STALLS, 2),
@@ -243,10 +308,14 @@
             write!(routes, "{route},").expect("writing to a string");
         }
         let routes = routes.trim_end_matches(',');
-        let limits = r#"{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
-            "idle_timeout_ms":15000}"#;
+        let ConfigTerms {
+            routes: more,
+            members,
+            services,
+            limits,
+        } = terms;
         let config = format!(
-            r#"{{"version":"{version:08x}","routes":[{routes}{more}],"services":[],"limits":{limits}}}"#
+            r#"{{"version":"{version:08x}","routes":[{routes}{more}],"services":{services},"limits":{limits}{members}}}"#
         );
         self.store.put("op", "config", &config);
     }
@@ -312,12 +381,17 @@
 fn start_sidecar(
     name: &str,
     service: &str,
-    endpoint: SocketAddr,
-    peers: SocketAddr,
-    store: SocketAddr,
+    [endpoint, peers, store]: [SocketAddr; 3],
     (zone, region): SidecarPlace,
+    terms: &SidecarTerms,
 ) -> SidecarProcess {
     let [requests, ready, admin] = [(); 3].map(|()| free_address());
+    let SidecarTerms {
+        limits,
+        bounds,
+        zones,
+        arguments,
+    } = terms;
     let text = format!(
         r#"
 [self]
@@ -326,6 +400,10 @@
 region = "{region}"
 local_app = "{endpoint}"
 service = "{service}"
+[self.limits]
+{limits}
+[network.zones]
+{zones}
 [network.listen]
 inbound = "{peers}"
 outbound = "{requests}"
@@ -344,14 +422,16 @@
 canary_share = 0.1
 canary_slack = 50
 rollback_ms = 5000
+{bounds}
 "#
     );
     let file = format!("sidecar-{}-{}.toml", std::process::id(), requests.port());
     let settings = std::env::temp_dir().join(file);
     std::fs::write(&settings, text).expect("a file in the folder for such");
     let relay = TcpRelay::start(peers).expect("a free port");
-    let (child, lines) = spawn(&settings, relay.address());
+    let (child, lines) = spawn(&settings, relay.address(), arguments);
     SidecarProcess {
+        arguments: arguments.clone(),
         child,
         lines,
         requests,
@@ -364,13 +444,18 @@
     }
 }
 
-fn spawn(settings: &PathBuf, advertised: SocketAddr) -> (Child, Arc<Mutex<Vec<String>>>) {
+fn spawn(
+    settings: &PathBuf,
+    advertised: SocketAddr,
+    arguments: &[String],
+) -> (Child, Arc<Mutex<Vec<String>>>) {
     let mut child = Command::new(program_path("coltsfootweird"))
         .arg("sidecar")
         .arg("--settings")
         .arg(settings)
         .arg("--advertised")
         .arg(advertised.to_string())
+        .args(arguments)
         .stdout(Stdio::piped())
         .stderr(Stdio::inherit())
         .spawn()
