Requests that may be repeated are read and run ahead on a connection

Cause: hyper's server reads a request only after the answer to the one before, so a client that sends requests ahead waits for the sum of their run times. Change: an own server for the connections of clients, on httparse. Up to 16 requests that may run twice and have no body run beside each other, with at most 256 KB of answers that wait for earlier ones; all others wait until they are alone. Answers keep the order, a connection is not closed before the last request that was started is answered, the rest of a refused body is drained up to 64 KB, and a connection with more is read a while before it is closed, so that the refusal is not lost in a reset. Heads and bodies of ambiguous length are refused. httparse takes a chunk header without digits for the last chunk: such chunks are refused now, in answers of endpoints, too, where one that breaks off there looked complete.

--- a/coltsfootweir/src/sidecar/http_body.rs
+++ b/coltsfootweir/src/sidecar/http_body.rs
@@ -3,6 +3,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
 
+use crate::sidecar::client_connection::body_decoder::starts_with_digit;
 use crate::sidecar::http_exchange::ExchangeError;
 
 /// Maximum size of a response head and of all trailers, in bytes; hyper's default for its read
@@ -135,6 +136,10 @@
             self.is_in_chunk = false;
         }
         loop {
+            // The parser would take a line without digits for the last chunk.
+            if !starts_with_digit(socket.buffer) {
+                return Err(ExchangeError::Malformed);
+            }
             let parsed =
                 httparse::parse_chunk_size(socket.buffer).map_err(|_| ExchangeError::Malformed)?;
             if let httparse::Status::Complete((start, size)) = parsed {
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -1,6 +1,5 @@
 //! HTTP server for requests of clients and of the endpoint on the local VM.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,13 +11,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Version;
-use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use log::info;
 use log::warn;
 use serde_json::json;
@@ -34,6 +28,8 @@
 use crate::sidecar::answer::client_body::RunningCount;
 use crate::sidecar::call_attempts::CallAttempts;
 use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
+use crate::sidecar::client_connection::connection::ClientConnection;
+use crate::sidecar::client_connection::request_body::RequestBody;
 use crate::sidecar::client_response::daemon_response;
 use crate::sidecar::client_response::endpoint_response;
 use crate::sidecar::client_response::jittered;
@@ -78,9 +74,6 @@
     idle_ms: 15_000,
 };
 
-/// Minimum size of the read buffer that hyper accepts, in bytes.
-const MIN_READ_BUFFER: usize = 8 * 1024;
-
 /// Upper limit on the size of a request body, in bytes, regardless of the configuration.
 const BODY_LIMIT: u64 = 32 * 1024 * 1024;
 
@@ -117,42 +110,25 @@
     }
 }
 
-async fn serve_client(
-    state: Rc<SidecarState>,
-    stream: TcpStream,
-    mut stopping: watch::Receiver<bool>,
-) {
+async fn serve_client(state: Rc<SidecarState>, stream: TcpStream, stopping: watch::Receiver<bool>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let active = state.config.active();
     let limits = active.map_or(DEFAULT_LIMITS, |active| active.config.limits);
-    let idle = Duration::from_millis(u64::from(limits.idle_ms.max(limits.header_ms)));
-    let service = service_fn(move |request| {
-        let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(serve_request(&state, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Hyper also applies this limit to the wait for the next request.
-        .header_read_timeout(idle)
-        .max_buf_size(MIN_READ_BUFFER.max(limits.header_bytes as usize))
-        .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let mut is_stopping = false;
-    loop {
-        tokio::select! {
-            // An error is ignored, since clients may close a connection at any time.
-            _ = connection.as_mut() => return,
-            changed = stopping.changed(), if !is_stopping => {
-                is_stopping = true;
-                if changed.is_ok() {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-        }
-    }
+    ClientConnection::new(state, stream, limits)
+        .run(stopping)
+        .await;
+}
+
+/// Returns whether a request belongs to a route whose requests may run more than once.
+pub(crate) fn is_repeatable<B>(state: &SidecarState, request: &Request<B>) -> bool {
+    let Some(active) = state.config.active() else {
+        return false;
+    };
+    let host = header_text(request.headers(), "host").unwrap_or_default();
+    let route = find_route(&active, host, request.uri().path());
+    route.is_some_and(|route| route.is_repeatable)
 }
 
 /// Details of a request for the log.
@@ -166,9 +142,10 @@
     start: Duration,
 }
 
-async fn serve_request(
+/// Serves one request. Dropping the future cancels it.
+pub(crate) async fn serve_request(
     state: &Rc<SidecarState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<ClientBody> {
     let running = RunningCount::new(state);
     let id = header_text(
@@ -186,7 +163,7 @@
 
 async fn respond(
     state: &Rc<SidecarState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     id: &str,
     running: RunningCount,
 ) -> Response<ClientBody> {
