Allowed regions: filter on the choice of endpoints, and links to the other region

Cause: allowed_regions of routes and teams were parsed and not used. Change: the endpoint choice (first attempts, retries, hedged requests and overflow) excludes endpoints of regions that the route or the team does not allow, and a call is checked again before it leaves for a peer. A request without an allowed region gets 503 at once and a log line.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -29,6 +29,8 @@
 use crate::sidecar::local_endpoint::wall_ms;
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
+use crate::sidecar::placement::region_filter::RegionFilter;
+use crate::sidecar::placement::region_task::log_region_refusal;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -58,6 +60,8 @@
     state: &'a SidecarState,
     route: &'a MeshRoute,
     caller: RequestCaller<'a>,
+    /// Regions in which the request may run.
+    regions: RegionFilter<'a>,
     service: ServiceName,
     deadline: Duration,
     /// Time by which the request should finish, at most `deadline`.
@@ -100,10 +104,12 @@
             true => deadline,
             false => deadline.min(state.now() + target),
         };
+        let team_regions = caller.team.map_or(&[][..], |team| &team.allowed_regions);
         CallAttempts {
             state,
             route,
             caller,
+            regions: RegionFilter::new(&route.terms.allowed_regions, team_regions),
             service,
             deadline,
             finish_by,
@@ -121,7 +127,7 @@
         let mut last_failure = None;
         let end = loop {
             let Some(chosen) = self.choose() else {
-                break AttemptEnd::from(self.no_endpoint_result());
+                break AttemptEnd::from(self.no_endpoint_result(&call.request_id));
             };
             let end = self.attempt_with_hedge(call, chosen).await;
             if !self.should_retry(&end.result) {
@@ -368,8 +374,11 @@
     }
 
     /// Returns the result of a request for which no further endpoint can be chosen.
-    fn no_endpoint_result(&self) -> CallResult {
+    fn no_endpoint_result(&self, request: &str) -> CallResult {
         let Some(wait) = self.shortest_wait.get() else {
+            if self.regions.is_limited() {
+                log_region_refusal(request, self.route, self.caller);
+            }
             return not_run(NotRunCause::Unreachable);
         };
         CallResult::NotRun(NotRunReport {
@@ -385,6 +394,10 @@
         call: ForwardedCall,
     ) -> (Option<EndpointLoad>, AttemptEnd) {
         let unreachable = || (None, AttemptEnd::from(not_run(NotRunCause::Unreachable)));
+        // The body must not leave for another region, whatever led to this choice.
+        if !self.may_send_to(member) {
+            return unreachable();
+        }
         let Some(link) = self.state.members.link(member) else {
             return unreachable();
         };
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -32,10 +32,19 @@
         };
         let is_own = record.id == self.state.settings.borrow().id;
         endpoint.service == self.service
+            && self.regions.allows(&record.region)
             && endpoint.phase == EndpointPhase::Ready
             && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
     }
 
+    /// Returns whether the region of a daemon is known and allowed.
+    pub(super) fn may_send_to(&self, member: &MemberId) -> bool {
+        self.state.members.read(|table| {
+            let record = table.get(member);
+            record.is_some_and(|record| self.regions.allows(&record.region))
+        })
+    }
+
     /// Chooses an endpoint of the version that the request goes to during a rollout.
     pub(super) fn choose(&self) -> Option<ChosenEndpoint> {
         let share = self.state.settings.borrow().bounds.canary_share;
@@ -68,7 +77,8 @@
             let mut versions = Vec::new();
             let mut tried_records = tried.iter().filter_map(|id| table.get(id));
             // The round trip to another region is too long to be refused there twice.
-            let tried_remote = tried_records.any(|record| record.region != region);
+            let is_home = self.regions.allows(&region);
+            let tried_remote = is_home && tried_records.any(|record| record.region != region);
             let mut is_served_locally = false;
             let has_large_answer = self.has_large_answer();
             let mut own = None;
@@ -113,7 +123,7 @@
                     is_late: now + run.mul_f64(pace) > self.finish_by,
                 });
             }
-            if !is_served_locally {
+            if !is_served_locally && !self.regions.is_empty() {
                 self.state.members.link_other_regions(now);
             }
             let mut chooser = self.state.routing.chooser.borrow_mut();
@@ -154,7 +164,9 @@
             self.state.members.link_other_regions(now);
         }
         let mut refused_for = reported.refused_for(&record.id, self.route_hash, now);
-        if !is_local {
+        // Requests that may only run in other regions have no better choice there.
+        let is_home = self.regions.allows(&self.state.settings.borrow().region);
+        if !is_local && is_home {
             let region_for = reported.refused_for(&record.region, self.route_hash, now);
             refused_for = refused_for.max(region_for);
         }
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -19,6 +19,7 @@
 use crate::sidecar::member_table::MemberTable;
 use crate::sidecar::member_table::StoreReach;
 use crate::sidecar::peer_link::PeerLink;
+use crate::sidecar::placement::region_links::RemoteServices;
 use crate::sidecar::zone_order::FetchScope;
 use crate::sidecar::zone_order::ZoneOrder;
 
@@ -55,6 +56,8 @@
     compared_at: Cell<Duration>,
     /// Time until which endpoints of other regions are linked.
     other_regions_until: Cell<Duration>,
+    /// Services whose requests may have to run in another region.
+    remote_services: RefCell<RemoteServices>,
 }
 
 impl MemberDirectory {
@@ -70,6 +73,7 @@
             changed: RefCell::default(),
             compared_at: Cell::default(),
             other_regions_until: Cell::default(),
+            remote_services: RefCell::default(),
         }
     }
 
@@ -252,6 +256,11 @@
         self.other_regions_until.set(now + OTHER_REGIONS_TIME);
     }
 
+    /// Sets the services whose requests may have to run in another region.
+    pub fn set_remote_services(&self, services: RemoteServices) {
+        self.remote_services.replace(services);
+    }
+
     /// Returns whether a daemon is not known to be unreachable. True if it was not dialed yet.
     #[must_use]
     pub fn is_presumed_live(&self, id: &MemberId) -> bool {
@@ -328,8 +337,8 @@
     /// Returns the daemons to dial now, and marks each as being dialed.
     ///
     /// In the own region, daemons of the services in `called` come first, then those of the own
-    /// zone, up to a limit. In other regions only the relays and the store watchers are linked. All
-    /// daemons of other regions are linked while their endpoints are needed, and [`LinkScope::All`]
+    /// zone, up to a limit. In other regions only the relays and the store watchers are linked, and
+    /// endpoints of services whose requests may not run in the own region. All daemons of other regions are linked while their endpoints are needed, and [`LinkScope::All`]
     /// links all daemons.
     pub fn take_dials(
         &self,
@@ -353,6 +362,9 @@
         }
         let mut required = self.nearest(STORE_WATCHERS);
         required.extend(self.relays_of(zones(other_regions.iter().copied())));
+        let remote = self.remote_services.borrow();
+        let chosen = remote.choose(&own.id, other_regions.iter().copied());
+        required.extend(chosen.iter().map(|record| record.id.clone()));
         for record in other_regions {
             if is_all || now < self.other_regions_until.get() || required.contains(&record.id) {
                 wanted.push(record);
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -40,6 +40,8 @@
 pub mod peer_link;
 pub mod peer_server;
 #[doc(hidden)]
+pub mod placement;
+#[doc(hidden)]
 pub mod planned_stop;
 pub mod platform_adapter;
 #[doc(hidden)]
--- /dev/null
+++ b/coltsfootweir/src/sidecar/placement/mod.rs
@@ -0,0 +1,5 @@
+//! Where requests may run: allowed regions and evacuated zones.
+
+pub mod region_filter;
+pub mod region_links;
+pub mod region_task;
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -43,6 +43,7 @@
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::TrafficSplitter;
 use crate::sidecar::metrics::SidecarMetrics;
+use crate::sidecar::placement::region_task::apply_regions;
 use crate::sidecar::planned_stop::stop_control::StopControl;
 use crate::sidecar::platform_adapter::PlatformAdapter;
 use crate::sidecar::platform_adapter::RolloutOrder;
@@ -311,9 +312,10 @@
         }
     }
 
-    /// Announces the version of the active configuration to the peers. `is_first_in_zone` tells that
-    /// it did not come from a daemon of the own zone.
+    /// Applies the active configuration, which is new, and announces its version to the peers.
+    /// `is_first_in_zone` tells that it did not come from a daemon of the own zone.
     pub fn announce_config(&self, is_first_in_zone: bool) {
+        apply_regions(self);
         let frame = self.config_held_frame();
         self.members.send_config_notice(&frame, is_first_in_zone);
     }
