Cold endpoints: a token bucket at the guard limits their requests

Cause: warmup_left of announcements was parsed and not used; a cold endpoint got as many requests as a warm one. Change: the guard starts requests at a cold endpoint by a token bucket of warmup_per_s with a burst of half the slack, empty at the change to cold. Queued requests wait for their token, and a request that cannot get one before its time limit is refused at once with the time of the next token. An endpoint counts as cold after a start, an outage or a restart of the daemon until the second announcement after it says otherwise: the first may have been sent before. While cold, fewer slots are published. Forwarded calls are refused without a configuration in deployments with such limits. Only services with warmup_per_s in deployments with warmup_overage are limited.

--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -10,6 +10,7 @@
 use crate::load_report::LoadReport;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
+use crate::sidecar::warmup::warmup_pacer::WarmupPacer;
 
 /// Weight of the newest run in the moving average of the run time, as a divisor.
 const ESTIMATE_WEIGHT: u32 = 16;
@@ -82,6 +83,8 @@
     waiting: VecDeque<WaitingRequest>,
     run_time: Option<Duration>,
     deviation: Duration,
+    /// Limits the starts while the upstream is cold.
+    pacer: WarmupPacer,
 }
 
 impl GuardState {
@@ -97,6 +100,7 @@
             waiting: VecDeque::new(),
             run_time: None,
             deviation: Duration::ZERO,
+            pacer: WarmupPacer::default(),
         }
     }
 
@@ -131,7 +135,7 @@
         if let Some(reason) = refusal {
             return (AdmitDecision::Refuse(reason), events);
         }
-        if !self.can_start() && self.waiting.len() >= self.queue_limit {
+        if !self.can_start(now) && self.waiting.len() >= self.queue_limit {
             let rank = request.rank;
             let Some(last) = self.waiting.pop_back_if(|last| last.rank > rank) else {
                 let decision = AdmitDecision::Refuse(RefusalReason::Overloaded);
@@ -156,13 +160,14 @@
         if now >= request.finish_by {
             return Some(RefusalReason::DeadlinePassed);
         }
-        let is_too_late = if self.can_start() {
+        let is_too_late = if self.can_start(now) {
             // An idle upstream runs even a request that seems too long: without new runs, a wrong
             // estimate would never be corrected.
             let least_time = request.run / QUICK_RUN_DIVISOR;
             !self.running.is_empty() && now + least_time > request.finish_by
         } else {
             let wait = self.expected_wait(request).mul_f64(request.wait_factor);
+            let wait = wait.max(self.token_wait(request.rank, request.finish_by, now));
             now + wait + request.run > request.finish_by
         };
         is_too_late.then_some(RefusalReason::Overloaded)
@@ -184,7 +189,7 @@
     /// Returns the wait for a slot that the present queue suggests for a request that arrives now.
     #[must_use]
     pub fn expected_wait(&self, request: &RankedRequest) -> Duration {
-        if self.can_start() {
+        if self.has_free_slot() {
             return Duration::ZERO;
         }
         let ahead = self.count_ahead(request.rank, request.finish_by);
@@ -200,14 +205,53 @@
     /// Returns the expected wait for a slot of a request that arrives now with this rank.
     #[must_use]
     pub fn wait_time(&self, rank: u8) -> Duration {
-        match self.can_start() {
+        match self.has_free_slot() {
             true => Duration::ZERO,
             false => self.wait_behind(self.count_ahead(rank, Duration::MAX)),
         }
     }
 
+    /// Returns the time until a request that arrives now with this rank and deadline may start at a
+    /// cold upstream, apart from the wait for a slot.
+    #[must_use]
+    pub fn token_wait(&self, rank: u8, deadline: Duration, now: Duration) -> Duration {
+        self.pacer.token_wait(self.count_ahead(rank, deadline), now)
+    }
+
+    /// Returns the pause after which [`GuardState::poll`] may start a request that waits because the
+    /// upstream is cold; `None` if none does.
+    #[must_use]
+    pub fn pace_pause(&self, now: Duration) -> Option<Duration> {
+        if self.waiting.is_empty() || !self.pacer.is_pacing(now) {
+            return None;
+        }
+        // If there is a token, the requests wait for a slot, whose release starts the next one.
+        let wait = self.pacer.token_wait(0, now);
+        Some(match wait.is_zero() {
+            true => self.pacer.token_interval(),
+            false => wait,
+        })
+    }
+
+    /// Returns what limits the starts while the upstream is cold.
+    #[must_use]
+    pub fn pacer(&self) -> &WarmupPacer {
+        &self.pacer
+    }
+
+    /// Changes what limits the starts while the upstream is cold.
+    pub fn change_pacer(
+        &mut self,
+        change: impl FnOnce(&mut WarmupPacer),
+        now: Duration,
+    ) -> Vec<GuardEvent> {
+        change(&mut self.pacer);
+        self.poll(now)
+    }
+
     fn admit(&mut self, request: WaitingRequest, now: Duration) -> AdmitDecision {
-        if self.can_start() {
+        if self.can_start(now) {
+            self.pacer.take(now);
             self.running.insert(request.id, now);
             return AdmitDecision::Run;
         }
@@ -225,7 +269,7 @@
         if now >= deadline {
             return Some(RefusalReason::DeadlinePassed);
         }
-        let is_too_late = if self.can_start() {
+        let is_too_late = if self.can_start(now) {
             self.is_too_long(deadline, now)
         } else {
             let reserve = self.deviation * WAIT_DEVIATIONS;
@@ -279,10 +323,11 @@
                 events.push(GuardEvent::Expire(request.id));
                 continue;
             }
-            if !self.has_free_slot() {
+            if !self.has_free_slot() || !self.pacer.has_token(now) {
                 self.waiting.push_back(request);
                 continue;
             }
+            self.pacer.take(now);
             self.running.insert(request.id, now);
             events.push(GuardEvent::Start(request.id));
         }
@@ -339,8 +384,8 @@
         }
     }
 
-    fn can_start(&self) -> bool {
-        self.has_free_slot() && self.waiting.is_empty()
+    fn can_start(&self, now: Duration) -> bool {
+        self.has_free_slot() && self.waiting.is_empty() && self.pacer.has_token(now)
     }
 
     /// Returns whether a request that could start now would take too long. An idle upstream runs it
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -30,7 +30,6 @@
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
 use crate::sidecar::placement::region_filter::RegionFilter;
-use crate::sidecar::placement::region_task::log_region_refusal;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -373,21 +372,6 @@
         }
     }
 
-    /// Returns the result of a request for which no further endpoint can be chosen.
-    fn no_endpoint_result(&self, request: &str) -> CallResult {
-        let Some(wait) = self.shortest_wait.get() else {
-            if self.regions.is_limited() {
-                log_region_refusal(request, self.route, self.caller);
-            }
-            return not_run(NotRunCause::Unreachable);
-        };
-        CallResult::NotRun(NotRunReport {
-            cause: self.refused_for.get(),
-            reached: false,
-            retry_after_ms: millis(wait),
-        })
-    }
-
     async fn run_remote(
         &self,
         member: &MemberId,
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -10,7 +10,13 @@
 use crate::ids::VersionName;
 use crate::member::EndpointPhase;
 use crate::sidecar::call_attempts::CallAttempts;
+use crate::sidecar::call_attempts::millis;
+use crate::sidecar::frame::CallResult;
+use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::NotRunReport;
+use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::placement::region_task::log_region_refusal;
 use crate::sidecar::rollout::VersionChoice;
 
 /// Factor on the slots of endpoints in the local region, in tenths: a short wait there costs
@@ -138,6 +144,21 @@
         })
     }
 
+    /// Returns the result of a request for which no further endpoint can be chosen.
+    pub(super) fn no_endpoint_result(&self, request: &str) -> CallResult {
+        let Some(wait) = self.shortest_wait.get() else {
+            if self.regions.is_limited() {
+                log_region_refusal(request, self.route, self.caller);
+            }
+            return not_run(NotRunCause::Unreachable);
+        };
+        CallResult::NotRun(NotRunReport {
+            cause: self.refused_for.get(),
+            reached: false,
+            retry_after_ms: millis(wait),
+        })
+    }
+
     /// Returns whether an endpoint may be asked to run the request. Records the expected wait otherwise.
     ///
     /// An endpoint of the local region is asked unless it has just refused such a request: its daemon
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -153,6 +153,7 @@
     metrics.set("endpoint_running", u64::from(load.running));
     metrics.set("endpoint_waiting", u64::from(load.total_waiting()));
     metrics.set("endpoint_connections", state.endpoint.connections_opened());
+    metrics.set("endpoint_cold", u64::from(state.endpoint.is_pacing()));
     metrics.set("log_lines_dropped", dropped_lines());
     let (backlog, rate, window) = state.uplink.figures();
     metrics.set("uplink_backlog_bytes", backlog);
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -77,6 +77,9 @@
     headers: HeaderNames,
     register: RefCell<EndpointRegister>,
     slots: Rc<SlotQueue>,
+    /// Slots to publish while the endpoint is cold. They follow the run times with each announcement.
+    cold_slots: Cell<u16>,
+    was_pacing: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     idle_limit: Cell<Duration>,
     poison: Rc<RefCell<PoisonTable>>,
@@ -119,6 +122,8 @@
             slots: SlotQueue::new(Arc::clone(&clock)),
             clock,
             headers,
+            cold_slots: Cell::new(1),
+            was_pacing: Cell::new(false),
             register: RefCell::default(),
             idle: RefCell::default(),
             idle_limit: Cell::new(DEFAULT_IDLE_LIMIT),
@@ -138,7 +143,10 @@
             id: current.id.clone(),
             service: current.service.clone(),
             version: current.version.clone(),
-            slots: current.slots,
+            slots: match self.slots.is_pacing() {
+                true => current.slots.min(self.cold_slots.get()),
+                false => current.slots,
+            },
             phase: register.phase(),
         })
     }
@@ -223,7 +231,7 @@
                 let what = json!({"name": "endpoint_unreachable", "endpoint": current.id,
                     "request": call.request_id});
                 info!(target: UPSTREAM, "{what}");
-                self.sync_phase();
+                self.on_down();
             }
             return not_run(NotRunCause::Closed);
         };
@@ -399,7 +407,7 @@
         let probe = HttpConnection::open(address, CONNECT_TIMEOUT).await;
         let Ok(connection) = probe else {
             let changed = self.register.borrow_mut().mark_down();
-            self.sync_phase();
+            self.on_down();
             return changed;
         };
         let until = self.clock.now() + self.idle_limit.get();
--- a/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
@@ -16,6 +16,7 @@
 use crate::sidecar::announcement::EndpointAnnouncement;
 use crate::sidecar::announcement::EndpointDeparture;
 use crate::sidecar::announcement::RegisterChange;
+use crate::sidecar::warmup::warmup_pacer::WarmupTerms;
 
 /// Number of announcement intervals without an announcement after which the endpoint is down.
 const SILENT_INTERVALS: u32 = 4;
@@ -34,12 +35,22 @@
             announcement.is_leaving,
         );
         let slots = announcement.slots;
+        let warmup_left = announcement.warmup_left;
         let now = self.clock.now();
         let wall = wall_ms(self.clock.wall());
         let change = self
             .register
             .borrow_mut()
             .announce(announcement, service, address, now, wall);
+        if change == RegisterChange::Replaced {
+            self.assume_cold();
+        }
+        // An announcement that is passed over may be older than the last one.
+        if !matches!(change, RegisterChange::PassedOver(_)) {
+            self.slots
+                .change_pacer(|pacer, now| pacer.on_announcement(warmup_left, now));
+            self.cold_slots.set(self.slots.busy_slots().unwrap_or(1));
+        }
         match change {
             RegisterChange::Same => return change,
             RegisterChange::Replaced => {
@@ -119,8 +130,50 @@
             let what =
                 json!({"name": "endpoint_silent", "silent_ms": silent_for.as_millis() as u64});
             info!(target: UPSTREAM, "{what}");
-            self.sync_phase();
+            self.on_down();
         }
         changed
     }
+
+    /// Sets the limits on requests to the endpoint while it is cold.
+    pub fn set_warmup_terms(&self, terms: Option<WarmupTerms>) {
+        self.slots
+            .change_pacer(|pacer, now| pacer.set_terms(terms, now));
+    }
+
+    /// Returns whether the requests to the endpoint are limited because it is cold.
+    #[must_use]
+    pub fn is_pacing(&self) -> bool {
+        self.slots.is_pacing()
+    }
+
+    /// Logs a change between cold and warm since the last call.
+    pub fn log_warmth(&self) {
+        let is_pacing = self.slots.is_pacing();
+        if is_pacing == self.was_pacing.replace(is_pacing) {
+            return;
+        }
+        let register = self.register.borrow();
+        let Some(current) = register.current() else {
+            return;
+        };
+        let name = match is_pacing {
+            true => "endpoint_cold",
+            false => "endpoint_warm",
+        };
+        let what = json!({"name": name, "endpoint": current.id,
+            "announced_left_ms": current.warmup_left.as_millis() as u64});
+        info!(target: UPSTREAM, "{what}");
+    }
+
+    /// Has the endpoint count as cold until its announcements state otherwise.
+    pub(super) fn assume_cold(&self) {
+        self.slots.change_pacer(|pacer, now| pacer.assume_cold(now));
+    }
+
+    /// Applies that the endpoint is down. It may have started anew when it is up again.
+    pub(super) fn on_down(&self) {
+        self.assume_cold();
+        self.sync_phase();
+    }
 }
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -186,6 +186,7 @@
         if state.endpoint.check_silence(settings.announce_interval) {
             state.publish();
         }
+        state.endpoint.log_warmth();
         state.publish_crashes(state.endpoint.take_crashes());
         let is_relay = state.members.is_relay();
         if is_relay && !was_relay {
--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -29,7 +29,7 @@
 }
 
 /// Names and help texts of the gauges. They are set when the metrics are requested.
-const GAUGES: [(&str, &str); 12] = [
+const GAUGES: [(&str, &str); 14] = [
     ("config_version", "version of the configuration in force"),
     ("members_live", "daemons in reach, this one included"),
     ("store_calls", "calls made to the store"),
@@ -37,6 +37,11 @@
     ("endpoint_running", "requests at the endpoint on this VM"),
     ("endpoint_waiting", "requests waiting for the endpoint"),
     ("endpoint_connections", "connections opened to the endpoint"),
+    (
+        "endpoint_cold",
+        "1 while requests to the endpoint are limited because it is cold",
+    ),
+    ("zones_evacuated", "zones that are evacuated"),
     ("log_lines_dropped", "log lines that did not fit the queue"),
     (
         "uplink_backlog_bytes",
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -67,4 +67,6 @@
 #[doc(hidden)]
 pub mod wait_factors;
 #[doc(hidden)]
+pub mod warmup;
+#[doc(hidden)]
 pub mod zone_order;
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -29,6 +29,7 @@
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::freshness_task::answer_freshness;
 use crate::sidecar::teams::freshness_task::take_freshness;
+use crate::sidecar::warmup::warmup_task::awaits_config;
 
 type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
 
@@ -210,10 +211,10 @@
     }
 }
 
-/// Returns whether forwarded calls are refused, because this daemon is stopping or a rollout has
-/// taken the endpoint's version out of service.
+/// Returns whether forwarded calls are refused, because this daemon is stopping, does not know the
+/// limits on its endpoint, or a rollout has taken the endpoint's version out of service.
 fn refuses_calls(state: &SidecarState) -> bool {
-    if state.is_leaving.get() {
+    if state.is_leaving.get() || awaits_config(state) {
         return true;
     }
     let Some(endpoint) = state.endpoint.summary() else {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -54,6 +54,7 @@
 use crate::sidecar::spread::config_spread::ConfigSpread;
 use crate::sidecar::store_client::StoreClient;
 use crate::sidecar::teams::config_freshness::ConfigFreshness;
+use crate::sidecar::warmup::warmup_task::apply_warmup;
 
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
 const MAX_PUBLISHED_CRASHES: usize = 32;
@@ -316,6 +317,7 @@
     /// `is_first_in_zone` tells that it did not come from a daemon of the own zone.
     pub fn announce_config(&self, is_first_in_zone: bool) {
         apply_regions(self);
+        apply_warmup(self);
         let frame = self.config_held_frame();
         self.members.send_config_notice(&frame, is_first_in_zone);
     }
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -17,6 +17,7 @@
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::run_times::RunTimes;
 use crate::sidecar::wait_factors::WaitFactors;
+use crate::sidecar::warmup::warmup_pacer::WarmupPacer;
 
 /// Maximum number of waiting requests per slot. It limits memory use when runs are short; when runs
 /// are long, the deadlines of the requests limit the queue first.
@@ -28,6 +29,8 @@
     run_times: RunTimes,
     wait_factors: WaitFactors,
     next_id: u64,
+    /// Whether a task starts the requests that wait because the endpoint is cold.
+    is_timed: bool,
 }
 
 /// A request for a slot.
@@ -61,6 +64,7 @@
             run_times: RunTimes::default(),
             wait_factors: WaitFactors::default(),
             next_id: 0,
+            is_timed: false,
         };
         Rc::new(SlotQueue {
             state: RefCell::new(state),
@@ -76,7 +80,63 @@
         let refused = state.guard.set_phase(EndpointPhase::Down, now);
         state.deliver(refused, now);
         let queue_limit = WAITING_PER_SLOT * usize::from(slots);
+        let pacer = state.guard.pacer().clone();
         state.guard = GuardState::new(slots, queue_limit);
+        state.guard.change_pacer(|kept| *kept = pacer, now);
+    }
+
+    /// Changes what limits the requests to a cold endpoint.
+    pub fn change_pacer(&self, change: impl FnOnce(&mut WarmupPacer, Duration)) {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let events = state.guard.change_pacer(|pacer| change(pacer, now), now);
+        state.deliver(events, now);
+    }
+
+    /// Returns whether the requests to the endpoint are limited because it is cold.
+    #[must_use]
+    pub fn is_pacing(&self) -> bool {
+        let state = self.state.borrow();
+        state.guard.pacer().is_pacing(self.clock.now())
+    }
+
+    /// Returns the number of slots that the requests to a cold endpoint keep busy; `None` if they are
+    /// not limited.
+    #[must_use]
+    pub fn busy_slots(&self) -> Option<u16> {
+        let state = self.state.borrow();
+        let pacer = state.guard.pacer();
+        let terms = pacer.terms().filter(|_| pacer.is_cold(self.clock.now()))?;
+        Some(terms.busy_slots(state.guard.expected_run()))
+    }
+
+    /// Has a task start the requests that wait because the endpoint is cold, unless one does.
+    fn time_paced(self: &Rc<Self>, now: Duration) {
+        let mut state = self.state.borrow_mut();
+        if state.is_timed || state.guard.pace_pause(now).is_none() {
+            return;
+        }
+        state.is_timed = true;
+        tokio::task::spawn_local(Rc::clone(self).start_paced());
+    }
+
+    /// Starts waiting requests when a cold endpoint may receive them, until none waits for that.
+    async fn start_paced(self: Rc<Self>) {
+        loop {
+            let pause = {
+                let mut state = self.state.borrow_mut();
+                let now = self.clock.now();
+                let events = state.guard.poll(now);
+                state.deliver(events, now);
+                let pause = state.guard.pace_pause(now);
+                state.is_timed = pause.is_some();
+                pause
+            };
+            let Some(pause) = pause else {
+                return;
+            };
+            tokio::time::sleep(pause).await;
+        }
     }
 
     /// Sets whether the endpoint accepts requests.
@@ -112,14 +172,15 @@
     /// Returns the expected wait of a new request of `rank` for a slot.
     #[must_use]
     pub fn wait_time(&self, rank: u8) -> Duration {
-        self.state.borrow().guard.wait_time(rank)
+        let state = self.state.borrow();
+        state.wait_time(rank, self.clock.now())
     }
 
     /// Returns the time after which a request of `rank` that arrives now should have run.
     #[must_use]
     pub fn expected_time(&self, rank: u8, route_hash: u32) -> Duration {
         let state = self.state.borrow();
-        state.guard.wait_time(rank) + state.run_times.expected(route_hash)
+        state.wait_time(rank, self.clock.now()) + state.run_times.expected(route_hash)
     }
 
     /// Returns the fingerprints of the running requests.
@@ -145,7 +206,8 @@
                 run: state.run_times.expected(request.route_hash),
                 wait_factor: state.wait_factors.factor(request.route_hash),
             };
-            let expected_wait = state.guard.expected_wait(&ranked);
+            let token_wait = state.guard.token_wait(ranked.rank, ranked.finish_by, now);
+            let expected_wait = state.guard.expected_wait(&ranked).max(token_wait);
             let (decision, events) = state.guard.arrive_ranked(id, ranked, now);
             state.deliver(events, now);
             let waiter = match decision {
@@ -169,6 +231,7 @@
         let Some(waiter) = waiter else {
             return Ok(permit);
         };
+        self.time_paced(arrived);
         let left = request.finish_by.saturating_sub(self.clock.now());
         let admission = tokio::time::timeout(left, waiter.recv_async()).await;
         let waited = self.clock.now().saturating_sub(arrived);
@@ -186,6 +249,11 @@
 }
 
 impl QueueState {
+    fn wait_time(&self, rank: u8, now: Duration) -> Duration {
+        let token_wait = self.guard.token_wait(rank, Duration::MAX, now);
+        self.guard.wait_time(rank).max(token_wait)
+    }
+
     fn deliver(&mut self, events: Vec<GuardEvent>, now: Duration) {
         self.requests.deliver(&mut self.guard, events, now);
     }
