Evacuated zones: ingresses move requests away, guards close the endpoints

Cause: rows op/evacuate/ZONE were read and not used. Change: store watchers hold the set of evacuated zones with the store version of the read; it spreads as a frame like the versions of configurations: changes at once, comparisons every 300 ms and on each new link, once a zone has been evacuated. Ingresses stop choosing the zone within 0.3 of the bound, its guards close the endpoints at 0.4 of it, also for queued requests. After the end an endpoint counts as cold. A daemon that learns of an evacuation within the bound of its start applies it at once, and a restarted one keeps its endpoint closed until it has read the store, heard from a peer, or had a link for 1 s. mesh status lists the zones; gauges endpoint_cold and zones_evacuated.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::MemberId;
@@ -61,6 +62,8 @@
     caller: RequestCaller<'a>,
     /// Regions in which the request may run.
     regions: RegionFilter<'a>,
+    /// Zones of which at least this share of requests is moved away are not used.
+    zone_point: Cell<f64>,
     service: ServiceName,
     deadline: Duration,
     /// Time by which the request should finish, at most `deadline`.
@@ -104,11 +107,16 @@
             false => deadline.min(state.now() + target),
         };
         let team_regions = caller.team.map_or(&[][..], |team| &team.allowed_regions);
+        let zone_point = match state.evacuations.borrow().is_empty() {
+            true => 1.0,
+            false => rand::rng().random_range(0.0..1.0),
+        };
         CallAttempts {
             state,
             route,
             caller,
             regions: RegionFilter::new(&route.terms.allowed_regions, team_regions),
+            zone_point: Cell::new(zone_point),
             service,
             deadline,
             finish_by,
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -39,10 +39,22 @@
         let is_own = record.id == self.state.settings.borrow().id;
         endpoint.service == self.service
             && self.regions.allows(&record.region)
+            && self.uses_zone(&record.zone)
             && endpoint.phase == EndpointPhase::Ready
             && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
     }
 
+    /// Returns whether the request may go to a zone, which may be being evacuated.
+    fn uses_zone(&self, zone: &str) -> bool {
+        let set = self.state.evacuations.borrow();
+        if set.is_empty() {
+            return true;
+        }
+        let bound = self.state.settings.borrow().bounds.evacuation;
+        let share = set.avoided_share(zone, self.state.now(), bound.unwrap_or_default());
+        share <= 0.0 || self.zone_point.get() > share
+    }
+
     /// Returns whether the region of a daemon is known and allowed.
     pub(super) fn may_send_to(&self, member: &MemberId) -> bool {
         self.state.members.read(|table| {
@@ -51,8 +63,24 @@
         })
     }
 
-    /// Chooses an endpoint of the version that the request goes to during a rollout.
+    /// Chooses an endpoint. If none can be chosen elsewhere, a zone that is being evacuated is used
+    /// for as long as others use it.
     pub(super) fn choose(&self) -> Option<ChosenEndpoint> {
+        let chosen = self.choose_by_rollout();
+        let bound = self.state.settings.borrow().bounds.evacuation;
+        let is_fading = bound.is_some_and(|bound| {
+            let set = self.state.evacuations.borrow();
+            set.is_fading(self.state.now(), bound)
+        });
+        if chosen.is_some() || !is_fading {
+            return chosen;
+        }
+        self.zone_point.set(1.0);
+        self.choose_by_rollout()
+    }
+
+    /// Chooses an endpoint of the version that the request goes to during a rollout.
+    fn choose_by_rollout(&self) -> Option<ChosenEndpoint> {
         let share = self.state.settings.borrow().bounds.canary_share;
         let rollouts = self.state.rollouts.borrow();
         let rollout = rollouts.get(&self.service);
--- a/coltsfootweir/src/sidecar/config_task.rs
+++ b/coltsfootweir/src/sidecar/config_task.rs
@@ -2,6 +2,7 @@
 //!
 //! Only some daemons watch the store; the others receive changes from their peers.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,9 +11,12 @@
 use serde_json::json;
 
 use crate::ids::RowVersion;
+use crate::ids::ZoneName;
 use crate::logging::CONFIG;
 use crate::sidecar::member_table::RolloutStage;
 use crate::sidecar::member_table::StoreReach;
+use crate::sidecar::placement::evacuation_task::adopt_evacuations;
+use crate::sidecar::placement::evacuation_task::is_known_zone;
 use crate::sidecar::platform_adapter::OrderRow;
 use crate::sidecar::platform_adapter::RolloutOrder;
 use crate::sidecar::platform_adapter::RolloutPhase;
@@ -75,6 +79,7 @@
         failures: 0,
         is_watching: false,
         is_config_unreadable: false,
+        evacuated: BTreeSet::new(),
     };
     loop {
         watch.step().await;
@@ -92,6 +97,8 @@
     /// Whether the store holds a configuration that could not be read, so that the active one is not
     /// the newest.
     is_config_unreadable: bool,
+    /// Zones that are evacuated at the cursor.
+    evacuated: BTreeSet<ZoneName>,
 }
 
 impl OrderWatch {
@@ -181,11 +188,13 @@
     async fn read_orders(&mut self) -> Result<RowVersion, StoreFault> {
         let reply = self.state.store.read_all(StoreTable::Orders).await?;
         let mut orders = Vec::new();
+        self.evacuated.clear();
         for row in &reply.rows {
             if let Some(order) = self.apply_row(row) {
                 orders.push((order, row.version));
             }
         }
+        self.adopt_evacuated(reply.version);
         if !orders.is_empty() {
             self.add_existing_orders(orders).await?;
         }
@@ -228,10 +237,16 @@
                     .add_order(order, row.version, RolloutStage::Trial);
             }
         }
+        let version = reply.version.max(after);
+        self.adopt_evacuated(version);
         if !reply.rows.is_empty() {
             self.state.publish();
         }
-        Ok(reply.version.max(after))
+        Ok(version)
+    }
+
+    fn adopt_evacuated(&self, version: RowVersion) {
+        adopt_evacuations(&self.state, version, &self.evacuated, "store", true);
     }
 
     /// Activates the configuration in a row, or returns the rollout order in it. An unreadable row
@@ -246,7 +261,15 @@
                 None
             }
             Ok(OrderRow::Rollout(order)) => Some(order),
-            Ok(OrderRow::Evacuation { .. } | OrderRow::Other) => None,
+            Ok(OrderRow::Evacuation { zone, is_active }) => {
+                if !is_active {
+                    self.evacuated.remove(&zone);
+                } else if is_known_zone(&self.state, &zone) {
+                    self.evacuated.insert(zone);
+                }
+                None
+            }
+            Ok(OrderRow::Other) => None,
             Err(error) => {
                 self.is_config_unreadable |= error.is_config();
                 let event = json!({"name": "order_unreadable", "key": row.key,
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -154,6 +154,8 @@
     metrics.set("endpoint_waiting", u64::from(load.total_waiting()));
     metrics.set("endpoint_connections", state.endpoint.connections_opened());
     metrics.set("endpoint_cold", u64::from(state.endpoint.is_pacing()));
+    let evacuated = state.evacuations.borrow().zones().len();
+    metrics.set("zones_evacuated", evacuated as u64);
     metrics.set("log_lines_dropped", dropped_lines());
     let (backlog, rate, window) = state.uplink.figures();
     metrics.set("uplink_backlog_bytes", backlog);
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -21,6 +21,7 @@
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::logging::UPSTREAM;
+use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
 use crate::poison::PoisonTable;
 use crate::sidecar::announcement::EndpointRegister;
@@ -80,6 +81,7 @@
     /// Slots to publish while the endpoint is cold. They follow the run times with each announcement.
     cold_slots: Cell<u16>,
     was_pacing: Cell<bool>,
+    is_evacuated: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     idle_limit: Cell<Duration>,
     poison: Rc<RefCell<PoisonTable>>,
@@ -124,6 +126,7 @@
             headers,
             cold_slots: Cell::new(1),
             was_pacing: Cell::new(false),
+            is_evacuated: Cell::new(false),
             register: RefCell::default(),
             idle: RefCell::default(),
             idle_limit: Cell::new(DEFAULT_IDLE_LIMIT),
@@ -235,6 +238,10 @@
             }
             return not_run(NotRunCause::Closed);
         };
+        // The evacuation may have taken effect while the connection was opened.
+        if self.is_evacuated.get() {
+            return not_run(NotRunCause::Closed);
+        }
         let left = deadline.saturating_sub(self.clock.now());
         let bytes = write_request(call, &self.headers, &current.id, left);
         permit.start();
@@ -438,7 +445,10 @@
     }
 
     fn sync_phase(&self) {
-        let phase = self.register.borrow().phase();
+        let phase = match self.is_evacuated.get() {
+            true => EndpointPhase::Down,
+            false => self.register.borrow().phase(),
+        };
         self.slots.set_phase(phase);
     }
 }
--- a/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
@@ -166,6 +166,20 @@
         info!(target: UPSTREAM, "{what}");
     }
 
+    /// Sets whether the endpoint is closed because its zone is evacuated. Waiting requests are refused
+    /// then, and the endpoint counts as cold when it is used again.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        if is_evacuated == self.is_evacuated.replace(is_evacuated) {
+            return;
+        }
+        let name = match is_evacuated {
+            true => "endpoint_closed_for_evacuation",
+            false => "endpoint_opened_after_evacuation",
+        };
+        info!(target: UPSTREAM, "{}", json!({"name": name}));
+        self.on_down();
+    }
+
     /// Has the endpoint count as cold until its announcements state otherwise.
     pub(super) fn assume_cold(&self) {
         self.slots.change_pacer(|pacer, now| pacer.assume_cold(now));
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -165,12 +165,13 @@
         self.zone_order(&own.zone).fetch_scope(&own.id, waited)
     }
 
-    /// Sends a frame to the daemons that distribute a new configuration: always to this daemon's
-    /// children in the tree, from a relay or a store watcher also to the relays of all zones, and
-    /// from a relay also to all daemons of its zone. `is_first_in_zone` tells that the configuration
+    /// Returns the open links to the daemons that distribute a new configuration or evacuation: always
+    /// this daemon's children in the tree, from a relay or a store watcher also the relays of all
+    /// zones, and from a relay also all daemons of its zone. `is_first_in_zone` tells that the change
     /// did not come from the own zone: then its daemons are told by this one, as the relays may not
     /// have it.
-    pub fn send_config_notice(&self, frame: &PeerFrame, is_first_in_zone: bool) {
+    #[must_use]
+    pub fn notice_links(&self, is_first_in_zone: bool) -> Vec<Rc<PeerLink>> {
         let own = self.own.borrow();
         let table = self.table.borrow();
         let order = self.zone_order(&own.zone);
@@ -186,7 +187,12 @@
         }
         targets.sort_unstable();
         targets.dedup();
-        for link in targets.iter().filter_map(|id| self.link(id)) {
+        targets.iter().filter_map(|id| self.link(id)).collect()
+    }
+
+    /// Sends a frame to the daemons that distribute a new configuration.
+    pub fn send_config_notice(&self, frame: &PeerFrame, is_first_in_zone: bool) {
+        for link in self.notice_links(is_first_in_zone) {
             link.send(frame.clone());
         }
     }
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -17,6 +17,9 @@
 use crate::sidecar::peer_link::DialError;
 use crate::sidecar::peer_link::PeerLink;
 use crate::sidecar::peer_server::handle_sync_frame;
+use crate::sidecar::placement::evacuation_task::check_evacuation;
+use crate::sidecar::placement::evacuation_task::compare_evacuations;
+use crate::sidecar::placement::evacuation_task::send_evacuations;
 use crate::sidecar::platform_adapter::PlatformFormatError;
 use crate::sidecar::platform_adapter::StoreCall;
 use crate::sidecar::platform_adapter::StoreFault;
@@ -186,6 +189,7 @@
         if state.endpoint.check_silence(settings.announce_interval) {
             state.publish();
         }
+        check_evacuation(&state);
         state.endpoint.log_warmth();
         state.publish_crashes(state.endpoint.take_crashes());
         let is_relay = state.members.is_relay();
@@ -194,6 +198,7 @@
             for link in state.members.other_zone_links() {
                 link.send(state.digests());
                 link.send(state.config_held_frame());
+                compare_evacuations(&state, &link);
             }
         }
         was_relay = is_relay;
@@ -202,6 +207,7 @@
             && let Some(link) = state.members.version_check_link(tick / VERSION_CHECK_TICKS)
         {
             link.send(state.config_held_frame());
+            compare_evacuations(&state, &link);
         }
         if tick.is_multiple_of(COMPARE_TICKS)
             && let Some(link) = state.members.comparison_link(tick / COMPARE_TICKS)
@@ -229,6 +235,7 @@
         PeerFrame::DeparturesHeld(count, departures) => {
             on_departures_held(&receiver, side, count, &departures);
         }
+        PeerFrame::Features(_) => send_evacuations(&receiver, side),
         frame => handle_sync_frame(&receiver, side, frame),
     };
     let end_state = Rc::clone(&state);
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -189,8 +189,10 @@
                     PeerFrame::AnswerEnd(number, is_whole) => link.end_body(number, is_whole),
                     PeerFrame::Pieces => link.side.set_pieces(),
                     PeerFrame::Features(features) => {
+                        let frame = PeerFrame::Features(features);
                         if link.side.set_features(features) {
                             link.side.send(PeerFrame::Features(PEER_FEATURES));
+                            on_frame(&link.side, frame);
                         }
                     }
                     PeerFrame::Pong => {}
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -24,6 +24,8 @@
 use crate::sidecar::link::uplink::TransferKind;
 use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::placement::evacuation_task::send_evacuations;
+use crate::sidecar::placement::evacuation_task::take_evacuations;
 use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sent_answer::SentAnswer;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -75,7 +77,9 @@
         match frame {
             PeerFrame::Hello(id) => self.greet(id),
             PeerFrame::Features(features) => {
-                self.side.set_features(features);
+                if self.side.set_features(features) {
+                    send_evacuations(&self.state, &self.side);
+                }
             }
             PeerFrame::HoldDepartures(count, departures) => {
                 self.hold_departures(count, departures);
@@ -202,6 +206,7 @@
             let kind = TransferKind::Configuration(number);
             side.acknowledge(kind, received, received);
         }
+        PeerFrame::Evacuations(version, zones) => take_evacuations(state, side, version, zones),
         PeerFrame::FreshnessWanted(number) => answer_freshness(state, side, number),
         PeerFrame::Freshness(number, version, age_ms) => {
             take_freshness(state, &side.peer_name(), number, version, age_ms);
--- /dev/null
+++ b/coltsfootweir/src/sidecar/placement/evacuation_set.rs
@@ -0,0 +1,154 @@
+//! Decides how requests leave the zones that are evacuated.
+//!
+//! The set of evacuated zones has the store version of the read that found it; the higher version
+//! wins. Ingresses move requests away from a zone step by step, so that the other zones do not get
+//! all of them at once. After that, the daemons of the zone close their endpoints.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::ids::RowVersion;
+use crate::ids::ZoneName;
+
+/// Share of the bound in which ingresses stop choosing a zone.
+const FADE_SHARE: f64 = 0.3;
+
+/// Share of the bound after which endpoints of a zone are closed. The rest is for the time in which
+/// the order reaches the daemons; a watcher of the store that fails takes half of the bound.
+const CLOSE_SHARE: f64 = 0.4;
+
+/// Time after the first link of a restarted daemon after which no peer knows of an evacuation. Peers
+/// send the evacuated zones at once on a new link.
+const PEER_REPORT_TIME: Duration = Duration::from_secs(1);
+
+/// Evacuated zones, and when this daemon was told.
+#[derive(Clone, Debug, Default)]
+pub struct EvacuationSet {
+    version: RowVersion,
+    /// Time at which each evacuation was learned; `None` for those that began before this daemon.
+    zones: BTreeMap<ZoneName, Option<Duration>>,
+    /// Whether any zone has been evacuated, as far as known.
+    was_used: bool,
+    linked_at: Option<Duration>,
+}
+
+/// Zones whose evacuation began or ended.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EvacuationChange {
+    /// Zones that are evacuated from now on.
+    pub begun: Vec<ZoneName>,
+    /// Zones that are used again.
+    pub ended: Vec<ZoneName>,
+}
+
+impl EvacuationChange {
+    /// Returns whether nothing changed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.begun.is_empty() && self.ended.is_empty()
+    }
+}
+
+impl EvacuationSet {
+    /// Takes in the zones that were evacuated at a store version; ignored if a later one is known.
+    /// `now` is the time since the start of this daemon. What a daemon learns within `bound` of its
+    /// start may have been in force long before, so it takes full effect at once.
+    pub fn merge(
+        &mut self,
+        version: RowVersion,
+        zones: &BTreeSet<ZoneName>,
+        now: Duration,
+        bound: Duration,
+    ) -> EvacuationChange {
+        let mut change = EvacuationChange::default();
+        if version <= self.version {
+            return change;
+        }
+        self.version = version;
+        self.was_used |= !zones.is_empty();
+        let ended = self.zones.keys().filter(|zone| !zones.contains(*zone));
+        change.ended = ended.cloned().collect();
+        self.zones.retain(|zone, _| zones.contains(zone));
+        for zone in zones {
+            if self.zones.contains_key(zone) {
+                continue;
+            }
+            self.zones
+                .insert(zone.clone(), (now >= bound).then_some(now));
+            change.begun.push(zone.clone());
+        }
+        change
+    }
+
+    /// Records that the set is in use among the daemons, though no zone may be evacuated now.
+    pub fn mark_used(&mut self) {
+        self.was_used = true;
+    }
+
+    /// Returns whether any zone has been evacuated, as far as known.
+    #[must_use]
+    pub fn was_used(&self) -> bool {
+        self.was_used
+    }
+
+    /// Returns the store version of the set; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> RowVersion {
+        self.version
+    }
+
+    /// Returns the evacuated zones.
+    #[must_use]
+    pub fn zones(&self) -> Vec<ZoneName> {
+        self.zones.keys().cloned().collect()
+    }
+
+    /// Returns whether no zone is evacuated.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    /// Returns the share of requests that avoid a zone.
+    #[must_use]
+    pub fn avoided_share(&self, zone: &str, now: Duration, bound: Duration) -> f64 {
+        match self.zones.get(zone) {
+            None => 0.0,
+            Some(None) => 1.0,
+            Some(Some(begun)) => {
+                let fade = bound.mul_f64(FADE_SHARE).as_secs_f64();
+                let time = now.saturating_sub(*begun).as_secs_f64();
+                (time / fade).min(1.0)
+            }
+        }
+    }
+
+    /// Returns whether requests are still being moved away from a zone.
+    #[must_use]
+    pub fn is_fading(&self, now: Duration, bound: Duration) -> bool {
+        let mut begun = self.zones.values().flatten();
+        begun.any(|begun| now < *begun + bound.mul_f64(FADE_SHARE))
+    }
+
+    /// Returns whether the endpoints of a zone are closed.
+    #[must_use]
+    pub fn is_closed(&self, zone: &str, now: Duration, bound: Duration) -> bool {
+        let begun = self.zones.get(zone);
+        begun.is_some_and(|begun| {
+            begun.is_none_or(|begun| now >= begun + bound.mul_f64(CLOSE_SHARE))
+        })
+    }
+
+    /// Records that this daemon has a link to another one.
+    pub fn on_link(&mut self, now: Duration) {
+        self.linked_at.get_or_insert(now);
+    }
+
+    /// Returns whether a restarted daemon knows if its zone is evacuated.
+    #[must_use]
+    pub fn is_known(&self, now: Duration) -> bool {
+        let is_linked = |at| now >= at + PEER_REPORT_TIME;
+        self.version > 0 || self.linked_at.is_some_and(is_linked)
+    }
+}
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -43,6 +43,7 @@
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::TrafficSplitter;
 use crate::sidecar::metrics::SidecarMetrics;
+use crate::sidecar::placement::evacuation_set::EvacuationSet;
 use crate::sidecar::placement::region_task::apply_regions;
 use crate::sidecar::planned_stop::stop_control::StopControl;
 use crate::sidecar::platform_adapter::PlatformAdapter;
@@ -102,6 +103,8 @@
     pub config: ConfigHolder,
     /// Proof that the active configuration was the newest one a short time ago.
     pub freshness: RefCell<ConfigFreshness>,
+    /// Zones that are evacuated.
+    pub evacuations: RefCell<EvacuationSet>,
     /// Configurations in force on other daemons.
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
@@ -169,6 +172,7 @@
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
             config: ConfigHolder::default(),
             freshness: RefCell::default(),
+            evacuations: RefCell::default(),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
             endpoint,
--- a/programs/src/mesh.rs
+++ b/programs/src/mesh.rs
@@ -52,7 +52,7 @@
         /// Only the route of this name
         name: Option<Box<str>>,
     },
-    /// Print the daemons that have a row in the store, and the version of the configuration
+    /// Print the daemons that have a row in the store, the version of the configuration and the evacuated zones
     Status {
         /// Where the store is
         #[command(flatten)]
@@ -221,14 +221,29 @@
             None
         }
     };
+    let mut evacuated = Vec::new();
+    for row in orders {
+        if let Ok(OrderRow::Evacuation { zone, is_active }) = UserPlatform.order_row(row)
+            && is_active
+        {
+            evacuated.push(zone);
+        }
+    }
+    let zones = match evacuated.is_empty() {
+        true => String::new(),
+        false => format!("evacuated zones: {}\n", evacuated.join(" ")),
+    };
     let text = match version {
-        Some(version) => format!("configuration {version:08x}\n{table}"),
-        None => format!("no configuration\n{table}"),
+        Some(version) => format!("configuration {version:08x}\n{zones}{table}"),
+        None => format!("no configuration\n{zones}{table}"),
     };
     notes.push_str("a daemon's own state is on its metrics address\n");
     CommandOutput {
         notes,
-        ..CommandOutput::new(text, json!({"configuration": version, "daemons": listed}))
+        ..CommandOutput::new(
+            text,
+            json!({"configuration": version, "evacuated_zones": evacuated, "daemons": listed}),
+        )
     }
 }
 
