--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -70,6 +70,7 @@
     sequence: AtomicU64,
     is_leaving: AtomicBool,
     is_gone: AtomicBool,
+    warmup_left_ms: AtomicU64,
 }
 
 /// A running endpoint; it lives as long as the test's process, or until it is told to go.
@@ -113,6 +114,7 @@
             sequence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
+            warmup_left_ms: AtomicU64::new(0),
         });
         let endpoint = MeshEndpoint { state, admin };
         let serving = Arc::clone(&endpoint.state);
@@ -147,6 +149,12 @@
         self.state.abandoned.load(Ordering::Relaxed)
     }
 
+    /// Has the announcements say from now on that the endpoint is cold for this time.
+    pub fn set_warmup_left(&self, left: Duration) {
+        let left_ms = left.as_millis() as u64;
+        self.state.warmup_left_ms.store(left_ms, Ordering::Relaxed);
+    }
+
     /// Says that the endpoint leaves; returns whether that was acknowledged.
     pub fn leave(&self) -> bool {
         self.state.is_leaving.store(true, Ordering::Relaxed);
@@ -194,7 +202,7 @@
         let body = json!({"address": state.address, "born": BORN + later_ms,
             "info": {"service": state.service, "version": state.version, "zone": "a",
                 "capacity": state.slots},
-            "status": {"state": word, "sequence": sequence, "warmup_left_ms": 0}});
+            "status": {"state": word, "sequence": sequence, "warmup_left_ms": state.warmup_left_ms.load(Ordering::Relaxed)}});
         body.to_string()
     }
 }
--- a/programs/tests/sidecar/row_store.rs
+++ b/programs/tests/sidecar/row_store.rs
@@ -122,6 +122,17 @@
         state.rows.insert((table.to_owned(), key.to_owned()), row);
     }
 
+    /// Removes a row as the operator does.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.lock();
+        state.version += 1;
+        let row = StoredRow {
+            value: None,
+            version: state.version,
+        };
+        state.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
+
     /// Reads a row's value as the operator does.
     pub fn get(&self, table: &str, key: &str) -> Option<String> {
         let state = self.lock();
