--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -67,13 +67,16 @@
     /// for as long as others use it.
     pub(super) fn choose(&self) -> Option<ChosenEndpoint> {
         let chosen = self.choose_by_rollout();
+        if chosen.is_some() {
+            return chosen;
+        }
         let bound = self.state.settings.borrow().bounds.evacuation;
         let is_fading = bound.is_some_and(|bound| {
             let set = self.state.evacuations.borrow();
             set.is_fading(self.state.now(), bound)
         });
-        if chosen.is_some() || !is_fading {
-            return chosen;
+        if !is_fading {
+            return None;
         }
         self.zone_point.set(1.0);
         self.choose_by_rollout()
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -123,6 +123,21 @@
     assert!(is_closed(&result), "{result:?}");
 }
 
+/// Guards against a call that reaches an endpoint of an evacuated zone because the endpoint announces
+/// itself again.
+#[tokio::test(flavor = "current_thread")]
+async fn call_in_an_evacuated_zone_is_not_run() {
+    let result = run_at(
+        |endpoint, address| {
+            endpoint.set_evacuated(true);
+            announce(endpoint, address, "stalls", false);
+        },
+        call("stalls"),
+    )
+    .await;
+    assert!(is_closed(&result), "{result:?}");
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn call_for_another_service_is_not_run() {
     let prepare = |endpoint: &LocalEndpoint, address| announce(endpoint, address, "horses", false);
--- a/coltsfootweir/tests/sidecar_regions.rs
+++ b/coltsfootweir/tests/sidecar_regions.rs
@@ -17,6 +17,14 @@
 use coltsfootweir::sidecar::placement::region_filter::RegionFilter;
 use coltsfootweir::sidecar::placement::region_links::RemoteServices;
 
+/// Lists of a route and of a team, the regions allowed by both, and whether there can't be any.
+type FilterCase = (
+    &'static [&'static str],
+    &'static [&'static str],
+    &'static [&'static str],
+    bool,
+);
+
 fn regions(names: &[&str]) -> Vec<RegionName> {
     names.iter().map(|name| (*name).into()).collect()
 }
@@ -24,7 +32,7 @@
 /// Guards against a list that is taken for the union, or an empty one that allows nothing.
 #[test]
 fn both_lists_apply_and_an_empty_one_allows_all() {
-    let cases: [(&[&str], &[&str], &[&str], bool); 6] = [
+    let cases: [FilterCase; 6] = [
         (&[], &[], &["north", "south"], false),
         (&["north"], &[], &["north"], false),
         (&[], &["south"], &["south"], false),
--- a/programs/tests/sidecar_operator.rs
+++ b/programs/tests/sidecar_operator.rs
@@ -37,7 +37,9 @@
     assert_eq!(json["routes"][0]["is_repeatable"], false);
     let (code, _) = run_json(&["mesh", "get", "--store", &store, "none"], "");
     assert_eq!(code, Some(2));
+    fleet.store.put("op", "evacuate/a", "{}");
     let (code, json) = run_json(&["mesh", "status", "--store", &store], "");
+    assert_eq!(json["evacuated_zones"], serde_json::json!(["a"]));
     assert_eq!(code, Some(0));
     assert_eq!(json["configuration"], 1);
     assert_eq!(json["daemons"].as_array().map(Vec::len), Some(2));
