--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::MemberId;
@@ -29,6 +30,7 @@
 use crate::sidecar::local_endpoint::wall_ms;
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
+use crate::sidecar::placement::region_filter::RegionFilter;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -58,6 +60,10 @@
     state: &'a SidecarState,
     route: &'a MeshRoute,
     caller: RequestCaller<'a>,
+    /// Regions in which the request may run.
+    regions: RegionFilter<'a>,
+    /// Zones of which at least this share of requests is moved away are not used.
+    zone_point: Cell<f64>,
     service: ServiceName,
     deadline: Duration,
     /// Time by which the request should finish, at most `deadline`.
@@ -100,10 +106,17 @@
             true => deadline,
             false => deadline.min(state.now() + target),
         };
+        let team_regions = caller.team.map_or(&[][..], |team| &team.allowed_regions);
+        let zone_point = match state.evacuations.borrow().is_empty() {
+            true => 1.0,
+            false => rand::rng().random_range(0.0..1.0),
+        };
         CallAttempts {
             state,
             route,
             caller,
+            regions: RegionFilter::new(&route.terms.allowed_regions, team_regions),
+            zone_point: Cell::new(zone_point),
             service,
             deadline,
             finish_by,
@@ -121,7 +134,7 @@
         let mut last_failure = None;
         let end = loop {
             let Some(chosen) = self.choose() else {
-                break AttemptEnd::from(self.no_endpoint_result());
+                break AttemptEnd::from(self.no_endpoint_result(&call.request_id));
             };
             let end = self.attempt_with_hedge(call, chosen).await;
             if !self.should_retry(&end.result) {
@@ -367,24 +380,16 @@
         }
     }
 
-    /// Returns the result of a request for which no further endpoint can be chosen.
-    fn no_endpoint_result(&self) -> CallResult {
-        let Some(wait) = self.shortest_wait.get() else {
-            return not_run(NotRunCause::Unreachable);
-        };
-        CallResult::NotRun(NotRunReport {
-            cause: self.refused_for.get(),
-            reached: false,
-            retry_after_ms: millis(wait),
-        })
-    }
-
     async fn run_remote(
         &self,
         member: &MemberId,
         call: ForwardedCall,
     ) -> (Option<EndpointLoad>, AttemptEnd) {
         let unreachable = || (None, AttemptEnd::from(not_run(NotRunCause::Unreachable)));
+        // The body must not leave for another region, whatever led to this choice.
+        if !self.may_send_to(member) {
+            return unreachable();
+        }
         let Some(link) = self.state.members.link(member) else {
             return unreachable();
         };
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -10,7 +10,13 @@
 use crate::ids::VersionName;
 use crate::member::EndpointPhase;
 use crate::sidecar::call_attempts::CallAttempts;
+use crate::sidecar::call_attempts::millis;
+use crate::sidecar::frame::CallResult;
+use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::NotRunReport;
+use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::placement::region_task::log_region_refusal;
 use crate::sidecar::rollout::VersionChoice;
 
 /// Factor on the slots of endpoints in the local region, in tenths: a short wait there costs
@@ -32,12 +38,52 @@
         };
         let is_own = record.id == self.state.settings.borrow().id;
         endpoint.service == self.service
+            && self.regions.allows(&record.region)
+            && self.uses_zone(&record.zone)
             && endpoint.phase == EndpointPhase::Ready
             && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
     }
 
-    /// Chooses an endpoint of the version that the request goes to during a rollout.
+    /// Returns whether the request may go to a zone, which may be being evacuated.
+    fn uses_zone(&self, zone: &str) -> bool {
+        let set = self.state.evacuations.borrow();
+        if set.is_empty() {
+            return true;
+        }
+        let bound = self.state.settings.borrow().bounds.evacuation;
+        let share = set.avoided_share(zone, self.state.now(), bound.unwrap_or_default());
+        share <= 0.0 || self.zone_point.get() > share
+    }
+
+    /// Returns whether the region of a daemon is known and allowed.
+    pub(super) fn may_send_to(&self, member: &MemberId) -> bool {
+        self.state.members.read(|table| {
+            let record = table.get(member);
+            record.is_some_and(|record| self.regions.allows(&record.region))
+        })
+    }
+
+    /// Chooses an endpoint. If none can be chosen elsewhere, a zone that is being evacuated is used
+    /// for as long as others use it.
     pub(super) fn choose(&self) -> Option<ChosenEndpoint> {
+        let chosen = self.choose_by_rollout();
+        if chosen.is_some() {
+            return chosen;
+        }
+        let bound = self.state.settings.borrow().bounds.evacuation;
+        let is_fading = bound.is_some_and(|bound| {
+            let set = self.state.evacuations.borrow();
+            set.is_fading(self.state.now(), bound)
+        });
+        if !is_fading {
+            return None;
+        }
+        self.zone_point.set(1.0);
+        self.choose_by_rollout()
+    }
+
+    /// Chooses an endpoint of the version that the request goes to during a rollout.
+    fn choose_by_rollout(&self) -> Option<ChosenEndpoint> {
         let share = self.state.settings.borrow().bounds.canary_share;
         let rollouts = self.state.rollouts.borrow();
         let rollout = rollouts.get(&self.service);
@@ -68,7 +114,8 @@
             let mut versions = Vec::new();
             let mut tried_records = tried.iter().filter_map(|id| table.get(id));
             // The round trip to another region is too long to be refused there twice.
-            let tried_remote = tried_records.any(|record| record.region != region);
+            let is_home = self.regions.allows(&region);
+            let tried_remote = is_home && tried_records.any(|record| record.region != region);
             let mut is_served_locally = false;
             let has_large_answer = self.has_large_answer();
             let mut own = None;
@@ -113,7 +160,7 @@
                     is_late: now + run.mul_f64(pace) > self.finish_by,
                 });
             }
-            if !is_served_locally {
+            if !is_served_locally && !self.regions.is_empty() {
                 self.state.members.link_other_regions(now);
             }
             let mut chooser = self.state.routing.chooser.borrow_mut();
@@ -128,6 +175,21 @@
         })
     }
 
+    /// Returns the result of a request for which no further endpoint can be chosen.
+    pub(super) fn no_endpoint_result(&self, request: &str) -> CallResult {
+        let Some(wait) = self.shortest_wait.get() else {
+            if self.regions.is_limited() {
+                log_region_refusal(request, self.route, self.caller);
+            }
+            return not_run(NotRunCause::Unreachable);
+        };
+        CallResult::NotRun(NotRunReport {
+            cause: self.refused_for.get(),
+            reached: false,
+            retry_after_ms: millis(wait),
+        })
+    }
+
     /// Returns whether an endpoint may be asked to run the request. Records the expected wait otherwise.
     ///
     /// An endpoint of the local region is asked unless it has just refused such a request: its daemon
@@ -154,7 +216,9 @@
             self.state.members.link_other_regions(now);
         }
         let mut refused_for = reported.refused_for(&record.id, self.route_hash, now);
-        if !is_local {
+        // Requests that may only run in other regions have no better choice there.
+        let is_home = self.regions.allows(&self.state.settings.borrow().region);
+        if !is_local && is_home {
             let region_for = reported.refused_for(&record.region, self.route_hash, now);
             refused_for = refused_for.max(region_for);
         }
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -21,6 +21,7 @@
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::logging::UPSTREAM;
+use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
 use crate::poison::PoisonTable;
 use crate::sidecar::announcement::EndpointRegister;
@@ -77,6 +78,10 @@
     headers: HeaderNames,
     register: RefCell<EndpointRegister>,
     slots: Rc<SlotQueue>,
+    /// Slots to publish while the endpoint is cold. They follow the run times with each announcement.
+    cold_slots: Cell<u16>,
+    was_pacing: Cell<bool>,
+    is_evacuated: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     idle_limit: Cell<Duration>,
     poison: Rc<RefCell<PoisonTable>>,
@@ -119,6 +124,9 @@
             slots: SlotQueue::new(Arc::clone(&clock)),
             clock,
             headers,
+            cold_slots: Cell::new(1),
+            was_pacing: Cell::new(false),
+            is_evacuated: Cell::new(false),
             register: RefCell::default(),
             idle: RefCell::default(),
             idle_limit: Cell::new(DEFAULT_IDLE_LIMIT),
@@ -138,7 +146,10 @@
             id: current.id.clone(),
             service: current.service.clone(),
             version: current.version.clone(),
-            slots: current.slots,
+            slots: match self.slots.is_pacing() {
+                true => current.slots.min(self.cold_slots.get()),
+                false => current.slots,
+            },
             phase: register.phase(),
         })
     }
@@ -223,10 +234,14 @@
                 let what = json!({"name": "endpoint_unreachable", "endpoint": current.id,
                     "request": call.request_id});
                 info!(target: UPSTREAM, "{what}");
-                self.sync_phase();
+                self.on_down();
             }
             return not_run(NotRunCause::Closed);
         };
+        // The evacuation may have taken effect while the connection was opened.
+        if self.is_evacuated.get() {
+            return not_run(NotRunCause::Closed);
+        }
         let left = deadline.saturating_sub(self.clock.now());
         let bytes = write_request(call, &self.headers, &current.id, left);
         permit.start();
@@ -399,7 +414,7 @@
         let probe = HttpConnection::open(address, CONNECT_TIMEOUT).await;
         let Ok(connection) = probe else {
             let changed = self.register.borrow_mut().mark_down();
-            self.sync_phase();
+            self.on_down();
             return changed;
         };
         let until = self.clock.now() + self.idle_limit.get();
@@ -430,7 +445,10 @@
     }
 
     fn sync_phase(&self) {
-        let phase = self.register.borrow().phase();
+        let phase = match self.is_evacuated.get() {
+            true => EndpointPhase::Down,
+            false => self.register.borrow().phase(),
+        };
         self.slots.set_phase(phase);
     }
 }
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -42,6 +42,8 @@
 pub mod peer_link;
 pub mod peer_server;
 #[doc(hidden)]
+pub mod placement;
+#[doc(hidden)]
 pub mod planned_stop;
 pub mod platform_adapter;
 #[doc(hidden)]
@@ -67,4 +69,6 @@
 #[doc(hidden)]
 pub mod wait_factors;
 #[doc(hidden)]
+pub mod warmup;
+#[doc(hidden)]
 pub mod zone_order;
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -24,11 +24,14 @@
 use crate::sidecar::link::uplink::TransferKind;
 use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::placement::evacuation_task::send_evacuations;
+use crate::sidecar::placement::evacuation_task::take_evacuations;
 use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sent_answer::SentAnswer;
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::freshness_task::answer_freshness;
 use crate::sidecar::teams::freshness_task::take_freshness;
+use crate::sidecar::warmup::warmup_task::awaits_config;
 
 type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
 
@@ -74,7 +77,9 @@
         match frame {
             PeerFrame::Hello(id) => self.greet(id),
             PeerFrame::Features(features) => {
-                self.side.set_features(features);
+                if self.side.set_features(features) {
+                    send_evacuations(&self.state, &self.side);
+                }
             }
             PeerFrame::HoldDepartures(count, departures) => {
                 self.hold_departures(count, departures);
@@ -201,6 +206,7 @@
             let kind = TransferKind::Configuration(number);
             side.acknowledge(kind, received, received);
         }
+        PeerFrame::Evacuations(version, zones) => take_evacuations(state, side, version, zones),
         PeerFrame::FreshnessWanted(number) => answer_freshness(state, side, number),
         PeerFrame::Freshness(number, version, age_ms) => {
             take_freshness(state, &side.peer_name(), number, version, age_ms);
@@ -210,10 +216,10 @@
     }
 }
 
-/// Returns whether forwarded calls are refused, because this daemon is stopping or a rollout has
-/// taken the endpoint's version out of service.
+/// Returns whether forwarded calls are refused, because this daemon is stopping, does not know the
+/// limits on its endpoint, or a rollout has taken the endpoint's version out of service.
 fn refuses_calls(state: &SidecarState) -> bool {
-    if state.is_leaving.get() {
+    if state.is_leaving.get() || awaits_config(state) {
         return true;
     }
     let Some(endpoint) = state.endpoint.summary() else {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -43,6 +43,8 @@
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::TrafficSplitter;
 use crate::sidecar::metrics::SidecarMetrics;
+use crate::sidecar::placement::evacuation_set::EvacuationSet;
+use crate::sidecar::placement::region_task::apply_regions;
 use crate::sidecar::planned_stop::stop_control::StopControl;
 use crate::sidecar::platform_adapter::PlatformAdapter;
 use crate::sidecar::platform_adapter::RolloutOrder;
@@ -53,6 +55,7 @@
 use crate::sidecar::spread::config_spread::ConfigSpread;
 use crate::sidecar::store_client::StoreClient;
 use crate::sidecar::teams::config_freshness::ConfigFreshness;
+use crate::sidecar::warmup::warmup_task::apply_warmup;
 
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
 const MAX_PUBLISHED_CRASHES: usize = 32;
@@ -100,6 +103,8 @@
     pub config: ConfigHolder,
     /// Proof that the active configuration was the newest one a short time ago.
     pub freshness: RefCell<ConfigFreshness>,
+    /// Zones that are evacuated.
+    pub evacuations: RefCell<EvacuationSet>,
     /// Configurations in force on other daemons.
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
@@ -167,6 +172,7 @@
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
             config: ConfigHolder::default(),
             freshness: RefCell::default(),
+            evacuations: RefCell::default(),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
             endpoint,
@@ -311,9 +317,11 @@
         }
     }
 
-    /// Announces the version of the active configuration to the peers. `is_first_in_zone` tells that
-    /// it did not come from a daemon of the own zone.
+    /// Applies the active configuration, which is new, and announces its version to the peers.
+    /// `is_first_in_zone` tells that it did not come from a daemon of the own zone.
     pub fn announce_config(&self, is_first_in_zone: bool) {
+        apply_regions(self);
+        apply_warmup(self);
         let frame = self.config_held_frame();
         self.members.send_config_notice(&frame, is_first_in_zone);
     }
