Large request bodies go in pieces that the receiver grants

Bodies were sent whole and ahead of everything else on the link; with seven receivers of 10 Mbit/s pings starved and live daemons were taken for silent. A body above 16 KB is now offered to a peer with FEATURE_OFFERS. The daemon beside the endpoint refuses it at once (LinkFull) if it can't be received and run in time, and otherwise grants bytes by rank and due time, at most 50 ms of its link at once. A link that ends before the last piece is handed to the socket means that the call has not run.

BodyGrant also states the bytes received, which paces the sender's uplink.

--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -162,6 +162,9 @@
         "answers_held_bytes",
         state.routing.hold_budget.held() as u64,
     );
+    let figures = state.uploads.figures();
+    metrics.set("bodies_granted_bytes", figures.granted);
+    metrics.set("bodies_waiting_bytes", figures.waiting);
     Bytes::from(metrics.text())
 }
 
--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -250,7 +250,10 @@
 }
 
 fn is_idle(state: &SidecarState) -> bool {
-    state.running.get() == 0 && state.endpoint.load().is_idle() && state.uplink.is_idle()
+    state.running.get() == 0
+        && state.uploads.is_idle()
+        && state.endpoint.load().is_idle()
+        && state.uplink.is_idle()
 }
 
 async fn remove_row_within(state: &SidecarState, until: Duration) {
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -259,8 +259,8 @@
     /// Requests a call as [`PeerFrame::TimedCall`]. The body, of the given length, follows in pieces
     /// as far as it is granted.
     OfferedCall(CallNumber, u64, Box<ForwardedCall>, u64),
-    /// Number of bytes of the body of a call that may have been sent.
-    BodyGrant(CallNumber, u64),
+    /// Numbers of bytes of the body of a call that may be sent and that were received so far.
+    BodyGrant(CallNumber, u64, u64),
     /// The next bytes of the body of a call.
     BodyPiece(CallNumber, PieceBytes),
 }
--- a/coltsfootweir/src/sidecar/link/frame_io.rs
+++ b/coltsfootweir/src/sidecar/link/frame_io.rs
@@ -18,16 +18,17 @@
 const READ_SIZE: usize = 4 * 1024;
 
 /// Sends the frames of `queue` and passes received ones to `take`, until the connection or the
-/// queue ends.
+/// queue ends. `on_write` is called for each frame directly before it is handed to the socket.
 pub async fn exchange_frames(
     stream: TcpStream,
     queue: Receiver<PeerFrame>,
     take: impl FnMut(PeerFrame),
+    on_write: impl FnMut(&PeerFrame),
 ) {
     let (reader, writer) = stream.into_split();
     tokio::select! {
         () = read_frames(reader, take) => {}
-        () = write_frames(writer, queue) => {}
+        () = write_frames(writer, queue, on_write) => {}
     }
 }
 
@@ -53,11 +54,16 @@
     }
 }
 
-async fn write_frames(mut writer: OwnedWriteHalf, queue: Receiver<PeerFrame>) {
+async fn write_frames(
+    mut writer: OwnedWriteHalf,
+    queue: Receiver<PeerFrame>,
+    mut on_write: impl FnMut(&PeerFrame),
+) {
     let mut bytes = Vec::new();
     while let Ok(frame) = queue.recv_async().await {
         bytes.clear();
         for frame in std::iter::once(frame).chain(queue.try_iter()) {
+            on_write(&frame);
             if let Err(error) = write_frame(&frame, &mut bytes) {
                 let event = json!({"name": "frame_not_sent", "reason": error.to_string()});
                 warn!(target: MEMBERS, "{event}");
--- a/coltsfootweir/src/sidecar/link/link_side.rs
+++ b/coltsfootweir/src/sidecar/link/link_side.rs
@@ -7,11 +7,13 @@
 
 use flume::Receiver;
 use flume::Sender;
+use hyper::body::Bytes;
 use log::warn;
 use serde_json::json;
 
 use crate::ids::MemberId;
 use crate::logging::MEMBERS;
+use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
 use crate::sidecar::frame::decode_config;
@@ -69,6 +71,12 @@
         (Rc::new(side), queue)
     }
 
+    /// Returns the id of the connection.
+    #[must_use]
+    pub fn id(&self) -> LinkId {
+        self.id
+    }
+
     /// Queues a frame; returns false if the queue is full or the connection has ended. A peer that
     /// does not read finds its own pings unanswered and gives up the link.
     pub fn send(&self, frame: PeerFrame) -> bool {
@@ -149,6 +157,20 @@
         self.uplink.open(spec, kind, self.frames.clone())
     }
 
+    /// Starts to send the body of a call, as far as the peer grants it.
+    #[must_use]
+    pub fn open_body(&self, number: CallNumber, body: Bytes, due: Duration) -> TransferSender {
+        let kind = TransferKind::Body(number);
+        let transfer = self.open_transfer(TransferClass::Body, kind, due);
+        transfer.queue_body(body);
+        transfer
+    }
+
+    /// Records how much of the body of a call may be sent and was received by the peer.
+    pub fn grant_body(&self, number: CallNumber, up_to: u64, received: u64) {
+        self.uplink.grant(self.id, number, up_to, received);
+    }
+
     /// Records how much of a transfer the peer has received and consumed.
     pub fn acknowledge(&self, kind: TransferKind, received: u64, consumed: u64) {
         self.uplink.acknowledge(self.id, kind, received, consumed);
--- a/coltsfootweir/src/sidecar/link/uplink.rs
+++ b/coltsfootweir/src/sidecar/link/uplink.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use flume::Sender;
+use hyper::body::Bytes;
 use tokio::sync::Notify;
 
 use crate::clock::DaemonClock;
@@ -31,17 +32,26 @@
     Answer(CallNumber),
     /// A configuration.
     Configuration(u32),
+    /// The body of a call.
+    Body(CallNumber),
 }
 
 struct OutgoingTransfer {
     frames: Sender<PeerFrame>,
     kind: TransferKind,
-    pieces: VecDeque<Vec<u8>>,
+    pieces: VecDeque<Bytes>,
     /// Frame to send after the last piece.
     end: Option<PeerFrame>,
     is_ended: bool,
 }
 
+impl OutgoingTransfer {
+    /// Returns whether its bytes count as waiting. Those of bodies are held by the request anyway.
+    fn is_counted(&self) -> bool {
+        !matches!(self.kind, TransferKind::Body(_))
+    }
+}
+
 #[derive(Default)]
 struct UplinkState {
     schedule: UplinkSchedule,
@@ -137,6 +147,18 @@
         self.send_pieces();
     }
 
+    /// Records how much of a body may be sent and was received.
+    pub fn grant(&self, link: LinkId, number: CallNumber, up_to: u64, received: u64) {
+        let kind = TransferKind::Body(number);
+        let mut state = self.state.borrow_mut();
+        let Some(id) = state.ids.get(&(link, kind)).copied() else {
+            return;
+        };
+        state.schedule.grant(id, up_to);
+        drop(state);
+        self.acknowledge(link, kind, received, received);
+    }
+
     /// Drops a transfer that the receiver does not want any more.
     pub fn cancel(&self, link: LinkId, kind: TransferKind) {
         let mut state = self.state.borrow_mut();
@@ -212,11 +234,14 @@
             return false;
         };
         let piece = take_bytes(&mut transfer.pieces, bytes as usize);
-        self.buffered -= piece.len();
+        if transfer.is_counted() {
+            self.buffered -= piece.len();
+        }
         let bytes = PieceBytes(piece);
         let frame = match transfer.kind {
             TransferKind::Answer(number) => PeerFrame::AnswerPiece(number, bytes),
             TransferKind::Configuration(number) => PeerFrame::ConfigPiece(number, bytes),
+            TransferKind::Body(number) => PeerFrame::BodyPiece(number, bytes),
         };
         let mut is_sent = transfer.frames.try_send(frame).is_ok();
         if transfer.pieces.is_empty()
@@ -233,13 +258,15 @@
         let Some(transfer) = self.outgoing.remove(&id) else {
             return;
         };
-        let left: usize = transfer.pieces.iter().map(Vec::len).sum();
-        self.buffered -= left;
+        if transfer.is_counted() {
+            let left: usize = transfer.pieces.iter().map(Bytes::len).sum();
+            self.buffered -= left;
+        }
     }
 }
 
 /// Removes `count` bytes from the front of `pieces`.
-fn take_bytes(pieces: &mut VecDeque<Vec<u8>>, count: usize) -> Vec<u8> {
+fn take_bytes(pieces: &mut VecDeque<Bytes>, count: usize) -> Vec<u8> {
     let mut taken = Vec::with_capacity(count);
     while taken.len() < count {
         let Some(mut piece) = pieces.pop_front() else {
@@ -266,7 +293,8 @@
 impl TransferSender {
     /// Queues bytes, after waiting until there is room. Returns false if the transfer has ended,
     /// because its connection has.
-    pub async fn push(&self, bytes: Vec<u8>) -> bool {
+    pub async fn push(&self, bytes: impl Into<Bytes>) -> bool {
+        let bytes = bytes.into();
         loop {
             let room = self.uplink.has_room.notified();
             tokio::pin!(room);
@@ -289,6 +317,24 @@
         true
     }
 
+    /// Queues the whole body of a call, which is sent as far as it is granted.
+    pub fn queue_body(&self, body: Bytes) {
+        let mut state = self.uplink.state.borrow_mut();
+        let length = body.len() as u64;
+        let Some(transfer) = state.outgoing.get_mut(&self.id) else {
+            return;
+        };
+        transfer.pieces.push_back(body);
+        state.schedule.queue(self.id, length);
+    }
+
+    /// Returns whether bytes wait to be sent, so that the receiver can't have all of them. False if
+    /// the transfer has ended.
+    #[must_use]
+    pub fn has_queued(&self) -> bool {
+        self.uplink.state.borrow().schedule.has_queued(self.id)
+    }
+
     /// Drops what was not sent yet and sends `end` at once.
     pub fn abort(self, end: PeerFrame) {
         let state = self.uplink.state.borrow();
--- a/coltsfootweir/src/sidecar/link/uplink_schedule.rs
+++ b/coltsfootweir/src/sidecar/link/uplink_schedule.rs
@@ -60,6 +60,8 @@
     Configuration,
     /// An answer to a client.
     Answer,
+    /// The body of a call, which the receiver grants.
+    Body,
 }
 
 /// A transfer to be sent.
@@ -87,12 +89,26 @@
     sent: u64,
     received: u64,
     consumed: u64,
+    /// Bytes of a body that may be sent.
+    granted: u64,
     pieces: VecDeque<SentPiece>,
 }
 
 impl TransferState {
     fn credit(&self) -> u64 {
-        TRANSFER_CREDIT.saturating_sub(self.sent - self.consumed)
+        match self.spec.class {
+            TransferClass::Body => self.granted.saturating_sub(self.sent),
+            _ => TRANSFER_CREDIT.saturating_sub(self.sent - self.consumed),
+        }
+    }
+
+    /// Returns the bytes that wait for this VM's link. Those of a body that are not granted wait for
+    /// that of the receiver.
+    fn waiting(&self) -> u64 {
+        match self.spec.class {
+            TransferClass::Body => self.queued.min(self.credit()),
+            _ => self.queued,
+        }
     }
 
     fn on_the_way(&self) -> u64 {
@@ -157,6 +173,7 @@
             sent: 0,
             received: 0,
             consumed: 0,
+            granted: 0,
             pieces: VecDeque::new(),
         };
         self.transfers.insert(id, state);
@@ -186,7 +203,7 @@
         transfer.pieces.push_back(SentPiece { end, at: now });
         self.config_run = match transfer.spec.class {
             TransferClass::Configuration => self.config_run + 1,
-            TransferClass::Answer => 0,
+            TransferClass::Answer | TransferClass::Body => 0,
         };
         Some((id, bytes))
     }
@@ -221,6 +238,13 @@
         self.measure(bytes, now);
     }
 
+    /// Records that the first `up_to` bytes of a body may be sent.
+    pub fn grant(&mut self, id: TransferId, up_to: u64) {
+        if let Some(transfer) = self.transfers.get_mut(&id) {
+            transfer.granted = transfer.granted.max(up_to);
+        }
+    }
+
     /// Removes a transfer; what it had queued is not sent.
     pub fn close(&mut self, id: TransferId) {
         self.transfers.remove(&id);
@@ -269,7 +293,7 @@
     pub fn backlog(&self) -> u64 {
         let transfers = self.transfers.values();
         let open: u64 = transfers
-            .map(|transfer| transfer.queued + transfer.on_the_way())
+            .map(|transfer| transfer.waiting() + transfer.on_the_way())
             .sum();
         open + self.reserved
     }
@@ -347,7 +371,10 @@
     }
 
     fn measure(&mut self, bytes: u64, now: Duration) {
-        let has_queued = self.transfers.values().any(|transfer| transfer.queued > 0);
+        let has_queued = self
+            .transfers
+            .values()
+            .any(|transfer| transfer.waiting() > 0);
         let is_flowing = has_queued || self.on_the_way(now) > 0;
         let fresh = is_flowing.then_some(RateSample {
             start: now,
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -173,6 +173,12 @@
         self.slots.expected_time(call.rank, call.kind)
     }
 
+    /// Returns the expected run time of a call, without its wait for a slot.
+    #[must_use]
+    pub fn expected_run(&self, call: &ForwardedCall) -> Duration {
+        self.slots.expected_run(call.kind)
+    }
+
     async fn run_call(
         self: &Rc<Self>,
         call: &ForwardedCall,
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -171,6 +171,7 @@
         let now = state.now();
         state.members.check_links(now);
         state.uplink.send_pieces();
+        state.uploads.send_grants();
         let called = state.routing.budgets.borrow().keys().cloned().collect();
         // During a rollout, store watchers need a link to every daemon to receive its rollout
         // status.
--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -29,7 +29,7 @@
 }
 
 /// Names and help texts of the gauges. They are set when the metrics are requested.
-const GAUGES: [(&str, &str); 12] = [
+const GAUGES: [(&str, &str); 14] = [
     ("config_version", "version of the configuration in force"),
     ("members_live", "daemons in reach, this one included"),
     ("store_calls", "calls made to the store"),
@@ -54,6 +54,14 @@
         "answers_held_bytes",
         "bytes of answers that are held back until they are complete",
     ),
+    (
+        "bodies_granted_bytes",
+        "bytes of large request bodies that are granted to other daemons and not received",
+    ),
+    (
+        "bodies_waiting_bytes",
+        "bytes of large request bodies of other daemons that wait for a grant",
+    ),
 ];
 
 impl SidecarMetrics {
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -63,6 +63,8 @@
 #[doc(hidden)]
 pub mod teams;
 #[doc(hidden)]
+pub mod uploads;
+#[doc(hidden)]
 pub mod wait_factors;
 #[doc(hidden)]
 pub mod zone_order;
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
 use flume::Receiver;
@@ -21,12 +22,14 @@
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
+use crate::sidecar::frame::FEATURE_OFFERS;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
 use crate::sidecar::link::frame_io::exchange_frames;
 use crate::sidecar::link::link_side::LinkSide;
+use crate::sidecar::link::uplink::TransferSender;
 use crate::sidecar::link::uplink::Uplink;
 use crate::sidecar::link::uplink_schedule::PIECE_BYTES;
 use crate::sidecar::link::uplink_schedule::TRANSFER_CREDIT;
@@ -51,7 +54,7 @@
     /// The peer sent its load and the result of the call, or the beginning of an answer and the
     /// rest of it.
     Replied(EndpointLoad, CallResult, Option<AnswerRest>),
-    /// The call was not sent.
+    /// The call, or a part of its body, was not sent, so it has not run.
     NotSent,
     /// The link was lost, so the call may have run.
     Lost,
@@ -129,6 +132,8 @@
 pub struct PeerLink {
     side: Rc<LinkSide>,
     pending: RefCell<HashMap<CallNumber, PendingCall>>,
+    /// Bytes of the bodies of calls that were not handed to the socket, for bodies in pieces.
+    unsent: RefCell<HashMap<CallNumber, u64>>,
     next_number: Cell<CallNumber>,
     last_received: Cell<Duration>,
     ping_sent: Cell<Option<Duration>>,
@@ -168,12 +173,14 @@
         let link = Rc::new(PeerLink {
             side,
             pending: RefCell::default(),
+            unsent: RefCell::default(),
             next_number: Cell::new(0),
             last_received: Cell::new(now()),
             ping_sent: Cell::new(None),
             state: Cell::new(LinkState::Open),
         });
         let weak_link = Rc::downgrade(&link);
+        let writing_link = Weak::clone(&weak_link);
         tokio::task::spawn_local(async move {
             let take = |frame| {
                 let Some(link) = weak_link.upgrade() else {
@@ -187,6 +194,9 @@
                     PeerFrame::AnswerHead(number, load, head) => link.start(number, load, *head),
                     PeerFrame::AnswerPiece(number, bytes) => link.receive(number, bytes),
                     PeerFrame::AnswerEnd(number, is_whole) => link.end_body(number, is_whole),
+                    PeerFrame::BodyGrant(number, up_to, received) => {
+                        link.side.grant_body(number, up_to, received);
+                    }
                     PeerFrame::Pieces => link.side.set_pieces(),
                     PeerFrame::Features(features) => {
                         if link.side.set_features(features) {
@@ -199,7 +209,14 @@
                     frame => on_frame(&link.side, frame),
                 }
             };
-            exchange_frames(stream, queue, take).await;
+            let on_write = |frame: &PeerFrame| {
+                if let (PeerFrame::BodyPiece(number, bytes), Some(link)) =
+                    (frame, writing_link.upgrade())
+                {
+                    link.count_sent(*number, bytes);
+                }
+            };
+            exchange_frames(stream, queue, take, on_write).await;
             if let Some(link) = weak_link.upgrade() {
                 link.close();
             }
@@ -251,11 +268,8 @@
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
         let (sender, receiver) = flume::unbounded();
-        let call = Box::new(call);
-        let frame = match self.side.has_pieces() {
-            true => PeerFrame::TimedCall(number, sent_ms, call),
-            false => PeerFrame::Call(number, call),
-        };
+        let length = call.body.len() as u64;
+        let (frame, transfer) = self.call_frames(number, call, sent_ms);
         if !self.send(frame) {
             return LinkOutcome::NotSent;
         }
@@ -265,6 +279,10 @@
             link: Rc::clone(self),
             number,
         };
+        if transfer.is_some() {
+            self.unsent.borrow_mut().insert(number, length);
+        }
+        let has_queued = || transfer.as_ref().is_some_and(TransferSender::has_queued);
         while let Ok(event) = receiver.recv_async().await {
             match event {
                 CallEvent::Replied(load, result) => {
@@ -278,11 +296,52 @@
                     tokio::task::spawn_local(body.forward(answer.pieces));
                     return LinkOutcome::Replied(load, answer.result, Some(answer.rest));
                 }
+                // The transfer ends here, so the peer never gets the whole body.
+                CallEvent::Silent if has_queued() => return LinkOutcome::NotSent,
                 CallEvent::Silent if may_leave() => return LinkOutcome::Lost,
                 CallEvent::Silent => {}
             }
         }
-        LinkOutcome::Lost
+        match self.has_unsent(number) {
+            true => LinkOutcome::NotSent,
+            false => LinkOutcome::Lost,
+        }
+    }
+
+    /// Returns the frame that requests a call, and the transfer of its body if that is sent in pieces.
+    fn call_frames(
+        &self,
+        number: CallNumber,
+        mut call: ForwardedCall,
+        sent_ms: u64,
+    ) -> (PeerFrame, Option<TransferSender>) {
+        let length = call.body.len() as u64;
+        if length <= PIECE_BYTES || !self.has_feature(FEATURE_OFFERS) {
+            let call = Box::new(call);
+            let frame = match self.side.has_pieces() {
+                true => PeerFrame::TimedCall(number, sent_ms, call),
+                false => PeerFrame::Call(number, call),
+            };
+            return (frame, None);
+        }
+        let body = std::mem::take(&mut call.body);
+        let due = Duration::from_millis(sent_ms + u64::from(call.wait_ms));
+        let transfer = self.side.open_body(number, body, due);
+        let frame = PeerFrame::OfferedCall(number, sent_ms, Box::new(call), length);
+        (frame, Some(transfer))
+    }
+
+    /// Records that a piece of a body is handed to the socket.
+    fn count_sent(&self, number: CallNumber, piece: &PieceBytes) {
+        if let Some(left) = self.unsent.borrow_mut().get_mut(&number) {
+            *left = left.saturating_sub(piece.0.len() as u64);
+        }
+    }
+
+    /// Returns whether bytes of the body of a call were not handed to the socket.
+    fn has_unsent(&self, number: CallNumber) -> bool {
+        let unsent = self.unsent.borrow();
+        unsent.get(&number).is_some_and(|left| *left > 0)
     }
 
     /// Sends a ping when one is due, and marks the link as silent when the response is overdue; to
@@ -424,6 +483,7 @@
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
+        self.link.unsent.borrow_mut().remove(&self.number);
         let pending = self.link.pending.borrow_mut().remove(&self.number);
         if pending.is_some() {
             self.link.send(PeerFrame::Cancel(self.number));
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -14,8 +14,10 @@
 use crate::sidecar::announcement::DepartedLifetime;
 use crate::sidecar::announcement::DepartureCount;
 use crate::sidecar::frame::CallNumber;
+use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::NotRunReport;
 use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::link::call_age::wall_delay;
@@ -29,6 +31,7 @@
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::freshness_task::answer_freshness;
 use crate::sidecar::teams::freshness_task::take_freshness;
+use crate::sidecar::uploads::grant_schedule::BodySpec;
 
 type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
 
@@ -61,7 +64,7 @@
         calls: RunningCalls::default(),
     };
     let calls = Rc::clone(&link.calls);
-    exchange_frames(stream, queue, move |frame| link.handle(frame)).await;
+    exchange_frames(stream, queue, move |frame| link.handle(frame), |_| {}).await;
     // The results can't be sent any more.
     for (_, call) in calls.borrow_mut().drain() {
         call.abort();
@@ -87,6 +90,13 @@
                 let delay = self.side.call_delay(sent_ms, self.state.now());
                 self.start_call(number, call, delay);
             }
+            PeerFrame::OfferedCall(number, sent_ms, call, length) => {
+                let delay = self.side.call_delay(sent_ms, self.state.now());
+                self.take_offer(number, call, delay, length);
+            }
+            PeerFrame::BodyPiece(number, piece) => {
+                self.state.uploads.receive(&self.side, number, &piece);
+            }
             PeerFrame::Cancel(number) => {
                 if let Some(call) = self.calls.borrow_mut().remove(&number) {
                     call.abort();
@@ -133,9 +143,7 @@
 
     fn start_call(&self, number: CallNumber, call: Box<ForwardedCall>, delay: Duration) {
         if refuses_calls(&self.state) {
-            let result = Box::new(not_run(NotRunCause::Closed));
-            let load = self.state.endpoint.load();
-            self.side.send(PeerFrame::Result(number, load, result));
+            self.refuse(number, not_run(NotRunCause::Closed));
             return;
         }
         let link = self.clone();
@@ -153,6 +161,87 @@
     }
 }
 
+impl AcceptedLink {
+    /// Receives the body of a call as far as it is granted and runs the call then, or refuses it.
+    fn take_offer(
+        &self,
+        number: CallNumber,
+        call: Box<ForwardedCall>,
+        delay: Duration,
+        length: u64,
+    ) {
+        if refuses_calls(&self.state) {
+            self.refuse(number, not_run(NotRunCause::Closed));
+            return;
+        }
+        let offered_at = self.state.now();
+        let wait = Duration::from_millis(u64::from(call.wait_ms)).saturating_sub(delay);
+        let left = Duration::from_millis(u64::from(call.left_ms)).saturating_sub(delay);
+        let run = self.state.endpoint.expected_run(&call);
+        let queued = self.state.endpoint.expected_time(&call).saturating_sub(run);
+        if queued > wait {
+            self.refuse(number, refusal(NotRunCause::Overloaded, queued - wait));
+            return;
+        }
+        let spec = BodySpec {
+            rank: call.rank,
+            due: offered_at + wait,
+            give_up: offered_at + left.saturating_sub(run),
+            run,
+            length,
+        };
+        let body = match self.state.uploads.offer(&self.side, number, spec) {
+            Ok(body) => body,
+            Err(retry_after) => {
+                self.refuse(number, refusal(NotRunCause::LinkFull, retry_after));
+                return;
+            }
+        };
+        let link = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let left = spec.give_up.saturating_sub(link.state.now());
+            let received = tokio::time::timeout(left, body.whole()).await;
+            // Released when the call has ended.
+            let _memory = body.into_memory();
+            let Ok(Some(bytes)) = received else {
+                let retry_after = link.state.uploads.backlog_time();
+                link.refuse(number, refusal(NotRunCause::LinkFull, retry_after));
+                link.calls.borrow_mut().remove(&number);
+                return;
+            };
+            let call = ForwardedCall {
+                body: bytes,
+                ..*call
+            };
+            let answer = SentAnswer {
+                state: &link.state,
+                side: &link.side,
+                number,
+                call: &call,
+            };
+            let transfer = link.state.now().saturating_sub(offered_at);
+            answer.run(delay + transfer).await;
+            link.calls.borrow_mut().remove(&number);
+        });
+        self.calls.borrow_mut().insert(number, task.abort_handle());
+    }
+
+    fn refuse(&self, number: CallNumber, result: CallResult) {
+        let load = self.state.endpoint.load();
+        let result = Box::new(result);
+        self.side.send(PeerFrame::Result(number, load, result));
+    }
+}
+
+/// Returns the result of a call whose body is not received.
+fn refusal(cause: NotRunCause, retry_after: Duration) -> CallResult {
+    CallResult::NotRun(NotRunReport {
+        cause,
+        reached: false,
+        retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+    })
+}
+
 /// Handles a frame that is not about a call, and sends the response, if any, on the same connection.
 pub fn handle_sync_frame(state: &SidecarState, side: &LinkSide, frame: PeerFrame) {
     match frame {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -53,6 +53,8 @@
 use crate::sidecar::spread::config_spread::ConfigSpread;
 use crate::sidecar::store_client::StoreClient;
 use crate::sidecar::teams::config_freshness::ConfigFreshness;
+use crate::sidecar::uploads::body_intake::BodyIntake;
+use crate::sidecar::uploads::body_memory::BoundedMemory;
 
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
 const MAX_PUBLISHED_CRASHES: usize = 32;
@@ -110,6 +112,8 @@
     pub departures: DepartureKeeper,
     /// Large transfers to other daemons.
     pub uplink: Rc<Uplink>,
+    /// Large request bodies from other daemons.
+    pub uploads: Rc<BodyIntake>,
     /// Endpoint selection and retry limits.
     pub routing: CallRouting,
     /// Rollout status of other daemons.
@@ -162,6 +166,12 @@
             *platform_adapter.headers(),
             Rc::clone(&poison),
         );
+        let memory = BoundedMemory::new(settings.host_limits.memory_bytes);
+        let uploads = BodyIntake::new(
+            settings.size.link_mbits,
+            Box::new(memory),
+            Arc::clone(&clock),
+        );
         let chooser = EndpointChooser::new(settings.zone.clone(), settings.region.clone(), seed);
         SidecarState {
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
@@ -182,6 +192,7 @@
             },
             departures: DepartureKeeper::default(),
             uplink: Uplink::new(Arc::clone(&clock)),
+            uploads,
             peer_rollouts: RefCell::default(),
             rollouts: RefCell::default(),
             metrics: SidecarMetrics::new(),
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -122,6 +122,12 @@
         state.guard.wait_time(rank) + state.run_times.expected(route_hash)
     }
 
+    /// Returns the expected run time of requests of a route.
+    #[must_use]
+    pub fn expected_run(&self, route_hash: u32) -> Duration {
+        self.state.borrow().run_times.expected(route_hash)
+    }
+
     /// Returns the fingerprints of the running requests.
     #[must_use]
     pub fn running(&self) -> Vec<Fingerprint> {
--- /dev/null
+++ b/coltsfootweir/tests/upload_grants.rs
@@ -0,0 +1,304 @@
+//! Grants of large request bodies over a receiver's link of limited bandwidth, by load pattern. The
+//! link is simulated: a queue in front of a fixed rate, and a fixed delay each way.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use coltsfootweir::sidecar::uploads::body_memory::BodyMemory;
+use coltsfootweir::sidecar::uploads::body_memory::BoundedMemory;
+use coltsfootweir::sidecar::uploads::grant_schedule::BodyId;
+use coltsfootweir::sidecar::uploads::grant_schedule::BodySpec;
+use coltsfootweir::sidecar::uploads::grant_schedule::GrantSchedule;
+use coltsfootweir::sidecar::uploads::grant_schedule::PieceEffect;
+
+/// Time limit for the response to a ping between daemons: a sixth of it is what a ping may wait
+/// behind bodies.
+const PING_LIMIT: Duration = Duration::from_millis(600);
+
+/// Link of the receivers, in Mbit/s and in bytes a second.
+const THIN_MBITS: u32 = 10;
+const THIN_RATE: f64 = 1_250_000.0;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn spec(rank: u8, due: Duration, length: u64) -> BodySpec {
+    BodySpec {
+        rank,
+        due,
+        give_up: due,
+        run: ms(20),
+        length,
+    }
+}
+
+/// Grants all that is possible now.
+fn grant_all(schedule: &mut GrantSchedule, now: Duration) -> BTreeMap<BodyId, u64> {
+    let mut granted = BTreeMap::new();
+    while let Some(id) = schedule.next(now) {
+        granted.insert(id, schedule.granted(id));
+    }
+    granted
+}
+
+/// A receiving VM whose senders use each grant at once, unless they have vanished.
+struct ReceiverWorld {
+    schedule: GrantSchedule,
+    now: Duration,
+    rate: f64,
+    delay: Duration,
+    /// Pieces on the way and the time at which each has been received.
+    network: VecDeque<(Duration, BodyId, u64)>,
+    free_at: Duration,
+    sent: BTreeMap<BodyId, u64>,
+    vanished: Vec<BodyId>,
+    due: BTreeMap<BodyId, Duration>,
+    whole_at: BTreeMap<BodyId, Duration>,
+    /// Longest time that a piece, and so a ping behind it, has waited for the link.
+    longest_queue: Duration,
+    received: u64,
+}
+
+impl ReceiverWorld {
+    fn new(link_mbits: u32) -> ReceiverWorld {
+        ReceiverWorld {
+            schedule: GrantSchedule::new(link_mbits),
+            now: Duration::ZERO,
+            rate: THIN_RATE,
+            delay: ms(1),
+            network: VecDeque::new(),
+            free_at: Duration::ZERO,
+            sent: BTreeMap::new(),
+            vanished: Vec::new(),
+            due: BTreeMap::new(),
+            whole_at: BTreeMap::new(),
+            longest_queue: Duration::ZERO,
+            received: 0,
+        }
+    }
+
+    fn offer(&mut self, spec: BodySpec) -> Result<BodyId, Duration> {
+        let id = self.schedule.offer(spec, self.now)?;
+        self.due.insert(id, spec.due);
+        Ok(id)
+    }
+
+    fn step_to(&mut self, until: Duration) {
+        while self.now < until {
+            self.now += ms(1);
+            self.deliver();
+            for (id, up_to) in grant_all(&mut self.schedule, self.now) {
+                if !self.vanished.contains(&id) {
+                    self.send(id, up_to);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, id: BodyId, up_to: u64) {
+        let sent = self.sent.entry(id).or_default();
+        let bytes = up_to - *sent;
+        *sent = up_to;
+        // The grant takes the delay to the sender, and the piece takes it back.
+        let start = self.free_at.max(self.now + self.delay * 2);
+        self.free_at = start + Duration::from_secs_f64(bytes as f64 / self.rate);
+        let queue = self.free_at.saturating_sub(self.now + self.delay * 2);
+        self.longest_queue = self.longest_queue.max(queue);
+        self.network.push_back((self.free_at, id, bytes));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        while let Some((_, id, bytes)) = self.network.pop_front_if(|(at, _, _)| *at <= now) {
+            self.received += bytes;
+            if self.schedule.receive(id, bytes, now) == PieceEffect::Whole {
+                self.schedule.remove(id);
+                self.whole_at.insert(id, now);
+            }
+        }
+    }
+
+    /// Counts accepted bodies that were not received by their due time.
+    fn late_count(&self) -> usize {
+        let on_time = |id: &BodyId| self.whole_at.get(id).is_some_and(|at| *at <= self.due[id]);
+        self.due.keys().filter(|id| !on_time(id)).count()
+    }
+}
+
+/// Sizes from 20 to 360 KB, 60 KB in the mean.
+fn upload_size(number: u64) -> u64 {
+    match number % 20 {
+        0 => 360_000,
+        odd if odd % 2 == 1 => 40_000,
+        _ => 45_000 + number % 7 * 1_000,
+    }
+}
+
+/// Guards against pings that starve, and bodies that arrive in part only, where seven receivers of
+/// 10 Mbit/s share bursts of 114 uploads a second. Each of them sees the same load.
+#[test]
+fn burst_of_uploads_over_thin_links_leaves_room_for_pings() {
+    for receiver in 0..7_u64 {
+        let mut world = ReceiverWorld::new(THIN_MBITS);
+        let mut refused = 0;
+        let mut offered = 0;
+        // Pairs at once: the balancers of several daemons choose alike.
+        for number in 0..160_u64 {
+            world.step_to(ms(number / 2 * 122));
+            let size = upload_size(number + receiver);
+            offered += 1;
+            let due = world.now + ms(900);
+            if world.offer(spec(1, due, size)).is_err() {
+                refused += 1;
+            }
+        }
+        world.step_to(world.now + ms(1_000));
+        assert_eq!(world.late_count(), 0, "receiver {receiver}");
+        assert!(refused * 10 <= offered, "{refused} of {offered}");
+        let queue = world.longest_queue;
+        assert!(queue <= PING_LIMIT / 6, "{queue:?}");
+    }
+}
+
+/// Guards against a link that carries bodies in part, none of which runs, when twice as many are sent
+/// as it carries.
+#[test]
+fn overload_is_refused_at_once_and_the_rest_is_in_time() {
+    let mut world = ReceiverWorld::new(THIN_MBITS);
+    let mut waits = Vec::new();
+    for number in 0..400_u64 {
+        world.step_to(ms(number * 24));
+        let due = world.now + ms(500);
+        if let Err(wait) = world.offer(spec(1, due, 60_000)) {
+            waits.push(wait);
+        }
+    }
+    let used = world.received as f64 / (THIN_RATE * world.now.as_secs_f64());
+    world.step_to(world.now + ms(600));
+    assert_eq!(world.late_count(), 0);
+    assert!(used > 0.85, "{used}");
+    // A slot for one body comes free every 48 ms, so the time is short, and true.
+    assert!(
+        waits.iter().all(|wait| *wait < ms(200)),
+        "{:?}",
+        waits.iter().max()
+    );
+}
+
+/// Guards against a body of seconds that holds up those of milliseconds.
+#[test]
+fn long_body_beside_many_short_ones_goes_in_their_gaps() {
+    let mut world = ReceiverWorld::new(THIN_MBITS);
+    let long = world.offer(spec(1, ms(8_000), 4_000_000)).expect("room");
+    for number in 0..60_u64 {
+        world.step_to(ms(number * 50));
+        let due = world.now + ms(250);
+        world.offer(spec(1, due, 30_000)).expect("room");
+    }
+    world.step_to(ms(8_000));
+    assert_eq!(world.late_count(), 0);
+    assert!(world.whole_at[&long] > ms(4_000));
+}
+
+/// Guards against bodies of urgent calls that wait for others, which running requests depend on.
+#[test]
+fn more_urgent_rank_is_granted_first() {
+    let mut schedule = GrantSchedule::new(THIN_MBITS);
+    let late = schedule.offer(spec(2, ms(300), 100_000), ms(0));
+    let urgent = schedule.offer(spec(0, ms(900), 100_000), ms(0));
+    let granted = grant_all(&mut schedule, ms(0));
+    assert!(granted.contains_key(&urgent.expect("room")));
+    assert!(!granted.contains_key(&late.expect("room")));
+}
+
+/// Guards against senders that vanish, or do not use their grants, and block the others for good.
+#[test]
+fn grants_that_are_not_used_do_not_block_the_others() {
+    let mut world = ReceiverWorld::new(THIN_MBITS);
+    for _ in 0..4 {
+        let id = world.offer(spec(1, ms(5_000), 60_000)).expect("room");
+        world.vanished.push(id);
+    }
+    world.step_to(ms(10));
+    let id = world.offer(spec(1, ms(6_000), 300_000)).expect("room");
+    world.step_to(ms(3_000));
+    assert!(world.whole_at.contains_key(&id));
+    assert!(world.longest_queue <= PING_LIMIT / 6);
+}
+
+/// Guards against grants that are not freed when a call is cancelled or its link ends.
+#[test]
+fn cancelled_body_frees_its_grants() {
+    let mut schedule = GrantSchedule::new(THIN_MBITS);
+    let first = schedule.offer(spec(1, ms(900), 200_000), ms(0));
+    let second = schedule.offer(spec(1, ms(901), 200_000), ms(0));
+    let (first, second) = (first.expect("room"), second.expect("room"));
+    assert!(!grant_all(&mut schedule, ms(0)).contains_key(&second));
+    schedule.remove(first);
+    assert_eq!(schedule.receive(first, 1, ms(1)), PieceEffect::Stray);
+    assert!(grant_all(&mut schedule, ms(1)).contains_key(&second));
+    schedule.remove(second);
+    assert!(schedule.is_empty());
+    assert_eq!(schedule.on_the_way(ms(1)), 0);
+}
+
+/// Guards against a link that is spent on requests that nobody waits for.
+#[test]
+fn nothing_is_granted_after_the_time_limit() {
+    let mut schedule = GrantSchedule::new(THIN_MBITS);
+    let offered = BodySpec {
+        give_up: ms(200),
+        ..spec(1, ms(100), 500_000)
+    };
+    let late = schedule.offer(offered, ms(0)).expect("room");
+    let other = schedule.offer(spec(1, ms(3_000), 20_000), ms(100));
+    // Late bodies have the time that others leave.
+    let granted = grant_all(&mut schedule, ms(100));
+    assert_eq!(granted[&other.expect("room")], 20_000);
+    assert!(granted[&late] > 0);
+    let before = schedule.granted(late);
+    schedule.receive(late, before, ms(199));
+    assert!(grant_all(&mut schedule, ms(200)).is_empty());
+}
+
+/// Guards against memory that a peer fills without being granted it.
+#[test]
+fn bytes_beyond_the_grant_are_stray() {
+    let mut schedule = GrantSchedule::new(THIN_MBITS);
+    let id = schedule.offer(spec(1, ms(900), 500_000), ms(0));
+    let id = id.expect("room");
+    grant_all(&mut schedule, ms(0));
+    let granted = schedule.granted(id);
+    assert_eq!(schedule.receive(id, granted + 1, ms(1)), PieceEffect::Stray);
+    assert_eq!(schedule.receive(id, granted, ms(1)), PieceEffect::Partial);
+}
+
+/// Guards against bounds that leave a thin link idle or fill a broad one with seconds of bodies.
+#[test]
+fn bound_follows_the_link() {
+    for (mbits, bytes) in [
+        (1, 32_768),
+        (10, 62_500),
+        (1_000, 1_048_576),
+        (0, 1_048_576),
+    ] {
+        assert_eq!(GrantSchedule::new(mbits).limit(), bytes, "{mbits} Mbit/s");
+    }
+}
+
+/// Guards against bodies that take the memory of the process, and against a single one inside the
+/// limits that is refused on an idle VM.
+#[test]
+fn bodies_take_a_third_of_the_memory_and_one_always_fits() {
+    let memory = BoundedMemory::new(Some(90_000_000));
+    let large = memory.reserve(60_000_000);
+    assert!(large.is_some());
+    assert!(memory.reserve(1).is_none());
+    drop(large);
+    let first = memory.reserve(20_000_000);
+    assert!(first.is_some());
+    assert!(memory.reserve(10_000_001).is_none());
+    assert!(memory.reserve(10_000_000).is_some());
+}
