Uploads with real processes: whole, broken, silent and left transfers

A rollout that withdraws an endpoint during a transfer refuses the call, and a stopping daemon waits for accepted bodies.

--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -209,6 +209,12 @@
                 link.calls.borrow_mut().remove(&number);
                 return;
             };
+            // A stop lets accepted calls end; a rollout may have begun during the transfer.
+            if is_withdrawn(&link.state) {
+                link.refuse(number, not_run(NotRunCause::Closed));
+                link.calls.borrow_mut().remove(&number);
+                return;
+            }
             let call = ForwardedCall {
                 body: bytes,
                 ..*call
@@ -302,9 +308,11 @@
 /// Returns whether forwarded calls are refused, because this daemon is stopping or a rollout has
 /// taken the endpoint's version out of service.
 fn refuses_calls(state: &SidecarState) -> bool {
-    if state.is_leaving.get() {
-        return true;
-    }
+    state.is_leaving.get() || is_withdrawn(state)
+}
+
+/// Returns whether a rollout has taken the endpoint's version out of service.
+fn is_withdrawn(state: &SidecarState) -> bool {
     let Some(endpoint) = state.endpoint.summary() else {
         return false;
     };
--- a/coltsfootweir/src/sidecar/uploads/body_intake.rs
+++ b/coltsfootweir/src/sidecar/uploads/body_intake.rs
@@ -1,5 +1,6 @@
 //! Receives the bodies that other daemons offer, as far as the schedule grants them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -53,6 +54,8 @@
     state: RefCell<IntakeState>,
     clock: Arc<dyn DaemonClock>,
     memory: Box<dyn BodyMemory>,
+    /// Number of bodies whose calls have not begun to run.
+    open: Cell<usize>,
 }
 
 /// Bytes of bodies, for the metrics.
@@ -81,6 +84,7 @@
             state: RefCell::new(state),
             clock,
             memory,
+            open: Cell::new(0),
         })
     }
 
@@ -117,6 +121,7 @@
         state.ids.insert((side.id(), number), id);
         state.send_grants(None, now);
         drop(state);
+        self.open.set(self.open.get() + 1);
         Ok(OfferedBody {
             intake: Rc::clone(self),
             id,
@@ -172,10 +177,10 @@
         self.state.borrow().schedule.backlog_time(now)
     }
 
-    /// Returns whether no body is expected.
+    /// Returns whether no body is expected, and none is complete whose call has not begun to run.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.state.borrow().schedule.is_empty()
+        self.open.get() == 0
     }
 
     /// Returns the bytes for the metrics.
@@ -241,6 +246,7 @@
 
 impl Drop for OfferedBody {
     fn drop(&mut self) {
+        self.intake.open.set(self.intake.open.get() - 1);
         self.intake.state.borrow_mut().remove(self.id);
         self.intake.send_grants();
     }
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -201,7 +201,11 @@
 
 fn serve(state: &EndpointState, stream: &TcpStream) {
     let mut reader = BufReader::new(stream);
-    while let Some(seen) = read_request(&mut reader) {
+    while let Some(mut seen) = read_head(&mut reader) {
+        let is_early = seen.path.ends_with("/early");
+        if !is_early && !read_body(&mut reader, &mut seen) {
+            return;
+        }
         let id = seen.id().to_owned();
         let mode = seen.path.rsplit('/').next().unwrap_or("").to_owned();
         let expected = seen.header("expected-instance").to_owned();
@@ -214,8 +218,17 @@
             let _ = out.write_all(&refused_answer(503, &id));
             continue;
         }
-        state.seen.lock().expect("no holder panicked").push(seen);
-        if !answer(state, &mode, &id, out) {
+        state
+            .seen
+            .lock()
+            .expect("no holder panicked")
+            .push(seen.clone());
+        // An early answer is sent before the body is read.
+        let goes_on = answer(state, &mode, &id, out);
+        if is_early && !read_body(&mut reader, &mut seen) {
+            return;
+        }
+        if !goes_on {
             return;
         }
     }
@@ -351,7 +364,7 @@
     }
 }
 
-fn read_request(reader: &mut BufReader<&TcpStream>) -> Option<SeenRequest> {
+fn read_head(reader: &mut BufReader<&TcpStream>) -> Option<SeenRequest> {
     let mut line = String::new();
     reader
         .read_line(&mut line)
@@ -367,15 +380,17 @@
         };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers
-        .get("content-length")
-        .and_then(|text| text.parse().ok());
-    let mut body = vec![0; length.unwrap_or(0)];
-    reader.read_exact(&mut body).ok()?;
     Some(SeenRequest {
         path,
         headers,
-        body,
+        body: Vec::new(),
         at: Instant::now(),
     })
 }
+
+/// Reads the body of a request; returns whether all of it came.
+fn read_body(reader: &mut BufReader<&TcpStream>, seen: &mut SeenRequest) -> bool {
+    let length = seen.header("content-length").parse().unwrap_or(0);
+    seen.body = vec![0; length];
+    reader.read_exact(&mut seen.body).is_ok()
+}
