--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -59,6 +59,14 @@
         "answers_held_bytes",
         "bytes of answers that are held back until they are complete",
     ),
+    (
+        "bodies_granted_bytes",
+        "bytes of large request bodies that are granted to other daemons and not received",
+    ),
+    (
+        "bodies_waiting_bytes",
+        "bytes of large request bodies of other daemons that wait for a grant",
+    ),
 ];
 
 impl SidecarMetrics {
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -183,6 +183,12 @@
         state.wait_time(rank, self.clock.now()) + state.run_times.expected(route_hash)
     }
 
+    /// Returns the expected run time of requests of a route.
+    #[must_use]
+    pub fn expected_run(&self, route_hash: u32) -> Duration {
+        self.state.borrow().run_times.expected(route_hash)
+    }
+
     /// Returns the fingerprints of the running requests.
     #[must_use]
     pub fn running(&self) -> Vec<Fingerprint> {
