--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -84,6 +84,13 @@
             * 1024
     }
 
+    /// Number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        let entries = std::fs::read_dir(path).expect("the descriptors of a running process");
+        entries.count()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
     }
