Limits on the memory and descriptors that clients and strangers take

Cause: bodies were held without a bound on their sum and copied for the endpoint; any number of connections was accepted on each port; a frame of 40 MiB was read from a peer that had not identified itself; buffers of links never shrank.

Change: client_limits/ with an account of held bodies (half of memory_mb; an eighth of it only for bodies up to 64 KiB), limits on connections (half of max_fds for clients, a sixteenth for each other port; the oldest idle connection is closed first), time limits on heads, bodies and unread answers, and a bounded drain after a refused body. A reservation is attached to the body's bytes, so it lasts as long as a queue holds them. Head and body are written to the endpoint in one vectored write without a copy of the body. Frames above 4 KiB before Hello, and peers without a Hello for 5 s, close the connection; frames above 1 MiB are reserved before they are read, else skipped and their call refused as not run. Counters: limit_refusals by kind. Without the settings, the account and the connection limits are off; the limit of 32 MiB on a body stays there.

--- a/coltsfootweir/src/sidecar/answer/client_body.rs
+++ b/coltsfootweir/src/sidecar/answer/client_body.rs
@@ -18,6 +18,8 @@
 use crate::logging::CALLS;
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::answer_rest::BodyPiece;
+use crate::sidecar::client_limits::connection_limit::BusyConnection;
+use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::sidecar_state::SidecarState;
 
 /// Body of a response to a client.
@@ -185,19 +187,32 @@
 }
 
 /// Counts a request as in progress until it is dropped.
-pub struct RunningCount(Rc<SidecarState>);
+pub struct RunningCount {
+    state: Rc<SidecarState>,
+    connection: BusyConnection,
+}
 
 impl RunningCount {
     /// Counts one more request.
     #[must_use]
-    pub fn new(state: &Rc<SidecarState>) -> RunningCount {
+    pub fn new(state: &Rc<SidecarState>, connection: BusyConnection) -> RunningCount {
         state.running.set(state.running.get() + 1);
-        RunningCount(Rc::clone(state))
+        RunningCount {
+            state: Rc::clone(state),
+            connection,
+        }
+    }
+
+    /// Returns the connection of the request.
+    #[must_use]
+    pub fn connection(&self) -> &Rc<ConnectionSlot> {
+        self.connection.slot()
     }
 }
 
 impl Drop for RunningCount {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
+        let running = &self.state.running;
+        running.set(running.get() - 1);
     }
 }
--- /dev/null
+++ b/coltsfootweir/src/sidecar/client_limits/connection_limit.rs
@@ -0,0 +1,187 @@
+//! Limit on the open connections of a port. The connection that has been idle the longest is closed
+//! for a new one.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+/// Position in the order in which connections became idle.
+type IdleNumber = u64;
+
+/// Limit on the open connections of a port.
+pub struct ConnectionLimit {
+    limit: u32,
+    open: Cell<u32>,
+    next: Cell<IdleNumber>,
+    /// Idle connections, the one that has been idle the longest first.
+    idle: RefCell<BTreeMap<IdleNumber, Rc<Notify>>>,
+}
+
+/// An open connection, until it is dropped. It is idle while no request is in progress.
+pub struct ConnectionSlot {
+    limit: Rc<ConnectionLimit>,
+    evicted: Rc<Notify>,
+    number: Cell<Option<IdleNumber>>,
+    is_counted: Cell<bool>,
+    has_head: Cell<bool>,
+    is_body_unread: Cell<bool>,
+}
+
+/// A request in progress on a connection, until it is dropped.
+pub struct BusyConnection(Rc<ConnectionSlot>);
+
+/// A connection that is admitted.
+pub struct AdmittedConnection {
+    /// The connection.
+    pub slot: Rc<ConnectionSlot>,
+    /// Whether another one is closed for it.
+    pub has_evicted: bool,
+}
+
+impl ConnectionLimit {
+    /// Creates a limit.
+    #[must_use]
+    pub fn new(limit: u32) -> Rc<ConnectionLimit> {
+        Rc::new(ConnectionLimit {
+            limit,
+            open: Cell::new(0),
+            next: Cell::new(0),
+            idle: RefCell::default(),
+        })
+    }
+
+    /// Admits a connection, which is idle. Returns `None` if as many as the limit are open and none of
+    /// them is idle.
+    #[must_use]
+    pub fn admit(self: &Rc<Self>) -> Option<AdmittedConnection> {
+        let is_full = self.open.get() >= self.limit;
+        if is_full && !self.evict_oldest() {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        let slot = Rc::new(ConnectionSlot {
+            limit: Rc::clone(self),
+            evicted: Rc::default(),
+            number: Cell::new(None),
+            is_counted: Cell::new(true),
+            has_head: Cell::new(false),
+            is_body_unread: Cell::new(false),
+        });
+        slot.set_idle();
+        Some(AdmittedConnection {
+            slot,
+            has_evicted: is_full,
+        })
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    fn evict_oldest(&self) -> bool {
+        let oldest = self.idle.borrow_mut().pop_first();
+        if let Some((_, evicted)) = &oldest {
+            evicted.notify_one();
+        }
+        oldest.is_some()
+    }
+}
+
+impl ConnectionSlot {
+    /// Waits until the connection has to be closed for another one.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    /// Marks the connection as busy.
+    #[must_use]
+    pub fn begin_request(self: &Rc<Self>) -> BusyConnection {
+        self.set_busy();
+        BusyConnection(Rc::clone(self))
+    }
+
+    /// Returns whether a request is in progress.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.number.get().is_none()
+    }
+
+    /// Records that a part of a request head has been received.
+    pub fn set_head_begun(&self) {
+        self.has_head.set(!self.is_busy());
+    }
+
+    /// Returns whether a part of a request head has been received, and not yet all of it.
+    #[must_use]
+    pub fn has_head_begun(&self) -> bool {
+        self.has_head.get()
+    }
+
+    /// Records whether a body is unread. If the request is answered, the rest has to be drained.
+    pub fn set_body_unread(&self, is_unread: bool) {
+        self.is_body_unread.set(is_unread);
+    }
+
+    /// Returns whether a body is unread.
+    #[must_use]
+    pub fn is_body_unread(&self) -> bool {
+        self.is_body_unread.get()
+    }
+
+    /// Takes the connection out of the limit.
+    pub fn release(&self) {
+        if !self.is_counted.replace(false) {
+            return;
+        }
+        self.set_busy();
+        self.limit.open.set(self.limit.open.get() - 1);
+    }
+
+    /// Returns whether the connection was taken out of the limit.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        !self.is_counted.get()
+    }
+
+    fn set_busy(&self) {
+        self.has_head.set(false);
+        if let Some(number) = self.number.take() {
+            self.limit.idle.borrow_mut().remove(&number);
+        }
+    }
+
+    fn set_idle(&self) {
+        let number = self.limit.next.get();
+        self.limit.next.set(number + 1);
+        self.number.set(Some(number));
+        let evicted = Rc::clone(&self.evicted);
+        self.limit.idle.borrow_mut().insert(number, evicted);
+    }
+}
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
+impl BusyConnection {
+    /// Returns the connection.
+    #[must_use]
+    pub fn slot(&self) -> &Rc<ConnectionSlot> {
+        &self.0
+    }
+}
+
+impl Drop for BusyConnection {
+    fn drop(&mut self) {
+        if self.0.is_counted.get() {
+            self.0.set_idle();
+        }
+    }
+}
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -23,10 +23,11 @@
 
 use crate::logging::UPSTREAM;
 use crate::sidecar::announcement::RegisterChange;
+use crate::sidecar::client_limits::accept_loop::accept_each;
+use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::departures::departure_task::keep_beyond_run;
 use crate::sidecar::event_log::dropped_lines;
 use crate::sidecar::platform_adapter::ControlCall;
-use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sidecar_state::SidecarState;
 
 /// Maximum length of a request body, in bytes. Announcements take a few hundred bytes.
@@ -35,29 +36,54 @@
 /// Time after which an idle connection is closed. The platform sends a request every second or two.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Size of the buffer for a request head, in bytes: hyper's smallest. Heads of the platform take a few
+/// hundred bytes.
+const HEAD_BUFFER: usize = 8 * 1024;
+
+/// Time for a request body. The platform sends it in one packet with its head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Divisor of the drain time that gives the time in which queued requests may still start on a
 /// departing endpoint. The rest of the drain time is left for requests in transit.
 const QUEUE_GRACE_DIVISOR: u32 = 3;
 
 /// Serves requests of the platform until the daemon exits.
 pub async fn serve_control(state: Rc<SidecarState>, listener: TcpListener) {
-    accept_each(&listener, "control", |stream| {
-        tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
-    })
+    let limit = state.guard.control();
+    accept_each(
+        &listener,
+        "control",
+        &limit,
+        &state.metrics,
+        |stream, slot| {
+            tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream, slot));
+        },
+    )
     .await;
 }
 
-async fn serve_connection(state: Rc<SidecarState>, stream: TcpStream) {
+async fn serve_connection(state: Rc<SidecarState>, stream: TcpStream, slot: Rc<ConnectionSlot>) {
+    let served = Rc::clone(&slot);
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(respond(&state, request).await) }
+        let busy = served.begin_request();
+        async move {
+            let response = respond(&state, request).await;
+            drop(busy);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(HEAD_BUFFER)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let served = tokio::select! {
+        served = connection => served,
+        () = slot.evicted() => return,
+    };
+    if let Err(error) = served {
         log::debug!(target: UPSTREAM, "connection from the platform closed: {error}");
     }
 }
@@ -65,10 +91,9 @@
 async fn respond(state: &Rc<SidecarState>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await;
-    let Ok(body) = body else {
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(BODY_TIMEOUT, body).await else {
+        state.metrics.count_refusal("control_body");
         return reply(StatusCode::BAD_REQUEST, Bytes::new());
     };
     let body = body.to_bytes();
@@ -162,6 +187,8 @@
         "answers_held_bytes",
         state.routing.hold_budget.held() as u64,
     );
+    metrics.set("bodies_held_bytes", state.guard.held());
+    metrics.set("client_connections", u64::from(state.guard.clients.open()));
     Bytes::from(metrics.text())
 }
 
--- a/coltsfootweir/src/sidecar/endpoint_request.rs
+++ b/coltsfootweir/src/sidecar/endpoint_request.rs
@@ -6,9 +6,9 @@
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::platform_adapter::HeaderNames;
 
-/// Returns the head and the body of a request for the endpoint with the id `endpoint`, which may
+/// Returns the head of a request for the endpoint with the id `endpoint`, which may
 /// take the time `left`.
-pub(crate) fn write_request(
+pub(crate) fn write_head(
     call: &ForwardedCall,
     names: &HeaderNames,
     endpoint: &str,
@@ -30,7 +30,6 @@
     }
     own.push_str("\r\n");
     head.extend_from_slice(own.as_bytes());
-    head.extend_from_slice(&call.body);
     head
 }
 
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -375,6 +375,31 @@
     Ok(Some(frame))
 }
 
+/// Returns the size of the first frame in `bytes`, including its length prefix; `None` if the prefix is
+/// incomplete.
+#[must_use]
+pub fn frame_size(bytes: &[u8]) -> Option<usize> {
+    let head = bytes.first_chunk::<LENGTH_SIZE>()?;
+    Some(LENGTH_SIZE + u32::from_be_bytes(*head) as usize)
+}
+
+/// Returns the number of the call that the first frame in `bytes` requests, of which only the beginning
+/// is needed; `None` for other frames.
+#[must_use]
+pub fn requested_call(bytes: &[u8]) -> Option<CallNumber> {
+    // A variant is a map of one name to an array of its fields; the first field is the number.
+    let encoded = bytes.get(LENGTH_SIZE..)?;
+    let call = encoded.strip_prefix(b"\x81\xa4Call\x92");
+    let number = call.or_else(|| encoded.strip_prefix(b"\x81\xa9TimedCall\x93"))?;
+    match number {
+        [small @ 0..=0x7f, ..] => Some(CallNumber::from(*small)),
+        [0xcc, byte, ..] => Some(CallNumber::from(*byte)),
+        [0xcd, a, b, ..] => Some(CallNumber::from(u16::from_be_bytes([*a, *b]))),
+        [0xce, a, b, c, d, ..] => Some(CallNumber::from_be_bytes([*a, *b, *c, *d])),
+        _ => None,
+    }
+}
+
 fn length_error(length: usize) -> String {
     format!("length of {length} bytes exceeds the limit of {FRAME_LIMIT} bytes")
 }
--- a/coltsfootweir/src/sidecar/http_exchange.rs
+++ b/coltsfootweir/src/sidecar/http_exchange.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::body::Buf;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -84,8 +85,10 @@
 /// A request in its wire format.
 #[derive(Clone, Copy, Debug)]
 pub struct WireRequest<'a> {
-    /// Head and body.
-    pub bytes: &'a [u8],
+    /// Head.
+    pub head: &'a [u8],
+    /// Body.
+    pub body: &'a [u8],
     /// Whether this is a `HEAD` request, so that responses have no body.
     pub is_head: bool,
     /// Header name and value that identify the response; one without them belongs to no request. If
@@ -165,7 +168,8 @@
                 reader,
                 buffer: &mut self.buffer,
             };
-            let write = writer.write_all(request.bytes);
+            let mut bytes = request.head.chain(request.body);
+            let write = writer.write_all_buf(&mut bytes);
             let read = matching_response(&mut socket, request, limit);
             tokio::pin!(write, read);
             let mut written = None;
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -29,7 +29,7 @@
 use crate::sidecar::answer::endpoint_body::EndpointBody;
 use crate::sidecar::endpoint_request::is_connection_header;
 use crate::sidecar::endpoint_request::response_identity;
-use crate::sidecar::endpoint_request::write_request;
+use crate::sidecar::endpoint_request::write_head;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::frame::ForwardedCall;
@@ -228,10 +228,11 @@
             return not_run(NotRunCause::Closed);
         };
         let left = deadline.saturating_sub(self.clock.now());
-        let bytes = write_request(call, &self.headers, &current.id, left);
+        let head = write_head(call, &self.headers, &current.id, left);
         permit.start();
         let request = WireRequest {
-            bytes: &bytes,
+            head: &head,
+            body: &call.body,
             is_head: &*call.method == "HEAD",
             identity,
         };
--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -23,13 +23,14 @@
     registry: Registry,
     requests: IntCounterVec,
     repeats: IntCounterVec,
+    refusals: IntCounterVec,
     latency: HistogramVec,
     endpoint_time: Histogram,
     gauges: Vec<(&'static str, IntGauge)>,
 }
 
 /// Names and help texts of the gauges. They are set when the metrics are requested.
-const GAUGES: [(&str, &str); 12] = [
+const GAUGES: [(&str, &str); 14] = [
     ("config_version", "version of the configuration in force"),
     ("members_live", "daemons in reach, this one included"),
     ("store_calls", "calls made to the store"),
@@ -54,6 +55,8 @@
         "answers_held_bytes",
         "bytes of answers that are held back until they are complete",
     ),
+    ("bodies_held_bytes", "bytes of request bodies that are held"),
+    ("client_connections", "open connections of clients"),
 ];
 
 impl SidecarMetrics {
@@ -68,6 +71,11 @@
         let requests = IntCounterVec::new(requests, &["outcome", "cause"]);
         let repeats = Opts::new("repeats", "requests sent to a further endpoint, by cause");
         let repeats = IntCounterVec::new(repeats, &["cause"]);
+        let refusals = Opts::new(
+            "limit_refusals",
+            "requests, connections and frames refused because of a limit, by kind",
+        );
+        let refusals = IntCounterVec::new(refusals, &["kind"]);
         let latency = histogram("request_seconds", "time of requests by service");
         let latency = HistogramVec::new(latency, &["service"]);
         let wait = histogram(
@@ -79,6 +87,7 @@
         let mut metrics = SidecarMetrics {
             requests: requests.expect(valid),
             repeats: repeats.expect(valid),
+            refusals: refusals.expect(valid),
             latency: latency.expect(valid),
             endpoint_time: wait.expect(valid),
             gauges: Vec::new(),
@@ -92,6 +101,9 @@
         registry
             .register(Box::new(metrics.repeats.clone()))
             .expect(unique);
+        registry
+            .register(Box::new(metrics.refusals.clone()))
+            .expect(unique);
         registry
             .register(Box::new(metrics.latency.clone()))
             .expect(unique);
@@ -118,6 +130,11 @@
         self.repeats.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a request, connection or frame that is refused because of a limit.
+    pub fn count_refusal(&self, kind: &str) {
+        self.refusals.with_label_values(&[kind]).inc();
+    }
+
     /// Records the time of a call at the local endpoint.
     pub fn count_run(&self, time: Duration) {
         self.endpoint_time.observe(time.as_secs_f64());
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -11,6 +11,8 @@
 #[doc(hidden)]
 pub mod answer;
 pub mod call_attempts;
+#[doc(hidden)]
+pub mod client_limits;
 pub mod client_response;
 pub mod config_holder;
 pub mod config_task;
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use flume::Receiver;
@@ -17,6 +18,7 @@
 use crate::sidecar::answer::answer_rest::BodyPiece;
 use crate::sidecar::answer::answer_rest::PieceSender;
 use crate::sidecar::answer::link_body::LinkBody;
+use crate::sidecar::client_limits::byte_account::ByteAccount;
 use crate::sidecar::frame::AnswerHead;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::CallResult;
@@ -25,6 +27,7 @@
 use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
+use crate::sidecar::link::frame_io::FrameLimits;
 use crate::sidecar::link::frame_io::exchange_frames;
 use crate::sidecar::link::link_side::LinkSide;
 use crate::sidecar::link::uplink::Uplink;
@@ -199,7 +202,7 @@
                     frame => on_frame(&link.side, frame),
                 }
             };
-            exchange_frames(stream, queue, take).await;
+            exchange_frames(stream, queue, DialedLimits, take).await;
             if let Some(link) = weak_link.upgrade() {
                 link.close();
             }
@@ -416,6 +419,21 @@
     }
 }
 
+/// Limits on a dialed connection: the peer was chosen by this daemon, and sends no calls.
+struct DialedLimits;
+
+impl FrameLimits for DialedLimits {
+    fn is_identified(&self) -> bool {
+        true
+    }
+
+    fn account(&self) -> Option<&Arc<ByteAccount>> {
+        None
+    }
+
+    fn refuse(&self, _size: usize, _call: Option<CallNumber>) {}
+}
+
 /// A call in progress; sends a cancel frame when dropped before the end of the result.
 pub(crate) struct CallGuard {
     pub(crate) link: Rc<PeerLink>,
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -4,32 +4,48 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use log::warn;
+use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::ids::MemberId;
+use crate::logging::MEMBERS;
 use crate::sidecar::announcement::DepartedLifetime;
 use crate::sidecar::announcement::DepartureCount;
+use crate::sidecar::client_limits::accept_loop::accept_each;
+use crate::sidecar::client_limits::byte_account::ByteAccount;
+use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::frame::CallNumber;
+use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
+use crate::sidecar::frame::NotRunReport;
 use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::link::call_age::wall_delay;
+use crate::sidecar::link::frame_io::FrameLimits;
 use crate::sidecar::link::frame_io::exchange_frames;
 use crate::sidecar::link::link_side::LinkSide;
 use crate::sidecar::link::uplink::TransferKind;
-use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::RolloutStage;
-use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sent_answer::SentAnswer;
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::freshness_task::answer_freshness;
 use crate::sidecar::teams::freshness_task::take_freshness;
 
+/// Time in which a peer has to identify itself. It does so as soon as it is connected; the dialing side
+/// gives up after a shorter time.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// `Retry-After` of a call that does not fit the account, in milliseconds: about the time in which a
+/// large body is received and run.
+const FULL_RETRY_AFTER_MS: u32 = 300;
+
 type RunningCalls = Rc<RefCell<HashMap<CallNumber, AbortHandle>>>;
 
 /// A connection from another daemon.
@@ -38,17 +54,19 @@
     state: Rc<SidecarState>,
     side: Rc<LinkSide>,
     calls: RunningCalls,
+    slot: Rc<ConnectionSlot>,
 }
 
 /// Accepts connections from other daemons until this daemon stops.
 pub async fn serve_peers(state: Rc<SidecarState>, listener: TcpListener) {
-    accept_each(&listener, "peers", |stream| {
-        tokio::task::spawn_local(serve_peer(Rc::clone(&state), stream));
+    let limit = &state.guard.strangers;
+    accept_each(&listener, "peers", limit, &state.metrics, |stream, slot| {
+        tokio::task::spawn_local(serve_peer(Rc::clone(&state), stream, slot));
     })
     .await;
 }
 
-async fn serve_peer(state: Rc<SidecarState>, stream: TcpStream) {
+async fn serve_peer(state: Rc<SidecarState>, stream: TcpStream, slot: Rc<ConnectionSlot>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -59,9 +77,21 @@
         state,
         side: Rc::clone(&side),
         calls: RunningCalls::default(),
+        slot: Rc::clone(&slot),
     };
     let calls = Rc::clone(&link.calls);
-    exchange_frames(stream, queue, move |frame| link.handle(frame)).await;
+    let metrics = Rc::clone(&link.state);
+    let limits = link.clone();
+    let exchange = exchange_frames(stream, queue, limits, move |frame| link.handle(frame));
+    tokio::select! {
+        () = exchange => {}
+        () = slot.evicted() => {}
+        () = unidentified(&slot) => {
+            let event = json!({"name": "peer_unidentified", "ms": HELLO_TIMEOUT.as_millis() as u64});
+            warn!(target: MEMBERS, "{event}");
+            metrics.metrics.count_refusal("peer_unidentified");
+        }
+    }
     // The results can't be sent any more.
     for (_, call) in calls.borrow_mut().drain() {
         call.abort();
@@ -69,7 +99,49 @@
     side.close();
 }
 
+/// Returns when the peer has not identified itself in time.
+async fn unidentified(slot: &ConnectionSlot) {
+    tokio::time::sleep(HELLO_TIMEOUT).await;
+    if slot.is_released() {
+        std::future::pending::<()>().await;
+    }
+}
+
+impl FrameLimits for AcceptedLink {
+    fn is_identified(&self) -> bool {
+        self.slot.is_released()
+    }
+
+    fn account(&self) -> Option<&Arc<ByteAccount>> {
+        self.state.guard.account.as_ref()
+    }
+
+    fn refuse(&self, size: usize, call: Option<CallNumber>) {
+        let event = json!({"name": "frame_refused", "peer": self.side.peer_name(), "bytes": size,
+            "call": call});
+        warn!(target: MEMBERS, "{event}");
+        self.state.metrics.count_refusal("frame_no_memory");
+        if let Some(number) = call {
+            self.refuse_call(number, NotRunCause::Overloaded);
+        }
+    }
+}
+
 impl AcceptedLink {
+    fn refuse_call(&self, number: CallNumber, cause: NotRunCause) {
+        let result = CallResult::NotRun(NotRunReport {
+            cause,
+            reached: false,
+            retry_after_ms: match cause {
+                NotRunCause::Overloaded => FULL_RETRY_AFTER_MS,
+                _ => 0,
+            },
+        });
+        let load = self.state.endpoint.load();
+        let frame = PeerFrame::Result(number, load, Box::new(result));
+        self.side.send(frame);
+    }
+
     fn handle(&self, frame: PeerFrame) {
         match frame {
             PeerFrame::Hello(id) => self.greet(id),
@@ -106,6 +178,7 @@
         let is_known = self.side.peer().as_ref() == Some(&id);
         match (self.side.count_hello(), is_known) {
             (_, false) => {
+                self.slot.release();
                 self.side.set_peer(id);
                 self.side.set_pieces();
                 self.side.send(PeerFrame::Pieces);
@@ -131,13 +204,21 @@
         self.side.send(PeerFrame::DeparturesHeld(count, Vec::new()));
     }
 
-    fn start_call(&self, number: CallNumber, call: Box<ForwardedCall>, delay: Duration) {
+    fn start_call(&self, number: CallNumber, mut call: Box<ForwardedCall>, delay: Duration) {
         if refuses_calls(&self.state) {
-            let result = Box::new(not_run(NotRunCause::Closed));
-            let load = self.state.endpoint.load();
-            self.side.send(PeerFrame::Result(number, load, result));
+            self.refuse_call(number, NotRunCause::Closed);
             return;
         }
+        if let Some(account) = &self.state.guard.account
+            && !call.body.is_empty()
+        {
+            let Some(reservation) = account.reserve(call.body.len() as u64) else {
+                self.state.metrics.count_refusal("call_no_memory");
+                self.refuse_call(number, NotRunCause::Overloaded);
+                return;
+            };
+            call.body = reservation.attach(std::mem::take(&mut call.body));
+        }
         let link = self.clone();
         let task = tokio::task::spawn_local(async move {
             let answer = SentAnswer {
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -4,14 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Version;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -20,20 +18,24 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::info;
-use log::warn;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::logging::CALLS;
-use crate::logging::DAEMON;
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::client_body::ClientBody;
 use crate::sidecar::answer::client_body::PassedBody;
 use crate::sidecar::answer::client_body::RunningCount;
 use crate::sidecar::call_attempts::CallAttempts;
 use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
+use crate::sidecar::client_limits::accept_loop::accept_each;
+use crate::sidecar::client_limits::body_intake::BodyRefusal;
+use crate::sidecar::client_limits::body_intake::read_body;
+use crate::sidecar::client_limits::client_stream::ClientStream;
+use crate::sidecar::client_limits::client_stream::StreamTimes;
+use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::client_response::daemon_response;
 use crate::sidecar::client_response::endpoint_response;
 use crate::sidecar::client_response::jittered;
@@ -67,9 +69,6 @@
 /// daemon gets them.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Pause after a failed `accept`, for example when the process has no free file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Limits on clients before the first configuration.
 const DEFAULT_LIMITS: ClientLimits = ClientLimits {
     header_bytes: 16 * 1024,
@@ -81,9 +80,6 @@
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_READ_BUFFER: usize = 8 * 1024;
 
-/// Upper limit on the size of a request body, in bytes, regardless of the configuration.
-const BODY_LIMIT: u64 = 32 * 1024 * 1024;
-
 /// Accepts and serves connections until `stopping` changes. Then closes the port and shuts the open
 /// connections down gracefully.
 pub async fn serve_requests(
@@ -92,34 +88,27 @@
     mut stopping: watch::Receiver<bool>,
 ) {
     let stop = stopping.clone();
-    let accepting = accept_each(&listener, "requests", |stream| {
-        tokio::task::spawn_local(serve_client(Rc::clone(&state), stream, stop.clone()));
-    });
+    let limit = &state.guard.clients;
+    let accepting = accept_each(
+        &listener,
+        "requests",
+        limit,
+        &state.metrics,
+        |stream, slot| {
+            let serving = serve_client(Rc::clone(&state), stream, slot, stop.clone());
+            tokio::task::spawn_local(serving);
+        },
+    );
     tokio::select! {
         () = accepting => {}
         _ = stopping.changed() => {}
     }
 }
 
-/// Accepts connections and passes each one to `serve`. Logs a failed `accept` with the listener's
-/// `name` and continues after a pause.
-pub async fn accept_each(listener: &TcpListener, name: &str, serve: impl Fn(TcpStream)) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve(stream),
-            Err(error) => {
-                let what = json!({"name": "accept_failed", "listener": name,
-                    "reason": error.to_string()});
-                warn!(target: DAEMON, "{what}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 async fn serve_client(
     state: Rc<SidecarState>,
     stream: TcpStream,
+    slot: Rc<ConnectionSlot>,
     mut stopping: watch::Receiver<bool>,
 ) {
     if stream.set_nodelay(true).is_err() {
@@ -128,9 +117,17 @@
     let active = state.config.active();
     let limits = active.map_or(DEFAULT_LIMITS, |active| active.config.limits);
     let idle = Duration::from_millis(u64::from(limits.idle_ms.max(limits.header_ms)));
+    let times = StreamTimes {
+        head: Duration::from_millis(u64::from(limits.header_ms)),
+        unread: idle,
+    };
+    let stream = ClientStream::new(stream, Rc::clone(&slot), times);
+    let serving = Rc::clone(&state);
+    let served = Rc::clone(&slot);
     let service = service_fn(move |request| {
-        let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(serve_request(&state, request).await) }
+        let state = Rc::clone(&serving);
+        let running = RunningCount::new(&state, served.begin_request());
+        async move { Ok::<_, Infallible>(serve_request(&state, request, running).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -141,10 +138,16 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut is_stopping = false;
-    loop {
+    let ended = loop {
         tokio::select! {
-            // An error is ignored, since clients may close a connection at any time.
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => break ended,
+            () = slot.evicted() => {
+                if !slot.is_busy() {
+                    return;
+                }
+                // A request has begun meanwhile.
+                connection.as_mut().graceful_shutdown();
+            }
             changed = stopping.changed(), if !is_stopping => {
                 is_stopping = true;
                 if changed.is_ok() {
@@ -152,7 +155,15 @@
                 }
             }
         }
-    }
+    };
+    let kind = match ended {
+        Err(error) if error.is_parse_too_large() => "head_too_long",
+        Err(error) if error.is_parse() => "head_unreadable",
+        Err(error) if error.is_timeout() => "head_timed_out",
+        // Other errors are ignored, since clients may close a connection at any time.
+        _ => return,
+    };
+    state.metrics.count_refusal(kind);
 }
 
 /// Details of a request for the log.
@@ -169,15 +180,17 @@
 async fn serve_request(
     state: &Rc<SidecarState>,
     request: Request<Incoming>,
+    running: RunningCount,
 ) -> Response<ClientBody> {
-    let running = RunningCount::new(state);
+    let slot = Rc::clone(running.connection());
+    slot.set_body_unread(!request.body().is_end_stream());
     let id = header_text(
         request.headers(),
         state.platform_adapter.headers().request_id,
     );
     let id = id.unwrap_or_default().to_owned();
     let mut response = respond(state, request, &id, running).await;
-    if state.is_leaving.get() {
+    if state.is_leaving.get() || slot.is_body_unread() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -243,29 +256,32 @@
     let time_left = time_left.and_then(|text| text.trim().parse().ok());
     let timeout = time_left.map_or(route.timeout(), Duration::from_millis);
     let deadline = start + timeout.min(route.timeout());
-    let limit = active.config.limits.body_bytes.min(BODY_LIMIT);
     let (parts, body) = request.into_parts();
-    let body = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
+    let time = deadline + RESPONSE_MARGIN - start;
+    let limits = state.guard.body_limits(&active.config.limits, time);
+    let body = read_body(body, limits);
     let answers_due = state.stop.answers_due(|| state.now());
     tokio::pin!(answers_due);
     let body = tokio::select! {
-        body = body.collect() => body,
+        body = body => body,
         () = answers_due.as_mut() => {
             return end_early(state, &trace, StatusCode::SERVICE_UNAVAILABLE, "stopping");
         }
     };
     let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return end_early(
-                state,
-                &trace,
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_long",
-            );
+        Ok(body) => body,
+        Err(refusal) => {
+            state.metrics.count_refusal(refusal.name());
+            let status = match refusal {
+                BodyRefusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+                BodyRefusal::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+                BodyRefusal::TimedOut => StatusCode::REQUEST_TIMEOUT,
+                BodyRefusal::Unreadable => StatusCode::BAD_REQUEST,
+            };
+            return end_early(state, &trace, status, refusal.name());
         }
-        Err(_) => return end_early(state, &trace, StatusCode::BAD_REQUEST, "body_unreadable"),
     };
+    running.connection().set_body_unread(false);
     let Some(deadline) = state.stop.admit(state.now(), deadline) else {
         return end_early(state, &trace, StatusCode::SERVICE_UNAVAILABLE, "stopping");
     };
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -26,6 +26,7 @@
 use crate::retry::RetryBudget;
 use crate::sidecar::answer::answer_hold::HoldBudget;
 use crate::sidecar::answer::answer_sizes::AnswerSizes;
+use crate::sidecar::client_limits::host_guard::HostGuard;
 use crate::sidecar::config_holder::ConfigHolder;
 use crate::sidecar::departures::departure_task::DepartureKeeper;
 use crate::sidecar::frame::ForwardedCall;
@@ -104,6 +105,8 @@
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
     pub members: MemberDirectory,
+    /// Limits that follow from the VM.
+    pub guard: HostGuard,
     /// Endpoint on this VM.
     pub endpoint: Rc<LocalEndpoint>,
     /// Departures of endpoints and where they are kept.
@@ -169,6 +172,7 @@
             freshness: RefCell::default(),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
+            guard: HostGuard::new(settings.host_limits),
             endpoint,
             routing: CallRouting {
                 chooser: RefCell::new(chooser),
--- a/coltsfootweir/src/sidecar/store_client.rs
+++ b/coltsfootweir/src/sidecar/store_client.rs
@@ -109,22 +109,21 @@
 
     async fn exchange(&self, call: &StoreCall) -> Result<StoreReply, StoreFault> {
         let request = self.platform_adapter.store_request(call);
-        let mut bytes = format!(
+        let head = format!(
             "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             request.method,
             request.path,
             self.address,
             request.body.len()
-        )
-        .into_bytes();
-        bytes.extend_from_slice(&request.body);
+        );
         let wait = match call {
             StoreCall::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
             _ => Duration::ZERO,
         };
         let mut connection = self.connection().await?;
         let wire = WireRequest {
-            bytes: &bytes,
+            head: head.as_bytes(),
+            body: &request.body,
             is_head: false,
             identity: None,
         };
