--- a/coltsfootweir/src/sidecar/link/frame_io.rs
+++ b/coltsfootweir/src/sidecar/link/frame_io.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use flume::Receiver;
 use log::warn;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -20,6 +19,7 @@
 use crate::sidecar::frame::read_frame;
 use crate::sidecar::frame::requested_call;
 use crate::sidecar::frame::write_frame;
+use crate::sidecar::link::frame_queue::FrameQueue;
 
 /// Bytes reserved for each read from the socket.
 const READ_SIZE: usize = 4 * 1024;
@@ -56,7 +56,7 @@
 /// queue ends.
 pub async fn exchange_frames(
     stream: TcpStream,
-    queue: Receiver<PeerFrame>,
+    queue: FrameQueue,
     limits: impl FrameLimits,
     take: impl FnMut(PeerFrame),
 ) {
@@ -123,8 +123,7 @@
     }
 }
 
-/// Reserves the bytes of a large frame. The bytes of a frame below the limit on reservations that are
-/// kept free are not counted.
+/// Reserves the bytes of a large frame; `None` without an account.
 fn reserve_frame(limits: &impl FrameLimits, size: usize) -> Result<Option<ByteReservation>, ()> {
     let Some(account) = limits.account() else {
         return Ok(None);
@@ -158,12 +157,13 @@
     }
 }
 
-async fn write_frames(mut writer: OwnedWriteHalf, queue: Receiver<PeerFrame>) {
+async fn write_frames(mut writer: OwnedWriteHalf, queue: FrameQueue) {
     let mut bytes = Vec::new();
-    while let Ok(frame) = queue.recv_async().await {
+    while let Some(first) = queue.next().await {
         bytes.clear();
         shrink(&mut bytes);
-        for frame in std::iter::once(frame).chain(queue.try_iter()) {
+        let mut next = Some(first);
+        while let Some(frame) = next {
             if let Err(error) = write_frame(&frame, &mut bytes) {
                 let event = json!({"name": "frame_not_sent", "reason": error.to_string()});
                 warn!(target: MEMBERS, "{event}");
@@ -172,6 +172,7 @@
             if bytes.len() >= KEPT_CAPACITY {
                 break;
             }
+            next = queue.try_next();
         }
         if writer.write_all(&bytes).await.is_err() {
             return;
--- a/coltsfootweir/src/sidecar/link/link_side.rs
+++ b/coltsfootweir/src/sidecar/link/link_side.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flume::Receiver;
-use flume::Sender;
 use log::warn;
 use serde_json::json;
 
@@ -19,6 +17,9 @@
 use crate::sidecar::http_exchange::PIECE_SIZE;
 use crate::sidecar::link::call_age::CallAge;
 use crate::sidecar::link::config_pieces::ConfigPieces;
+use crate::sidecar::link::frame_queue::FrameQueue;
+use crate::sidecar::link::frame_queue::QueuedFrames;
+use crate::sidecar::link::frame_queue::frame_queue;
 use crate::sidecar::link::uplink::TransferKind;
 use crate::sidecar::link::uplink::TransferSender;
 use crate::sidecar::link::uplink::Uplink;
@@ -27,16 +28,13 @@
 use crate::sidecar::link::uplink_schedule::TransferSpec;
 use crate::sidecar::mesh_config::ConfigDelta;
 
-/// Maximum number of frames queued on a connection. It fills only if the peer stops reading.
-const FRAME_QUEUE: usize = 4096;
-
 /// Change of the time that answers take, in milliseconds, from which on the peer is told.
 const LOAD_STEP_MS: u32 = 15;
 
 /// This daemon's side of a connection, either dialed or accepted.
 pub struct LinkSide {
     id: LinkId,
-    frames: Sender<PeerFrame>,
+    frames: QueuedFrames,
     uplink: Rc<Uplink>,
     has_pieces: Cell<bool>,
     features: Cell<u32>,
@@ -51,8 +49,8 @@
 impl LinkSide {
     /// Creates the side of a new connection. Returns the frames that it sends, too.
     #[must_use]
-    pub fn new(uplink: &Rc<Uplink>) -> (Rc<LinkSide>, Receiver<PeerFrame>) {
-        let (frames, queue) = flume::bounded(FRAME_QUEUE);
+    pub fn new(uplink: &Rc<Uplink>) -> (Rc<LinkSide>, FrameQueue) {
+        let (frames, queue) = frame_queue();
         let side = LinkSide {
             id: uplink.add_link(),
             frames,
@@ -72,11 +70,11 @@
     /// Queues a frame; returns false if the queue is full or the connection has ended. A peer that
     /// does not read finds its own pings unanswered and gives up the link.
     pub fn send(&self, frame: PeerFrame) -> bool {
-        let is_sent = self.frames.try_send(frame).is_ok();
+        let is_sent = self.frames.send(frame);
         if !is_sent {
             log::debug!(
                 target: MEMBERS,
-                "dropped a frame to a peer: queue of {FRAME_QUEUE} frames is full or closed"
+                "dropped a frame to a peer: the queue is full or closed"
             );
         }
         is_sent
@@ -146,7 +144,7 @@
             link: self.id,
             due,
         };
-        self.uplink.open(spec, kind, self.frames.clone())
+        self.uplink.open(spec, kind, self.frames.sender())
     }
 
     /// Records how much of a transfer the peer has received and consumed.
