--- a/coltsfootweir/src/sidecar/client_connection/connection.rs
+++ b/coltsfootweir/src/sidecar/client_connection/connection.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::sidecar::answer::client_body::RunningCount;
 use crate::sidecar::client_connection::body_decoder::BodyDecoder;
 use crate::sidecar::client_connection::body_decoder::DecodedStep;
 use crate::sidecar::client_connection::pending_request::InboundBody;
@@ -32,6 +33,7 @@
 use crate::sidecar::client_connection::request_head::RequestHead;
 use crate::sidecar::client_connection::request_head::has_end;
 use crate::sidecar::client_connection::request_head::parse_head;
+use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::client_response::daemon_response;
 use crate::sidecar::mesh_config::ClientLimits;
 use crate::sidecar::request_server::is_repeatable;
@@ -68,7 +70,7 @@
     Decodable,
     /// The client waits for `100 Continue`.
     ContinueDue,
-    /// The daemon stops.
+    /// The daemon stops, or the connection has to be closed for another one.
     Stopping,
     /// The client closed the connection, or a time limit has passed.
     Ended,
@@ -78,6 +80,7 @@
 pub struct ClientConnection {
     pub(super) state: Rc<SidecarState>,
     pub(super) stream: TcpStream,
+    pub(super) slot: Rc<ConnectionSlot>,
     pub(super) limits: ClientLimits,
     pub(super) buffer: Vec<u8>,
     /// Length of the front of the buffer that holds no end of a head.
@@ -100,11 +103,13 @@
     pub fn new(
         state: Rc<SidecarState>,
         stream: TcpStream,
+        slot: Rc<ConnectionSlot>,
         limits: ClientLimits,
     ) -> ClientConnection {
         ClientConnection {
             state,
             stream,
+            slot,
             limits,
             buffer: Vec::new(),
             scanned: 0,
@@ -121,12 +126,15 @@
     /// Serves requests until the client or the daemon closes the connection. Once `stopping`
     /// changes, it closes when it is idle. Dropping the future cancels the requests.
     pub async fn run(mut self, mut stopping: watch::Receiver<bool>) {
-        let stop = async move {
-            if stopping.changed().await.is_err() {
-                std::future::pending::<()>().await;
+        let slot = Rc::clone(&self.slot);
+        // Closing was asked for, by the daemon's stop or by the limit on connections.
+        let closing = async move {
+            tokio::select! {
+                Ok(()) = stopping.changed() => {}
+                () = slot.evicted() => {}
             }
         };
-        tokio::pin!(stop);
+        tokio::pin!(closing);
         let timer = tokio::time::sleep(self.idle_time());
         tokio::pin!(timer);
         let mut wait = InputWait::Idle;
@@ -144,7 +152,7 @@
             }
             let event = poll_fn(|context| {
                 let timer = (wait != InputWait::None).then_some(timer.as_mut());
-                self.poll_event(context, stop.as_mut(), timer)
+                self.poll_event(context, closing.as_mut(), timer)
             });
             let is_open = match event.await {
                 ConnectionEvent::Answered => self.write_answer().await,
@@ -189,7 +197,9 @@
 
     fn is_finished(&self) -> bool {
         let is_idle = self.buffer.is_empty() && self.next.is_none() && self.body.is_none();
-        let may_stop = self.is_stopping && self.has_served && is_idle;
+        // A client that has just connected may be sending its first request while the daemon stops.
+        let is_unused = !self.has_served && !self.slot.is_evicted();
+        let may_stop = self.is_stopping && is_idle && !is_unused;
         self.outstanding.is_empty() && (self.is_last || may_stop)
     }
 
@@ -262,7 +272,8 @@
         let is_head = parts.method == Method::HEAD;
         let request = Request::from_parts(parts, body);
         let state = Rc::clone(&self.state);
-        let running = Box::pin(async move { serve_request(&state, request).await });
+        let count = RunningCount::new(&state, self.slot.begin_request());
+        let running = Box::pin(async move { serve_request(&state, request, count).await });
         self.is_last |= !head.keeps_alive;
         self.has_served = true;
         self.outstanding.push_back(PendingRequest {
@@ -277,15 +288,10 @@
     /// Queues the answer to a head that can't be served, after which the connection closes.
     fn refuse(&mut self, error: HeadError) {
         let (status, cause) = match error {
-            HeadError::TooLarge => (
-                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-                "head_too_large",
-            ),
-            HeadError::Malformed => (StatusCode::BAD_REQUEST, "head_malformed"),
+            HeadError::TooLarge => (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_long"),
+            HeadError::Malformed => (StatusCode::BAD_REQUEST, "head_unreadable"),
         };
-        self.state
-            .metrics
-            .count_request("", "failed", cause, Duration::ZERO);
+        self.state.metrics.count_refusal(cause);
         let response = daemon_response(&self.state, "", status, cause, None);
         self.is_last = true;
         self.is_cut = true;
@@ -337,7 +343,7 @@
     fn poll_event(
         &mut self,
         context: &mut Context<'_>,
-        stop: Pin<&mut impl Future<Output = ()>>,
+        closing: Pin<&mut impl Future<Output = ()>>,
         timer: Option<Pin<&mut Sleep>>,
     ) -> Poll<ConnectionEvent> {
         self.poll_requests(context);
@@ -362,7 +368,7 @@
                 false => ConnectionEvent::Ended,
             });
         }
-        if !self.is_stopping && stop.poll(context).is_ready() {
+        if !self.is_stopping && closing.poll(context).is_ready() {
             return Poll::Ready(ConnectionEvent::Stopping);
         }
         match timer {
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
+use std::sync::Arc;
 use std::time::Duration;
 
 use flume::Receiver;
@@ -18,6 +19,7 @@
 use crate::sidecar::answer::answer_rest::BodyPiece;
 use crate::sidecar::answer::answer_rest::PieceSender;
 use crate::sidecar::answer::link_body::LinkBody;
+use crate::sidecar::client_limits::byte_account::ByteAccount;
 use crate::sidecar::frame::AnswerHead;
 use crate::sidecar::frame::CallNumber;
 use crate::sidecar::frame::CallResult;
@@ -27,6 +29,7 @@
 use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
+use crate::sidecar::link::frame_io::FrameLimits;
 use crate::sidecar::link::frame_io::exchange_frames;
 use crate::sidecar::link::link_side::LinkSide;
 use crate::sidecar::link::uplink::TransferSender;
@@ -60,6 +63,10 @@
     Lost,
 }
 
+/// Maximum size of the body of a call to a daemon that does not take bodies in pieces, in bytes. A frame holds up to 40 MiB; without
+/// this limit, a call that is never sent would end with its time limit.
+const CALL_BODY_LIMIT: usize = 32 * 1024 * 1024;
+
 /// Error when a link can't be opened.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DialError {
@@ -218,7 +225,7 @@
                     link.count_sent(*number, bytes);
                 }
             };
-            exchange_frames(stream, queue, take, on_write).await;
+            exchange_frames(stream, queue, DialedLimits, take, on_write).await;
             if let Some(link) = weak_link.upgrade() {
                 link.close();
             }
@@ -264,7 +271,8 @@
         sent_ms: u64,
         may_leave: impl Fn() -> bool,
     ) -> LinkOutcome {
-        if self.state.get() != LinkState::Open {
+        let is_too_long = call.body.len() > CALL_BODY_LIMIT && !self.has_feature(FEATURE_OFFERS);
+        if self.state.get() != LinkState::Open || is_too_long {
             return LinkOutcome::NotSent;
         }
         let number = self.next_number.get();
@@ -477,6 +485,21 @@
     }
 }
 
+/// Limits on a dialed connection: the peer was chosen by this daemon, and sends no calls.
+struct DialedLimits;
+
+impl FrameLimits for DialedLimits {
+    fn is_identified(&self) -> bool {
+        true
+    }
+
+    fn account(&self) -> Option<&Arc<ByteAccount>> {
+        None
+    }
+
+    fn refuse(&self, _size: usize, _call: Option<CallNumber>) {}
+}
+
 /// A call in progress; sends a cancel frame when dropped before the end of the result.
 pub(crate) struct CallGuard {
     pub(crate) link: Rc<PeerLink>,
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -3,9 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -14,14 +11,12 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use log::info;
-use log::warn;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::logging::CALLS;
-use crate::logging::DAEMON;
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::client_body::ClientBody;
 use crate::sidecar::answer::client_body::PassedBody;
@@ -30,6 +25,10 @@
 use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
 use crate::sidecar::client_connection::connection::ClientConnection;
 use crate::sidecar::client_connection::request_body::RequestBody;
+use crate::sidecar::client_limits::accept_loop::accept_each;
+use crate::sidecar::client_limits::body_intake::BodyRefusal;
+use crate::sidecar::client_limits::body_intake::read_body;
+use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::client_response::daemon_response;
 use crate::sidecar::client_response::endpoint_response;
 use crate::sidecar::client_response::jittered;
@@ -63,9 +62,6 @@
 /// daemon gets them.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Pause after a failed `accept`, for example when the process has no free file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Limits on clients before the first configuration.
 const DEFAULT_LIMITS: ClientLimits = ClientLimits {
     header_bytes: 16 * 1024,
@@ -74,9 +70,6 @@
     idle_ms: 15_000,
 };
 
-/// Upper limit on the size of a request body, in bytes, regardless of the configuration.
-const BODY_LIMIT: u64 = 32 * 1024 * 1024;
-
 /// Accepts and serves connections until `stopping` changes. Then closes the port and shuts the open
 /// connections down gracefully.
 pub async fn serve_requests(
@@ -85,38 +78,35 @@
     mut stopping: watch::Receiver<bool>,
 ) {
     let stop = stopping.clone();
-    let accepting = accept_each(&listener, "requests", |stream| {
-        tokio::task::spawn_local(serve_client(Rc::clone(&state), stream, stop.clone()));
-    });
+    let limit = &state.guard.clients;
+    let accepting = accept_each(
+        &listener,
+        "requests",
+        limit,
+        &state.metrics,
+        |stream, slot| {
+            let serving = serve_client(Rc::clone(&state), stream, slot, stop.clone());
+            tokio::task::spawn_local(serving);
+        },
+    );
     tokio::select! {
         () = accepting => {}
         _ = stopping.changed() => {}
     }
 }
 
-/// Accepts connections and passes each one to `serve`. Logs a failed `accept` with the listener's
-/// `name` and continues after a pause.
-pub async fn accept_each(listener: &TcpListener, name: &str, serve: impl Fn(TcpStream)) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve(stream),
-            Err(error) => {
-                let what = json!({"name": "accept_failed", "listener": name,
-                    "reason": error.to_string()});
-                warn!(target: DAEMON, "{what}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn serve_client(state: Rc<SidecarState>, stream: TcpStream, stopping: watch::Receiver<bool>) {
+async fn serve_client(
+    state: Rc<SidecarState>,
+    stream: TcpStream,
+    slot: Rc<ConnectionSlot>,
+    stopping: watch::Receiver<bool>,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let active = state.config.active();
     let limits = active.map_or(DEFAULT_LIMITS, |active| active.config.limits);
-    ClientConnection::new(state, stream, limits)
+    ClientConnection::new(state, stream, slot, limits)
         .run(stopping)
         .await;
 }
@@ -146,8 +136,8 @@
 pub(crate) async fn serve_request(
     state: &Rc<SidecarState>,
     request: Request<RequestBody>,
+    running: RunningCount,
 ) -> Response<ClientBody> {
-    let running = RunningCount::new(state);
     let id = header_text(
         request.headers(),
         state.platform_adapter.headers().request_id,
@@ -220,28 +210,30 @@
     let time_left = time_left.and_then(|text| text.trim().parse().ok());
     let timeout = time_left.map_or(route.timeout(), Duration::from_millis);
     let deadline = start + timeout.min(route.timeout());
-    let limit = active.config.limits.body_bytes.min(BODY_LIMIT);
     let (parts, body) = request.into_parts();
-    let body = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
+    let time = deadline + RESPONSE_MARGIN - start;
+    let limits = state.guard.body_limits(&active.config.limits, time);
+    let body = read_body(body, limits);
     let answers_due = state.stop.answers_due(|| state.now());
     tokio::pin!(answers_due);
     let body = tokio::select! {
-        body = body.collect() => body,
+        body = body => body,
         () = answers_due.as_mut() => {
             return end_early(state, &trace, StatusCode::SERVICE_UNAVAILABLE, "stopping");
         }
     };
     let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return end_early(
-                state,
-                &trace,
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_long",
-            );
+        Ok(body) => body,
+        Err(refusal) => {
+            state.metrics.count_refusal(refusal.name());
+            let status = match refusal {
+                BodyRefusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+                BodyRefusal::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+                BodyRefusal::TimedOut => StatusCode::REQUEST_TIMEOUT,
+                BodyRefusal::Unreadable => StatusCode::BAD_REQUEST,
+            };
+            return end_early(state, &trace, status, refusal.name());
         }
-        Err(_) => return end_early(state, &trace, StatusCode::BAD_REQUEST, "body_unreadable"),
     };
     let Some(deadline) = state.stop.admit(state.now(), deadline) else {
         return end_early(state, &trace, StatusCode::SERVICE_UNAVAILABLE, "stopping");
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -26,6 +26,7 @@
 use crate::retry::RetryBudget;
 use crate::sidecar::answer::answer_hold::HoldBudget;
 use crate::sidecar::answer::answer_sizes::AnswerSizes;
+use crate::sidecar::client_limits::host_guard::HostGuard;
 use crate::sidecar::config_holder::ConfigHolder;
 use crate::sidecar::departures::departure_task::DepartureKeeper;
 use crate::sidecar::frame::ForwardedCall;
@@ -56,7 +57,8 @@
 use crate::sidecar::store_client::StoreClient;
 use crate::sidecar::teams::config_freshness::ConfigFreshness;
 use crate::sidecar::uploads::body_intake::BodyIntake;
-use crate::sidecar::uploads::body_memory::BoundedMemory;
+use crate::sidecar::uploads::body_memory::BodyMemory;
+use crate::sidecar::uploads::body_memory::UnlimitedMemory;
 use crate::sidecar::warmup::warmup_task::apply_warmup;
 
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
@@ -111,6 +113,8 @@
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
     pub members: MemberDirectory,
+    /// Limits that follow from the VM.
+    pub guard: HostGuard,
     /// Endpoint on this VM.
     pub endpoint: Rc<LocalEndpoint>,
     /// Departures of endpoints and where they are kept.
@@ -171,12 +175,12 @@
             *platform_adapter.headers(),
             Rc::clone(&poison),
         );
-        let memory = BoundedMemory::new(settings.host_limits.memory_bytes);
-        let uploads = BodyIntake::new(
-            settings.size.link_mbits,
-            Box::new(memory),
-            Arc::clone(&clock),
-        );
+        let guard = HostGuard::new(settings.host_limits);
+        let memory: Box<dyn BodyMemory> = match &guard.account {
+            Some(account) => Box::new(Arc::clone(account)),
+            None => Box::new(UnlimitedMemory),
+        };
+        let uploads = BodyIntake::new(settings.size.link_mbits, memory, Arc::clone(&clock));
         let chooser = EndpointChooser::new(settings.zone.clone(), settings.region.clone(), seed);
         SidecarState {
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
@@ -185,6 +189,7 @@
             evacuations: RefCell::default(),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
+            guard,
             endpoint,
             routing: CallRouting {
                 chooser: RefCell::new(chooser),
