Hedged requests: an operator's limit, the delay by quantile, and a free slot at the second endpoint

Cause: the operator could not limit or turn off hedged requests; their delay was a fixed multiple of the expected run time, which takes all long runs of a route with two kinds of runs for overdue, and they were sent while the service was short of capacity. With a limit, the delay is the 95th percentile of the route's answer times, the second endpoint must have a free slot by its last report, and there are none for a second after a refusal for lack of capacity. The decisions are in hedging/hedge_policy.rs. Without the option the delay, the choice and the budget are the earlier ones. New metrics count attempts sent and won, and overdue requests not hedged, by cause.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -2,6 +2,7 @@
 
 pub mod attempts_end;
 mod endpoint_choice;
+mod hedged_attempt;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -18,6 +19,7 @@
 use crate::sidecar::answer::answer_rest::BodyPiece;
 use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
 use crate::sidecar::call_attempts::endpoint_choice::ChosenEndpoint;
+use crate::sidecar::call_attempts::endpoint_choice::EndpointNeed;
 use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
@@ -42,10 +44,6 @@
 /// counts of the daemons and for the calls that a repeated run makes, which are repeats too.
 const BUDGET_SHARE: f64 = 0.6;
 
-/// Delay before a hedged attempt, as a multiple of the expected run time (mean plus mean deviation).
-/// About 4 of 100 requests take longer than this without a fault.
-const HEDGE_RUN_FACTOR: f64 = 1.7;
-
 /// Minimum time before the deadline for another attempt.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
 
@@ -118,9 +116,10 @@
     /// Sends the request to endpoints until one answers or no further attempt is allowed.
     pub async fn run(self, call: &ForwardedCall) -> AttemptsEnd {
         self.with_budget(RetryBudget::on_call);
+        self.count_request();
         let mut last_failure = None;
         let end = loop {
-            let Some(chosen) = self.choose() else {
+            let Some(chosen) = self.choose(EndpointNeed::Any) else {
                 break AttemptEnd::from(self.no_endpoint_result());
             };
             let end = self.attempt_with_hedge(call, chosen).await;
@@ -144,71 +143,6 @@
         }
     }
 
-    /// Sends the request to an endpoint, and to a second one when the response is overdue: it may be
-    /// lost, or the endpoint may be much slower than others.
-    async fn attempt_with_hedge(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> AttemptEnd {
-        let Some(hedge_delay) = self.hedge_delay() else {
-            return self.attempt(call, chosen).await;
-        };
-        let slow = chosen.clone();
-        let start = self.state.now();
-        let first = self.attempt(call, chosen);
-        tokio::pin!(first);
-        if let Ok(end) = tokio::time::timeout(hedge_delay, &mut first).await {
-            return end;
-        }
-        let Some(chosen) = self.choose_hedge() else {
-            return first.await;
-        };
-        let second = self.attempt(call, chosen);
-        tokio::pin!(second);
-        let (end, is_second) = tokio::select! {
-            end = &mut first => (end, false),
-            end = &mut second => (end, true),
-        };
-        let is_good = matches!(end.result, CallResult::Answer { .. }) && !is_failure(&end.result);
-        if !is_good {
-            let other = match is_second {
-                true => first.await,
-                false => second.await,
-            };
-            // `NotRun` states that the request did not run, so it must hold for both attempts.
-            return match other.result {
-                CallResult::NotRun(_) => end,
-                _ => other,
-            };
-        }
-        if is_second {
-            self.count_straggler(&slow, start);
-        }
-        end
-    }
-
-    /// Counts an attempt that is cancelled because the hedged one was answered first.
-    fn count_straggler(&self, slow: &ChosenEndpoint, start: Duration) {
-        let now = self.state.now();
-        self.reached.set(self.reached.get() + 1);
-        let overdue = CallResult::Unknown(UnknownCause::TimedOut);
-        self.count_version(&slow.version, &overdue, now - start);
-        let mut chooser = self.state.routing.chooser.borrow_mut();
-        chooser.on_abandoned_attempt(&slow.member, now);
-    }
-
-    /// Returns the delay before the request is sent to a second endpoint; `None` when it must not run
-    /// twice or there is no time for it.
-    fn hedge_delay(&self) -> Option<Duration> {
-        // The answer may be late because it waits for the network connection of its VM; a second one
-        // of that size would only make others wait.
-        if self.has_large_answer() {
-            return None;
-        }
-        let run = self.expected_run();
-        let hedge_delay = run.mul_f64(HEDGE_RUN_FACTOR);
-        let left = self.deadline.saturating_sub(self.state.now());
-        let has_time = !run.is_zero() && hedge_delay + run < left;
-        (self.may_repeat() && has_time).then_some(hedge_delay)
-    }
-
     fn expected_run(&self) -> Duration {
         let run_times = self.state.routing.run_times.borrow();
         run_times.expected(self.route_hash)
@@ -219,18 +153,6 @@
         sizes.is_large(self.route_hash)
     }
 
-    fn choose_hedge(&self) -> Option<ChosenEndpoint> {
-        if !self.may_repeat() {
-            return None;
-        }
-        let chosen = self.choose()?;
-        if !self.with_budget(RetryBudget::take) {
-            return None;
-        }
-        self.state.metrics.count_repeat("overdue");
-        Some(chosen)
-    }
-
     async fn attempt(&self, call: &ForwardedCall, chosen: ChosenEndpoint) -> AttemptEnd {
         let start = self.state.now();
         let is_first = self.tried.borrow().is_empty();
@@ -270,6 +192,8 @@
             let run = Duration::from_millis(u64::from(*run_ms));
             let mut run_times = self.state.routing.run_times.borrow_mut();
             run_times.record(self.route_hash, run);
+            let mut hedging = self.state.routing.hedging.borrow_mut();
+            hedging.on_answer(self.route_hash, self.state.now() - start);
         }
         if !matches!(result, CallResult::NotRun(report) if !report.reached) {
             self.reached.set(self.reached.get() + 1);
@@ -298,6 +222,8 @@
             loads.record_region_refusal(region, self.route_hash, now);
         }
         self.refused_for.set(report.cause);
+        let mut hedging = self.state.routing.hedging.borrow_mut();
+        hedging.on_refusal(&self.service, now);
     }
 
     /// Waits for the rest of an answer, so that one that breaks off can be replaced. A rest that is
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -10,6 +10,7 @@
 use crate::ids::VersionName;
 use crate::member::EndpointPhase;
 use crate::sidecar::call_attempts::CallAttempts;
+use crate::sidecar::hedging::hedge_policy::has_free_slot;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::rollout::VersionChoice;
 
@@ -24,6 +25,15 @@
     pub(super) version: VersionName,
 }
 
+/// What an endpoint must have to be chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum EndpointNeed {
+    /// Expected capacity within the time of the request.
+    Any,
+    /// A free slot by its last report as well.
+    FreeSlot,
+}
+
 impl CallAttempts<'_> {
     /// Returns whether the endpoint of a daemon can be reached and runs the service.
     pub(super) fn is_usable(&self, record: &MemberRecord) -> bool {
@@ -37,7 +47,7 @@
     }
 
     /// Chooses an endpoint of the version that the request goes to during a rollout.
-    pub(super) fn choose(&self) -> Option<ChosenEndpoint> {
+    pub(super) fn choose(&self, need: EndpointNeed) -> Option<ChosenEndpoint> {
         let share = self.state.settings.borrow().bounds.canary_share;
         let rollouts = self.state.rollouts.borrow();
         let rollout = rollouts.get(&self.service);
@@ -47,18 +57,22 @@
         });
         drop(rollouts);
         let Some((choice, version)) = choice else {
-            return self.choose_version(|_| true);
+            return self.choose_version(need, |_| true);
         };
         match choice {
-            VersionChoice::OnlyNew => self.choose_version(|other| *other == version),
-            VersionChoice::Old => self.choose_version(|other| *other != version),
+            VersionChoice::OnlyNew => self.choose_version(need, |other| *other == version),
+            VersionChoice::Old => self.choose_version(need, |other| *other != version),
             VersionChoice::New => self
-                .choose_version(|other| *other == version)
-                .or_else(|| self.choose_version(|other| *other != version)),
+                .choose_version(need, |other| *other == version)
+                .or_else(|| self.choose_version(need, |other| *other != version)),
         }
     }
 
-    fn choose_version(&self, fits: impl Fn(&VersionName) -> bool) -> Option<ChosenEndpoint> {
+    fn choose_version(
+        &self,
+        need: EndpointNeed,
+        fits: impl Fn(&VersionName) -> bool,
+    ) -> Option<ChosenEndpoint> {
         let region = self.state.settings.borrow().region.clone();
         let tried = self.tried.borrow();
         let now = self.state.now();
@@ -87,7 +101,11 @@
                 let is_local = record.region == region;
                 is_served_locally |= is_local;
                 let is_remote_again = !is_local && tried_remote;
-                if is_remote_again || !self.has_capacity(record, endpoint.slots, is_local) {
+                let is_busy = need == EndpointNeed::FreeSlot && !self.has_free_slot(&record.id);
+                if is_busy
+                    || is_remote_again
+                    || !self.has_capacity(record, endpoint.slots, is_local)
+                {
                     continue;
                 }
                 let slots = match is_local {
@@ -128,6 +146,22 @@
         })
     }
 
+    /// Returns whether the endpoint of a daemon has a free slot by its last report. The report about
+    /// the endpoint on this VM is always the current one.
+    fn has_free_slot(&self, id: &MemberId) -> bool {
+        let load = self
+            .state
+            .routing
+            .chooser
+            .borrow()
+            .load(id, self.state.now());
+        if *id == self.state.settings.borrow().id {
+            return has_free_slot(Some(&self.state.endpoint.load()), load);
+        }
+        let reported = self.state.routing.endpoint_loads.borrow();
+        has_free_slot(reported.note(id), load)
+    }
+
     /// Returns whether an endpoint may be asked to run the request. Records the expected wait otherwise.
     ///
     /// An endpoint of the local region is asked unless it has just refused such a request: its daemon
--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -30,6 +30,7 @@
 use crate::sidecar::control_server::serve_control;
 use crate::sidecar::departures::departure_task::keep_departures;
 use crate::sidecar::departures::departure_task::sweep_departures;
+use crate::sidecar::hedging::hedge_policy::HedgePolicy;
 use crate::sidecar::member_task::find_members;
 use crate::sidecar::member_task::keep_links;
 use crate::sidecar::member_task::remove_own_row;
@@ -85,6 +86,9 @@
     pub metrics_port: Option<u16>,
     /// Address at which other daemons reach this one, if it differs from the listening address.
     pub advertised: Option<SocketAddr>,
+    /// Limit of hedged attempts to a share of the requests of each service, in percent; 0 for none,
+    /// `None` if only the retry budget limits them.
+    pub hedge_percent: Option<u8>,
 }
 
 /// Runs a sidecar until SIGTERM or SIGINT.
@@ -137,6 +141,10 @@
     let clock = Arc::new(SystemClock::new());
     let seed = rand::rng().random();
     let state = SidecarState::new(settings, platform_adapter, clock, seed);
+    state
+        .routing
+        .hedging
+        .replace(HedgePolicy::new(options.hedge_percent));
     if let Some(address) = options.advertised {
         state.members.change_own(|own| own.address = address);
     }
--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -23,6 +23,8 @@
     registry: Registry,
     requests: IntCounterVec,
     repeats: IntCounterVec,
+    hedges: IntCounterVec,
+    hedges_refused: IntCounterVec,
     latency: HistogramVec,
     endpoint_time: Histogram,
     gauges: Vec<(&'static str, IntGauge)>,
@@ -68,6 +70,16 @@
         let requests = IntCounterVec::new(requests, &["outcome", "cause"]);
         let repeats = Opts::new("repeats", "requests sent to a further endpoint, by cause");
         let repeats = IntCounterVec::new(repeats, &["cause"]);
+        let hedges = Opts::new(
+            "hedges",
+            "hedged attempts: sent, and won by being answered first",
+        );
+        let hedges = IntCounterVec::new(hedges, &["result"]);
+        let hedges_refused = Opts::new(
+            "hedges_refused",
+            "overdue requests that were not hedged, by cause",
+        );
+        let hedges_refused = IntCounterVec::new(hedges_refused, &["cause"]);
         let latency = histogram("request_seconds", "time of requests by service");
         let latency = HistogramVec::new(latency, &["service"]);
         let wait = histogram(
@@ -79,6 +91,8 @@
         let mut metrics = SidecarMetrics {
             requests: requests.expect(valid),
             repeats: repeats.expect(valid),
+            hedges: hedges.expect(valid),
+            hedges_refused: hedges_refused.expect(valid),
             latency: latency.expect(valid),
             endpoint_time: wait.expect(valid),
             gauges: Vec::new(),
@@ -92,6 +106,12 @@
         registry
             .register(Box::new(metrics.repeats.clone()))
             .expect(unique);
+        registry
+            .register(Box::new(metrics.hedges.clone()))
+            .expect(unique);
+        registry
+            .register(Box::new(metrics.hedges_refused.clone()))
+            .expect(unique);
         registry
             .register(Box::new(metrics.latency.clone()))
             .expect(unique);
@@ -118,6 +138,16 @@
         self.repeats.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a hedged attempt that is sent, or that was answered first.
+    pub fn count_hedge(&self, result: &str) {
+        self.hedges.with_label_values(&[result]).inc();
+    }
+
+    /// Counts an overdue request that is not hedged.
+    pub fn count_hedge_refused(&self, cause: &str) {
+        self.hedges_refused.with_label_values(&[cause]).inc();
+    }
+
     /// Records the time of a call at the local endpoint.
     pub fn count_run(&self, time: Duration) {
         self.endpoint_time.observe(time.as_secs_f64());
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -23,6 +23,8 @@
 #[doc(hidden)]
 pub mod frame;
 #[doc(hidden)]
+pub mod hedging;
+#[doc(hidden)]
 pub mod http_body;
 #[doc(hidden)]
 pub mod http_exchange;
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -30,6 +30,7 @@
 use crate::sidecar::departures::departure_task::DepartureKeeper;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::PeerFrame;
+use crate::sidecar::hedging::hedge_policy::HedgePolicy;
 use crate::sidecar::link::uplink::Uplink;
 use crate::sidecar::local_endpoint::LocalAnswer;
 use crate::sidecar::local_endpoint::LocalEndpoint;
@@ -71,6 +72,8 @@
     pub run_times: RefCell<RunTimes>,
     /// Load of each endpoint, as last reported by the daemon on its VM.
     pub endpoint_loads: RefCell<ReportedLoads>,
+    /// Decides about hedged requests.
+    pub hedging: RefCell<HedgePolicy>,
     /// Sizes of answers by route.
     pub answer_sizes: RefCell<AnswerSizes>,
     /// Bytes of answers that are held back until they are complete.
@@ -177,6 +180,7 @@
                 poison,
                 run_times: RefCell::default(),
                 endpoint_loads: RefCell::default(),
+                hedging: RefCell::default(),
                 answer_sizes: RefCell::default(),
                 hold_budget: Rc::default(),
             },
--- a/programs/src/bin/coltsfootweird.rs
+++ b/programs/src/bin/coltsfootweird.rs
@@ -50,6 +50,10 @@
     /// Address at which other daemons reach this one, when it is not the one in the settings
     #[arg(long, env = "COLTSFOOTWEIR_ADVERTISED")]
     advertised: Option<SocketAddr>,
+    /// Largest share of a service's requests that are sent to a second endpoint because the answer is
+    /// overdue, in percent; 0 for none. Without it only the retry budget limits them
+    #[arg(long, env = "COLTSFOOTWEIR_HEDGE_PERCENT", value_parser = clap::value_parser!(u8).range(..=100))]
+    hedge_percent: Option<u8>,
     /// Log level: off, error, warn, info, debug or trace
     #[arg(long, env = "COLTSFOOTWEIR_LOG", default_value = "info")]
     log: LevelFilter,
@@ -93,6 +97,7 @@
         settings: arguments.settings.clone(),
         metrics_port: arguments.metrics_port,
         advertised: arguments.advertised,
+        hedge_percent: arguments.hedge_percent,
     };
     run_sidecar(&options, Rc::new(UserPlatform)).map_err(|error| format!("{error:?}"))?;
     Ok(())
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -234,7 +234,9 @@
             .insert(id.to_owned())
     {
         // The answer is lost, and the connection stays open.
-        is_closed_within(out, LOST_TIME);
+        if is_closed_within(out, LOST_TIME) {
+            state.abandoned.fetch_add(1, Ordering::Relaxed);
+        }
         return false;
     }
     let (bytes, goes_on) = match mode {
