mesh route: explains where a request would go now, without sending it

Cause: the operator could see where requests went, but not why one would go to an endpoint or be refused now. Change: GET /explain of the readiness, admin and metrics ports answers with route, team, allowed regions, candidates with load, run time, age of the report and link state, and the endpoint that would be chosen or the refusal; only for connections from the VM itself. `coltsfootweir mesh route` asks it, with the key of a file in the header. The choice of an endpoint takes the chooser as an argument and links to other regions are wanted after the choice, so the explanation is made by the same code with copies of the chooser and of the traffic splitter.

--- a/coltsfootweir/src/balance.rs
+++ b/coltsfootweir/src/balance.rs
@@ -48,7 +48,7 @@
 }
 
 /// Chooses endpoints for the calls that one daemon forwards.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct EndpointChooser {
     zone: ZoneName,
     region: RegionName,
@@ -131,6 +131,13 @@
         self.states.get(id).map_or(0, |state| state.load(now))
     }
 
+    /// Returns whether an endpoint is ejected, apart from the cap on ejections.
+    #[must_use]
+    pub fn is_ejected(&self, id: &MemberId, now: Duration) -> bool {
+        let state = self.states.get(id);
+        state.is_some_and(|state| now < state.ejected_until)
+    }
+
     /// Returns the indexes of the ejected candidates, at most a third of all.
     #[must_use]
     pub fn ejected(&self, candidates: &[Candidate<'_>], now: Duration) -> Vec<usize> {
--- a/coltsfootweir/src/endpoint_state.rs
+++ b/coltsfootweir/src/endpoint_state.rs
@@ -75,7 +75,7 @@
 }
 
 /// Calls to one endpoint and their results.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct EndpointState {
     pub(crate) seen: Duration,
     pub(crate) weight_from: Option<Duration>,
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -1,6 +1,7 @@
 //! Routing of one client request: choice of an endpoint, retries, hedging and the final result.
 
 pub mod attempts_end;
+pub mod choice_view;
 mod endpoint_choice;
 mod hedged_attempt;
 
@@ -65,6 +66,8 @@
     tried: RefCell<Vec<MemberId>>,
     /// Shortest expected wait for a slot among the endpoints skipped for lack of capacity.
     shortest_wait: Cell<Option<Duration>>,
+    /// Whether endpoints of other regions may be needed.
+    needs_other_regions: Cell<bool>,
     /// Cause of the last refusal for lack of capacity.
     refused_for: Cell<NotRunCause>,
     /// Number of endpoints that received the request.
@@ -107,6 +110,7 @@
             finish_by,
             route_hash: xxh3_64(route.name.as_bytes()) as u32,
             shortest_wait: Cell::new(None),
+            needs_other_regions: Cell::new(false),
             refused_for: Cell::new(NotRunCause::Overloaded),
             tried: RefCell::default(),
             reached: Cell::new(0),
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 
 use crate::balance::Candidate;
+use crate::balance::EndpointChooser;
 use crate::deadline::LINK_RETURN_MARGIN;
 use crate::ids::MemberId;
 use crate::ids::VersionName;
@@ -25,6 +26,17 @@
     pub(super) version: VersionName,
 }
 
+/// Expected capacity of an endpoint for a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndpointCapacity {
+    /// Whether the endpoint may be asked to run the request.
+    pub(super) is_enough: bool,
+    /// Whether it has so little that endpoints of other regions may be needed.
+    pub(super) is_short: bool,
+    /// Expected wait there, or the time for which it refuses such requests.
+    pub(super) wait: Duration,
+}
+
 /// What an endpoint must have to be chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum EndpointNeed {
@@ -46,30 +58,51 @@
             && (is_own || (!record.is_leaving && self.state.members.is_reachable(&record.id)))
     }
 
-    /// Chooses an endpoint of the version that the request goes to during a rollout.
+    /// Chooses an endpoint of the version that the request goes to during a rollout, and has endpoints
+    /// of other regions linked if they may be needed.
     pub(super) fn choose(&self, need: EndpointNeed) -> Option<ChosenEndpoint> {
+        let mut chooser = self.state.routing.chooser.borrow_mut();
+        let point = || rand::rng().random_range(0.0..1.0);
+        let chosen = self.choose_with(&mut chooser, need, point);
+        if self.needs_other_regions.take() {
+            self.state.members.link_other_regions(self.state.now());
+        }
+        chosen
+    }
+
+    /// Chooses an endpoint with a chooser, which may be a copy. Nothing else that requests share is
+    /// changed. `point` is a random one between 0 and 1.
+    pub(super) fn choose_with(
+        &self,
+        chooser: &mut EndpointChooser,
+        need: EndpointNeed,
+        point: impl FnOnce() -> f64,
+    ) -> Option<ChosenEndpoint> {
         let share = self.state.settings.borrow().bounds.canary_share;
         let rollouts = self.state.rollouts.borrow();
         let rollout = rollouts.get(&self.service);
         let choice = rollout.map(|rollout| {
-            let point = rand::rng().random_range(0.0..1.0);
-            (rollout.choose(share, point), rollout.order.version.clone())
+            (
+                rollout.choose(share, point()),
+                rollout.order.version.clone(),
+            )
         });
         drop(rollouts);
         let Some((choice, version)) = choice else {
-            return self.choose_version(need, |_| true);
+            return self.choose_version(chooser, need, |_| true);
         };
         match choice {
-            VersionChoice::OnlyNew => self.choose_version(need, |other| *other == version),
-            VersionChoice::Old => self.choose_version(need, |other| *other != version),
+            VersionChoice::OnlyNew => self.choose_version(chooser, need, |other| *other == version),
+            VersionChoice::Old => self.choose_version(chooser, need, |other| *other != version),
             VersionChoice::New => self
-                .choose_version(need, |other| *other == version)
-                .or_else(|| self.choose_version(need, |other| *other != version)),
+                .choose_version(chooser, need, |other| *other == version)
+                .or_else(|| self.choose_version(chooser, need, |other| *other != version)),
         }
     }
 
     fn choose_version(
         &self,
+        chooser: &mut EndpointChooser,
         need: EndpointNeed,
         fits: impl Fn(&VersionName) -> bool,
     ) -> Option<ChosenEndpoint> {
@@ -101,10 +134,11 @@
                 let is_local = record.region == region;
                 is_served_locally |= is_local;
                 let is_remote_again = !is_local && tried_remote;
-                let is_busy = need == EndpointNeed::FreeSlot && !self.has_free_slot(&record.id);
+                let is_busy =
+                    need == EndpointNeed::FreeSlot && !self.has_free_slot(chooser, &record.id);
                 if is_busy
                     || is_remote_again
-                    || !self.has_capacity(record, endpoint.slots, is_local)
+                    || !self.has_capacity(chooser, record, endpoint.slots, is_local)
                 {
                     continue;
                 }
@@ -132,9 +166,8 @@
                 });
             }
             if !is_served_locally {
-                self.state.members.link_other_regions(now);
+                self.needs_other_regions.set(true);
             }
-            let mut chooser = self.state.routing.chooser.borrow_mut();
             let chosen = chooser.choose(&candidates, &tried, now)?;
             // A large answer of the endpoint on this VM needs no network.
             let own = own.filter(|own| has_large_answer && !tried.contains(candidates[*own].id));
@@ -148,13 +181,8 @@
 
     /// Returns whether the endpoint of a daemon has a free slot by its last report. The report about
     /// the endpoint on this VM is always the current one.
-    fn has_free_slot(&self, id: &MemberId) -> bool {
-        let load = self
-            .state
-            .routing
-            .chooser
-            .borrow()
-            .load(id, self.state.now());
+    fn has_free_slot(&self, chooser: &EndpointChooser, id: &MemberId) -> bool {
+        let load = chooser.load(id, self.state.now());
         if *id == self.state.settings.borrow().id {
             return has_free_slot(Some(&self.state.endpoint.load()), load);
         }
@@ -169,9 +197,35 @@
     /// One of another region must be expected to finish the request in time, and its region must not
     /// have refused one lately. The network connection of the VM must be expected to carry a large
     /// answer in time, as a refusal has to pass it too.
-    fn has_capacity(&self, record: &MemberRecord, slots: u16, is_local: bool) -> bool {
+    fn has_capacity(
+        &self,
+        chooser: &EndpointChooser,
+        record: &MemberRecord,
+        slots: u16,
+        is_local: bool,
+    ) -> bool {
+        let capacity = self.capacity(chooser, record, slots, is_local);
+        if capacity.is_short {
+            self.needs_other_regions.set(true);
+        }
+        if !capacity.is_enough {
+            let wait = capacity.wait;
+            let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
+            self.shortest_wait.set(Some(shortest));
+        }
+        capacity.is_enough
+    }
+
+    /// Returns the expected capacity of an endpoint for the request.
+    pub(super) fn capacity(
+        &self,
+        chooser: &EndpointChooser,
+        record: &MemberRecord,
+        slots: u16,
+        is_local: bool,
+    ) -> EndpointCapacity {
         let now = self.state.now();
-        let load = self.state.routing.chooser.borrow().load(&record.id, now);
+        let load = chooser.load(&record.id, now);
         let reported = self.state.routing.endpoint_loads.borrow();
         let note = reported.note(&record.id);
         let behind = note.map_or(0, |note| note.waiting_behind(self.caller.rank));
@@ -184,9 +238,7 @@
             true => reported.uplink_wait(&record.id, now),
             false => Duration::ZERO,
         };
-        if is_local && (ahead > 0 || uplink_wait > run) {
-            self.state.members.link_other_regions(now);
-        }
+        let is_short = is_local && (ahead > 0 || uplink_wait > run);
         let mut refused_for = reported.refused_for(&record.id, self.route_hash, now);
         if !is_local {
             let region_for = reported.refused_for(&record.region, self.route_hash, now);
@@ -196,12 +248,14 @@
         let is_in_time = || now + LINK_RETURN_MARGIN * 2 + wait + run <= self.finish_by;
         // Without a wait for the link, an attempt after the target time may still use a free slot.
         let is_carried = uplink_wait.is_zero() || now + uplink_wait <= self.finish_by;
-        let has_capacity = refused_for.is_zero() && is_carried && (is_local || is_in_time());
-        if !has_capacity {
-            let wait = wait.max(refused_for);
-            let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
-            self.shortest_wait.set(Some(shortest));
+        let is_enough = refused_for.is_zero() && is_carried && (is_local || is_in_time());
+        EndpointCapacity {
+            is_enough,
+            is_short,
+            wait: match is_enough {
+                true => wait,
+                false => wait.max(refused_for),
+            },
         }
-        has_capacity
     }
 }
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -27,8 +28,14 @@
 use crate::sidecar::event_log::dropped_lines;
 use crate::sidecar::platform_adapter::ControlCall;
 use crate::sidecar::request_server::accept_each;
+use crate::sidecar::route_explanation::explain;
+use crate::sidecar::route_explanation::is_from_own_vm;
 use crate::sidecar::sidecar_state::SidecarState;
 
+/// Path that explains where a request would go. It takes only questions from the VM, as the answer names
+/// daemons and their load.
+const EXPLAIN_PATH: &str = "/explain";
+
 /// Maximum length of a request body, in bytes. Announcements take a few hundred bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -48,9 +55,21 @@
 }
 
 async fn serve_connection(state: Rc<SidecarState>, stream: TcpStream) {
-    let service = service_fn(move |request| {
+    let is_from_own_vm = match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(local)) => is_from_own_vm(peer.ip(), local.ip()),
+        _ => false,
+    };
+    let service = service_fn(move |request: Request<Incoming>| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(respond(&state, request).await) }
+        async move {
+            let is_question =
+                request.method() == Method::GET && request.uri().path() == EXPLAIN_PATH;
+            Ok::<_, Infallible>(match is_question {
+                true if is_from_own_vm => explain_reply(&state, &request),
+                true => reply(StatusCode::FORBIDDEN, Bytes::new()),
+                false => respond(&state, request).await,
+            })
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -62,6 +81,25 @@
     }
 }
 
+/// Explains where a request with the host and the path of the query, and the API key of the headers,
+/// would go.
+fn explain_reply(state: &SidecarState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or_default();
+    let (mut host, mut path) = (None, None);
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        match &*name {
+            "host" => host = Some(value),
+            "path" => path = Some(value),
+            _ => return reply(StatusCode::BAD_REQUEST, Bytes::new()),
+        }
+    }
+    let (Some(host), Some(path)) = (host, path) else {
+        return reply(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let explained = explain(state, &host, &path, request.headers());
+    reply(StatusCode::OK, Bytes::from(explained.to_string()))
+}
+
 async fn respond(state: &Rc<SidecarState>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
--- a/coltsfootweir/src/sidecar/mesh_config.rs
+++ b/coltsfootweir/src/sidecar/mesh_config.rs
@@ -263,7 +263,7 @@
 }
 
 /// Splits the requests of a route between its services by smooth weighted round-robin.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TrafficSplitter {
     credits: HashMap<RouteName, Vec<i64>>,
 }
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -53,6 +53,8 @@
 pub mod rollout;
 pub mod rollout_task;
 #[doc(hidden)]
+pub mod route_explanation;
+#[doc(hidden)]
 pub mod run_times;
 pub mod running_call;
 pub mod sent_answer;
--- a/coltsfootweir/src/sidecar/reported_loads.rs
+++ b/coltsfootweir/src/sidecar/reported_loads.rs
@@ -109,6 +109,13 @@
         self.reports.get(id).map(|report| &report.note)
     }
 
+    /// Returns the time since the latest load report of a daemon.
+    #[must_use]
+    pub fn report_age(&self, id: &MemberId, now: Duration) -> Option<Duration> {
+        let report = self.reports.get(id)?;
+        Some(now.saturating_sub(report.at))
+    }
+
     /// Returns the mean run time over the endpoints of these daemons.
     #[must_use]
     pub fn service_mean<'i>(
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hand_out;
 pub mod input;
 pub mod mesh;
+pub mod mesh_route;
 pub mod moves;
 pub mod output;
 pub mod patient_store;
--- a/programs/src/mesh.rs
+++ b/programs/src/mesh.rs
@@ -26,6 +26,8 @@
 use crate::arguments::parse_address;
 use crate::failure::CommandFailure;
 use crate::failure::InputFault;
+use crate::mesh_route::RouteArgs;
+use crate::mesh_route::explain_route;
 use crate::output::CommandOutput;
 use crate::output::CommandResult;
 use crate::text_table::TextTable;
@@ -69,6 +71,12 @@
         /// Id of the request
         request: Box<str>,
     },
+    /// Print where a request would go now, as a sidecar on this VM explains it; nothing is sent
+    Route {
+        /// The request and the daemon
+        #[command(flatten)]
+        route: RouteArgs,
+    },
     /// Check a file that is to be written as the configuration
     Validate {
         /// The file, JSON
@@ -99,6 +107,7 @@
                 Ok(list_moves(&orders, &reports))
             }
             MeshCommand::Explain { request } => explain_request(request, io::stdin().lock()),
+            MeshCommand::Route { route } => explain_route(route, timeout),
             MeshCommand::Validate { file } => validate_config(file),
         }
     }
--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -106,6 +106,12 @@
         events
     }
 
+    /// Whether a text is in any line that the sidecar logged.
+    pub fn has_logged(&self, text: &str) -> bool {
+        let lines = self.lines.lock().expect("no holder panicked");
+        lines.iter().any(|line| line.contains(text))
+    }
+
     /// Version of the configuration in force as the metrics tell it.
     pub fn config_version(&self) -> u64 {
         self.gauge("config_version")
