--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -27,6 +27,8 @@
 #[doc(hidden)]
 pub mod frame;
 #[doc(hidden)]
+pub mod hedging;
+#[doc(hidden)]
 pub mod http_body;
 #[doc(hidden)]
 pub mod http_exchange;
@@ -57,6 +59,8 @@
 pub mod rollout;
 pub mod rollout_task;
 #[doc(hidden)]
+pub mod route_explanation;
+#[doc(hidden)]
 pub mod run_times;
 pub mod running_call;
 pub mod sent_answer;
