Uploads over a thin link let small calls pass: test with a paced relay

The relay can pace requests. An offered body without bytes is run at once instead of waiting for a piece.

--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -92,7 +92,10 @@
             }
             PeerFrame::OfferedCall(number, sent_ms, call, length) => {
                 let delay = self.side.call_delay(sent_ms, self.state.now());
-                self.take_offer(number, call, delay, length);
+                match length {
+                    0 => self.start_call(number, call, delay),
+                    _ => self.take_offer(number, call, delay, length),
+                }
             }
             PeerFrame::BodyPiece(number, piece) => {
                 self.state.uploads.receive(&self.side, number, &piece);
--- a/programs/tests/sidecar_uploads.rs
+++ b/programs/tests/sidecar_uploads.rs
@@ -12,6 +12,7 @@
 use common::caller::call_once;
 use common::caller::send_raw;
 use common::caller_threads::pause;
+use common::caller_threads::run_callers;
 use common::caller_threads::run_while;
 use common::wait_for;
 use sidecar::large_answer::LargeAnswer;
@@ -33,6 +34,13 @@
 /// Time in which a call that was given up would run if the daemon beside the endpoint had all of it.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
+/// Rate of a link of 10 Mbit/s, in bytes a millisecond.
+const THIN_RATE: u32 = 1_250;
+
+/// Time limit of small calls beside bodies, in milliseconds: several times what the bytes granted at
+/// once take.
+const SMALL_CALL_MS: u64 = 800;
+
 /// Starts sidecars on thin links, the first of which has no endpoint of the uploads' service.
 fn start_fleet(servers: usize) -> SidecarFleet {
     let terms = SidecarTerms {
@@ -238,3 +246,44 @@
         assert_eq!(answer.expect("a whole answer").status, 200, "{next}");
     }
 }
+
+/// Guards against small calls that wait behind bodies until their deadline, a live daemon that is taken
+/// for silent, and uploads that end without a statement whether they ran. The uploads together need
+/// 3.5 s of the link.
+#[test]
+fn uploads_over_a_thin_link_let_small_calls_pass() {
+    let fleet = start_fleet(1);
+    let thin = RelayMode::PaceRequests(THIN_RATE);
+    fleet.sidecars[1].relay.set_mode(thin);
+    let ingress = &fleet.sidecars[0];
+    let (statuses, small) = std::thread::scope(|scope| {
+        let uploads = scope.spawn(|| {
+            run_callers(12, |caller| {
+                let id = format!("thin-{caller}");
+                let answer = ingress.call(&upload(&id, LARGE)).expect("a whole answer");
+                let expected = usize::from(answer.status == 200);
+                assert_eq!(fleet.runs_of(&id), expected, "{id}: {}", answer.status);
+                answer.status
+            })
+        });
+        wait_for("uploads on their way", PATIENCE, || {
+            fleet.sidecars[1].relay.bytes().requests > LARGE as u64
+        });
+        let mut small = Vec::new();
+        for number in 0..10 {
+            let id = format!("small-{number}");
+            let answer = ingress.call(&request("GET", "/free/ok", &id, SMALL_CALL_MS));
+            small.push(answer.expect("a whole answer").status);
+        }
+        (uploads.join().expect("no panic"), small)
+    });
+    assert_eq!(small, [200; 10]);
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served > 0, "{statuses:?}");
+    let is_stated = |status: &u16| [200, 503].contains(status);
+    assert!(statuses.iter().all(is_stated), "{statuses:?}");
+    for event in ["peer_silent", "peer_lost"] {
+        let events = ingress.events(event);
+        assert!(events.is_empty(), "{events:?}");
+    }
+}
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -45,6 +45,8 @@
     Delay(Duration),
     /// Passes answers on at this rate in bytes per millisecond, all connections together.
     Pace(u32),
+    /// Passes requests on at this rate in bytes per millisecond, all connections together.
+    PaceRequests(u32),
     /// Closes each connection once this many bytes went back to the client.
     HalfAnswer(usize),
     /// Makes the connections that are open silent for good. Later ones pass everything on.
--- a/standins/src/relay_pump.rs
+++ b/standins/src/relay_pump.rs
@@ -126,9 +126,12 @@
         if let RelayMode::Delay(delay) = mode {
             sleep_until(chunk.arrived + delay).await;
         }
-        if let RelayMode::Pace(rate) = mode
-            && direction == RelayDirection::Answer
-        {
+        let rate = match (mode, direction) {
+            (RelayMode::Pace(rate), RelayDirection::Answer) => Some(rate),
+            (RelayMode::PaceRequests(rate), RelayDirection::Request) => Some(rate),
+            _ => None,
+        };
+        if let Some(rate) = rate {
             sleep_until(pace.pass(chunk.bytes.len(), rate)).await;
         }
         let mut bytes = &chunk.bytes[..];
