Uplink: test that bodies follow their grants

Guards against bodies that are sent ahead of the grants, or that count as the sender's backlog and so refuse answers.

--- a/coltsfootweir/tests/upload_grants.rs
+++ b/coltsfootweir/tests/upload_grants.rs
@@ -5,6 +5,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use coltsfootweir::sidecar::link::uplink_schedule::PIECE_BYTES;
+use coltsfootweir::sidecar::link::uplink_schedule::TransferClass;
+use coltsfootweir::sidecar::link::uplink_schedule::TransferSpec;
+use coltsfootweir::sidecar::link::uplink_schedule::UplinkSchedule;
 use coltsfootweir::sidecar::uploads::body_memory::BodyMemory;
 use coltsfootweir::sidecar::uploads::body_memory::BoundedMemory;
 use coltsfootweir::sidecar::uploads::grant_schedule::BodyId;
@@ -302,3 +306,29 @@
     assert!(memory.reserve(10_000_001).is_none());
     assert!(memory.reserve(10_000_000).is_some());
 }
+
+/// Guards against bodies that are sent ahead of their grants, or count as a backlog of the sender's link
+/// while they wait for that of the receiver, which would refuse answers.
+#[test]
+fn sender_sends_what_is_granted_and_counts_nothing_else() {
+    let mut schedule = UplinkSchedule::default();
+    let body = schedule.open(TransferSpec {
+        class: TransferClass::Body,
+        link: 1,
+        due: ms(500),
+    });
+    schedule.queue(body, 300_000);
+    assert_eq!(schedule.next(ms(0)), None);
+    assert_eq!(schedule.backlog(), 0);
+    schedule.grant(body, 20_000);
+    assert_eq!(schedule.next(ms(0)), Some((body, PIECE_BYTES)));
+    assert_eq!(schedule.next(ms(0)), Some((body, 20_000 - PIECE_BYTES)));
+    assert_eq!(schedule.next(ms(0)), None);
+    assert_eq!(schedule.backlog(), 20_000);
+    // A grant that came late does not take one back.
+    schedule.grant(body, 10_000);
+    schedule.acknowledge(body, 20_000, 20_000, ms(5));
+    assert_eq!(schedule.backlog(), 0);
+    assert!(schedule.has_queued(body));
+    assert!(!schedule.is_through(body));
+}
