--- a/coltsfootweir/src/sidecar/link/mod.rs
+++ b/coltsfootweir/src/sidecar/link/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod call_age;
 pub mod config_pieces;
+pub mod dial_error;
 pub mod frame_io;
 pub mod frame_queue;
 pub mod link_side;
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -29,6 +28,7 @@
 use crate::sidecar::frame::PEER_FEATURES;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
+use crate::sidecar::link::dial_error::DialError;
 use crate::sidecar::link::frame_io::FrameLimits;
 use crate::sidecar::link::frame_io::exchange_frames;
 use crate::sidecar::link::link_side::LinkSide;
@@ -67,28 +67,6 @@
 /// this limit, a call that is never sent would end with its time limit.
 const CALL_BODY_LIMIT: usize = 32 * 1024 * 1024;
 
-/// Error when a link can't be opened.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum DialError {
-    /// The connection failed, or the peer did not identify itself in time.
-    Unreachable,
-    /// Another daemon uses the address now.
-    OtherDaemon(MemberId),
-}
-
-impl fmt::Display for DialError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            DialError::Unreachable => {
-                f.write_str("the connection failed or no hello frame was received")
-            }
-            DialError::OtherDaemon(id) => write!(f, "the address is used by daemon {id}"),
-        }
-    }
-}
-
-impl std::error::Error for DialError {}
-
 /// Event on a link for a call in progress.
 enum CallEvent {
     /// The link became silent.
