A daemon that waits for news of evacuations is told apart in the log

Cause: a restarted daemon logged endpoint_closed_for_evacuation before it knew of any; the test of an order that is taken back waited for that line and failed in 5 of 8 runs, as its evacuation had not been learned. Change: endpoint_awaits_evacuations for that state; the test shows what the cut daemon learned.

--- a/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
@@ -167,17 +167,13 @@
     }
 
     /// Sets whether the endpoint is closed because its zone is evacuated. Waiting requests are refused
-    /// then, and the endpoint counts as cold when it is used again.
-    pub fn set_evacuated(&self, is_evacuated: bool) {
+    /// then, and the endpoint counts as cold when it is used again. Returns whether that changed.
+    pub fn set_evacuated(&self, is_evacuated: bool) -> bool {
         if is_evacuated == self.is_evacuated.replace(is_evacuated) {
-            return;
+            return false;
         }
-        let name = match is_evacuated {
-            true => "endpoint_closed_for_evacuation",
-            false => "endpoint_opened_after_evacuation",
-        };
-        info!(target: UPSTREAM, "{}", json!({"name": name}));
         self.on_down();
+        true
     }
 
     /// Has the endpoint count as cold until its announcements state otherwise.
--- a/coltsfootweir/src/sidecar/placement/evacuation_task.rs
+++ b/coltsfootweir/src/sidecar/placement/evacuation_task.rs
@@ -9,6 +9,7 @@
 use crate::ids::RowVersion;
 use crate::ids::ZoneName;
 use crate::logging::CONFIG;
+use crate::logging::UPSTREAM;
 use crate::sidecar::frame::FEATURE_EVACUATIONS;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::link::link_side::LinkSide;
@@ -115,5 +116,12 @@
     let is_known = settings.is_first_start || set.is_known(now);
     let is_closed = !is_known || set.is_closed(&settings.zone, now, bound);
     drop(set);
-    state.endpoint.set_evacuated(is_closed);
+    if state.endpoint.set_evacuated(is_closed) {
+        let name = match is_closed {
+            true if is_known => "endpoint_closed_for_evacuation",
+            true => "endpoint_awaits_evacuations",
+            false => "endpoint_opened",
+        };
+        info!(target: UPSTREAM, "{}", json!({"name": name, "zone": settings.zone}));
+    }
 }
--- a/programs/tests/sidecar_regions.rs
+++ b/programs/tests/sidecar_regions.rs
@@ -228,7 +228,9 @@
         fleet.sidecars[0].gauge("zones_evacuated") == 0
     });
     hold_for("the set in zone b", Duration::from_secs(1), || {
-        fleet.sidecars[1].gauge("zones_evacuated") == 1
+        let changes = fleet.sidecars[1].events("evacuations_changed");
+        assert_eq!(changes.len(), 1, "{changes:?}");
+        true
     });
     // Only the peer tells of the end.
     for relay in &cut[..2] {
