Copies of bodies on links count as held

Cause: a link holds a second copy of a body while it is sent, beyond the account: two bodies of 26 MB would take a VM of 60 MB over its memory. A call refused for its size was reported as a failed connection to a healthy peer.

Change: an ingress reserves the copy of a body above 64 KiB for the time of the call. A call without room, or with a body above 32 MiB, is not sent to another daemon: the cause is Closed, which does not count against the endpoint.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -388,6 +388,11 @@
         let Some(link) = self.state.members.link(member) else {
             return unreachable();
         };
+        // The link holds a copy until it is sent. Other causes would count against the endpoint.
+        let Ok(_copy) = self.state.guard.reserve_copy(call.body.len() as u64) else {
+            self.state.metrics.count_refusal("copy_no_memory");
+            return (None, AttemptEnd::from(not_run(NotRunCause::Closed)));
+        };
         let sent_ms = u64::try_from(self.state.now().as_millis()).unwrap_or(u64::MAX);
         match link.call(call, sent_ms, || self.may_repeat()).await {
             LinkOutcome::Replied(load, result, rest) => (Some(load), AttemptEnd { result, rest }),
--- a/coltsfootweir/src/sidecar/client_limits/host_guard.rs
+++ b/coltsfootweir/src/sidecar/client_limits/host_guard.rs
@@ -1,11 +1,13 @@
 //! Limits derived from the memory and descriptors of the VM.
 
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::sidecar::client_limits::body_intake::BodyLimits;
 use crate::sidecar::client_limits::byte_account::ByteAccount;
+use crate::sidecar::client_limits::byte_account::ByteReservation;
 use crate::sidecar::client_limits::connection_limit::ConnectionLimit;
 use crate::sidecar::mesh_config::ClientLimits;
 use crate::sidecar::settings::HostLimits;
@@ -14,8 +16,8 @@
 /// smallest VM's memory of 160 MB is 40 MB.
 const BODY_LIMIT: u64 = 32 * 1024 * 1024;
 
-/// Divisor of the memory that gives the bytes of held bodies. A link briefly holds a second copy of a
-/// body that it sends or receives.
+/// Divisor of the memory that gives the bytes of held bodies. The other half is for
+/// the program, connections, answers and what the allocator keeps.
 const ACCOUNT_SHARE: u64 = 2;
 
 /// Divisor of the memory that gives the memory of client connections.
@@ -35,6 +37,26 @@
 /// Smallest number of connections that a port takes, whatever the settings.
 const MIN_CONNECTIONS: u32 = 8;
 
+/// Maximum size of the body of a call to another daemon, in bytes. A frame holds up to 40 MiB; without
+/// this limit, a call that is never sent would end with its time limit.
+const CALL_BODY_LIMIT: u64 = 32 * 1024 * 1024;
+
+/// Size up to which the copy of a body on a link is not reserved, in bytes: the capacity that the
+/// buffer of a link keeps anyway.
+const SMALL_COPY: u64 = 64 * 1024;
+
+/// Error for a body that can't be sent to another daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CopyRefused;
+
+impl fmt::Display for CopyRefused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the body is too large for another daemon, or does not fit the memory")
+    }
+}
+
+impl std::error::Error for CopyRefused {}
+
 /// Limits of a daemon that follow from its VM.
 pub struct HostGuard {
     /// Account of held bodies; `None` if the memory is not known.
@@ -88,6 +110,22 @@
         }
     }
 
+    /// Reserves the copy of a body that a link holds while it sends it.
+    ///
+    /// # Errors
+    /// [`CopyRefused`] if the body is too large for a frame or the copy does not fit the account.
+    pub fn reserve_copy(&self, bytes: u64) -> Result<Option<ByteReservation>, CopyRefused> {
+        if bytes > CALL_BODY_LIMIT {
+            return Err(CopyRefused);
+        }
+        match &self.account {
+            Some(account) if bytes > SMALL_COPY => {
+                account.reserve(bytes).map(Some).ok_or(CopyRefused)
+            }
+            _ => Ok(None),
+        }
+    }
+
     /// Returns the number of bytes of held bodies.
     #[must_use]
     pub fn held(&self) -> u64 {
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -60,10 +60,6 @@
     Lost,
 }
 
-/// Maximum size of the body of a call to another daemon, in bytes. A frame holds up to 40 MiB; without
-/// this limit, a call that is never sent would end with its time limit.
-const CALL_BODY_LIMIT: usize = 32 * 1024 * 1024;
-
 /// Error when a link can't be opened.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DialError {
@@ -252,7 +248,7 @@
         sent_ms: u64,
         may_leave: impl Fn() -> bool,
     ) -> LinkOutcome {
-        if self.state.get() != LinkState::Open || call.body.len() > CALL_BODY_LIMIT {
+        if self.state.get() != LinkState::Open {
             return LinkOutcome::NotSent;
         }
         let number = self.next_number.get();
--- a/coltsfootweir/tests/sidecar_client_limits.rs
+++ b/coltsfootweir/tests/sidecar_client_limits.rs
@@ -14,10 +14,13 @@
 use coltsfootweir::sidecar::client_limits::byte_account::ByteAccount;
 use coltsfootweir::sidecar::client_limits::connection_limit::ConnectionLimit;
 use coltsfootweir::sidecar::client_limits::host_guard::HostGuard;
+use coltsfootweir::sidecar::frame::CallResult;
+use coltsfootweir::sidecar::frame::EndpointLoad;
 use coltsfootweir::sidecar::frame::ForwardedCall;
 use coltsfootweir::sidecar::frame::PeerFrame;
 use coltsfootweir::sidecar::frame::requested_call;
 use coltsfootweir::sidecar::frame::write_frame;
+use coltsfootweir::sidecar::link::frame_queue::frame_queue;
 use coltsfootweir::sidecar::settings::HostLimits;
 use hyper::body::Body;
 use hyper::body::Bytes;
@@ -142,6 +145,53 @@
     assert!(HostGuard::new(HostLimits::default()).account.is_none());
 }
 
+/// Guards against a call that is dropped by the writer of a link, and against copies on links that take
+/// the memory of the VM.
+#[test]
+fn copies_for_links_are_limited() {
+    let guard = HostGuard::new(HostLimits {
+        memory_bytes: Some(160_000_000),
+        descriptors: None,
+    });
+    assert!(guard.reserve_copy(32 * 1024 * KIB + 1).is_err());
+    let copies = [
+        guard.reserve_copy(32 * 1024 * KIB).expect("room"),
+        guard.reserve_copy(32 * 1024 * KIB).expect("room"),
+    ];
+    assert!(guard.reserve_copy(32 * 1024 * KIB).is_err());
+    // Small ones cost nothing.
+    let held = guard.held();
+    assert!(
+        guard
+            .reserve_copy(64 * KIB)
+            .is_ok_and(|copy| copy.is_none())
+    );
+    assert_eq!(guard.held(), held);
+    drop(copies);
+    assert_eq!(guard.held(), 0);
+}
+
+/// Guards against answers that pile up for a peer that does not read, and against a count that drifts.
+#[test]
+fn queued_answers_of_a_link_are_bounded() {
+    let answer = || {
+        let result = CallResult::Answer {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![0; 16 * 1024],
+            run_ms: 1,
+        };
+        PeerFrame::Result(1, EndpointLoad::default(), Box::new(result))
+    };
+    let (queued, queue) = frame_queue();
+    for _ in 0..3 {
+        let sent = (0..1000).filter(|_| queued.send(answer())).count();
+        assert_eq!(sent, 64);
+        assert!(queued.send(PeerFrame::Ping), "small frames still fit");
+        while queue.try_next().is_some() {}
+    }
+}
+
 /// Guards against a busy connection that is closed for a new one, and against a count that drifts.
 #[test]
 fn oldest_idle_connection_is_evicted() {
--- a/programs/tests/sidecar_limits_peers.rs
+++ b/programs/tests/sidecar_limits_peers.rs
@@ -1,4 +1,4 @@
-//! Frames of identified peers that do not fit the memory of the VM.
+//! Bodies on links between daemons and the memory of the VMs.
 
 mod common;
 mod sidecar;
@@ -14,13 +14,24 @@
 use coltsfootweir::sidecar::frame::read_frame;
 use coltsfootweir::sidecar::frame::write_frame;
 use common::PATIENCE;
+use common::caller::CallSpec;
+use common::caller::call_once;
+use common::caller_threads::run_callers;
+use common::wait_for;
+use sidecar::sidecar_fleet::ConfigTerms;
+use sidecar::sidecar_fleet::HORSES;
 use sidecar::sidecar_fleet::STALLS;
 use sidecar::sidecar_fleet::SidecarFleet;
 use sidecar::sidecar_fleet::SidecarTerms;
+use sidecar::sidecar_fleet::request;
 
 /// Size of a body that fits a frame and not the account of a VM with 60 MB.
 const LARGE: usize = 32 * 1024 * 1024;
 
+/// Requests of a burst and the size of their bodies: together above the memory.
+const BURST: usize = 7;
+const BURST_BODY: usize = 10 * 1024 * 1024;
+
 fn call(size: usize) -> Box<ForwardedCall> {
     let id = format!("peer-{size}");
     Box::new(ForwardedCall {
@@ -103,3 +114,38 @@
     assert!(sidecar.peak_memory() <= 60_000_000);
     assert_eq!(sidecar.gauge("bodies_held_bytes"), 0);
 }
+
+/// Guards against copies of bodies on links, at the sender and the receiver, beyond the memory.
+#[test]
+fn burst_of_bodies_for_another_daemon_stays_within_memory_of_both() {
+    let terms = SidecarTerms {
+        limits: "memory_mb = 60\nmax_fds = 300".to_owned(),
+        ..SidecarTerms::default()
+    };
+    let fleet = SidecarFleet::start_with(&terms, &[(HORSES, "v1"), (STALLS, "v1")]);
+    let config = ConfigTerms {
+        limits: r#"{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,
+            "idle_timeout_ms":15000}"#
+            .to_owned(),
+        ..ConfigTerms::default()
+    };
+    fleet.put_config_with(1, &config);
+    fleet.wait_config(1);
+    fleet.wait_endpoints();
+    let ingress = &fleet.sidecars[0];
+    let body = vec![b'x'; BURST_BODY];
+    run_callers(BURST, |number| {
+        let spec = CallSpec::post("/free/ok", body.as_slice());
+        // Refusals are allowed.
+        call_once(ingress.requests, &spec.with("request-id", number))
+    });
+    wait_for("an ordinary request is answered", PATIENCE, || {
+        let answer = ingress.call(&request("GET", "/free/ok", "after", 2_000));
+        answer.is_some_and(|answer| answer.status == 200)
+    });
+    for sidecar in &fleet.sidecars {
+        let peak = sidecar.peak_memory();
+        assert!(peak <= 60_000_000, "{peak} bytes at {}", sidecar.name);
+        assert!(sidecar.is_ready());
+    }
+}
