--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -25,6 +25,7 @@
 use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
+use crate::sidecar::frame::FEATURE_OFFERS;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
 use crate::sidecar::frame::NotRunReport;
@@ -323,6 +324,16 @@
         let Some(link) = self.state.members.link(member) else {
             return unreachable();
         };
+        // A link without pieces holds a copy until it is sent.
+        let copied = match link.has_feature(FEATURE_OFFERS) {
+            true => 0,
+            false => call.body.len() as u64,
+        };
+        // Other causes would count against the endpoint.
+        let Ok(_copy) = self.state.guard.reserve_copy(copied) else {
+            self.state.metrics.count_refusal("copy_no_memory");
+            return (None, AttemptEnd::from(not_run(NotRunCause::Closed)));
+        };
         let sent_ms = u64::try_from(self.state.now().as_millis()).unwrap_or(u64::MAX);
         match link.call(call, sent_ms, || self.may_repeat()).await {
             LinkOutcome::Replied(load, result, rest) => (Some(load), AttemptEnd { result, rest }),
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -63,10 +63,6 @@
     Lost,
 }
 
-/// Maximum size of the body of a call to a daemon that does not take bodies in pieces, in bytes. A frame holds up to 40 MiB; without
-/// this limit, a call that is never sent would end with its time limit.
-const CALL_BODY_LIMIT: usize = 32 * 1024 * 1024;
-
 /// Event on a link for a call in progress.
 enum CallEvent {
     /// The link became silent.
@@ -249,8 +245,7 @@
         sent_ms: u64,
         may_leave: impl Fn() -> bool,
     ) -> LinkOutcome {
-        let is_too_long = call.body.len() > CALL_BODY_LIMIT && !self.has_feature(FEATURE_OFFERS);
-        if self.state.get() != LinkState::Open || is_too_long {
+        if self.state.get() != LinkState::Open {
             return LinkOutcome::NotSent;
         }
         let number = self.next_number.get();
