Rate limits of teams: leases of holder slots, lent tokens, refusals

Cause: a team could run any number of requests; take_token granted each one. Change: two holder slots in each region lend tokens that are valid for 300 ms. Leases are rows written conditionally (limit_lease.rs), buckets start empty (limit_bucket.rs), an ingress asks in batches and remembers empty and silent slots (limit_share.rs). Further runs of a request take a token each. Processes not yet run.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -2,6 +2,7 @@
 
 pub mod attempts_end;
 mod endpoint_choice;
+mod repeat_rules;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -29,6 +30,7 @@
 use crate::sidecar::local_endpoint::wall_ms;
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
+use crate::sidecar::rate_limits::take_held_token;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -71,6 +73,8 @@
     refused_for: Cell<NotRunCause>,
     /// Number of endpoints that received the request.
     reached: Cell<u32>,
+    /// Number of runs that the team's limit allows, each for one token.
+    tokens: Cell<u32>,
 }
 
 /// Result of one attempt, and the rest of the answer if there is more than the result holds.
@@ -112,6 +116,7 @@
             refused_for: Cell::new(NotRunCause::Overloaded),
             tried: RefCell::default(),
             reached: Cell::new(0),
+            tokens: Cell::new(1),
         }
     }
 
@@ -127,6 +132,10 @@
             if !self.should_retry(&end.result) {
                 break end;
             }
+            let is_denied = !self.take_repeat_token().await;
+            if is_denied {
+                break end;
+            }
             if is_failure(&end.result) {
                 last_failure = Some(end);
             }
@@ -224,9 +233,10 @@
             return None;
         }
         let chosen = self.choose()?;
-        if !self.with_budget(RetryBudget::take) {
+        if !take_held_token(self.state, self.caller.team) || !self.with_budget(RetryBudget::take) {
             return None;
         }
+        self.tokens.set(self.tokens.get() + 1);
         self.state.metrics.count_repeat("overdue");
         Some(chosen)
     }
@@ -429,25 +439,6 @@
         granted
     }
 
-    /// Returns whether another attempt may start while one is in progress.
-    fn may_repeat(&self) -> bool {
-        self.route.is_repeatable
-            && self.may_repeat_after(self.reached.get() + 1)
-            && self.with_budget(|budget| budget.has_retry())
-    }
-
-    fn may_repeat_after(&self, reached: u32) -> bool {
-        reached < self.route.attempts && self.has_untried()
-    }
-
-    fn has_untried(&self) -> bool {
-        let tried = self.tried.borrow();
-        self.state.members.read(|table| {
-            let mut records = table.iter();
-            records.any(|record| self.is_usable(record) && !tried.contains(&record.id))
-        })
-    }
-
     fn count_version(&self, version: &VersionName, result: &CallResult, time: Duration) {
         let mut rollouts = self.state.rollouts.borrow_mut();
         if let Some(rollout) = rollouts.get_mut(&self.service) {
--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -36,6 +36,8 @@
 use crate::sidecar::peer_server::serve_peers;
 use crate::sidecar::planned_stop::stop_window::StopWindow;
 use crate::sidecar::platform_adapter::PlatformAdapter;
+use crate::sidecar::rate_limits::limit_task::ask_for_tokens;
+use crate::sidecar::rate_limits::limit_task::keep_leases;
 use crate::sidecar::request_server::serve_requests;
 use crate::sidecar::rollout_task::run_rollouts;
 use crate::sidecar::settings::SidecarSettings;
@@ -159,6 +161,8 @@
     tokio::task::spawn_local(watch_orders(Rc::clone(&state)));
     tokio::task::spawn_local(run_rollouts(Rc::clone(&state)));
     tokio::task::spawn_local(keep_freshness(Rc::clone(&state)));
+    tokio::task::spawn_local(keep_leases(Rc::clone(&state)));
+    tokio::task::spawn_local(ask_for_tokens(Rc::clone(&state)));
     let mut modified = modified_at(path);
     loop {
         tokio::select! {
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -55,6 +55,8 @@
     compared_at: Cell<Duration>,
     /// Time until which endpoints of other regions are linked.
     other_regions_until: Cell<Duration>,
+    /// Whether the daemons that may lend tokens are linked.
+    links_limit_holders: Cell<bool>,
 }
 
 impl MemberDirectory {
@@ -70,6 +72,7 @@
             changed: RefCell::default(),
             compared_at: Cell::default(),
             other_regions_until: Cell::default(),
+            links_limit_holders: Cell::default(),
         }
     }
 
@@ -351,6 +354,14 @@
         if !is_all {
             wanted.truncate(MAX_REGION_LINKS);
         }
+        if self.links_limit_holders.get() {
+            let holders = self.limit_candidates();
+            for record in holders.iter().filter_map(|id| table.get(id)) {
+                if record.id != own.id && !wanted.iter().any(|held| held.id == record.id) {
+                    wanted.push(record);
+                }
+            }
+        }
         let mut required = self.nearest(STORE_WATCHERS);
         required.extend(self.relays_of(zones(other_regions.iter().copied())));
         for record in other_regions {
--- a/coltsfootweir/src/sidecar/member_directory/link_checks.rs
+++ b/coltsfootweir/src/sidecar/member_directory/link_checks.rs
@@ -1,5 +1,6 @@
 //! Liveness checks of links, and comparisons with other daemons over them.
 
+use std::cmp::Reverse;
 use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use super::zones;
 use crate::ids::MemberId;
 use crate::sidecar::member_table::MemberRecord;
+use crate::sidecar::member_table::StoreReach;
 use crate::sidecar::peer_link::PeerLink;
 
 /// Number of daemons that are next to watch the store and notice soon when the watchers fail. That
@@ -29,6 +31,10 @@
 /// Time without received frames after which any other idle link is pinged.
 const IDLE_PING_TIME: Duration = Duration::from_secs(3);
 
+/// Number of daemons that are asked for tokens: those that may hold a slot, and some that held one
+/// before the order changed.
+const MAX_LIMIT_CANDIDATES: usize = 6;
+
 /// Every nth comparison of configuration generations stays in the own zone.
 const OWN_ZONE_TURNS: u64 = 3;
 
@@ -119,6 +125,29 @@
         sources
     }
 
+    /// Sets whether the daemons that may lend tokens are linked.
+    pub fn link_limit_holders(&self, is_wanted: bool) {
+        self.links_limit_holders.set(is_wanted);
+    }
+
+    /// Returns the first daemons of the region, those on larger VMs first, that may lend tokens. All
+    /// daemons of the region compute the same order from their member tables.
+    #[must_use]
+    pub fn limit_candidates(&self) -> Vec<MemberId> {
+        let own = self.own.borrow();
+        let table = self.table.borrow();
+        let mut ranked = Vec::new();
+        for record in table.iter().filter(|record| record.region == own.region) {
+            let is_live = record.id == own.id || self.is_presumed_live(&record.id);
+            if is_live && !record.is_leaving && record.store != StoreReach::Lost {
+                ranked.push((Reverse(record.size), &record.id));
+            }
+        }
+        ranked.sort_unstable();
+        ranked.truncate(MAX_LIMIT_CANDIDATES);
+        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
     /// Returns the open links to the relays of other zones.
     #[must_use]
     pub fn other_zone_links(&self) -> Vec<Rc<PeerLink>> {
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -24,6 +24,8 @@
 use crate::sidecar::link::uplink::TransferKind;
 use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::RolloutStage;
+use crate::sidecar::rate_limits::limit_task::answer_tokens;
+use crate::sidecar::rate_limits::limit_task::take_granted;
 use crate::sidecar::request_server::accept_each;
 use crate::sidecar::sent_answer::SentAnswer;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -205,6 +207,12 @@
         PeerFrame::Freshness(number, version, age_ms) => {
             take_freshness(state, &side.peer_name(), number, version, age_ms);
         }
+        PeerFrame::TokensWanted(number, slot, demands) => {
+            answer_tokens(state, side, number, slot, &demands);
+        }
+        PeerFrame::TokensGranted(number, grants) => {
+            take_granted(state, &side.peer_name(), number, &grants);
+        }
         // Frames of the other direction.
         _ => {}
     }
--- /dev/null
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
@@ -0,0 +1,277 @@
+//! Leases of the holder slots of a region: which slots this daemon takes, renews and releases.
+//!
+//! A lease is a row of the store. All writes are conditional on the version that was last seen, so a
+//! write that takes effect late changes nothing once another daemon has written.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::Incarnation;
+use crate::ids::MemberId;
+use crate::ids::RowVersion;
+use crate::sidecar::platform_adapter::StoreFault;
+use crate::sidecar::rate_limits::limit_bucket::REGION_SLOTS;
+
+/// Time for which a holder relies on its lease, from the start of its last successful renewal. A
+/// slow store answers a renewal within 0.7 s, so that several may fail.
+pub const LEASE_TIME: Duration = Duration::from_secs(6);
+
+/// Time between two renewals, and between two reads of the rows by a daemon that waits for a slot.
+pub const RENEW_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time in addition to [`LEASE_TIME`] for which a row must stand unchanged before another daemon
+/// takes the slot. It allows for clocks that run at different speeds.
+const TAKE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time after the start of a run before it takes the slot of its daemon's earlier run: the validity
+/// of tokens that the earlier run lent.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time by which a daemon that is not the first choice for a free slot leaves it to the one that is:
+/// two of the other's reads.
+const YIELD_TIME: Duration = Duration::from_secs(2);
+
+/// Content of a row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseRow {
+    /// Daemon that holds the slot.
+    pub holder: MemberId,
+    /// Run of the daemon.
+    pub run: Incarnation,
+    /// Number of writes of the run, so that each renewal changes the row.
+    pub count: u64,
+    /// Whether the slot is free.
+    pub is_released: bool,
+}
+
+/// Position of this daemon among those that may hold slots.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LeaseCandidate {
+    /// Position in the order of the region; `None` if the daemon is too far back to hold a slot.
+    pub rank: Option<usize>,
+    /// Whether another daemon of the first ones is reachable.
+    pub has_others: bool,
+    /// Whether the daemon is shutting down.
+    pub is_leaving: bool,
+}
+
+/// Next call to the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LeaseStep {
+    /// Read the rows of the region.
+    Read,
+    /// Write the row of a slot if it has the given version; 0 if it must not exist.
+    Write(usize, RowVersion, LeaseRow),
+}
+
+#[derive(Clone, Debug)]
+struct SeenRow {
+    version: RowVersion,
+    row: Option<LeaseRow>,
+    /// Time at which this version was first seen.
+    since: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+struct SlotLease {
+    seen: Option<SeenRow>,
+    relied_until: Option<Duration>,
+    written_at: Option<Duration>,
+    free_since: Option<Duration>,
+}
+
+/// Leases of the slots of a region, as one daemon knows them. Times are since the boot of the VM.
+#[derive(Debug)]
+pub struct LimitLease {
+    id: MemberId,
+    run: Incarnation,
+    started_at: Duration,
+    read_at: Option<Duration>,
+    count: u64,
+    slots: [SlotLease; REGION_SLOTS],
+}
+
+impl LimitLease {
+    /// Creates the state of a run that holds no slot.
+    #[must_use]
+    pub fn new(id: MemberId, run: Incarnation, now: Duration) -> LimitLease {
+        LimitLease {
+            id,
+            run,
+            started_at: now,
+            read_at: None,
+            count: 0,
+            slots: Default::default(),
+        }
+    }
+
+    /// Returns whether this daemon may lend tokens of a slot.
+    #[must_use]
+    pub fn may_lend(&self, slot: usize, now: Duration) -> bool {
+        let lease = self.slots.get(slot);
+        lease.is_some_and(|lease| lease.relied_until.is_some_and(|until| now < until))
+    }
+
+    /// Returns the call to make now, if any. Its result must be passed to [`LimitLease::on_read`] or
+    /// [`LimitLease::on_written`] before the next one.
+    pub fn next_step(&mut self, candidate: LeaseCandidate, now: Duration) -> Option<LeaseStep> {
+        let mut needs_read = false;
+        for slot in 0..REGION_SLOTS {
+            let is_held = self.may_lend(slot, now);
+            if !is_held && (candidate.is_leaving || candidate.rank.is_none()) {
+                continue;
+            }
+            let Some(seen) = self.slots[slot].seen.clone() else {
+                needs_read = true;
+                continue;
+            };
+            if is_held {
+                if self.should_release(slot, candidate, now) {
+                    // Nothing may be lent from the moment at which the row may say so.
+                    self.slots[slot].relied_until = None;
+                    return Some(self.write(slot, seen.version, true, now));
+                }
+                let written_at = self.slots[slot].written_at.unwrap_or_default();
+                if now >= written_at + RENEW_PAUSE {
+                    return Some(self.write(slot, seen.version, false, now));
+                }
+                continue;
+            }
+            needs_read = true;
+            if self.may_take(slot, &seen, candidate, now) {
+                return Some(self.write(slot, seen.version, false, now));
+            }
+        }
+        let is_read_due = self.read_at.is_none_or(|at| now >= at + RENEW_PAUSE);
+        if needs_read && is_read_due {
+            self.read_at = Some(now);
+            return Some(LeaseStep::Read);
+        }
+        None
+    }
+
+    fn should_release(&self, slot: usize, candidate: LeaseCandidate, now: Duration) -> bool {
+        if candidate.is_leaving {
+            return true;
+        }
+        // With both slots at one daemon, its end would leave the region without a holder.
+        let holds_other = self.may_lend(REGION_SLOTS - 1 - slot, now);
+        let kept = candidate.rank.unwrap_or(0).min(REGION_SLOTS - 1);
+        candidate.has_others && holds_other && slot != kept
+    }
+
+    fn may_take(
+        &mut self,
+        slot: usize,
+        seen: &SeenRow,
+        candidate: LeaseCandidate,
+        now: Duration,
+    ) -> bool {
+        let holds_other = self.may_lend(REGION_SLOTS - 1 - slot, now);
+        let is_free = match &seen.row {
+            None => true,
+            Some(row) if row.is_released => true,
+            // The own run wrote this; the answer was lost.
+            Some(row) if row.holder == self.id && row.run == self.run => true,
+            // An earlier run of this daemon has ended.
+            Some(row) if row.holder == self.id && row.run < self.run => {
+                now >= self.started_at + RESTART_PAUSE
+            }
+            Some(_) => now >= seen.since + LEASE_TIME + TAKE_MARGIN,
+        };
+        if !is_free {
+            self.slots[slot].free_since = None;
+            return false;
+        }
+        let free_since = *self.slots[slot].free_since.get_or_insert(now);
+        match candidate.rank {
+            Some(rank) if rank == slot => true,
+            Some(_) if holds_other && candidate.has_others => false,
+            Some(_) => now >= free_since + YIELD_TIME,
+            None => false,
+        }
+    }
+
+    fn write(
+        &mut self,
+        slot: usize,
+        version: RowVersion,
+        is_released: bool,
+        now: Duration,
+    ) -> LeaseStep {
+        self.count += 1;
+        self.slots[slot].written_at = Some(now);
+        let row = LeaseRow {
+            holder: self.id.clone(),
+            run: self.run,
+            count: self.count,
+            is_released,
+        };
+        LeaseStep::Write(slot, version, row)
+    }
+
+    /// Records a row that was read; version 0 if there is none.
+    pub fn on_read(
+        &mut self,
+        slot: usize,
+        version: RowVersion,
+        row: Option<LeaseRow>,
+        now: Duration,
+    ) {
+        let lease = &mut self.slots[slot];
+        let is_known = lease
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.version == version);
+        if is_known {
+            return;
+        }
+        let is_own = row
+            .as_ref()
+            .is_some_and(|row| row.holder == self.id && row.run == self.run);
+        if !is_own {
+            lease.relied_until = None;
+        }
+        lease.seen = Some(SeenRow {
+            version,
+            row,
+            since: now,
+        });
+    }
+
+    /// Records the result of a write that was started at `started`: the new version of the row.
+    /// Returns whether a lease begins now, so that the buckets of the slot are empty.
+    pub fn on_written(
+        &mut self,
+        slot: usize,
+        row: LeaseRow,
+        result: Result<RowVersion, StoreFault>,
+        started: Duration,
+        now: Duration,
+    ) -> bool {
+        let was_relied = self.may_lend(slot, now);
+        let lease = &mut self.slots[slot];
+        match result {
+            Ok(version) => {
+                let is_released = row.is_released;
+                lease.seen = Some(SeenRow {
+                    version,
+                    row: Some(row),
+                    since: now,
+                });
+                lease.free_since = None;
+                lease.relied_until = (!is_released).then_some(started + LEASE_TIME);
+                !is_released && !was_relied
+            }
+            Err(StoreFault::Refused(_)) => false,
+            Err(_) => {
+                // The row may have changed: it is read before the next write.
+                lease.seen = None;
+                self.read_at = None;
+                false
+            }
+        }
+    }
+}
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -393,6 +393,10 @@
             (StatusCode::SERVICE_UNAVAILABLE, "no_limit_holder", pause)
         }
     };
+    let event = json!({"name": "limit_refused", "request": trace.id, "team": trace.team,
+        "cause": cause, "retry_after_ms": pause.as_millis() as u64,
+        "holders": state.rate_limits.holders()});
+    info!(target: CALLS, "{event}");
     log_end(state, trace, status.as_u16(), cause, &[], 0);
     daemon_response(state, trace.id, status, cause, Some(pause))
 }
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -46,6 +46,7 @@
 use crate::sidecar::planned_stop::stop_control::StopControl;
 use crate::sidecar::platform_adapter::PlatformAdapter;
 use crate::sidecar::platform_adapter::RolloutOrder;
+use crate::sidecar::rate_limits::RateLimits;
 use crate::sidecar::reported_loads::ReportedLoads;
 use crate::sidecar::rollout::RolloutState;
 use crate::sidecar::run_times::RunTimes;
@@ -100,6 +101,8 @@
     pub config: ConfigHolder,
     /// Proof that the active configuration was the newest one a short time ago.
     pub freshness: RefCell<ConfigFreshness>,
+    /// Tokens of teams with a limit.
+    pub rate_limits: RateLimits,
     /// Configurations in force on other daemons.
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
@@ -167,6 +170,7 @@
             store: StoreClient::new(Rc::clone(&platform_adapter), settings.store),
             config: ConfigHolder::default(),
             freshness: RefCell::default(),
+            rate_limits: RateLimits::new(&settings.id, incarnation, clock.boot()),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
             endpoint,
--- /dev/null
+++ b/coltsfootweir/tests/limits/mod.rs
@@ -0,0 +1,3 @@
+//! Model of daemons that borrow tokens from each other.
+
+pub mod limit_world;
