Rate limits: the order of holders is computed at most five times a second

Cause: each request without a token had the candidates of the region sorted, and the own record cloned. Change: the order is kept for 200 ms, the own id for the run.

--- a/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
@@ -201,10 +201,21 @@
     }
 }
 
+/// Returns the daemons that may hold the slots. They are not computed for each question, as the cost
+/// grows with the number of daemons.
+fn current_order(state: &SidecarState) -> Rc<[MemberId]> {
+    let now = state.clock.boot();
+    let mut order = state.rate_limits.order.borrow_mut();
+    if order.1.is_empty() || now >= order.0 + LEASE_PAUSE {
+        *order = (now, state.members.limit_candidates().into());
+    }
+    Rc::clone(&order.1)
+}
+
 fn ask_slots(state: &SidecarState) -> bool {
     let limits = &state.rate_limits;
-    let order = state.members.limit_candidates();
-    let own = state.members.own().id;
+    let order = current_order(state);
+    let own = &limits.own;
     let mut is_local = false;
     for slot in 0..REGION_SLOTS {
         loop {
@@ -213,10 +224,10 @@
             let Some(question) = question else {
                 break;
             };
-            if question.peer == own {
+            if question.peer == *own {
                 is_local = true;
                 let grants = grant(state, slot, &question.demands);
-                take_granted(state, &own, question.number, &grants);
+                take_granted(state, own, question.number, &grants);
                 continue;
             }
             if !send(state, slot, &question) {
--- a/coltsfootweir/src/sidecar/rate_limits/mod.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/mod.rs
@@ -41,6 +41,9 @@
 
 /// Tokens that this daemon has borrowed and lends.
 pub struct RateLimits {
+    own: MemberId,
+    /// Daemons that may hold the slots, and the time at which they were computed.
+    order: RefCell<(Duration, Rc<[MemberId]>)>,
     share: RefCell<LimitShare>,
     lease: RefCell<LimitLease>,
     buckets: RefCell<[LimitBuckets; REGION_SLOTS]>,
@@ -55,6 +58,8 @@
     #[must_use]
     pub fn new(own: &MemberId, run: Incarnation, now: Duration) -> RateLimits {
         RateLimits {
+            own: own.clone(),
+            order: RefCell::new((Duration::ZERO, Rc::default())),
             share: RefCell::new(LimitShare::new(own)),
             lease: RefCell::new(LimitLease::new(own.clone(), run, now)),
             buckets: RefCell::new([LimitBuckets::new(now), LimitBuckets::new(now)]),
