--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -4,6 +4,7 @@
 pub mod choice_view;
 mod endpoint_choice;
 mod hedged_attempt;
+mod repeat_rules;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -79,6 +80,8 @@
     refused_for: Cell<NotRunCause>,
     /// Number of endpoints that received the request.
     reached: Cell<u32>,
+    /// Number of runs that the team's limit allows, each for one token.
+    tokens: Cell<u32>,
 }
 
 /// Result of one attempt, and the rest of the answer if there is more than the result holds.
@@ -128,6 +131,7 @@
             refused_for: Cell::new(NotRunCause::Overloaded),
             tried: RefCell::default(),
             reached: Cell::new(0),
+            tokens: Cell::new(1),
         }
     }
 
@@ -144,6 +148,10 @@
             if !self.should_retry(&end.result) {
                 break end;
             }
+            let is_denied = !self.take_repeat_token().await;
+            if is_denied {
+                break end;
+            }
             if is_failure(&end.result) {
                 last_failure = Some(end);
             }
@@ -375,25 +383,6 @@
         granted
     }
 
-    /// Returns whether another attempt may start while one is in progress.
-    fn may_repeat(&self) -> bool {
-        self.route.is_repeatable
-            && self.may_repeat_after(self.reached.get() + 1)
-            && self.with_budget(|budget| budget.has_retry())
-    }
-
-    fn may_repeat_after(&self, reached: u32) -> bool {
-        reached < self.route.attempts && self.has_untried()
-    }
-
-    fn has_untried(&self) -> bool {
-        let tried = self.tried.borrow();
-        self.state.members.read(|table| {
-            let mut records = table.iter();
-            records.any(|record| self.is_usable(record) && !tried.contains(&record.id))
-        })
-    }
-
     fn count_version(&self, version: &VersionName, result: &CallResult, time: Duration) {
         let mut rollouts = self.state.rollouts.borrow_mut();
         if let Some(rollout) = rollouts.get_mut(&self.service) {
--- a/coltsfootweir/src/sidecar/call_attempts/hedged_attempt.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/hedged_attempt.rs
@@ -12,6 +12,7 @@
 use crate::sidecar::frame::UnknownCause;
 use crate::sidecar::hedging::hedge_policy::HedgeCase;
 use crate::sidecar::hedging::hedge_policy::HedgeRefusal;
+use crate::sidecar::rate_limits::take_held_token;
 
 impl CallAttempts<'_> {
     /// Sends the request to an endpoint, and to a second one when the response is overdue: it may be
@@ -117,6 +118,10 @@
         };
         self.with_budget(|budget| hedging.borrow().check(&self.service, budget, now))?;
         let chosen = self.choose(need).ok_or(HedgeRefusal::NoFreeSlot)?;
+        if !take_held_token(self.state, self.caller.team) {
+            return Err(HedgeRefusal::TeamLimit);
+        }
+        self.tokens.set(self.tokens.get() + 1);
         self.with_budget(|budget| hedging.borrow_mut().take(&self.service, budget, now))?;
         Ok(chosen)
     }
--- a/coltsfootweir/src/sidecar/hedging/hedge_policy.rs
+++ b/coltsfootweir/src/sidecar/hedging/hedge_policy.rs
@@ -61,6 +61,8 @@
     Limit,
     /// The retry budget is used up.
     Budget,
+    /// The team of the request has no token left.
+    TeamLimit,
 }
 
 struct ServiceHedges {
@@ -87,6 +89,7 @@
             HedgeRefusal::LargeAnswer => "large_answer",
             HedgeRefusal::NoTime => "no_time",
             HedgeRefusal::Shortage => "shortage",
+            HedgeRefusal::TeamLimit => "team_limit",
             HedgeRefusal::NoFreeSlot => "no_free_slot",
             HedgeRefusal::Limit => "limit",
             HedgeRefusal::Budget => "budget",
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -58,6 +58,8 @@
     other_regions_until: Cell<Duration>,
     /// Services whose requests may have to run in another region.
     remote_services: RefCell<RemoteServices>,
+    /// Whether the daemons that may lend tokens are linked.
+    links_limit_holders: Cell<bool>,
 }
 
 impl MemberDirectory {
@@ -74,6 +76,7 @@
             compared_at: Cell::default(),
             other_regions_until: Cell::default(),
             remote_services: RefCell::default(),
+            links_limit_holders: Cell::default(),
         }
     }
 
@@ -366,6 +369,14 @@
         if !is_all {
             wanted.truncate(MAX_REGION_LINKS);
         }
+        if self.links_limit_holders.get() {
+            let holders = self.limit_candidates();
+            for record in holders.iter().filter_map(|id| table.get(id)) {
+                if record.id != own.id && !wanted.iter().any(|held| held.id == record.id) {
+                    wanted.push(record);
+                }
+            }
+        }
         let mut required = self.nearest(STORE_WATCHERS);
         required.extend(self.relays_of(zones(other_regions.iter().copied())));
         let remote = self.remote_services.borrow();
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -50,6 +50,7 @@
 use crate::sidecar::planned_stop::stop_control::StopControl;
 use crate::sidecar::platform_adapter::PlatformAdapter;
 use crate::sidecar::platform_adapter::RolloutOrder;
+use crate::sidecar::rate_limits::RateLimits;
 use crate::sidecar::reported_loads::ReportedLoads;
 use crate::sidecar::rollout::RolloutState;
 use crate::sidecar::run_times::RunTimes;
@@ -112,6 +113,8 @@
     pub freshness: RefCell<ConfigFreshness>,
     /// Zones that are evacuated.
     pub evacuations: RefCell<EvacuationSet>,
+    /// Tokens of teams with a limit.
+    pub rate_limits: RateLimits,
     /// Configurations in force on other daemons.
     pub spread: ConfigSpread,
     /// Known daemons and the links to them.
@@ -190,6 +193,7 @@
             config: ConfigHolder::default(),
             freshness: RefCell::default(),
             evacuations: RefCell::default(),
+            rate_limits: RateLimits::new(&settings.id, incarnation, clock.boot()),
             spread: ConfigSpread::default(),
             members: MemberDirectory::new(own),
             guard,
