Rate limits: the allowance of the deployment is lent, and daemons with few requests ask for no tokens in advance

Change: the lent rate and burst use the overage and half of the slack, so that the sum over the window and the validity of the tokens stays below the bound for every setting. Tokens are asked for in advance from four requests in 100 ms on.

--- a/coltsfootweir/src/sidecar/rate_limits/limit_bucket.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_bucket.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::sidecar::rate_limits::limit_share::TOKEN_VALIDITY;
+use crate::sidecar::settings::QuotaBounds;
 use crate::sidecar::teams::team::TeamName;
 
 /// Number of holder slots of a region.
@@ -11,6 +13,24 @@
 /// Wait that is stated for a team without a token whose rate is too low for a time to be computed.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
+/// Part of the deployment's slack that is lent in addition to the burst of a team. The rest covers the
+/// whole token that each slot keeps.
+const SLACK_SHARE: f64 = 0.5;
+
+/// Returns the rate and the burst of a team that all slots lend together. Tokens that were lent before a
+/// window may be used in it for as long as they are valid, so the rate is the highest one whose sum over
+/// the window and the validity stays below the deployment's limit on the window.
+#[must_use]
+pub fn lent_limit(rate_per_s: f64, burst: f64, quota: QuotaBounds) -> (f64, f64) {
+    let window = quota.window.as_secs_f64();
+    let allowed = 1.0 + quota.overage;
+    let factor = allowed * window / (window + TOKEN_VALIDITY.as_secs_f64());
+    (
+        rate_per_s * factor,
+        burst * allowed + quota.slack * SLACK_SHARE,
+    )
+}
+
 /// Part of a team's limit that one holder slot lends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlotLimit {
--- a/coltsfootweir/src/sidecar/rate_limits/limit_share.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_share.rs
@@ -25,6 +25,10 @@
 /// Time of demand that one batch of tokens covers, a third of the validity of tokens.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 
+/// Requests in [`BATCH_TIME`] from which on tokens are asked for in advance. With fewer, those would
+/// often expire before the next request.
+const MIN_BATCH: u32 = 4;
+
 /// Time for which a slot without an answering holder is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -222,7 +226,11 @@
                 continue;
             };
             let recent = share.last_count.max(share.window_count);
-            let wanted = recent.max(share.unserved).clamp(1, MAX_BATCH);
+            let wanted = match recent >= MIN_BATCH {
+                true => recent.max(share.unserved),
+                false => share.unserved,
+            };
+            let wanted = wanted.clamp(1, MAX_BATCH);
             share.unserved = 0;
             demands.push(TokenDemand {
                 team: team.clone(),
--- a/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
@@ -21,11 +21,13 @@
 use crate::sidecar::rate_limits::limit_bucket::LimitBuckets;
 use crate::sidecar::rate_limits::limit_bucket::REGION_SLOTS;
 use crate::sidecar::rate_limits::limit_bucket::SlotLimit;
+use crate::sidecar::rate_limits::limit_bucket::lent_limit;
 use crate::sidecar::rate_limits::limit_lease::LeaseCandidate;
 use crate::sidecar::rate_limits::limit_lease::LeaseRow;
 use crate::sidecar::rate_limits::limit_lease::LeaseStep;
 use crate::sidecar::rate_limits::limit_share::LimitQuestion;
 use crate::sidecar::rate_limits::limit_share::TOKEN_VALIDITY;
+use crate::sidecar::settings::QuotaBounds;
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::team::TeamName;
 
@@ -271,10 +273,14 @@
     ) else {
         return grants;
     };
-    let regions = region_count(state);
+    // Without it, no daemon asks.
+    let Some(quota) = state.settings().bounds.quota else {
+        return grants;
+    };
+    let terms = (quota, region_count(state));
     let mut buckets = limits.buckets.borrow_mut();
     for demand in demands {
-        let Some(limit) = slot_limit(&active, &demand.team, regions) else {
+        let Some(limit) = slot_limit(&active, &demand.team, terms) else {
             continue;
         };
         let (granted, next) = match limit {
@@ -304,9 +310,14 @@
 
 /// Returns the slot's part of a team's limit, `Some(None)` if it has no limit, and `None` if the team
 /// is not known.
-fn slot_limit(active: &ActiveConfig, team: &TeamName, regions: usize) -> Option<Option<SlotLimit>> {
+fn slot_limit(
+    active: &ActiveConfig,
+    team: &TeamName,
+    (quota, regions): (QuotaBounds, usize),
+) -> Option<Option<SlotLimit>> {
     let team = active.config.teams.get(team)?;
-    let limit = SlotLimit::new(team.rate_per_s, team.burst, regions);
+    let (rate_per_s, burst) = lent_limit(team.rate_per_s, team.burst, quota);
+    let limit = SlotLimit::new(rate_per_s, burst, regions);
     Some((team.rate_per_s > 0.0).then_some(limit))
 }
 
--- a/coltsfootweir/tests/sidecar_limits.rs
+++ b/coltsfootweir/tests/sidecar_limits.rs
@@ -9,6 +9,7 @@
 use coltsfootweir::sidecar::platform_adapter::StoreFault;
 use coltsfootweir::sidecar::rate_limits::limit_bucket::LimitBuckets;
 use coltsfootweir::sidecar::rate_limits::limit_bucket::SlotLimit;
+use coltsfootweir::sidecar::rate_limits::limit_bucket::lent_limit;
 use coltsfootweir::sidecar::rate_limits::limit_lease::LEASE_TIME;
 use coltsfootweir::sidecar::rate_limits::limit_lease::LeaseCandidate;
 use coltsfootweir::sidecar::rate_limits::limit_lease::LeaseRow;
@@ -16,6 +17,8 @@
 use coltsfootweir::sidecar::rate_limits::limit_lease::LimitLease;
 use coltsfootweir::sidecar::rate_limits::limit_share::LimitShare;
 use coltsfootweir::sidecar::rate_limits::limit_share::ShareOutcome;
+use coltsfootweir::sidecar::rate_limits::limit_share::TOKEN_VALIDITY;
+use coltsfootweir::sidecar::settings::QuotaBounds;
 use proptest::prelude::*;
 
 use crate::limits::limit_world::LimitWorld;
@@ -36,6 +39,47 @@
     assert_eq!(granted, 20);
 }
 
+proptest! {
+    /// Guards against lent tokens whose sum in a window exceeds what the deployment allows, whatever its
+    /// window, overage and slack, and against a part of that which is not lent without need.
+    #[test]
+    fn lent_limit_uses_the_allowance_and_stays_below_it(
+        rate in 0.5..2_000.0_f64,
+        burst in 0.0..2_000.0_f64,
+        window_ms in 1_000..20_000_u64,
+        overage in 0.0..0.5_f64,
+        slack in 0.0..100.0_f64,
+    ) {
+        let quota = QuotaBounds { window: ms(window_ms), overage, slack };
+        let (lent_rate, lent_burst) = lent_limit(rate, burst, quota);
+        let window = quota.window.as_secs_f64();
+        let sum = lent_rate * (window + TOKEN_VALIDITY.as_secs_f64()) + lent_burst;
+        let allowed = (rate * window + burst) * (1.0 + overage) + slack;
+        prop_assert!(sum <= allowed + 1e-6, "{sum} of {allowed}");
+        prop_assert!(sum >= allowed - slack - 1e-6, "{sum} of {allowed}");
+    }
+}
+
+/// Guards against tokens that expire unused at daemons to which a team seldom sends: of a limit that all
+/// of them want, they would take the larger part.
+#[test]
+fn daemon_with_few_requests_asks_for_what_it_needs() {
+    let mut share = LimitShare::new(&"a".into());
+    let order = ["h".into()];
+    for step in 0..2 {
+        let now = ms(1_000 + step * 40);
+        share.count_request(&"ash".into(), now);
+    }
+    let outcome = share.take(&"ash".into(), [false; 2], ms(1_040));
+    let ShareOutcome::Ask(slot) = outcome else {
+        panic!("{outcome:?}");
+    };
+    let question = share
+        .next_question(slot, &order, ms(1_040))
+        .expect("a question");
+    assert_eq!(question.demands[0].wanted, 1);
+}
+
 /// Guards against a lowered limit that goes on lending what was saved under the higher one, and a
 /// raised one that counts for the time before.
 #[test]
