--- a/coltsfootweir/src/sidecar/answer/client_body.rs
+++ b/coltsfootweir/src/sidecar/answer/client_body.rs
@@ -19,7 +19,6 @@
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::answer_rest::BodyPiece;
 use crate::sidecar::client_limits::connection_limit::BusyConnection;
-use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::sidecar_state::SidecarState;
 
 /// Body of a response to a client.
@@ -189,7 +188,7 @@
 /// Counts a request as in progress until it is dropped.
 pub struct RunningCount {
     state: Rc<SidecarState>,
-    connection: BusyConnection,
+    _connection: BusyConnection,
 }
 
 impl RunningCount {
@@ -199,15 +198,9 @@
         state.running.set(state.running.get() + 1);
         RunningCount {
             state: Rc::clone(state),
-            connection,
+            _connection: connection,
         }
     }
-
-    /// Returns the connection of the request.
-    #[must_use]
-    pub fn connection(&self) -> &Rc<ConnectionSlot> {
-        self.connection.slot()
-    }
 }
 
 impl Drop for RunningCount {
--- a/coltsfootweir/src/sidecar/client_connection/answer_writer.rs
+++ b/coltsfootweir/src/sidecar/client_connection/answer_writer.rs
@@ -135,6 +135,9 @@
     async fn write(&mut self, bytes: &[u8]) -> bool {
         let limit = self.idle_time();
         let written = tokio::time::timeout(limit, self.stream.write_all(bytes)).await;
+        if written.is_err() {
+            self.state.metrics.count_refusal("answer_unread");
+        }
         matches!(written, Ok(Ok(())))
     }
 
--- a/coltsfootweir/src/sidecar/client_connection/connection.rs
+++ b/coltsfootweir/src/sidecar/client_connection/connection.rs
@@ -72,8 +72,10 @@
     ContinueDue,
     /// The daemon stops, or the connection has to be closed for another one.
     Stopping,
-    /// The client closed the connection, or a time limit has passed.
+    /// The client closed the connection.
     Ended,
+    /// The time limit on the client's input has passed.
+    TimedOut,
 }
 
 /// A connection of a client.
@@ -163,6 +165,12 @@
                     true
                 }
                 ConnectionEvent::Ended => false,
+                ConnectionEvent::TimedOut => {
+                    if wait == InputWait::Rest {
+                        self.state.metrics.count_refusal("head_timed_out");
+                    }
+                    false
+                }
             };
             if !is_open {
                 return;
@@ -372,7 +380,7 @@
             return Poll::Ready(ConnectionEvent::Stopping);
         }
         match timer {
-            Some(timer) => timer.poll(context).map(|()| ConnectionEvent::Ended),
+            Some(timer) => timer.poll(context).map(|()| ConnectionEvent::TimedOut),
             None => Poll::Pending,
         }
     }
--- a/coltsfootweir/src/sidecar/client_limits/connection_limit.rs
+++ b/coltsfootweir/src/sidecar/client_limits/connection_limit.rs
@@ -161,14 +161,6 @@
     }
 }
 
-impl BusyConnection {
-    /// Returns the connection.
-    #[must_use]
-    pub fn slot(&self) -> &Rc<ConnectionSlot> {
-        &self.0
-    }
-}
-
 impl Drop for BusyConnection {
     fn drop(&mut self) {
         self.0.requests.set(self.0.requests.get() - 1);
--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -347,7 +347,8 @@
     ///
     /// In the own region, daemons of the services in `called` come first, then those of the own
     /// zone, up to a limit. In other regions only the relays and the store watchers are linked, and
-    /// endpoints of services whose requests may not run in the own region. All daemons of other regions are linked while their endpoints are needed, and [`LinkScope::All`]
+    /// endpoints of services whose requests may not run in the own region. All daemons of other regions
+    /// are linked while their endpoints are needed, and [`LinkScope::All`]
     /// links all daemons.
     pub fn take_dials(
         &self,
