Bodies of unstated length are collected in blocks; an endpoint that stays closed for an evacuation is logged

Change: blocks of 64 KB, reserved one by one and released one by one as the body is joined. The log follows the reason for which the endpoint is closed. A request without a body is known as such before it is read.

--- a/coltsfootweir/src/sidecar/client_connection/request_body.rs
+++ b/coltsfootweir/src/sidecar/client_connection/request_body.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    fn is_end_stream(&self) -> bool {
+        let state = self.pipe.0.borrow();
+        state.pieces.is_empty() && state.end == Some(Ok(()))
+    }
+
     fn size_hint(&self) -> SizeHint {
         self.left.map(SizeHint::with_exact).unwrap_or_default()
     }
--- a/coltsfootweir/src/sidecar/client_limits/body_intake.rs
+++ b/coltsfootweir/src/sidecar/client_limits/body_intake.rs
@@ -1,5 +1,6 @@
 //! Reads the body of a request within a limit, an account and a time.
 
+use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::pin;
 use std::sync::Arc;
@@ -10,8 +11,8 @@
 
 use crate::sidecar::client_limits::byte_account::ByteAccount;
 
-/// Step in which bytes of a body of unstated length are reserved, in bytes.
-const RESERVE_STEP: u64 = 64 * 1024;
+/// Size of the blocks in which a body of unstated length is collected and reserved, in bytes.
+const BLOCK_BYTES: usize = 64 * 1024;
 
 /// Limits on one body.
 #[derive(Clone, Debug)]
@@ -74,8 +75,7 @@
     body: impl Body<Data = Bytes>,
     limits: BodyLimits,
 ) -> Result<Bytes, BodyRefusal> {
-    let stated = body.size_hint().exact();
-    let first = stated.unwrap_or(0);
+    let first = body.size_hint().exact().unwrap_or(0);
     if first > limits.size {
         return Err(BodyRefusal::TooLong);
     }
@@ -83,9 +83,7 @@
         Some(account) => Some(account.reserve(first).ok_or(BodyRefusal::NoMemory)?),
         None => None,
     };
-    let mut reserved = first;
-    // Pages of the buffer that are not written take no memory.
-    let mut bytes = Vec::with_capacity(usize::try_from(first).unwrap_or(0));
+    let mut bytes = BodyBuffer::new(usize::try_from(first).unwrap_or(usize::MAX));
     let mut body = pin!(body);
     loop {
         let part = poll_fn(|context| body.as_mut().poll_frame(context));
@@ -97,28 +95,79 @@
             // Trailers are not forwarded.
             continue;
         };
-        let length = (bytes.len() + part.len()) as u64;
-        if length > limits.size {
+        if (bytes.length + part.len()) as u64 > limits.size {
             return Err(BodyRefusal::TooLong);
         }
-        if length > reserved {
-            let step = (length - reserved).max(RESERVE_STEP.min(limits.size - reserved));
-            if let Some(reservation) = &mut reservation
-                && !reservation.grow(step)
-            {
-                return Err(BodyRefusal::NoMemory);
-            }
-            // Growing would copy a large body; its pages are taken as they are written.
-            if reserved >= RESERVE_STEP && stated.is_none() {
-                let limit = usize::try_from(limits.size).unwrap_or(usize::MAX);
-                bytes.reserve_exact(limit.saturating_sub(bytes.len()));
-            }
-            reserved += step;
+        let growth = bytes.growth(part.len()) as u64;
+        if let Some(reservation) = &mut reservation
+            && growth > 0
+            && !reservation.grow(growth)
+        {
+            return Err(BodyRefusal::NoMemory);
         }
-        bytes.extend_from_slice(&part);
+        bytes.push(&part);
     }
+    let bytes = bytes.join();
     Ok(match reservation {
         Some(reservation) if !bytes.is_empty() => reservation.attach(bytes),
         _ => Bytes::from(bytes),
     })
 }
+
+/// Bytes of a body while it is read. They are collected in blocks of one size: a buffer that grows would
+/// need both sizes while it is copied, and the allocator keeps the smaller ones after that.
+struct BodyBuffer {
+    blocks: VecDeque<Vec<u8>>,
+    /// Capacity of all blocks.
+    capacity: usize,
+    length: usize,
+}
+
+impl BodyBuffer {
+    /// Creates a buffer whose first block has `first` bytes.
+    fn new(first: usize) -> BodyBuffer {
+        // Pages of the buffer that are not written take no memory.
+        BodyBuffer {
+            blocks: VecDeque::from([Vec::with_capacity(first)]),
+            capacity: first,
+            length: 0,
+        }
+    }
+
+    /// Returns by how much the capacity grows if `count` bytes are added.
+    fn growth(&self, count: usize) -> usize {
+        let missing = (self.length + count).saturating_sub(self.capacity);
+        missing.div_ceil(BLOCK_BYTES) * BLOCK_BYTES
+    }
+
+    fn push(&mut self, mut part: &[u8]) {
+        self.length += part.len();
+        while !part.is_empty() {
+            let room = match self.blocks.back_mut() {
+                Some(block) if block.len() < block.capacity() => block,
+                _ => {
+                    self.capacity += BLOCK_BYTES;
+                    self.blocks.push_back(Vec::with_capacity(BLOCK_BYTES));
+                    continue;
+                }
+            };
+            let count = part.len().min(room.capacity() - room.len());
+            let (now, later) = part.split_at(count);
+            room.extend_from_slice(now);
+            part = later;
+        }
+    }
+
+    /// Returns the bytes in one block. Each block is released as soon as it is copied.
+    fn join(mut self) -> Vec<u8> {
+        self.blocks.retain(|block| !block.is_empty());
+        if self.blocks.len() == 1 {
+            return self.blocks.pop_front().unwrap_or_default();
+        }
+        let mut bytes = Vec::with_capacity(self.length);
+        while let Some(block) = self.blocks.pop_front() {
+            bytes.extend_from_slice(&block);
+        }
+        bytes
+    }
+}
--- a/coltsfootweir/src/sidecar/placement/evacuation_set.rs
+++ b/coltsfootweir/src/sidecar/placement/evacuation_set.rs
@@ -31,6 +31,9 @@
     /// Whether any zone has been evacuated, as far as known.
     was_used: bool,
     linked_at: Option<Duration>,
+    /// Name of the last logged event about the own endpoint; empty while it has been open from the
+    /// start.
+    phase: &'static str,
 }
 
 /// Zones whose evacuation began or ended.
@@ -140,6 +143,15 @@
         })
     }
 
+    /// Records the name of the event that describes the own endpoint. Returns whether it is to be
+    /// logged; an endpoint that is open from the start needs no line.
+    pub fn change_phase(&mut self, name: &'static str) -> bool {
+        let is_first = self.phase.is_empty() && name == "endpoint_opened";
+        let is_changed = self.phase != name;
+        self.phase = name;
+        is_changed && !is_first
+    }
+
     /// Records that this daemon has a link to another one.
     pub fn on_link(&mut self, now: Duration) {
         self.linked_at.get_or_insert(now);
--- a/coltsfootweir/src/sidecar/placement/evacuation_task.rs
+++ b/coltsfootweir/src/sidecar/placement/evacuation_task.rs
@@ -116,12 +116,14 @@
     let is_known = settings.is_first_start || set.is_known(now);
     let is_closed = !is_known || set.is_closed(&settings.zone, now, bound);
     drop(set);
-    if state.endpoint.set_evacuated(is_closed) {
-        let name = match is_closed {
-            true if is_known => "endpoint_closed_for_evacuation",
-            true => "endpoint_awaits_evacuations",
-            false => "endpoint_opened",
-        };
+    state.endpoint.set_evacuated(is_closed);
+    let name = match is_closed {
+        true if is_known => "endpoint_closed_for_evacuation",
+        true => "endpoint_awaits_evacuations",
+        false => "endpoint_opened",
+    };
+    // An endpoint that awaits news may stay closed for an evacuation.
+    if state.evacuations.borrow_mut().change_phase(name) {
         info!(target: UPSTREAM, "{}", json!({"name": name, "zone": settings.zone}));
     }
 }
