A stopping daemon takes calls of peers while it stays for its clients

Cause: a daemon refused the calls of peers from SIGTERM on, but stays 2.5 s for clients that have not noticed the stop. The slots of its endpoint were idle in that time. Change: calls of peers are taken for three fifths of the notice time if they must be answered before the exit. The departure is published, limit slots are released and the row is removed after that. A daemon whose endpoint has gone takes none, as before.

--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -26,6 +26,7 @@
 
 use crate::clock::SystemClock;
 use crate::logging::DAEMON;
+use crate::member::EndpointPhase;
 use crate::sidecar::config_task::watch_orders;
 use crate::sidecar::control_server::serve_control;
 use crate::sidecar::departures::departure_task::keep_departures;
@@ -233,16 +234,22 @@
     });
 }
 
-/// Shuts down gracefully: announces the departure, then stops accepting connections, then waits for
-/// running requests to finish.
+/// Shuts down gracefully: is no longer ready, runs calls of other daemons for a while, announces the
+/// departure, then stops accepting connections, then waits for running requests to finish.
 async fn shut_down(state: &SidecarState, stop: &watch::Sender<bool>) {
     let start = state.now();
-    let window = StopWindow::new(start, state.settings().bounds.stop_grace);
+    let mut window = StopWindow::new(start, state.settings().bounds.stop_grace);
+    let endpoint = state.endpoint.summary();
+    if endpoint.is_none_or(|endpoint| endpoint.phase != EndpointPhase::Ready) {
+        window = window.without_calls();
+    }
     state.stop.set(window);
+    let event = json!({"name": "stopping", "running": state.running.get(),
+        "calls_ms": window.calls_by.saturating_sub(start).as_millis() as u64});
+    info!(target: DAEMON, "{event}");
+    tokio::time::sleep(window.calls_by.saturating_sub(start)).await;
     state.is_leaving.set(true);
     state.publish();
-    let event = json!({"name": "stopping", "running": state.running.get()});
-    info!(target: DAEMON, "{event}");
     remove_row_within(state, window.notice_by).await;
     tokio::time::sleep(window.notice_by.saturating_sub(state.now())).await;
     // No connections are accepted any more, and open ones close after their current request.
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -229,7 +229,7 @@
     }
 
     fn start_call(&self, number: CallNumber, mut call: Box<ForwardedCall>, delay: Duration) {
-        if refuses_calls(&self.state) {
+        if refuses_call(&self.state, &call, delay) {
             self.refuse_call(number, NotRunCause::Closed);
             return;
         }
@@ -267,7 +267,7 @@
         delay: Duration,
         length: u64,
     ) {
-        if refuses_calls(&self.state) {
+        if refuses_call(&self.state, &call, delay) {
             self.refuse_call(number, NotRunCause::Closed);
             return;
         }
@@ -411,8 +411,10 @@
 
 /// Returns whether forwarded calls are refused, because this daemon is stopping, does not know the
 /// limits on its endpoint, or a rollout has taken the endpoint's version out of service.
-fn refuses_calls(state: &SidecarState) -> bool {
-    state.is_leaving.get() || awaits_config(state) || is_withdrawn(state)
+fn refuses_call(state: &SidecarState, call: &ForwardedCall, delay: Duration) -> bool {
+    let now = state.now();
+    let left = Duration::from_millis(u64::from(call.left_ms)).saturating_sub(delay);
+    !state.stop.admits_call(now, now + left) || awaits_config(state) || is_withdrawn(state)
 }
 
 /// Returns whether a rollout has taken the endpoint's version out of service.
--- a/coltsfootweir/src/sidecar/planned_stop/stop_control.rs
+++ b/coltsfootweir/src/sidecar/planned_stop/stop_control.rs
@@ -18,6 +18,19 @@
         self.window.send_replace(Some(window));
     }
 
+    /// Returns whether a stop has begun.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.window.borrow().is_some()
+    }
+
+    /// Returns whether a call of another daemon is taken that must be answered by `deadline`.
+    #[must_use]
+    pub fn admits_call(&self, now: Duration, deadline: Duration) -> bool {
+        let window = *self.window.borrow();
+        window.is_none_or(|window| window.admits_call(now, deadline))
+    }
+
     /// Returns the deadline of a request that is complete at `now`; `None` if it must be refused
     /// because of the stop.
     #[must_use]
--- a/coltsfootweir/src/sidecar/planned_stop/stop_window.rs
+++ b/coltsfootweir/src/sidecar/planned_stop/stop_window.rs
@@ -8,6 +8,10 @@
 /// the shutdown yet. Covers two missed readiness checks at one per second.
 const NOTICE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Share of the notice time in which calls of other daemons are still taken, in fifths. The rest is
+/// about the time that most of them run.
+const CALL_FIFTHS: u32 = 3;
+
 /// Longest time before SIGKILL at which the daemon exits even if requests are still running.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -21,6 +25,9 @@
 /// Times of a planned stop, since the start of the daemon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopWindow {
+    /// Until when calls of other daemons are taken. The daemon lives longer than this for its own
+    /// clients, and without calls the slots of its endpoint would be empty in that time.
+    pub calls_by: Duration,
     /// Until when clients may not have noticed the stop.
     pub notice_by: Duration,
     /// When the daemon answers the requests that have no answer.
@@ -36,8 +43,10 @@
         let exit_margin = EXIT_MARGIN.min(grace / MARGIN_DIVISOR);
         let answer_margin = ANSWER_MARGIN.min(grace / MARGIN_DIVISOR / 2);
         let exit_by = start + grace.saturating_sub(exit_margin);
+        let notice_by = (start + NOTICE_TIME).min(exit_by);
         StopWindow {
-            notice_by: (start + NOTICE_TIME).min(exit_by),
+            calls_by: start + notice_by.saturating_sub(start) * CALL_FIFTHS / 5,
+            notice_by,
             answer_by: start.max(exit_by.saturating_sub(answer_margin)),
             exit_by,
         }
@@ -47,12 +56,29 @@
     #[must_use]
     pub fn ended(self, now: Duration) -> StopWindow {
         StopWindow {
+            calls_by: self.calls_by.min(now),
             notice_by: self.notice_by.min(now),
             answer_by: self.answer_by.min(now),
             exit_by: self.exit_by.min(now),
         }
     }
 
+    /// Returns the window of a daemon that takes no calls of other daemons.
+    #[must_use]
+    pub fn without_calls(self) -> StopWindow {
+        StopWindow {
+            calls_by: Duration::ZERO,
+            ..self
+        }
+    }
+
+    /// Returns whether a call of another daemon is taken that must be answered by `deadline`. One that
+    /// might outlast the daemon can still run elsewhere.
+    #[must_use]
+    pub fn admits_call(&self, now: Duration, deadline: Duration) -> bool {
+        now < self.calls_by && deadline + RESPONSE_MARGIN <= self.answer_by
+    }
+
     /// Returns the deadline of a request that is complete at `now` and would have the deadline
     /// `deadline`; `None` if it must be refused.
     ///
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -144,7 +144,7 @@
     );
     let id = id.unwrap_or_default().to_owned();
     let mut response = respond(state, request, &id, running).await;
-    if state.is_leaving.get() {
+    if state.stop.has_begun() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/coltsfootweir/src/sidecar/route_explanation.rs
+++ b/coltsfootweir/src/sidecar/route_explanation.rs
@@ -55,7 +55,7 @@
         explained["rollout"] = json!({"version": rollout.order.version, "stage": stage});
     }
     drop(rollouts);
-    if state.is_leaving.get() {
+    if state.stop.has_begun() {
         return refused(explained, "stopping");
     }
     let deadline = state.now() + route.timeout();
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -260,7 +260,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let has_endpoint = self.endpoint.summary().is_some();
-        !self.is_leaving.get()
+        !self.stop.has_begun()
             && self.config.version() > 0
             && (has_endpoint || self.members.has_open_link())
     }
--- a/coltsfootweir/tests/sidecar_stop_window.rs
+++ b/coltsfootweir/tests/sidecar_stop_window.rs
@@ -34,6 +34,24 @@
         }
     }
 
+    /// Guards against calls of other daemons that would be cut off at the exit.
+    #[test]
+    fn calls_that_are_taken_can_end_before_the_exit(
+        grace_ms in 100_u64..30_000,
+        sent_ms in 0_u64..30_000,
+        left_ms in 0_u64..10_000,
+    ) {
+        let window = StopWindow::new(Duration::ZERO, Duration::from_millis(grace_ms));
+        let now = Duration::from_millis(sent_ms);
+        let deadline = now + Duration::from_millis(left_ms);
+        if window.admits_call(now, deadline) {
+            prop_assert!(now < window.notice_by);
+            prop_assert!(deadline + RESPONSE_MARGIN <= window.answer_by);
+        }
+        prop_assert!(!window.without_calls().admits_call(now, deadline));
+        prop_assert!(!window.ended(now).admits_call(now, deadline));
+    }
+
     /// Guards against requests taken by a daemon that has decided to exit.
     #[test]
     fn daemon_that_ends_early_takes_nothing(
@@ -68,3 +86,15 @@
     );
     assert_eq!(window.admit(seconds(103.0), seconds(106.0)), None);
 }
+
+/// Guards against slots that stay empty while the daemon beside them lives on for its own clients: many
+/// daemons are restarted one after the other at the time of the highest load.
+#[test]
+fn calls_of_other_daemons_are_taken_in_the_first_part_of_a_stop() {
+    let seconds = Duration::from_secs_f64;
+    let window = StopWindow::new(seconds(100.0), seconds(6.0));
+    assert!(window.admits_call(seconds(100.0), seconds(102.0)));
+    assert!(window.admits_call(seconds(101.4), seconds(103.4)));
+    assert!(!window.admits_call(seconds(101.6), seconds(102.0)));
+    assert!(!window.admits_call(seconds(101.0), seconds(105.5)));
+}
--- a/programs/tests/sidecar_stops.rs
+++ b/programs/tests/sidecar_stops.rs
@@ -29,6 +29,10 @@
 /// Status that promises that a request was not run and will not be.
 const PROMISE: u16 = 503;
 
+/// A route whose requests may take longer than the grace.
+const LONG_ROUTE: &str = r#",{"name":"long","authority":"test","prefix":"/long/","kind":"non_idempotent",
+    "timeout_ms":20000,"target_latency_ms":20000,"priority":2,"service":"stalls","attempts":1}"#;
+
 /// Bytes of a request that are sent late: a part of the body, or the end of the head.
 const REST_BYTES: usize = 2;
 
@@ -166,10 +170,8 @@
 /// wait for a slot.
 #[test]
 fn request_sent_before_a_stop_is_answered_at_its_end() {
-    let more = r#",{"name":"long","authority":"test","prefix":"/long/","kind":"non_idempotent",
-        "timeout_ms":20000,"target_latency_ms":20000,"priority":2,"service":"stalls","attempts":1}"#;
     let fleet = SidecarFleet::start_ready(&[(HORSES, "v1"), (STALLS, "v1")]);
-    fleet.put_config(2, more);
+    fleet.put_config(2, LONG_ROUTE);
     fleet.wait_config(2);
     let requests = fleet.sidecars[0].requests;
     let mut calls = Vec::new();
@@ -231,3 +233,26 @@
     stop.check("running", &running.join().expect("no panic"));
     stop.wait_end();
 }
+
+/// Guards against the slots beside a stopping daemon staying empty while it lives on for its clients, and
+/// against calls of other daemons that it takes and does not answer.
+#[test]
+fn stopping_daemon_runs_calls_of_other_daemons_that_end_in_time() {
+    let fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (HORSES, "v1")]);
+    fleet.put_config(2, LONG_ROUTE);
+    fleet.wait_config(2);
+    fleet.sidecars[0].signal("TERM");
+    let mut stop = PlannedStop {
+        fleet,
+        start: Instant::now(),
+    };
+    let other = stop.fleet.sidecars[1].requests;
+    wait_for("not ready", PATIENCE, || !stop.fleet.sidecars[0].is_ready());
+    // No other endpoint runs the service.
+    let short = call_once(other, &request("POST", "/book/slow", "short", 2_000));
+    assert_eq!(stop.check("short", &short), 200);
+    // Such a call could outlast the daemon.
+    let long = call_once(other, &request("POST", "/long/slow", "long", 20_000));
+    assert_eq!(stop.check("long", &long), PROMISE);
+    stop.wait_end();
+}
