Limit holders are asked while they may lend, also when they are no longer candidates

Cause: a daemon that lost access to the store drops out of the candidate order at once, but may lend until its lease ends. Daemons asked candidates only, so a region whose two holders lost the store refused all requests of teams with limits.

Change: the daemon that answered last as the holder is asked first, also when it is not a candidate, for LEASE_TIME + TAKE_MARGIN. Former candidates of the last 6.5 s are asked after the present ones and stay linked (limit_order.rs). A search asks each daemon once before it pauses, instead of at most four.

--- a/coltsfootweir/src/sidecar/member_directory.rs
+++ b/coltsfootweir/src/sidecar/member_directory.rs
@@ -20,6 +20,7 @@
 use crate::sidecar::member_table::StoreReach;
 use crate::sidecar::peer_link::PeerLink;
 use crate::sidecar::placement::region_links::RemoteServices;
+use crate::sidecar::rate_limits::limit_order::LimitOrder;
 use crate::sidecar::zone_order::FetchScope;
 use crate::sidecar::zone_order::ZoneOrder;
 
@@ -60,6 +61,8 @@
     remote_services: RefCell<RemoteServices>,
     /// Whether the daemons that may lend tokens are linked.
     links_limit_holders: Cell<bool>,
+    /// Daemons that may lend tokens or could until recently.
+    limit_order: RefCell<LimitOrder>,
 }
 
 impl MemberDirectory {
@@ -77,6 +80,7 @@
             other_regions_until: Cell::default(),
             remote_services: RefCell::default(),
             links_limit_holders: Cell::default(),
+            limit_order: RefCell::default(),
         }
     }
 
@@ -371,7 +375,7 @@
             wanted.truncate(MAX_REGION_LINKS);
         }
         if self.links_limit_holders.get() {
-            let holders = self.limit_candidates();
+            let holders = self.limit_holders(now);
             for record in holders.iter().filter_map(|id| table.get(id)) {
                 if record.id != own.id && !wanted.iter().any(|held| held.id == record.id) {
                     wanted.push(record);
--- a/coltsfootweir/src/sidecar/member_directory/link_checks.rs
+++ b/coltsfootweir/src/sidecar/member_directory/link_checks.rs
@@ -31,8 +31,8 @@
 /// Time without received frames after which any other idle link is pinged.
 const IDLE_PING_TIME: Duration = Duration::from_secs(3);
 
-/// Number of daemons that are asked for tokens: those that may hold a slot, and some that held one
-/// before the order changed.
+/// Number of candidates that are asked for tokens: those that may take a slot, and some that hold one
+/// although other daemons have joined or returned before them in the order.
 const MAX_LIMIT_CANDIDATES: usize = 6;
 
 /// Every nth comparison of configuration generations stays in the own zone.
@@ -148,6 +148,13 @@
         ranked.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// Returns the daemons to ask for tokens: the candidates, and after them those that were candidates
+    /// until recently, as they may still lend. `now` is the time since the start of this daemon.
+    pub fn limit_holders(&self, now: Duration) -> Vec<MemberId> {
+        let present = self.limit_candidates();
+        self.limit_order.borrow_mut().update(present, now)
+    }
+
     /// Returns the open links to the relays of other zones.
     #[must_use]
     pub fn other_zone_links(&self) -> Vec<Rc<PeerLink>> {
--- a/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
@@ -23,7 +23,7 @@
 
 /// Time in addition to [`LEASE_TIME`] for which a row must stand unchanged before another daemon
 /// takes the slot. It allows for clocks that run at different speeds.
-const TAKE_MARGIN: Duration = Duration::from_millis(500);
+pub const TAKE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Time after the start of a run before it takes the slot of its daemon's earlier run: the validity
 /// of tokens that the earlier run lent.
--- a/coltsfootweir/src/sidecar/rate_limits/limit_share.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_share.rs
@@ -10,6 +10,7 @@
 use crate::sidecar::frame::TokenDemand;
 use crate::sidecar::frame::TokenGrant;
 use crate::sidecar::rate_limits::limit_bucket::REGION_SLOTS;
+use crate::sidecar::rate_limits::limit_order::FORMER_TIME;
 use crate::sidecar::teams::team::TeamName;
 
 /// Time for which tokens may be used after they were asked for.
@@ -42,9 +43,10 @@
 /// Largest number of tokens of a team in one question.
 const MAX_BATCH: u32 = 10_000;
 
-/// Daemons that are asked for the holder of a slot before a pause: those that may hold one, and one
-/// that held it before.
-const MAX_MISSED: usize = 4;
+/// Time after which a search for the holder of a slot starts anew, so that the daemons that were asked
+/// long ago are asked again before a pause. A daemon that does not answer takes [`ANSWER_TIMEOUT`] and
+/// [`SILENT_PAUSE`].
+const SEARCH_TIME: Duration = Duration::from_secs(1);
 
 /// What a request of a team does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -76,22 +78,44 @@
     peer: MemberId,
     sent_at: Duration,
     teams: Vec<TeamName>,
+    /// Whether all other daemons have been asked since the last pause.
+    is_last: bool,
 }
 
 #[derive(Debug, Default)]
 struct SlotState {
-    /// Daemon that answered last.
-    holder: Option<MemberId>,
-    /// Position in the order of the next daemon to ask if no holder is known.
-    next_candidate: usize,
+    /// Daemon that answered last as the holder, and the time of its answer.
+    holder: Option<(MemberId, Duration)>,
     /// Daemons that were asked in vain since the last pause.
-    missed: usize,
+    missed: Vec<MemberId>,
     silent_until: Duration,
     sent_at: Option<Duration>,
     pending: Option<PendingQuestion>,
     wanting: BTreeSet<TeamName>,
 }
 
+impl SlotState {
+    /// Returns the daemon to ask, and whether it is the last one of the search. The one that answered
+    /// last is asked first while it may still lend, then that of the slot's position in the order, then
+    /// the others.
+    fn next_peer(
+        &self,
+        slot: usize,
+        order: &[MemberId],
+        now: Duration,
+    ) -> Option<(MemberId, bool)> {
+        let holder = self.holder.as_ref();
+        let holder = holder.filter(|(id, at)| order.contains(id) || now < *at + FORMER_TIME);
+        let first = holder.map(|(id, _)| id);
+        let expected = order.get(slot.min(order.len().saturating_sub(1)));
+        let search = first.into_iter().chain(expected).chain(order);
+        let mut search = search.filter(|id| !self.missed.contains(id));
+        let peer = search.next()?;
+        let is_last = search.all(|id| id == peer);
+        Some((peer.clone(), is_last))
+    }
+}
+
 #[derive(Debug, Default)]
 struct TeamShare {
     tokens: Vec<(u32, Duration)>,
@@ -197,7 +221,8 @@
     }
 
     /// Returns the question to send to a slot now, if any. `order` are the daemons that may hold it,
-    /// the most likely first.
+    /// the most likely first, and then those that may still lend from before. Each of them is asked
+    /// once before the search pauses.
     pub fn next_question(
         &mut self,
         slot: usize,
@@ -208,7 +233,7 @@
         let state = &mut self.slots[slot];
         let is_paused = state.sent_at.is_some_and(|at| now < at + QUESTION_PAUSE);
         // The search for the holder does not wait, or it would take longer than requests do.
-        let is_paused = is_paused && state.missed == 0;
+        let is_paused = is_paused && state.missed.is_empty();
         if state.pending.is_some() || state.wanting.is_empty() || is_paused {
             return None;
         }
@@ -216,9 +241,16 @@
             state.wanting.clear();
             return None;
         }
-        let expected = order.get((slot + state.next_candidate) % order.len());
-        let known = state.holder.as_ref().filter(|id| order.contains(id));
-        let peer = known.or(expected)?.clone();
+        if state.sent_at.is_some_and(|at| now >= at + SEARCH_TIME) {
+            state.missed.clear();
+        }
+        let Some((peer, is_last)) = state.next_peer(slot, order, now) else {
+            // The order became shorter during the search.
+            state.missed.clear();
+            state.silent_until = now + SILENT_PAUSE;
+            state.wanting.clear();
+            return None;
+        };
         let teams: Vec<TeamName> = std::mem::take(&mut state.wanting).into_iter().collect();
         let mut demands = Vec::with_capacity(teams.len());
         for team in &teams {
@@ -246,6 +278,7 @@
             peer: peer.clone(),
             sent_at: now,
             teams,
+            is_last,
         });
         Some(LimitQuestion {
             number,
@@ -288,8 +321,8 @@
         }
         let state = &mut self.slots[slot];
         let pending = state.pending.take()?;
-        state.holder = Some(pending.peer);
-        state.missed = 0;
+        state.holder = Some((pending.peer, now));
+        state.missed.clear();
         for team in &pending.teams {
             let grant = grants.iter().find(|grant| grant.team == *team);
             let share = self.teams.entry(team.clone()).or_default();
@@ -325,7 +358,7 @@
     /// Returns the daemon that answered last as the holder of a slot.
     #[must_use]
     pub fn holder(&self, slot: usize) -> Option<&MemberId> {
-        self.slots[slot].holder.as_ref()
+        self.slots[slot].holder.as_ref().map(|(id, _)| id)
     }
 
     fn drop_overdue(&mut self, slot: usize, now: Duration) {
@@ -342,21 +375,16 @@
         }
     }
 
-    /// Goes on to the next daemon, or pauses after all have been asked. Returns the teams whose
-    /// requests need not wait any longer.
+    /// Goes on to the next daemon. Returns the teams whose requests need not wait any longer, if all
+    /// have been asked.
     fn miss(&mut self, slot: usize, now: Duration) -> Vec<TeamName> {
         let state = &mut self.slots[slot];
         let Some(pending) = state.pending.take() else {
             return Vec::new();
         };
-        if state.holder.take().is_some() {
-            state.next_candidate = 0;
-        } else {
-            state.next_candidate = state.next_candidate.wrapping_add(1);
-        }
-        state.missed += 1;
-        if state.missed >= MAX_MISSED {
-            state.missed = 0;
+        state.missed.push(pending.peer);
+        if pending.is_last {
+            state.missed.clear();
             state.silent_until = now + SILENT_PAUSE;
             return pending.teams;
         }
--- a/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
@@ -203,13 +203,13 @@
     }
 }
 
-/// Returns the daemons that may hold the slots. They are not computed for each question, as the cost
+/// Returns the daemons to ask for tokens. They are not computed for each question, as the cost
 /// grows with the number of daemons.
 fn current_order(state: &SidecarState) -> Rc<[MemberId]> {
     let now = state.clock.boot();
     let mut order = state.rate_limits.order.borrow_mut();
     if order.1.is_empty() || now >= order.0 + LEASE_PAUSE {
-        *order = (now, state.members.limit_candidates().into());
+        *order = (now, state.members.limit_holders(state.now()).into());
     }
     Rc::clone(&order.1)
 }
--- a/coltsfootweir/src/sidecar/rate_limits/mod.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod limit_bucket;
 pub mod limit_lease;
+pub mod limit_order;
 pub mod limit_share;
 pub mod limit_task;
 
@@ -42,7 +43,7 @@
 /// Tokens that this daemon has borrowed and lends.
 pub struct RateLimits {
     own: MemberId,
-    /// Daemons that may hold the slots, and the time at which they were computed.
+    /// Daemons that are asked for tokens, and the time at which they were computed.
     order: RefCell<(Duration, Rc<[MemberId]>)>,
     share: RefCell<LimitShare>,
     lease: RefCell<LimitLease>,
@@ -68,7 +69,8 @@
         }
     }
 
-    /// Returns the daemons that answered last for the slots, for the log.
+    /// Returns the daemons that answered last for the slots, for the log; also those that have lost
+    /// access to the store since.
     #[must_use]
     pub fn holders(&self) -> Value {
         let share = self.share.borrow();
--- a/coltsfootweir/tests/sidecar_limits.rs
+++ b/coltsfootweir/tests/sidecar_limits.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use coltsfootweir::ids::MemberId;
 use coltsfootweir::sidecar::frame::TokenGrant;
 use coltsfootweir::sidecar::platform_adapter::StoreFault;
 use coltsfootweir::sidecar::rate_limits::limit_bucket::LimitBuckets;
@@ -15,6 +16,8 @@
 use coltsfootweir::sidecar::rate_limits::limit_lease::LeaseRow;
 use coltsfootweir::sidecar::rate_limits::limit_lease::LeaseStep;
 use coltsfootweir::sidecar::rate_limits::limit_lease::LimitLease;
+use coltsfootweir::sidecar::rate_limits::limit_order::FORMER_TIME;
+use coltsfootweir::sidecar::rate_limits::limit_order::LimitOrder;
 use coltsfootweir::sidecar::rate_limits::limit_share::LimitShare;
 use coltsfootweir::sidecar::rate_limits::limit_share::ShareOutcome;
 use coltsfootweir::sidecar::rate_limits::limit_share::TOKEN_VALIDITY;
@@ -284,6 +287,77 @@
     assert_eq!(next, ShareOutcome::Ask(1 - slot));
 }
 
+/// Asks a slot until the search pauses; nobody answers as the holder. Returns who was asked.
+fn search(share: &mut LimitShare, order: &[MemberId], now: Duration) -> (usize, Vec<MemberId>) {
+    let outcome = share.take(&"ash".into(), [false; 2], now);
+    let ShareOutcome::Ask(slot) = outcome else {
+        panic!("{outcome:?}");
+    };
+    let mut asked = Vec::new();
+    while let Some(question) = share.next_question(slot, order, now) {
+        asked.push(question.peer.clone());
+        share.on_granted(&question.peer, question.number, &[], now);
+    }
+    (slot, asked)
+}
+
+/// Guards against a region whose holders may lend and are not asked, because they have lost the store
+/// and are no longer candidates.
+#[test]
+fn holder_that_is_no_longer_a_candidate_is_asked_first() {
+    let mut share = LimitShare::new(&"vm-1".into());
+    let order = ["vm-2".into(), "vm-3".into()];
+    let ShareOutcome::Ask(slot) = share.take(&"ash".into(), [false; 2], ms(0)) else {
+        panic!("no token yet");
+    };
+    let question = share.next_question(slot, &order, ms(0)).expect("one");
+    let holder = question.peer.clone();
+    share.on_granted(&holder, question.number, &grant(1, 0), ms(0));
+    assert!(share.take_held(&"ash".into(), ms(1)));
+    let later = ["vm-4".into(), "vm-5".into()];
+    let (_, asked) = search(&mut share, &later, ms(6_000));
+    assert_eq!(asked.first(), Some(&holder));
+    assert_eq!(asked.len(), 3);
+    // The log of refused requests names it.
+    assert_eq!(share.holder(slot), Some(&holder));
+    // Another daemon may have the slot by now.
+    let (_, asked) = search(&mut share, &later, FORMER_TIME);
+    assert!(!asked.contains(&holder), "{asked:?}");
+}
+
+/// Guards against a search that pauses before it has reached the holder, and one that asks a daemon
+/// twice.
+#[test]
+fn search_asks_each_daemon_once_before_a_pause() {
+    let mut share = LimitShare::new(&"vm-1".into());
+    let order: Vec<MemberId> = (2..10).map(|of| format!("vm-{of}").into()).collect();
+    let (slot, mut asked) = search(&mut share, &order, ms(0));
+    assert_eq!(asked[0], order[slot]);
+    asked.sort();
+    assert_eq!(asked, order);
+    let other = share.take(&"ash".into(), [false; 2], ms(1));
+    assert_eq!(other, ShareOutcome::Ask(1 - slot));
+    // After the pause all are asked again.
+    let (_, asked) = search(&mut share, &order, ms(400));
+    assert_eq!(asked.len(), order.len());
+}
+
+/// Guards against a holder that is asked no more when it drops out of the order, and one that is asked
+/// when another daemon may have its slot.
+#[test]
+fn former_candidates_are_asked_after_the_present_ones() {
+    let mut order = LimitOrder::default();
+    let ids = |names: &[&str]| -> Vec<MemberId> { names.iter().map(|id| (*id).into()).collect() };
+    let first = ids(&["vm-1", "vm-2", "vm-3"]);
+    assert_eq!(order.update(first.clone(), ms(1_000)), first);
+    let all = order.update(ids(&["vm-3", "vm-4"]), ms(2_000));
+    assert_eq!(all, ids(&["vm-3", "vm-4", "vm-1", "vm-2"]));
+    let all = order.update(ids(&["vm-4"]), ms(999) + FORMER_TIME);
+    assert_eq!(all, ids(&["vm-4", "vm-3", "vm-1", "vm-2"]));
+    let all = order.update(ids(&["vm-4"]), ms(1_000) + FORMER_TIME);
+    assert_eq!(all, ids(&["vm-4", "vm-3"]));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(96))]
 
--- a/coltsfootweir/tests/sidecar_members.rs
+++ b/coltsfootweir/tests/sidecar_members.rs
@@ -9,6 +9,7 @@
 use coltsfootweir::ids::MemberId;
 use coltsfootweir::sidecar::member_directory::LinkScope;
 use coltsfootweir::sidecar::member_directory::MemberDirectory;
+use coltsfootweir::sidecar::member_table::HostSize;
 use coltsfootweir::sidecar::member_table::MemberRecord;
 use coltsfootweir::sidecar::member_table::MemberTable;
 use coltsfootweir::sidecar::member_table::StoreReach;
@@ -280,3 +281,42 @@
     assert_eq!(other.merge(std::slice::from_ref(&own)), vec![own.clone()]);
     assert!(other.later_runs(&[own]).is_empty());
 }
+
+/// Guards against a limit holder that may still lend and that a daemon with many peers can't ask, as it
+/// does not dial it again after the link was lost.
+#[test]
+fn former_limit_candidate_is_linked_while_it_may_lend() {
+    let own = record("vm-000", 1, 1, StoreReach::Within(1));
+    let directory = MemberDirectory::new(own);
+    let mut records = Vec::new();
+    for number in 1..120 {
+        records.push(record(
+            &format!("vm-{number:03}"),
+            1,
+            1,
+            StoreReach::Within(1),
+        ));
+    }
+    let holder = MemberRecord {
+        zone: "far".into(),
+        size: HostSize {
+            core_percent: 90,
+            link_mbits: 100,
+        },
+        ..record("vm-big", 1, 1, StoreReach::Within(1))
+    };
+    records.push(holder);
+    directory.merge(&records);
+    directory.link_limit_holders(true);
+    let is_dialed = |millis: u64| {
+        let now = Duration::from_millis(millis);
+        let holder = "vm-big".into();
+        let is_dialed = dialed(&directory, LinkScope::Needed, now).contains(&holder);
+        directory.on_dialed(&holder, None, now);
+        is_dialed
+    };
+    assert!(is_dialed(1_000), "as a candidate");
+    assert!(is_dialed(2_000), "without a link it is no candidate");
+    assert!(is_dialed(7_400));
+    assert!(!is_dialed(9_000), "its lease has ended");
+}
