Refusals because of a full link are remembered for the stated time, and at most two VMs are asked

Cause: requests with large answers were refused with link_full after 316 ms (median): up to four VMs were asked one after the other, each refusal waited about 80 ms behind the answers on the VM's link, and it was forgotten after 60 ms. Change: the memory of refusals is its own pure part (refusal_memory). A request that was refused for a link is final after two refusals for lack of capacity (refusal_tally); its Retry-After is the shortest of those stated. Requests refused from memory have the cause link_full.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -4,6 +4,7 @@
 pub mod choice_view;
 mod endpoint_choice;
 mod hedged_attempt;
+pub mod refusal_tally;
 mod repeat_rules;
 
 use std::cell::Cell;
@@ -23,6 +24,7 @@
 use crate::sidecar::call_attempts::attempts_end::AttemptsEnd;
 use crate::sidecar::call_attempts::endpoint_choice::ChosenEndpoint;
 use crate::sidecar::call_attempts::endpoint_choice::EndpointNeed;
+use crate::sidecar::call_attempts::refusal_tally::RefusalTally;
 use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
@@ -36,15 +38,12 @@
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::peer_link::LinkOutcome;
 use crate::sidecar::placement::region_filter::RegionFilter;
+use crate::sidecar::refusal_memory::RefusalScope;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::caller::RequestCaller;
 
-/// Number of tried daemons from which on a refused request is not sent to another one; each costs a
-/// round trip.
-const MAX_TRIED: usize = 4;
-
 /// Share of the retry budget that the daemons use. The rest allows for differences between the
 /// counts of the daemons and for the calls that a repeated run makes, which are repeats too.
 const BUDGET_SHARE: f64 = 0.6;
@@ -71,12 +70,15 @@
     finish_by: Duration,
     /// Hash of the route's name.
     route_hash: u32,
+    /// Length of the body in bytes; 0 for a request that is not sent.
+    body_length: Cell<u64>,
+    refusals: Cell<RefusalTally>,
     tried: RefCell<Vec<MemberId>>,
     /// Shortest expected wait for a slot among the endpoints skipped for lack of capacity.
     shortest_wait: Cell<Option<Duration>>,
     /// Whether endpoints of other regions may be needed.
     needs_other_regions: Cell<bool>,
-    /// Cause of the last refusal for lack of capacity.
+    /// Cause of the last refusal for lack of capacity, or of the remembered one that ends first.
     refused_for: Cell<NotRunCause>,
     /// Number of endpoints that received the request.
     reached: Cell<u32>,
@@ -126,6 +128,8 @@
             deadline,
             finish_by,
             route_hash: xxh3_64(route.name.as_bytes()) as u32,
+            body_length: Cell::new(0),
+            refusals: Cell::default(),
             shortest_wait: Cell::new(None),
             needs_other_regions: Cell::new(false),
             refused_for: Cell::new(NotRunCause::Overloaded),
@@ -139,6 +143,7 @@
     pub async fn run(self, call: &ForwardedCall) -> AttemptsEnd {
         self.with_budget(RetryBudget::on_call);
         self.count_request();
+        self.body_length.set(call.body.len() as u64);
         let mut last_failure = None;
         let end = loop {
             let Some(chosen) = self.choose(EndpointNeed::Any) else {
@@ -157,9 +162,10 @@
             }
         };
         // `NotRun` states that the request did not run, so it must hold for all attempts.
-        let end = match (&end.result, last_failure) {
+        let end = match (end.result, last_failure) {
             (CallResult::NotRun(_), Some(failure)) => failure,
-            _ => end,
+            (CallResult::NotRun(report), None) => AttemptEnd::from(self.final_refusal(report)),
+            (result, _) => AttemptEnd { result, ..end },
         };
         AttemptsEnd {
             result: end.result,
@@ -169,6 +175,29 @@
         }
     }
 
+    /// Returns the result of a request of which all attempts were refused.
+    fn final_refusal(&self, last: NotRunReport) -> CallResult {
+        let wait = Duration::from_millis(u64::from(last.retry_after_ms));
+        let retry_after_ms = match last.cause {
+            NotRunCause::Overloaded | NotRunCause::LinkFull => {
+                millis(self.refusals.get().retry_after(wait))
+            }
+            _ => last.retry_after_ms,
+        };
+        CallResult::NotRun(NotRunReport {
+            retry_after_ms,
+            ..last
+        })
+    }
+
+    /// Returns the properties of the request on which refusals depend.
+    fn refusal_scope(&self) -> RefusalScope {
+        RefusalScope {
+            route_hash: self.route_hash,
+            body_length: self.body_length.get(),
+        }
+    }
+
     fn expected_run(&self) -> Duration {
         let run_times = self.state.routing.run_times.borrow();
         run_times.expected(self.route_hash)
@@ -242,12 +271,19 @@
             record.map(|record| record.region.clone())
         });
         let own_region = self.state.settings().region.clone();
+        let scope = self.refusal_scope();
         let mut loads = self.state.routing.endpoint_loads.borrow_mut();
-        loads.record_refusal(member.clone(), self.route_hash, wait, now);
+        match report.cause {
+            NotRunCause::LinkFull => loads.record_link_refusal(member, scope, wait, now),
+            _ => loads.record_refusal(member, scope, wait, now),
+        }
         if let Some(region) = region.filter(|region| *region != own_region) {
-            loads.record_region_refusal(region, self.route_hash, now);
+            loads.record_region_refusal(&region, scope, now);
         }
         self.refused_for.set(report.cause);
+        let mut refusals = self.refusals.get();
+        refusals.record(report.cause, wait);
+        self.refusals.set(refusals);
         let mut hedging = self.state.routing.hedging.borrow_mut();
         hedging.on_refusal(&self.service, now);
     }
@@ -364,7 +400,7 @@
         let cause = match result {
             CallResult::NotRun(report) if !report.reached => {
                 let is_final = matches!(report.cause, NotRunCause::Poison | NotRunCause::TooLate);
-                return !is_final && tried < MAX_TRIED;
+                return !is_final && self.refusals.get().may_ask_more(tried);
             }
             CallResult::NotRun(_) => "rejected",
             CallResult::Answer { status, .. } if *status < FAILURE_STATUS => return false,
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -271,13 +271,24 @@
             self.needs_other_regions.set(true);
         }
         if !capacity.is_enough {
-            let wait = capacity.wait;
-            let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
-            self.shortest_wait.set(Some(shortest));
+            self.note_refusal(record, capacity.wait);
         }
         capacity.is_enough
     }
 
+    /// Records that an endpoint is not asked, and for which expected wait.
+    fn note_refusal(&self, record: &MemberRecord, wait: Duration) {
+        let best = self.shortest_wait.get();
+        if best.is_some_and(|best| best <= wait) {
+            return;
+        }
+        self.shortest_wait.set(Some(wait));
+        let reported = self.state.routing.endpoint_loads.borrow();
+        if reported.is_link_full(&record.id, self.refusal_scope(), self.state.now()) {
+            self.refused_for.set(NotRunCause::LinkFull);
+        }
+    }
+
     /// Returns the expected capacity of an endpoint for the request.
     pub(super) fn capacity(
         &self,
@@ -301,11 +312,12 @@
             false => Duration::ZERO,
         };
         let is_short = is_local && (ahead > 0 || uplink_wait > run);
-        let mut refused_for = reported.refused_for(&record.id, self.route_hash, now);
+        let scope = self.refusal_scope();
+        let mut refused_for = reported.refused_for(&record.id, scope, now);
         // Requests that may only run in other regions have no better choice there.
         let is_home = self.regions.allows(&self.state.settings.borrow().region);
         if !is_local && is_home {
-            let region_for = reported.refused_for(&record.region, self.route_hash, now);
+            let region_for = reported.refused_for(&record.region, scope, now);
             refused_for = refused_for.max(region_for);
         }
         let wait = (mean * ahead / u32::from(slots.max(1))).max(uplink_wait);
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -53,6 +53,8 @@
 #[doc(hidden)]
 pub mod rate_limits;
 #[doc(hidden)]
+pub mod refusal_memory;
+#[doc(hidden)]
 pub mod reported_loads;
 pub mod request_server;
 #[doc(hidden)]
--- a/coltsfootweir/src/sidecar/reported_loads.rs
+++ b/coltsfootweir/src/sidecar/reported_loads.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use crate::ids::MemberId;
-use crate::ids::RegionName;
 use crate::sidecar::frame::EndpointLoad;
+use crate::sidecar::refusal_memory::RefusalMemory;
+use crate::sidecar::refusal_memory::RefusalScope;
 
 /// Time after which a reported run time expires, so that an endpoint that was slow is tried again.
 const RUN_TIME_LIMIT: Duration = Duration::from_secs(3);
@@ -14,17 +15,10 @@
 /// skipped anyway.
 const RELATIVE_RUN_BOUNDS: (f64, f64) = (0.4, 20.0);
 
-/// Bounds of the time for which an endpoint is not asked again after a refusal. A queue changes within
-/// a few runs, and to be refused in the own region takes less than two milliseconds.
-const REFUSAL_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(60));
-
 /// Time for which another region is not asked again after a refusal, several of the round trips that
 /// each further one would cost the client.
 const REGION_REFUSAL_TIME: Duration = Duration::from_millis(250);
 
-/// Number of refusals above which those that are over are removed.
-const MAX_REFUSALS: usize = 1024;
-
 struct ReportedLoad {
     note: EndpointLoad,
     at: Duration,
@@ -36,9 +30,8 @@
     reports: HashMap<MemberId, ReportedLoad>,
     /// Times that the answers on their way from a VM take, and when they were reported.
     uplinks: HashMap<MemberId, (Duration, Duration)>,
-    /// Times until which requests of a route, by the hash of its name, are not sent to the endpoint of
-    /// a daemon or to a region.
-    refusals: HashMap<(Box<str>, u32), Duration>,
+    /// Recent refusals of endpoints and regions.
+    refusals: RefusalMemory,
 }
 
 /// Mean run time over the endpoints of one service, the reference for relative run times.
@@ -69,17 +62,29 @@
         })
     }
 
-    /// Records that a request of a route was refused for lack of capacity at `now`. Others of that
-    /// route are refused there for `wait`, within bounds.
-    pub fn record_refusal(&mut self, id: MemberId, route_hash: u32, wait: Duration, now: Duration) {
-        let (low, high) = REFUSAL_BOUNDS;
-        self.refuse_until(id, route_hash, now + wait.clamp(low, high), now);
+    /// Records that an endpoint refused a request because its slots are taken. Others of the same kind
+    /// are not sent there for `wait`, within bounds.
+    pub fn record_refusal(&mut self, id: &str, scope: RefusalScope, wait: Duration, now: Duration) {
+        self.refusals.record_queue(id, scope, wait, now);
     }
 
-    /// Records that an endpoint of another region refused a request of a route for lack of capacity.
-    /// The others of its region are probably full too.
-    pub fn record_region_refusal(&mut self, region: RegionName, route_hash: u32, now: Duration) {
-        self.refuse_until(region, route_hash, now + REGION_REFUSAL_TIME, now);
+    /// Records that a request was refused because the link of an endpoint's VM is full. It would fit
+    /// after `wait`; others of the same kind are not sent there until then, within bounds.
+    pub fn record_link_refusal(
+        &mut self,
+        id: &str,
+        scope: RefusalScope,
+        wait: Duration,
+        now: Duration,
+    ) {
+        self.refusals.record_link(id, scope, wait, now);
+    }
+
+    /// Records that an endpoint of another region refused a request for lack of capacity. The others
+    /// of its region are probably full too.
+    pub fn record_region_refusal(&mut self, region: &str, scope: RefusalScope, now: Duration) {
+        let time = REGION_REFUSAL_TIME;
+        self.refusals.record_region(region, scope, time, now);
     }
 
     /// Returns the number of refusals that are remembered.
@@ -88,19 +93,17 @@
         self.refusals.len()
     }
 
-    fn refuse_until(&mut self, id: Box<str>, route_hash: u32, until: Duration, now: Duration) {
-        if self.refusals.len() >= MAX_REFUSALS {
-            self.refusals.retain(|_, until| now < *until);
-        }
-        self.refusals.insert((id, route_hash), until);
+    /// Returns the time after which a request may be accepted at an endpoint or in another region that
+    /// is not asked now because of a recent refusal; zero if it may be asked.
+    #[must_use]
+    pub fn refused_for(&self, id: &str, scope: RefusalScope, now: Duration) -> Duration {
+        self.refusals.refused_for(id, scope, now)
     }
 
-    /// Returns for how long requests of a route are still refused at an endpoint or in another region,
-    /// if its last refusal is recent.
+    /// Returns whether an endpoint is not asked now because the link of its VM was full.
     #[must_use]
-    pub fn refused_for(&self, id: &str, route_hash: u32, now: Duration) -> Duration {
-        let until = self.refusals.get(&(id.into(), route_hash));
-        until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+    pub fn is_link_full(&self, id: &MemberId, scope: RefusalScope, now: Duration) -> bool {
+        self.refusals.is_link_full(id, scope, now)
     }
 
     /// Returns the latest load reported by a daemon.
--- a/programs/tests/sidecar_large.rs
+++ b/programs/tests/sidecar_large.rs
@@ -267,6 +267,46 @@
     assert!(refused.load(Ordering::Relaxed) > 0, "nothing was refused");
 }
 
+/// Links of 4 Mbit/s with more large answers than fit: a refusal waits behind the answers on a link, so
+/// asking four VMs one after the other would keep a client waiting for nothing.
+#[test]
+fn request_is_refused_after_two_full_links() {
+    let members = [HORSES, STALLS, STALLS, STALLS, STALLS].map(|service| (service, "v1"));
+    let fleet = SidecarFleet::start_ready(&members);
+    let ingress = &fleet.sidecars[0];
+    for sidecar in &fleet.sidecars[1..] {
+        sidecar.relay.set_mode(RelayMode::Pace(500));
+    }
+    run_while(
+        24,
+        |caller, stop| {
+            let mut number = 0;
+            while !stop.load(Ordering::Relaxed) {
+                number += 1;
+                let answer = ingress.get("/free/sized-90000", &format!("{caller}-{number}"));
+                if answer.status == 503 {
+                    let pause: f64 = answer.header("retry-after").parse().expect("seconds");
+                    common::caller_threads::pause(Duration::from_secs_f64(pause));
+                }
+            }
+        },
+        || {
+            wait_for("requests refused by two VMs", PATIENCE, || {
+                let mut by_two = 0;
+                for end in ingress.events("request_ended") {
+                    if end["cause"] != "link_full" {
+                        continue;
+                    }
+                    let asked = end["asked"].as_array().map_or(0, Vec::len);
+                    assert!(asked <= 2, "{end}");
+                    by_two += usize::from(asked == 2);
+                }
+                by_two >= 3
+            });
+        },
+    );
+}
+
 /// A client that leaves in the middle of an answer ends it at the endpoint too.
 #[test]
 fn answer_that_its_client_left_is_given_up() {
