Refusals are remembered by endpoint, route and team

Cause: one team's flood that guards refuse would have requests of all teams of the route refused at the ingress. Change: the hash of the team's name is part of the key for endpoints and regions; requests without a team are remembered for the route, as before. At most 1,024 keys; beyond that those that are over are removed, or else the one that ends first.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -39,6 +39,7 @@
 use crate::sidecar::peer_link::LinkOutcome;
 use crate::sidecar::placement::region_filter::RegionFilter;
 use crate::sidecar::refusal_memory::RefusalScope;
+use crate::sidecar::refusal_memory::team_hash;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -70,6 +71,8 @@
     finish_by: Duration,
     /// Hash of the route's name.
     route_hash: u32,
+    /// Hash of the team's name.
+    team_hash: Option<u64>,
     /// Length of the body in bytes; 0 for a request that is not sent.
     body_length: Cell<u64>,
     refusals: Cell<RefusalTally>,
@@ -128,6 +131,7 @@
             deadline,
             finish_by,
             route_hash: xxh3_64(route.name.as_bytes()) as u32,
+            team_hash: caller.team.map(|team| team_hash(&team.name)),
             body_length: Cell::new(0),
             refusals: Cell::default(),
             shortest_wait: Cell::new(None),
@@ -194,6 +198,7 @@
     fn refusal_scope(&self) -> RefusalScope {
         RefusalScope {
             route_hash: self.route_hash,
+            team_hash: self.team_hash,
             body_length: self.body_length.get(),
         }
     }
--- a/coltsfootweir/src/sidecar/refusal_memory.rs
+++ b/coltsfootweir/src/sidecar/refusal_memory.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::sidecar::link::uplink_schedule::PIECE_BYTES;
 
 /// Bounds of the time for which an endpoint is not asked again after a refusal. A queue changes within
@@ -23,6 +25,9 @@
 pub struct RefusalScope {
     /// Hash of the route's name.
     pub route_hash: u32,
+    /// Hash of the team's name, [`team_hash`]; `None` for requests without a team. Teams may have
+    /// other priorities, and a guard may refuse a team because of its own load.
+    pub team_hash: Option<u64>,
     /// Length of the request's body in bytes.
     pub body_length: u64,
 }
@@ -33,6 +38,7 @@
     /// Daemon or region.
     place: Box<str>,
     route_hash: u32,
+    team_hash: Option<u64>,
 }
 
 /// Refusal because of a full link.
@@ -171,9 +177,17 @@
     RefusalKey {
         place: place.into(),
         route_hash: scope.route_hash,
+        team_hash: scope.team_hash,
     }
 }
 
+/// Returns the hash of a team's name. With 64 bits, two of a few thousand teams never share one in
+/// practice.
+#[must_use]
+pub fn team_hash(team: &str) -> u64 {
+    xxh3_64(team.as_bytes())
+}
+
 /// Returns the length of a body that is sent in pieces, and 0 for a shorter one: it is sent with the
 /// request, so its length has no influence on a refusal.
 fn piecewise_length(length: u64) -> u64 {
--- a/coltsfootweir/tests/reported_loads.rs
+++ b/coltsfootweir/tests/reported_loads.rs
@@ -6,6 +6,7 @@
 use coltsfootweir::sidecar::call_attempts::refusal_tally::RefusalTally;
 use coltsfootweir::sidecar::frame::NotRunCause;
 use coltsfootweir::sidecar::refusal_memory::RefusalScope;
+use coltsfootweir::sidecar::refusal_memory::team_hash;
 use coltsfootweir::sidecar::reported_loads::ReportedLoads;
 
 fn ms(count: u64) -> Duration {
@@ -20,10 +21,19 @@
 fn body(route_hash: u32, body_length: u64) -> RefusalScope {
     RefusalScope {
         route_hash,
+        team_hash: None,
         body_length,
     }
 }
 
+/// Requests of a team.
+fn of_team(route_hash: u32, team: &str) -> RefusalScope {
+    RefusalScope {
+        team_hash: Some(team_hash(team)),
+        ..route(route_hash)
+    }
+}
+
 /// Overload of an endpoint that is asked by many daemons: one refusal says little about the time some
 /// runs later.
 #[test]
@@ -185,3 +195,38 @@
     refusals.record(NotRunCause::LinkFull, ms(100));
     assert!(refusals.may_ask_more(2));
 }
+
+/// A flood of one team is refused at a guard. Requests of the others must not be refused at the ingress
+/// because of that.
+#[test]
+fn refusals_of_one_team_do_not_count_for_others() {
+    let mut loads = ReportedLoads::default();
+    let flood = of_team(1, "flood");
+    loads.record_refusal("m", flood, ms(30), ms(1_000));
+    loads.record_link_refusal("n", flood, ms(300), ms(1_000));
+    loads.record_region_refusal("south", flood, ms(1_000));
+    for place in ["m", "n", "south"] {
+        assert!(loads.refused_for(place, flood, ms(1_001)) > Duration::ZERO);
+        for other in [of_team(1, "small"), route(1), of_team(2, "flood")] {
+            let wait = loads.refused_for(place, other, ms(1_001));
+            assert_eq!(wait, Duration::ZERO, "{place}, {other:?}");
+        }
+    }
+    // Requests without a team are remembered for the route.
+    loads.record_refusal("o", route(1), ms(30), ms(1_000));
+    assert_eq!(loads.refused_for("o", route(1), ms(1_000)), ms(30));
+    assert_eq!(loads.refused_for("o", flood, ms(1_000)), Duration::ZERO);
+}
+
+/// Refusals of many teams that are all in force at once must not take more and more memory, and the
+/// latest must not be the one that is removed.
+#[test]
+fn memory_of_refusals_of_many_teams_is_bounded() {
+    let mut loads = ReportedLoads::default();
+    for number in 0..5_000 {
+        let team = of_team(1, &format!("team-{number}"));
+        loads.record_link_refusal("m", team, ms(500), ms(1_000));
+        assert_eq!(loads.refused_for("m", team, ms(1_000)), ms(500));
+        assert!(loads.refusal_count() <= 1_024, "{}", loads.refusal_count());
+    }
+}
