Uploads should finish by the target time in every rank, and run late behind those in time

Cause: a large body of a rank that takes precedence counted as in time until the client's deadline, so a receiver's link with more bodies than it carries accepted seconds of them and delivered all of them late. In the order of due times, a body that could only be late went before those that could be in time. A body of another rank that arrived after its target time was received in full and then refused. Change: requests with bodies that go in pieces finish by the target time whatever their rank, for the order of grants and for admission. A body that can no longer be in time has what the others leave, is received until the call's deadline less its run time, and then has the slots that all other requests leave. One that would be late on a link of its own is accepted as late. An attempt that starts after the target time is offered as late to peers with FEATURE_LATE_BODIES; for other peers the times are as before.

--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -26,6 +26,7 @@
 use crate::sidecar::config_holder::ActiveConfig;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
+use crate::sidecar::frame::FEATURE_LATE_BODIES;
 use crate::sidecar::frame::FEATURE_OFFERS;
 use crate::sidecar::frame::ForwardedCall;
 use crate::sidecar::frame::NotRunCause;
@@ -40,6 +41,8 @@
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
 use crate::sidecar::teams::caller::RequestCaller;
+use crate::sidecar::uploads::upload_times::NewRequest;
+use crate::sidecar::uploads::upload_times::is_large;
 
 /// Number of tried daemons from which on a refused request is not sent to another one; each costs a
 /// round trip.
@@ -69,6 +72,11 @@
     deadline: Duration,
     /// Time by which the request should finish, at most `deadline`.
     finish_by: Duration,
+    /// Time until which the request may wait for a slot, at most `deadline`; later than `finish_by` for
+    /// some requests with large bodies.
+    wait_until: Duration,
+    /// Length of the request's body in bytes.
+    body_length: u64,
     /// Hash of the route's name.
     route_hash: u32,
     tried: RefCell<Vec<MemberId>>,
@@ -91,12 +99,8 @@
 }
 
 impl<'a> CallAttempts<'a> {
-    /// Prepares a request for a service. `deadline` is a time since the start of the daemon.
-    ///
-    /// A request of the least urgent rank waits for a slot only until its target time: under
-    /// overload, requests that finish late would take the slots of requests that finish in time.
-    /// Requests of more urgent ranks may wait until their deadline. They start first, and calls that
-    /// a running request depends on are among them.
+    /// Prepares a request with a body of `body_length` bytes for a service. `deadline` is a time since
+    /// the start of the daemon.
     #[must_use]
     pub fn new(
         state: &'a SidecarState,
@@ -104,12 +108,15 @@
         route: &'a MeshRoute,
         caller: RequestCaller<'a>,
         service: ServiceName,
+        body_length: u64,
         deadline: Duration,
     ) -> CallAttempts<'a> {
         let target = Duration::from_millis(u64::from(route.target_ms)).mul_f64(TARGET_SHARE);
-        let finish_by = match active.is_preferred(&service, caller.rank) {
-            true => deadline,
-            false => deadline.min(state.now() + target),
+        let request = NewRequest {
+            target: state.now() + target,
+            deadline,
+            is_preferred: active.is_preferred(&service, caller.rank),
+            body_length,
         };
         let team_regions = caller.team.map_or(&[][..], |team| &team.allowed_regions);
         let zone_point = match state.evacuations.borrow().is_empty() {
@@ -124,7 +131,9 @@
             zone_point: Cell::new(zone_point),
             service,
             deadline,
-            finish_by,
+            finish_by: request.finish_by(),
+            wait_until: request.wait_until(),
+            body_length,
             route_hash: xxh3_64(route.name.as_bytes()) as u32,
             shortest_wait: Cell::new(None),
             needs_other_regions: Cell::new(false),
@@ -183,11 +192,7 @@
         let start = self.state.now();
         let is_first = self.tried.borrow().is_empty();
         self.tried.borrow_mut().push(chosen.member.clone());
-        // A retry after the target time may still use a free slot until the deadline.
-        let finish_by = match is_first || start < self.finish_by {
-            true => self.finish_by,
-            false => self.deadline,
-        };
+        let finish_by = self.finish_by_at(&chosen.member, is_first, start);
         let call = ForwardedCall {
             left_ms: millis(self.deadline.saturating_sub(start)),
             wait_ms: millis(finish_by.saturating_sub(start)),
@@ -228,6 +233,34 @@
         AttemptEnd { result, rest }
     }
 
+    /// Returns the time by which an attempt that starts at `start` should finish at the endpoint of a
+    /// daemon. It is in the past for a large body that has missed the target time: its receiver lets it
+    /// have what others leave.
+    fn finish_by_at(&self, member: &MemberId, is_first: bool, start: Duration) -> Duration {
+        let is_own = *member == self.state.settings.borrow().id;
+        let link = self.state.members.link(member);
+        let has_late_bodies =
+            is_own || link.is_some_and(|link| link.has_feature(FEATURE_LATE_BODIES));
+        if is_large(self.body_length) && has_late_bodies {
+            return self.finish_by;
+        }
+        // A retry after the target time may still use a free slot until the deadline.
+        match is_first || start < self.wait_until {
+            true => self.wait_until,
+            false => self.deadline,
+        }
+    }
+
+    /// Returns the time by which a new attempt should finish: the deadline for a large body that has
+    /// missed the target time.
+    fn time_limit(&self) -> Duration {
+        let is_late = is_large(self.body_length) && self.state.now() >= self.finish_by;
+        match is_late {
+            true => self.deadline,
+            false => self.finish_by,
+        }
+    }
+
     fn record_refusal(&self, member: &MemberId, report: &NotRunReport) {
         if !matches!(
             report.cause,
--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -204,7 +204,7 @@
                     slots,
                     reachable: true,
                     run_time_ratio: pace,
-                    is_late: now + run.mul_f64(pace) > self.finish_by,
+                    is_late: now + run.mul_f64(pace) > self.time_limit(),
                 });
             }
             if !is_served_locally && !self.regions.is_empty() {
@@ -309,9 +309,9 @@
             refused_for = refused_for.max(region_for);
         }
         let wait = (mean * ahead / u32::from(slots.max(1))).max(uplink_wait);
-        let is_in_time = || now + LINK_RETURN_MARGIN * 2 + wait + run <= self.finish_by;
+        let is_in_time = || now + LINK_RETURN_MARGIN * 2 + wait + run <= self.time_limit();
         // Without a wait for the link, an attempt after the target time may still use a free slot.
-        let is_carried = uplink_wait.is_zero() || now + uplink_wait <= self.finish_by;
+        let is_carried = uplink_wait.is_zero() || now + uplink_wait <= self.time_limit();
         let is_enough = refused_for.is_zero() && is_carried && (is_local || is_in_time());
         EndpointCapacity {
             is_enough,
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -277,9 +277,12 @@
 /// [`PeerFrame::OfferedCall`] is understood.
 pub const FEATURE_OFFERS: u32 = 8;
 
+/// A call with a large body and [`ForwardedCall::wait_ms`] 0 is late, but may still run.
+pub const FEATURE_LATE_BODIES: u32 = 32;
+
 /// Features of this build.
 pub const PEER_FEATURES: u32 =
-    FEATURE_EVACUATIONS | FEATURE_FRESHNESS | FEATURE_TOKENS | FEATURE_OFFERS;
+    FEATURE_EVACUATIONS | FEATURE_FRESHNESS | FEATURE_TOKENS | FEATURE_OFFERS | FEATURE_LATE_BODIES;
 
 /// Tokens of a team that a daemon asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -1,5 +1,6 @@
 //! The endpoint on the local VM: its state, slots, connections and running requests.
 
+mod admission;
 mod lifetimes;
 
 use std::cell::Cell;
@@ -45,6 +46,7 @@
 use crate::sidecar::platform_adapter::HeaderNames;
 use crate::sidecar::slot_queue::SlotQueue;
 use crate::sidecar::slot_queue::SlotRequest;
+use crate::sidecar::uploads::upload_times::CallTimes;
 
 /// Timeout for connecting to the endpoint, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -198,8 +200,8 @@
         rest: &mut Option<AnswerRest>,
     ) -> CallResult {
         let start = self.clock.now();
-        let left = Duration::from_millis(u64::from(call.left_ms));
-        let deadline = start + left.saturating_sub(delay);
+        let times = CallTimes::new(call, start, delay);
+        let deadline = times.deadline;
         let call_fingerprint = fingerprint(&call.method, &call.path, &call.body);
         if self.poison.borrow().is_refused(call_fingerprint, start) {
             return not_run(NotRunCause::Poison);
@@ -210,14 +212,14 @@
         if current.service != call.service {
             return not_run(NotRunCause::Closed);
         }
-        let wait = Duration::from_millis(u64::from(call.wait_ms)).saturating_sub(delay);
         let request = SlotRequest {
             fingerprint: call_fingerprint,
             route_hash: call.kind,
             rank: call.rank,
-            finish_by: deadline.min(start + wait),
+            finish_by: times.finish_by,
+            is_late: false,
         };
-        let mut permit = match self.slots.admit(request).await {
+        let mut permit = match self.admit(request, times).await {
             Ok(permit) => permit,
             Err(reason) => return self.refusal(reason, call.rank),
         };
--- a/coltsfootweir/src/sidecar/peer_link.rs
+++ b/coltsfootweir/src/sidecar/peer_link.rs
@@ -308,7 +308,12 @@
             return (frame, None);
         }
         let body = std::mem::take(&mut call.body);
-        let due = Duration::from_millis(sent_ms + u64::from(call.wait_ms));
+        // A late body has the link of this VM after those that may be in time.
+        let due_ms = match call.wait_ms {
+            0 => call.left_ms,
+            wait_ms => wait_ms,
+        };
+        let due = Duration::from_millis(sent_ms + u64::from(due_ms));
         let transfer = self.side.open_body(number, body, due);
         let frame = PeerFrame::OfferedCall(number, sent_ms, Box::new(call), length);
         (frame, Some(transfer))
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -42,6 +42,7 @@
 use crate::sidecar::teams::freshness_task::answer_freshness;
 use crate::sidecar::teams::freshness_task::take_freshness;
 use crate::sidecar::uploads::grant_schedule::BodySpec;
+use crate::sidecar::uploads::upload_times::CallTimes;
 use crate::sidecar::warmup::warmup_task::awaits_config;
 
 /// Time in which a peer has to identify itself. It does so as soon as it is connected; the dialing side
@@ -272,18 +273,18 @@
             return;
         }
         let offered_at = self.state.now();
-        let wait = Duration::from_millis(u64::from(call.wait_ms)).saturating_sub(delay);
-        let left = Duration::from_millis(u64::from(call.left_ms)).saturating_sub(delay);
+        let times = CallTimes::with_body(&call, length, offered_at, delay);
         let run = self.state.endpoint.expected_run(&call);
         let queued = self.state.endpoint.expected_time(&call).saturating_sub(run);
-        if queued > wait {
-            self.refuse_with(number, refusal(NotRunCause::Overloaded, queued - wait));
+        let excess = (offered_at + queued).saturating_sub(times.limit(offered_at));
+        if !excess.is_zero() {
+            self.refuse_with(number, refusal(NotRunCause::Overloaded, excess));
             return;
         }
         let spec = BodySpec {
             rank: call.rank,
-            due: offered_at + wait,
-            give_up: offered_at + left.saturating_sub(run),
+            due: times.finish_by,
+            give_up: times.deadline.saturating_sub(run),
             run,
             length,
         };
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -256,7 +256,9 @@
         sent_at_ms: 0,
         team: caller.team.map(|team| team.name.clone()),
     };
-    let attempts = CallAttempts::new(state, &active, route, caller, service.clone(), deadline);
+    let length = call.body.len() as u64;
+    let service = service.clone();
+    let attempts = CallAttempts::new(state, &active, route, caller, service, length, deadline);
     let left = (deadline + RESPONSE_MARGIN).saturating_sub(state.now());
     let attempts = tokio::time::timeout(left, attempts.run(&call));
     let end = tokio::select! {
--- a/coltsfootweir/src/sidecar/route_explanation.rs
+++ b/coltsfootweir/src/sidecar/route_explanation.rs
@@ -59,7 +59,7 @@
         return refused(explained, "stopping");
     }
     let deadline = state.now() + route.timeout();
-    let attempts = CallAttempts::new(state, &active, route, caller, service, deadline);
+    let attempts = CallAttempts::new(state, &active, route, caller, service, 0, deadline);
     let view = attempts.view();
     explained["candidates"] = json!(view.candidates);
     explained["chosen"] = json!(view.chosen);
--- a/coltsfootweir/src/sidecar/sent_answer.rs
+++ b/coltsfootweir/src/sidecar/sent_answer.rs
@@ -16,6 +16,7 @@
 use crate::sidecar::link::uplink::TransferKind;
 use crate::sidecar::link::uplink_schedule::TransferClass;
 use crate::sidecar::sidecar_state::SidecarState;
+use crate::sidecar::uploads::upload_times::CallTimes;
 
 /// Maximum size of an answer for a daemon that does not understand answers in pieces, in bytes: as
 /// much as such daemons read.
@@ -38,8 +39,7 @@
     /// future cancels the call.
     pub(crate) async fn run(&self, delay: Duration) {
         let arrived = self.state.now();
-        let wait = Duration::from_millis(u64::from(self.call.wait_ms));
-        let finish_by = arrived + wait.saturating_sub(delay);
+        let finish_by = CallTimes::new(self.call, arrived, delay).limit(arrived);
         let expected = self.expected_pieces();
         if let Some(report) = self.link_refusal(expected, finish_by) {
             self.send_result(CallResult::NotRun(report));
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -23,6 +23,9 @@
 /// are long, the deadlines of the requests limit the queue first.
 const WAITING_PER_SLOT: usize = 16;
 
+/// Rank of requests that have missed their target time, behind all others.
+const LATE_RANK: u8 = u8::MAX;
+
 struct QueueState {
     guard: GuardState,
     requests: GuardWaiters,
@@ -44,6 +47,17 @@
     pub rank: u8,
     /// Time since the start of the daemon by which the request should finish.
     pub finish_by: Duration,
+    /// Whether the request has missed its target time. It has the slots that all others leave.
+    pub is_late: bool,
+}
+
+impl SlotRequest {
+    fn queue_rank(&self) -> u8 {
+        match self.is_late {
+            true => LATE_RANK,
+            false => self.rank,
+        }
+    }
 }
 
 /// Slots and queue of one endpoint.
@@ -207,7 +221,7 @@
             let id = state.next_id;
             state.next_id += 1;
             let ranked = RankedRequest {
-                rank: request.rank,
+                rank: request.queue_rank(),
                 finish_by: request.finish_by,
                 run: state.run_times.expected(request.route_hash),
                 wait_factor: state.wait_factors.factor(request.route_hash),
@@ -242,8 +256,11 @@
         let admission = tokio::time::timeout(left, waiter.recv_async()).await;
         let waited = self.clock.now().saturating_sub(arrived);
         let mut state = self.state.borrow_mut();
-        let factors = &mut state.wait_factors;
-        factors.record(request.route_hash, expected_wait, waited);
+        // Late requests wait longer than those of their route that are in time.
+        if !request.is_late {
+            let factors = &mut state.wait_factors;
+            factors.record(request.route_hash, expected_wait, waited);
+        }
         drop(state);
         match admission {
             Ok(Ok(Ok(()))) => Ok(permit),
--- a/coltsfootweir/src/sidecar/uploads/grant_schedule.rs
+++ b/coltsfootweir/src/sidecar/uploads/grant_schedule.rs
@@ -41,7 +41,8 @@
 pub struct BodySpec {
     /// Priority rank of the request; 0 is the highest.
     pub rank: u8,
-    /// Time by which the request should finish, since the start of the daemon.
+    /// Time by which the request should finish, since the start of the daemon. After it, the body has
+    /// the time that others leave.
     pub due: Duration,
     /// Time after which no bytes are granted.
     pub give_up: Duration,
@@ -87,14 +88,9 @@
         self.on_the_way() > 0 && now >= self.moved_at + UNUSED_TIME
     }
 
-    /// Returns whether the body may still be in time.
-    fn is_live(&self, now: Duration) -> bool {
-        now < self.spec.due && !self.is_unused(now)
-    }
-
-    /// Returns whether the body is late, but its call may still end before the client gives up.
-    fn is_late(&self, now: Duration) -> bool {
-        now >= self.spec.due && now < self.spec.give_up && !self.is_unused(now)
+    /// Returns whether bytes of the body are expected: its call may still end before the client gives up.
+    fn is_expected(&self, now: Duration) -> bool {
+        now < self.spec.give_up && !self.is_unused(now)
     }
 
     /// Returns the size of the next piece to grant; 0 if all is granted.
@@ -146,11 +142,16 @@
     ///
     /// # Errors
     /// The time after which it would fit, if it can't be received and run in time, or others of its
-    /// rank then can't. If no other body is expected it is taken anyway: without bodies, a wrong
-    /// measurement of the rate would never be corrected.
+    /// rank then can't. One that would be late on a link of its own has the time that the others leave,
+    /// and is refused if it would not be received before it is given up. If no other body is expected it
+    /// is taken anyway: without bodies, a wrong measurement of the rate would never be corrected.
     pub fn offer(&mut self, spec: BodySpec, now: Duration) -> Result<BodyId, Duration> {
-        let excess = match self.backlog(now) {
+        let excess = match self.expected(now) {
             0 => Duration::ZERO,
+            expected if self.is_hopeless(&spec, spec.length, now) => {
+                let received = now + self.time_for(expected + spec.length);
+                received.saturating_sub(spec.give_up)
+            }
             _ => self.excess(&spec, now),
         };
         if !excess.is_zero() {
@@ -175,8 +176,8 @@
         let room = self.limit.saturating_sub(self.on_the_way(now));
         // Late bodies have only the time that the others leave.
         let order = self
-            .first(|body| body.is_live(now))
-            .or_else(|| self.first(|body| body.is_late(now)))?;
+            .first(|body| self.is_live(body, now))
+            .or_else(|| self.first(|body| body.is_expected(now)))?;
         let body = self.bodies.get_mut(&order)?;
         let bytes = body.next_bytes();
         // Smaller grants would make many small pieces, and others must not take the room for it.
@@ -241,14 +242,23 @@
     #[must_use]
     pub fn waiting(&self, now: Duration) -> u64 {
         let all = self.bodies.values();
-        let live = all.filter(|body| body.is_live(now) || body.is_late(now));
-        live.map(|body| body.spec.length - body.granted).sum()
+        let expected = all.filter(|body| body.is_expected(now));
+        expected.map(|body| body.spec.length - body.granted).sum()
+    }
+
+    /// Returns the bytes that are expected, in time or not.
+    #[must_use]
+    pub fn expected(&self, now: Duration) -> u64 {
+        let all = self.bodies.values();
+        let expected = all.filter(|body| body.is_expected(now));
+        expected.map(BodyState::missing).sum()
     }
 
     /// Returns the bytes that are expected in time, granted or not.
     #[must_use]
     pub fn backlog(&self, now: Duration) -> u64 {
-        let live = self.bodies.values().filter(|body| body.is_live(now));
+        let all = self.bodies.values();
+        let live = all.filter(|body| self.is_live(body, now));
         live.map(BodyState::missing).sum()
     }
 
@@ -270,12 +280,26 @@
         self.bodies.is_empty()
     }
 
+    /// Returns whether a body may still be in time.
+    fn is_live(&self, body: &BodyState, now: Duration) -> bool {
+        body.is_expected(now) && !self.is_hopeless(&body.spec, body.missing(), now)
+    }
+
+    /// Returns whether a body of which `missing` bytes are not received would be late if it had the link
+    /// alone, and if that carried as much more than estimated as the estimate may be off. In the order
+    /// of due times it would otherwise go before all those that can be in time, and make them late too.
+    fn is_hopeless(&self, spec: &BodySpec, missing: u64, now: Duration) -> bool {
+        let (margin, whole) = RATE_MARGIN;
+        let least_time = self.link_time(missing) * whole / margin;
+        now + least_time + spec.run >= spec.due
+    }
+
     /// Returns by how much `new`, or one of its rank behind it, would be late.
     fn excess(&self, new: &BodySpec, now: Duration) -> Duration {
         let place = (new.rank, new.due, self.next_id);
         let mut ahead = 0;
         for (_, body) in self.bodies.range(..place) {
-            if body.is_live(now) {
+            if self.is_live(body, now) {
                 ahead += body.missing();
             }
         }
@@ -287,7 +311,7 @@
             if order.0 != new.rank {
                 break;
             }
-            if !body.is_live(now) {
+            if !self.is_live(body, now) {
                 continue;
             }
             ahead += body.missing();
@@ -299,14 +323,19 @@
         excess
     }
 
+    /// Returns the time to plan for `bytes`.
     fn time_for(&self, bytes: u64) -> Duration {
+        self.link_time(bytes) * RATE_MARGIN.0 / RATE_MARGIN.1
+    }
+
+    /// Returns the time that the link takes for `bytes`; zero if the rate is not known.
+    fn link_time(&self, bytes: u64) -> Duration {
         let rate = match (self.stated_rate, self.measured_rate) {
             (Some(stated), Some(measured)) => stated.min(measured),
             (Some(rate), None) | (None, Some(rate)) => rate,
             (None, None) => return Duration::ZERO,
         };
-        let time = Duration::from_secs_f64(bytes as f64 / rate.max(1.0));
-        time * RATE_MARGIN.0 / RATE_MARGIN.1
+        Duration::from_secs_f64(bytes as f64 / rate.max(1.0))
     }
 
     /// Measures the rate while bodies wait for grants; otherwise senders may be the slower ones.
--- a/coltsfootweir/src/sidecar/uploads/mod.rs
+++ b/coltsfootweir/src/sidecar/uploads/mod.rs
@@ -7,3 +7,4 @@
 pub mod body_intake;
 pub mod body_memory;
 pub mod grant_schedule;
+pub mod upload_times;
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -9,6 +9,7 @@
 use std::time::SystemTime;
 
 use coltsfootweir::clock::SystemClock;
+use coltsfootweir::member::EndpointPhase;
 use coltsfootweir::poison::PoisonTable;
 use coltsfootweir::sidecar::announcement::EndpointAnnouncement;
 use coltsfootweir::sidecar::announcement::EndpointDeparture;
@@ -16,10 +17,13 @@
 use coltsfootweir::sidecar::frame::CallResult;
 use coltsfootweir::sidecar::frame::ForwardedCall;
 use coltsfootweir::sidecar::frame::NotRunCause;
+use coltsfootweir::sidecar::frame::UnknownCause;
 use coltsfootweir::sidecar::link::call_age::wall_delay;
 use coltsfootweir::sidecar::local_endpoint::LocalEndpoint;
 use coltsfootweir::sidecar::local_endpoint::wall_ms;
 use coltsfootweir::sidecar::platform_adapter::HeaderNames;
+use coltsfootweir::sidecar::slot_queue::SlotQueue;
+use coltsfootweir::sidecar::slot_queue::SlotRequest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -255,3 +259,85 @@
         LocalSet::new().run_until(run).await;
     }
 }
+
+/// Runs a call of 400 ms with a body of `length` bytes that has missed its target time by the time at
+/// which one of the two slots becomes free.
+async fn run_late(length: usize, wait_ms: u32) -> CallResult {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let endpoint = endpoint();
+    announce(&endpoint, address, "stalls", false);
+    let other = ForwardedCall {
+        left_ms: 150,
+        wait_ms: 150,
+        ..call("stalls")
+    };
+    let late = ForwardedCall {
+        left_ms: 700,
+        wait_ms,
+        body: vec![0; length].into(),
+        ..call("stalls")
+    };
+    // The endpoint responds to nothing, so the two others hold their slots until their time limit.
+    let others = async {
+        tokio::join!(
+            endpoint.run(&other, Duration::ZERO),
+            endpoint.run(&other, Duration::ZERO),
+        )
+    };
+    let (_, report) = tokio::join!(others, endpoint.run(&late, Duration::ZERO));
+    report.answer.result
+}
+
+fn has_run(result: &CallResult) -> bool {
+    matches!(result, CallResult::Unknown(UnknownCause::TimedOut))
+}
+
+/// Guards against uploads that were received and never run, although a slot is free before the client's
+/// deadline.
+#[tokio::test(flavor = "current_thread")]
+async fn large_body_uses_a_free_slot_after_its_target_time() {
+    for wait_ms in [0, 100] {
+        let result = run_late(20_000, wait_ms).await;
+        assert!(has_run(&result), "{wait_ms}: {result:?}");
+    }
+    let result = run_late(100, 100).await;
+    assert!(
+        matches!(&result, CallResult::NotRun(report) if report.cause == NotRunCause::TooLate),
+        "{result:?}"
+    );
+}
+
+/// Guards against late uploads that take the slots of requests in time, whatever their ranks, and against
+/// their waits being taken for those of requests in time.
+#[tokio::test(flavor = "current_thread")]
+async fn late_request_waits_for_those_in_time() {
+    let queue = SlotQueue::new(Arc::new(SystemClock::new()));
+    queue.replace(1);
+    queue.set_phase(EndpointPhase::Ready);
+    let request = |rank, is_late| SlotRequest {
+        fingerprint: u64::from(rank),
+        route_hash: 1,
+        rank,
+        finish_by: Duration::from_secs(60),
+        is_late,
+    };
+    let running = queue.admit(request(0, false)).await.ok();
+    let order = RefCell::new(Vec::new());
+    let wait = async |name: &'static str, request| {
+        let permit = queue.admit(request).await;
+        order.borrow_mut().push(name);
+        drop(permit.expect("a slot"));
+    };
+    let release = async {
+        tokio::task::yield_now().await;
+        drop(running);
+    };
+    tokio::join!(
+        wait("late", request(0, true)),
+        wait("least urgent", request(5, false)),
+        wait("urgent", request(0, false)),
+        release,
+    );
+    assert_eq!(order.take(), ["urgent", "least urgent", "late"]);
+}
--- a/coltsfootweir/tests/upload_grants.rs
+++ b/coltsfootweir/tests/upload_grants.rs
@@ -1,8 +1,7 @@
-//! Grants of large request bodies over a receiver's link of limited bandwidth, by load pattern. The
-//! link is simulated: a queue in front of a fixed rate, and a fixed delay each way.
+//! Grants of large request bodies over a receiver's link of limited bandwidth, by load pattern.
+
+mod uploads;
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use coltsfootweir::sidecar::client_limits::byte_account::ByteAccount;
@@ -11,133 +10,31 @@
 use coltsfootweir::sidecar::link::uplink_schedule::TransferSpec;
 use coltsfootweir::sidecar::link::uplink_schedule::UplinkSchedule;
 use coltsfootweir::sidecar::uploads::body_memory::BodyMemory;
-use coltsfootweir::sidecar::uploads::grant_schedule::BodyId;
 use coltsfootweir::sidecar::uploads::grant_schedule::BodySpec;
 use coltsfootweir::sidecar::uploads::grant_schedule::GrantSchedule;
 use coltsfootweir::sidecar::uploads::grant_schedule::PieceEffect;
 
+use uploads::receiver_world::ReceiverWorld;
+use uploads::receiver_world::THIN_MBITS;
+use uploads::receiver_world::THIN_RATE;
+use uploads::receiver_world::grant_all;
+use uploads::receiver_world::ms;
+use uploads::receiver_world::spec;
+use uploads::receiver_world::upload_size;
+
 /// Time limit for the response to a ping between daemons: a sixth of it is what a ping may wait
 /// behind bodies.
 const PING_LIMIT: Duration = Duration::from_millis(600);
 
-/// Link of the receivers, in Mbit/s and in bytes a second.
-const THIN_MBITS: u32 = 10;
-const THIN_RATE: f64 = 1_250_000.0;
-
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
-fn spec(rank: u8, due: Duration, length: u64) -> BodySpec {
-    BodySpec {
-        rank,
-        due,
-        give_up: due,
-        run: ms(20),
-        length,
-    }
-}
-
-/// Grants all that is possible now.
-fn grant_all(schedule: &mut GrantSchedule, now: Duration) -> BTreeMap<BodyId, u64> {
-    let mut granted = BTreeMap::new();
-    while let Some(id) = schedule.next(now) {
-        granted.insert(id, schedule.granted(id));
-    }
-    granted
-}
-
-/// A receiving VM whose senders use each grant at once, unless they have vanished.
-struct ReceiverWorld {
-    schedule: GrantSchedule,
-    now: Duration,
-    rate: f64,
-    delay: Duration,
-    /// Pieces on the way and the time at which each has been received.
-    network: VecDeque<(Duration, BodyId, u64)>,
-    free_at: Duration,
-    sent: BTreeMap<BodyId, u64>,
-    vanished: Vec<BodyId>,
-    due: BTreeMap<BodyId, Duration>,
-    whole_at: BTreeMap<BodyId, Duration>,
-    /// Longest time that a piece, and so a ping behind it, has waited for the link.
-    longest_queue: Duration,
-    received: u64,
-}
-
-impl ReceiverWorld {
-    fn new(link_mbits: u32) -> ReceiverWorld {
-        ReceiverWorld {
-            schedule: GrantSchedule::new(link_mbits),
-            now: Duration::ZERO,
-            rate: THIN_RATE,
-            delay: ms(1),
-            network: VecDeque::new(),
-            free_at: Duration::ZERO,
-            sent: BTreeMap::new(),
-            vanished: Vec::new(),
-            due: BTreeMap::new(),
-            whole_at: BTreeMap::new(),
-            longest_queue: Duration::ZERO,
-            received: 0,
-        }
-    }
-
-    fn offer(&mut self, spec: BodySpec) -> Result<BodyId, Duration> {
-        let id = self.schedule.offer(spec, self.now)?;
-        self.due.insert(id, spec.due);
-        Ok(id)
-    }
-
-    fn step_to(&mut self, until: Duration) {
-        while self.now < until {
-            self.now += ms(1);
-            self.deliver();
-            for (id, up_to) in grant_all(&mut self.schedule, self.now) {
-                if !self.vanished.contains(&id) {
-                    self.send(id, up_to);
-                }
-            }
-        }
-    }
-
-    fn send(&mut self, id: BodyId, up_to: u64) {
-        let sent = self.sent.entry(id).or_default();
-        let bytes = up_to - *sent;
-        *sent = up_to;
-        // The grant takes the delay to the sender, and the piece takes it back.
-        let start = self.free_at.max(self.now + self.delay * 2);
-        self.free_at = start + Duration::from_secs_f64(bytes as f64 / self.rate);
-        let queue = self.free_at.saturating_sub(self.now + self.delay * 2);
-        self.longest_queue = self.longest_queue.max(queue);
-        self.network.push_back((self.free_at, id, bytes));
-    }
-
-    fn deliver(&mut self) {
-        let now = self.now;
-        while let Some((_, id, bytes)) = self.network.pop_front_if(|(at, _, _)| *at <= now) {
-            self.received += bytes;
-            if self.schedule.receive(id, bytes, now) == PieceEffect::Whole {
-                self.schedule.remove(id);
-                self.whole_at.insert(id, now);
-            }
-        }
-    }
-
-    /// Counts accepted bodies that were not received by their due time.
-    fn late_count(&self) -> usize {
-        let on_time = |id: &BodyId| self.whole_at.get(id).is_some_and(|at| *at <= self.due[id]);
-        self.due.keys().filter(|id| !on_time(id)).count()
-    }
-}
-
-/// Sizes from 20 to 360 KB, 60 KB in the mean.
-fn upload_size(number: u64) -> u64 {
-    match number % 20 {
-        0 => 360_000,
-        odd if odd % 2 == 1 => 40_000,
-        _ => 45_000 + number % 7 * 1_000,
-    }
+/// Counts accepted bodies that were not received by their due time.
+fn late_count(world: &ReceiverWorld) -> usize {
+    let on_time = |id: &u64| {
+        world
+            .whole_at
+            .get(id)
+            .is_some_and(|at| *at <= world.due[id])
+    };
+    world.due.keys().filter(|id| !on_time(id)).count()
 }
 
 /// Guards against pings that starve, and bodies that arrive in part only, where seven receivers of
@@ -159,7 +56,7 @@
             }
         }
         world.step_to(world.now + ms(1_000));
-        assert_eq!(world.late_count(), 0, "receiver {receiver}");
+        assert_eq!(late_count(&world), 0, "receiver {receiver}");
         assert!(refused * 10 <= offered, "{refused} of {offered}");
         let queue = world.longest_queue;
         assert!(queue <= PING_LIMIT / 6, "{queue:?}");
@@ -181,7 +78,7 @@
     }
     let used = world.received as f64 / (THIN_RATE * world.now.as_secs_f64());
     world.step_to(world.now + ms(600));
-    assert_eq!(world.late_count(), 0);
+    assert_eq!(late_count(&world), 0);
     assert!(used > 0.85, "{used}");
     // A slot for one body comes free every 48 ms, so the time is short, and true.
     assert!(
@@ -202,7 +99,7 @@
         world.offer(spec(1, due, 30_000)).expect("room");
     }
     world.step_to(ms(8_000));
-    assert_eq!(world.late_count(), 0);
+    assert_eq!(late_count(&world), 0);
     assert!(world.whole_at[&long] > ms(4_000));
 }
 
@@ -267,6 +164,54 @@
     assert!(grant_all(&mut schedule, ms(200)).is_empty());
 }
 
+/// Guards against uploads that are late, each as the one before it could no longer be in time but went
+/// first.
+#[test]
+fn body_that_can_only_be_late_goes_after_those_in_time() {
+    let mut schedule = GrantSchedule::new(THIN_MBITS);
+    let offered = BodySpec {
+        give_up: ms(4_000),
+        ..spec(1, ms(900), 400_000)
+    };
+    let late = schedule.offer(offered, ms(0)).expect("room");
+    grant_all(&mut schedule, ms(0));
+    schedule.receive(late, 3 * PIECE_BYTES, ms(700));
+    // The 351 KB that are missing take 281 ms.
+    let other = schedule.offer(spec(1, ms(1_200), 40_000), ms(700));
+    let other = other.expect("room");
+    let granted = grant_all(&mut schedule, ms(700));
+    assert_eq!(granted[&other], 40_000);
+    schedule.receive(other, 40_000, ms(730));
+    assert_eq!(schedule.next(ms(730)), Some(late));
+}
+
+/// Guards against bodies that are too long for the target time and are never received, and against such
+/// ones that are accepted without the time for them.
+#[test]
+fn body_too_long_for_the_target_time_is_received_behind_others() {
+    let mut schedule = GrantSchedule::new(THIN_MBITS);
+    let first = schedule.offer(spec(1, ms(900), 100_000), ms(0));
+    let first = first.expect("room");
+    let long = BodySpec {
+        give_up: ms(4_000),
+        ..spec(0, ms(900), 2_000_000)
+    };
+    let too_long = BodySpec {
+        give_up: ms(2_000),
+        ..long
+    };
+    // 2.1 MB take 1.68 s, for which 2.1 s are planned.
+    assert_eq!(schedule.offer(too_long, ms(0)), Err(ms(100)));
+    let long = schedule.offer(long, ms(0)).expect("room");
+    let granted = grant_all(&mut schedule, ms(0));
+    assert!(!granted.contains_key(&long));
+    schedule.receive(first, granted[&first], ms(40));
+    assert_eq!(grant_all(&mut schedule, ms(40))[&first], 100_000);
+    schedule.receive(first, 100_000 - granted[&first], ms(80));
+    schedule.remove(first);
+    assert_eq!(schedule.next(ms(80)), Some(long));
+}
+
 /// Guards against memory that a peer fills without being granted it.
 #[test]
 fn bytes_beyond_the_grant_are_stray() {
--- /dev/null
+++ b/coltsfootweir/tests/uploads/mod.rs
@@ -0,0 +1,3 @@
+//! Model of daemons that receive large request bodies.
+
+pub mod receiver_world;
--- a/programs/tests/sidecar_uploads.rs
+++ b/programs/tests/sidecar_uploads.rs
@@ -53,6 +53,8 @@
     let terms = ConfigTerms {
         routes: r#",{"name":"put","authority":"test","prefix":"/put/","kind":"upload",
             "timeout_ms":6000,"target_latency_ms":5000,"priority":1,"service":"stalls",
+            "attempts":2},{"name":"short","authority":"test","prefix":"/short/","kind":"upload",
+            "timeout_ms":6000,"target_latency_ms":300,"priority":1,"service":"stalls",
             "attempts":2}"#
             .to_owned(),
         limits: r#"{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,
@@ -181,6 +183,23 @@
     check_run(&fleet, "silent", &answer);
 }
 
+/// Guards against an accepted upload that is transferred and then not run, as its target time has passed.
+#[test]
+fn upload_that_is_received_after_its_target_time_runs() {
+    let fleet = start_fleet(1);
+    slow_down(&fleet);
+    for number in 0..2 {
+        let id = format!("late-{number}");
+        let spec = CallSpec {
+            path: "/short/ok".to_owned(),
+            ..upload(&id, LARGE)
+        };
+        let answer = fleet.sidecars[0].call(&spec).expect("a whole answer");
+        assert_eq!(answer.status, 200, "{id}");
+        check_run(&fleet, &id, &answer);
+    }
+}
+
 /// Guards against a 502 for a request that has certainly not run.
 #[test]
 fn upload_without_another_endpoint_is_refused_truthfully() {
