Fair queueing between the teams of a rank at the guard

Cause: requests of one rank were ordered by finish time whoever sent them, so that a team that floods took the slots of all others. Change: waiting requests of teams are ordered by start tags (sidecar/fair_queue); the expected wait, the cold endpoint's tokens and the stated wait of a refusal count what is ahead of the team's own place. A full queue drops the last request of the team with the most waiting work. Counter and log team_share_refused, gauge teams_tagged.

--- a/coltsfootweir/src/guard.rs
+++ b/coltsfootweir/src/guard.rs
@@ -3,13 +3,18 @@
 //! A request that could not finish before its deadline is refused on arrival, while there is time
 //! for another endpoint. Every id gets exactly one final decision: run, refuse or expire.
 
+mod ranked_admission;
+
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::load_report::LoadReport;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
+use crate::sidecar::fair_queue::TeamHash;
+use crate::sidecar::fair_queue::team_tags::TeamCharge;
+use crate::sidecar::fair_queue::wait_queue::WaitQueue;
+use crate::sidecar::fair_queue::wait_queue::WaitingRequest;
 use crate::sidecar::warmup::warmup_pacer::WarmupPacer;
 
 /// Weight of the newest run in the moving average of the run time, as a divisor.
@@ -48,14 +53,9 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct WaitingRequest {
-    id: u64,
-    rank: u8,
-    /// Position within the rank: the arrival, or the deadline if the rank is known.
-    order: Duration,
-    deadline: Duration,
-    /// Expected run time; without it, the mean of all requests is used.
-    run: Option<Duration>,
+struct RunningRequest {
+    started: Duration,
+    charge: Option<TeamCharge>,
 }
 
 /// A request with a known rank and expected run time.
@@ -63,6 +63,8 @@
 pub struct RankedRequest {
     /// Rank; 0 is the most urgent.
     pub rank: u8,
+    /// Team that shares the slots with the other teams of the rank; `None` for requests without one.
+    pub team: Option<TeamHash>,
     /// Time since the daemon's start by which it must finish.
     pub finish_by: Duration,
     /// Expected run time.
@@ -79,8 +81,8 @@
     queue_limit: usize,
     phase: EndpointPhase,
     phase_since: Duration,
-    running: HashMap<u64, Duration>,
-    waiting: VecDeque<WaitingRequest>,
+    running: HashMap<u64, RunningRequest>,
+    waiting: WaitQueue,
     run_time: Option<Duration>,
     deviation: Duration,
     /// Limits the starts while the upstream is cold.
@@ -97,7 +99,7 @@
             phase: EndpointPhase::Ready,
             phase_since: Duration::ZERO,
             running: HashMap::new(),
-            waiting: VecDeque::new(),
+            waiting: WaitQueue::default(),
             run_time: None,
             deviation: Duration::ZERO,
             pacer: WarmupPacer::default(),
@@ -113,6 +115,7 @@
         let request = WaitingRequest {
             id,
             rank: 0,
+            team: None,
             order: now,
             deadline,
             run: None,
@@ -120,102 +123,16 @@
         self.admit(request, now)
     }
 
-    /// Decides on a request with a rank. It waits only behind requests of more urgent ranks, and of the
-    /// same rank if they must finish earlier: short calls that running requests wait for would
-    /// otherwise be late behind long requests that have time. If the queue is full, it displaces the last request of a less urgent rank; the
-    /// returned events contain that refusal.
-    pub fn arrive_ranked(
-        &mut self,
-        id: u64,
-        request: RankedRequest,
-        now: Duration,
-    ) -> (AdmitDecision, Vec<GuardEvent>) {
-        let mut events = Vec::new();
-        let refusal = self.ranked_refusal(&request, now);
-        if let Some(reason) = refusal {
-            return (AdmitDecision::Refuse(reason), events);
-        }
-        if !self.can_start(now) && self.waiting.len() >= self.queue_limit {
-            let rank = request.rank;
-            let Some(last) = self.waiting.pop_back_if(|last| last.rank > rank) else {
-                let decision = AdmitDecision::Refuse(RefusalReason::Overloaded);
-                return (decision, events);
-            };
-            events.push(GuardEvent::Refuse(last.id, RefusalReason::Overloaded));
-        }
-        let request = WaitingRequest {
-            id,
-            rank: request.rank,
-            order: request.finish_by,
-            deadline: request.finish_by,
-            run: Some(request.run),
-        };
-        (self.admit(request, now), events)
-    }
-
-    fn ranked_refusal(&self, request: &RankedRequest, now: Duration) -> Option<RefusalReason> {
-        if let Some(reason) = self.phase_refusal() {
-            return Some(reason);
-        }
-        if now >= request.finish_by {
-            return Some(RefusalReason::DeadlinePassed);
-        }
-        let is_too_late = if self.can_start(now) {
-            // An idle upstream runs even a request that seems too long: without new runs, a wrong
-            // estimate would never be corrected.
-            let least_time = request.run / QUICK_RUN_DIVISOR;
-            !self.running.is_empty() && now + least_time > request.finish_by
-        } else {
-            let wait = self.expected_wait(request).mul_f64(request.wait_factor);
-            let wait = wait.max(self.token_wait(request.rank, request.finish_by, now));
-            now + wait + request.run > request.finish_by
-        };
-        is_too_late.then_some(RefusalReason::Overloaded)
+    /// Returns the number of teams whose past use is remembered.
+    #[must_use]
+    pub fn tagged_teams(&self) -> usize {
+        self.waiting.tags().len()
     }
 
     /// Returns the ranks and counts of the waiting requests, the most urgent rank first.
     #[must_use]
     pub fn waiting_by_rank(&self) -> Vec<(u8, u16)> {
-        let mut counts: Vec<(u8, u16)> = Vec::new();
-        for request in &self.waiting {
-            match counts.last_mut() {
-                Some((rank, count)) if *rank == request.rank => *count = count.saturating_add(1),
-                _ => counts.push((request.rank, 1)),
-            }
-        }
-        counts
-    }
-
-    /// Returns the wait for a slot that the present queue suggests for a request that arrives now.
-    #[must_use]
-    pub fn expected_wait(&self, request: &RankedRequest) -> Duration {
-        if self.has_free_slot() {
-            return Duration::ZERO;
-        }
-        let ahead = self.count_ahead(request.rank, request.finish_by);
-        let mean = self.expected_run();
-        // A slot becomes free after a part of the mean run time.
-        let mut runs = mean;
-        for waiting in self.waiting.iter().take(ahead) {
-            runs += waiting.run.unwrap_or(mean);
-        }
-        runs / u32::from(self.slots.max(1))
-    }
-
-    /// Returns the expected wait for a slot of a request that arrives now with this rank.
-    #[must_use]
-    pub fn wait_time(&self, rank: u8) -> Duration {
-        match self.has_free_slot() {
-            true => Duration::ZERO,
-            false => self.wait_behind(self.count_ahead(rank, Duration::MAX)),
-        }
-    }
-
-    /// Returns the time until a request that arrives now with this rank and deadline may start at a
-    /// cold upstream, apart from the wait for a slot.
-    #[must_use]
-    pub fn token_wait(&self, rank: u8, deadline: Duration, now: Duration) -> Duration {
-        self.pacer.token_wait(self.count_ahead(rank, deadline), now)
+        self.waiting.counts_by_rank()
     }
 
     /// Returns the pause after which [`GuardState::poll`] may start a request that waits because the
@@ -251,15 +168,23 @@
 
     fn admit(&mut self, request: WaitingRequest, now: Duration) -> AdmitDecision {
         if self.can_start(now) {
-            self.pacer.take(now);
-            self.running.insert(request.id, now);
+            let charge = self.waiting.start_at_once(&request);
+            self.start(request.id, charge, now);
             return AdmitDecision::Run;
         }
-        let position = self.count_ahead(request.rank, request.order);
-        self.waiting.insert(position, request);
+        self.waiting.push(request);
         AdmitDecision::Wait
     }
 
+    fn start(&mut self, id: u64, charge: Option<TeamCharge>, now: Duration) {
+        self.pacer.take(now);
+        let running = RunningRequest {
+            started: now,
+            charge,
+        };
+        self.running.insert(id, running);
+    }
+
     /// Returns why a request would be refused if it arrived now, or `None` if it would run or wait.
     #[must_use]
     pub fn refusal(&self, deadline: Duration, now: Duration) -> Option<RefusalReason> {
@@ -282,8 +207,10 @@
 
     /// Records the end of a run and decides on the waiting requests. An unknown id frees no slot.
     pub fn finish(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
-        if let Some(started) = self.running.remove(&id) {
-            self.record_run_time(now.saturating_sub(started));
+        if let Some(running) = self.running.remove(&id) {
+            let run_time = now.saturating_sub(running.started);
+            self.record_run_time(run_time);
+            self.waiting.end_run(running.charge, run_time);
         }
         self.poll(now)
     }
@@ -291,46 +218,52 @@
     /// Removes a request whose caller gave up or whose deadline passed, whether it waits or runs.
     /// Returns the decisions on the waiting requests, with none for `id`.
     pub fn cancel(&mut self, id: u64, now: Duration) -> Vec<GuardEvent> {
-        self.waiting.retain(|request| request.id != id);
-        if let Some(started) = self.running.remove(&id) {
+        self.waiting.remove_unless(|request| request.id != id);
+        if let Some(running) = self.running.remove(&id) {
             // A cancelled run gives only a lower bound of its run time, so it counts only if it
             // took longer than expected.
-            let run_time = now.saturating_sub(started);
+            let run_time = now.saturating_sub(running.started);
             if run_time > self.expected_run() {
                 self.record_run_time(run_time);
             }
+            self.waiting.end_run(running.charge, run_time);
         }
         self.poll(now)
     }
 
     /// Decides on the waiting requests: expires those that would finish too late and fills free slots
-    /// in order of rank, then of arrival.
+    /// in the order of the queue.
     pub fn poll(&mut self, now: Duration) -> Vec<GuardEvent> {
         if let Some(reason) = self.queue_refusal(now) {
-            let refused = self.waiting.drain(..);
+            let refused = self.waiting.remove_unless(|_| false).into_iter();
             return refused
                 .map(|request| GuardEvent::Refuse(request.id, reason))
                 .collect();
         }
         let mut events = Vec::new();
         let run_time = self.expected_run();
-        for _ in 0..self.waiting.len() {
-            let Some(request) = self.waiting.pop_front() else {
-                break;
-            };
+        let is_late = |request: &WaitingRequest| {
             let run_time = request.run.unwrap_or(run_time);
-            if now >= request.deadline || now + run_time > request.deadline {
-                events.push(GuardEvent::Expire(request.id));
-                continue;
-            }
-            if !self.has_free_slot() || !self.pacer.has_token(now) {
-                self.waiting.push_back(request);
+            now >= request.deadline || now + run_time > request.deadline
+        };
+        while self.has_free_slot() && self.pacer.has_token(now) {
+            let Some(first) = self.waiting.first() else {
+                return events;
+            };
+            if is_late(&first) {
+                self.waiting.remove_first();
+                events.push(GuardEvent::Expire(first.id));
                 continue;
             }
-            self.pacer.take(now);
-            self.running.insert(request.id, now);
-            events.push(GuardEvent::Start(request.id));
+            let charge = self.waiting.start_first(now);
+            self.start(first.id, charge, now);
+            events.push(GuardEvent::Start(first.id));
         }
+        let late = self
+            .waiting
+            .remove_unless(|request| !is_late(request))
+            .into_iter();
+        events.extend(late.map(|request| GuardEvent::Expire(request.id)));
         events
     }
 
@@ -419,13 +352,6 @@
         self.run_time.unwrap_or(Duration::ZERO)
     }
 
-    /// Returns the number of waiting requests ahead of a new one with this rank and order. The queue is
-    /// ordered by both.
-    fn count_ahead(&self, rank: u8, order: Duration) -> usize {
-        self.waiting
-            .partition_point(|request| (request.rank, request.order) <= (rank, order))
-    }
-
     /// Returns the expected wait with `ahead` requests ahead in the queue.
     fn wait_behind(&self, ahead: usize) -> Duration {
         let runs = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
--- a/coltsfootweir/src/sidecar/control_server.rs
+++ b/coltsfootweir/src/sidecar/control_server.rs
@@ -215,6 +215,10 @@
     metrics.set("endpoint_waiting", u64::from(load.total_waiting()));
     metrics.set("endpoint_connections", state.endpoint.connections_opened());
     metrics.set("endpoint_cold", u64::from(state.endpoint.is_pacing()));
+    metrics.set("teams_tagged", state.endpoint.tagged_teams() as u64);
+    for (reason, total) in state.endpoint.share_refusals() {
+        metrics.raise_share_refused(reason.name(), total);
+    }
     let evacuated = state.evacuations.borrow().zones().len();
     metrics.set("zones_evacuated", evacuated as u64);
     metrics.set("log_lines_dropped", dropped_lines());
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -1,6 +1,7 @@
 //! The endpoint on the local VM: its state, slots, connections and running requests.
 
 mod lifetimes;
+mod slot_refusals;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -22,7 +23,6 @@
 use crate::ids::MemberId;
 use crate::logging::UPSTREAM;
 use crate::member::EndpointPhase;
-use crate::outcome::RefusalReason;
 use crate::poison::PoisonTable;
 use crate::sidecar::announcement::EndpointRegister;
 use crate::sidecar::answer::answer_rest::AnswerRest;
@@ -31,6 +31,7 @@
 use crate::sidecar::endpoint_request::is_connection_header;
 use crate::sidecar::endpoint_request::response_identity;
 use crate::sidecar::endpoint_request::write_head;
+use crate::sidecar::fair_queue::team_hash;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::frame::ForwardedCall;
@@ -46,6 +47,8 @@
 use crate::sidecar::slot_queue::SlotQueue;
 use crate::sidecar::slot_queue::SlotRequest;
 
+use slot_refusals::not_admitted;
+
 /// Timeout for connecting to the endpoint, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -181,7 +184,8 @@
     /// Returns the time after which a call that arrives now should have run.
     #[must_use]
     pub fn expected_time(&self, call: &ForwardedCall) -> Duration {
-        self.slots.expected_time(call.rank, call.kind)
+        let team = call.team.as_deref().map(team_hash);
+        self.slots.expected_time(call.rank, team, call.kind)
     }
 
     /// Returns the expected run time of a call, without its wait for a slot.
@@ -215,11 +219,12 @@
             fingerprint: call_fingerprint,
             route_hash: call.kind,
             rank: call.rank,
+            team: call.team.as_deref().map(team_hash),
             finish_by: deadline.min(start + wait),
         };
         let mut permit = match self.slots.admit(request).await {
             Ok(permit) => permit,
-            Err(reason) => return self.refusal(reason, call.rank),
+            Err(refusal) => return not_admitted(call, refusal),
         };
         // The endpoint may have been replaced while the request waited for a slot.
         let Some(current) = self.register.borrow().current().cloned() else {
@@ -342,20 +347,6 @@
         std::mem::take(&mut *self.unpublished_crashes.borrow_mut())
     }
 
-    fn refusal(&self, reason: RefusalReason, rank: u8) -> CallResult {
-        let cause = match reason {
-            RefusalReason::Overloaded => NotRunCause::Overloaded,
-            RefusalReason::DeadlinePassed => NotRunCause::TooLate,
-            _ => NotRunCause::Closed,
-        };
-        let wait = self.slots.wait_time(rank).as_millis();
-        CallResult::NotRun(NotRunReport {
-            cause,
-            reached: false,
-            retry_after_ms: u32::try_from(wait).unwrap_or(u32::MAX),
-        })
-    }
-
     /// Checks a response and moves its body into the result.
     fn check_response(&self, response: &mut HttpResponse, run: Duration) -> CallResult {
         let is_signed = response.header(self.headers.signature).is_some();
--- a/coltsfootweir/src/sidecar/metrics.rs
+++ b/coltsfootweir/src/sidecar/metrics.rs
@@ -26,13 +26,14 @@
     refusals: IntCounterVec,
     hedges: IntCounterVec,
     hedges_refused: IntCounterVec,
+    share_refused: IntCounterVec,
     latency: HistogramVec,
     endpoint_time: Histogram,
     gauges: Vec<(&'static str, IntGauge)>,
 }
 
 /// Names and help texts of the gauges. They are set when the metrics are requested.
-const GAUGES: [(&str, &str); 18] = [
+const GAUGES: [(&str, &str); 19] = [
     ("config_version", "version of the configuration in force"),
     ("members_live", "daemons in reach, this one included"),
     ("store_calls", "calls made to the store"),
@@ -44,6 +45,10 @@
         "endpoint_cold",
         "1 while requests to the endpoint are limited because it is cold",
     ),
+    (
+        "teams_tagged",
+        "teams whose past use of the endpoint on this VM is remembered, counted for each rank",
+    ),
     ("zones_evacuated", "zones that are evacuated"),
     ("log_lines_dropped", "log lines that did not fit the queue"),
     (
@@ -101,6 +106,11 @@
             "overdue requests that were not hedged, by cause",
         );
         let hedges_refused = IntCounterVec::new(hedges_refused, &["cause"]);
+        let share_refused = Opts::new(
+            "team_share_refused",
+            "requests of teams that found no capacity at the endpoint on this VM, by reason",
+        );
+        let share_refused = IntCounterVec::new(share_refused, &["reason"]);
         let latency = histogram("request_seconds", "time of requests by service");
         let latency = HistogramVec::new(latency, &["service"]);
         let wait = histogram(
@@ -115,6 +125,7 @@
             refusals: refusals.expect(valid),
             hedges: hedges.expect(valid),
             hedges_refused: hedges_refused.expect(valid),
+            share_refused: share_refused.expect(valid),
             latency: latency.expect(valid),
             endpoint_time: wait.expect(valid),
             gauges: Vec::new(),
@@ -137,6 +148,9 @@
         registry
             .register(Box::new(metrics.hedges_refused.clone()))
             .expect(unique);
+        registry
+            .register(Box::new(metrics.share_refused.clone()))
+            .expect(unique);
         registry
             .register(Box::new(metrics.latency.clone()))
             .expect(unique);
@@ -178,6 +192,12 @@
         self.hedges_refused.with_label_values(&[cause]).inc();
     }
 
+    /// Raises the count of team requests refused for `reason` to `total`.
+    pub fn raise_share_refused(&self, reason: &str, total: u64) {
+        let counter = self.share_refused.with_label_values(&[reason]);
+        counter.inc_by(total.saturating_sub(counter.get()));
+    }
+
     /// Records the time of a call at the local endpoint.
     pub fn count_run(&self, time: Duration) {
         self.endpoint_time.observe(time.as_secs_f64());
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -25,6 +25,8 @@
 pub mod endpoint_request;
 pub mod event_log;
 #[doc(hidden)]
+pub mod fair_queue;
+#[doc(hidden)]
 pub mod frame;
 #[doc(hidden)]
 pub mod hedging;
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -277,6 +277,7 @@
         let run = self.state.endpoint.expected_run(&call);
         let queued = self.state.endpoint.expected_time(&call).saturating_sub(run);
         if queued > wait {
+            self.state.endpoint.refuse_early(&call, wait, queued);
             self.refuse_with(number, refusal(NotRunCause::Overloaded, queued - wait));
             return;
         }
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -14,6 +14,8 @@
 use crate::ids::Fingerprint;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
+use crate::sidecar::fair_queue::TeamHash;
+use crate::sidecar::fair_queue::share_refusal::ShareRefusal;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::run_times::RunTimes;
 use crate::sidecar::wait_factors::WaitFactors;
@@ -28,9 +30,13 @@
     requests: GuardWaiters,
     run_times: RunTimes,
     wait_factors: WaitFactors,
+    /// Factors of routes and teams: a team that waits for its share does not raise those of others.
+    team_wait_factors: WaitFactors,
     next_id: u64,
     /// Whether a task starts the requests that wait because the endpoint is cold.
     is_timed: bool,
+    /// Refused requests of teams, in the order of [`ShareRefusal::ALL`].
+    share_refusals: [u64; ShareRefusal::ALL.len()],
 }
 
 /// A request for a slot.
@@ -42,10 +48,23 @@
     pub route_hash: u32,
     /// Rank of the route; 0 is the most urgent.
     pub rank: u8,
+    /// Team of the client, if it has one.
+    pub team: Option<TeamHash>,
     /// Time since the start of the daemon by which the request should finish.
     pub finish_by: Duration,
 }
 
+/// Refusal of a request for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotRefusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// More exact reason for a request of a team that found no capacity.
+    pub share: Option<ShareRefusal>,
+    /// Expected wait of a new request of the same rank and team.
+    pub wait: Duration,
+}
+
 /// Slots and queue of one endpoint.
 pub struct SlotQueue {
     state: RefCell<QueueState>,
@@ -63,6 +82,8 @@
             requests: GuardWaiters::default(),
             run_times: RunTimes::default(),
             wait_factors: WaitFactors::default(),
+            team_wait_factors: WaitFactors::default(),
+            share_refusals: [0; ShareRefusal::ALL.len()],
             next_id: 0,
             is_timed: false,
         };
@@ -169,18 +190,43 @@
         }
     }
 
-    /// Returns the expected wait of a new request of `rank` for a slot.
+    /// Returns the time after which a request of this rank and team that arrives now should have run.
     #[must_use]
-    pub fn wait_time(&self, rank: u8) -> Duration {
+    pub fn expected_time(&self, rank: u8, team: Option<TeamHash>, route_hash: u32) -> Duration {
         let state = self.state.borrow();
-        state.wait_time(rank, self.clock.now())
+        let wait = state.wait_time(rank, team, self.clock.now());
+        wait + state.run_times.expected(route_hash)
     }
 
-    /// Returns the time after which a request of `rank` that arrives now should have run.
+    /// Returns the number of teams whose past use is remembered.
     #[must_use]
-    pub fn expected_time(&self, rank: u8, route_hash: u32) -> Duration {
-        let state = self.state.borrow();
-        state.wait_time(rank, self.clock.now()) + state.run_times.expected(route_hash)
+    pub fn tagged_teams(&self) -> usize {
+        self.state.borrow().guard.tagged_teams()
+    }
+
+    /// Counts a request that is refused before it asks for a slot, because it may wait for `wait` only.
+    /// Returns the reason if it has a team.
+    pub fn refuse_early(
+        &self,
+        rank: u8,
+        team: Option<TeamHash>,
+        wait: Duration,
+    ) -> Option<ShareRefusal> {
+        team?;
+        let mut state = self.state.borrow_mut();
+        let share = match state.guard.unused_wait(rank) <= wait {
+            true => ShareRefusal::OverShare,
+            false => ShareRefusal::NoCapacity,
+        };
+        state.share_refusals[share as usize] += 1;
+        Some(share)
+    }
+
+    /// Returns the number of refused requests of teams by reason.
+    #[must_use]
+    pub fn share_refusals(&self) -> Vec<(ShareRefusal, u64)> {
+        let counts = self.state.borrow().share_refusals;
+        ShareRefusal::ALL.into_iter().zip(counts).collect()
     }
 
     /// Returns the expected run time of requests of a route.
@@ -199,7 +245,7 @@
     ///
     /// # Errors
     /// The reason why the request is not run.
-    pub async fn admit(self: &Rc<Self>, request: SlotRequest) -> Result<SlotPermit, RefusalReason> {
+    pub async fn admit(self: &Rc<Self>, request: SlotRequest) -> Result<SlotPermit, SlotRefusal> {
         let arrived = self.clock.now();
         let (id, waiter, expected_wait) = {
             let mut state = self.state.borrow_mut();
@@ -208,16 +254,24 @@
             state.next_id += 1;
             let ranked = RankedRequest {
                 rank: request.rank,
+                team: request.team,
                 finish_by: request.finish_by,
                 run: state.run_times.expected(request.route_hash),
-                wait_factor: state.wait_factors.factor(request.route_hash),
+                wait_factor: state.wait_factor(&request),
             };
-            let token_wait = state.guard.token_wait(ranked.rank, ranked.finish_by, now);
+            let (rank, team) = (request.rank, request.team);
+            let token_wait = state.guard.token_wait(rank, team, ranked.finish_by, now);
             let expected_wait = state.guard.expected_wait(&ranked).max(token_wait);
             let (decision, events) = state.guard.arrive_ranked(id, ranked, now);
             state.deliver(events, now);
             let waiter = match decision {
-                AdmitDecision::Refuse(reason) => return Err(reason),
+                AdmitDecision::Refuse(reason) => {
+                    let share = match reason {
+                        RefusalReason::Overloaded => state.guard.share_refusal(&ranked, now),
+                        _ => None,
+                    };
+                    return Err(state.refuse(&request, reason, share, now));
+                }
                 AdmitDecision::Run => None,
                 AdmitDecision::Wait => {
                     let (sender, receiver) = flume::bounded(1);
@@ -240,24 +294,73 @@
         self.time_paced(arrived);
         let left = request.finish_by.saturating_sub(self.clock.now());
         let admission = tokio::time::timeout(left, waiter.recv_async()).await;
-        let waited = self.clock.now().saturating_sub(arrived);
+        let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let factors = &mut state.wait_factors;
-        factors.record(request.route_hash, expected_wait, waited);
+        state.record_wait(&request, expected_wait, now.saturating_sub(arrived));
+        let reason = match admission {
+            Ok(Ok(Ok(()))) => {
+                drop(state);
+                return Ok(permit);
+            }
+            Ok(Ok(Err(reason))) => reason,
+            Ok(Err(_)) => RefusalReason::Cancelled,
+            Err(_) => RefusalReason::DeadlinePassed,
+        };
+        let share = match reason {
+            RefusalReason::Overloaded => request.team.map(|_| ShareRefusal::Displaced),
+            RefusalReason::DeadlinePassed => request.team.map(|_| ShareRefusal::Expired),
+            _ => None,
+        };
+        // Dropping the permit removes the request, so that the stated wait does not include it.
         drop(state);
-        match admission {
-            Ok(Ok(Ok(()))) => Ok(permit),
-            Ok(Ok(Err(reason))) => Err(reason),
-            Ok(Err(_)) => Err(RefusalReason::Cancelled),
-            Err(_) => Err(RefusalReason::DeadlinePassed),
-        }
+        drop(permit);
+        let mut state = self.state.borrow_mut();
+        Err(state.refuse(&request, reason, share, now))
     }
 }
 
 impl QueueState {
-    fn wait_time(&self, rank: u8, now: Duration) -> Duration {
-        let token_wait = self.guard.token_wait(rank, Duration::MAX, now);
-        self.guard.wait_time(rank).max(token_wait)
+    fn wait_time(&self, rank: u8, team: Option<TeamHash>, now: Duration) -> Duration {
+        let token_wait = self.guard.token_wait(rank, team, Duration::MAX, now);
+        self.guard.wait_time(rank, team).max(token_wait)
+    }
+
+    fn wait_factor(&self, request: &SlotRequest) -> f64 {
+        match request.team {
+            Some(team) => self
+                .team_wait_factors
+                .factor(factor_key(request.route_hash, team)),
+            None => self.wait_factors.factor(request.route_hash),
+        }
+    }
+
+    fn record_wait(&mut self, request: &SlotRequest, expected: Duration, waited: Duration) {
+        match request.team {
+            Some(team) => {
+                let key = factor_key(request.route_hash, team);
+                self.team_wait_factors.record(key, expected, waited);
+            }
+            None => self
+                .wait_factors
+                .record(request.route_hash, expected, waited),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        request: &SlotRequest,
+        reason: RefusalReason,
+        share: Option<ShareRefusal>,
+        now: Duration,
+    ) -> SlotRefusal {
+        if let Some(share) = share {
+            self.share_refusals[share as usize] += 1;
+        }
+        SlotRefusal {
+            reason,
+            share,
+            wait: self.wait_time(request.rank, request.team, now),
+        }
     }
 
     fn deliver(&mut self, events: Vec<GuardEvent>, now: Duration) {
@@ -265,6 +368,11 @@
     }
 }
 
+/// Returns the key of the wait factor of a team's requests of a route.
+fn factor_key(route_hash: u32, team: TeamHash) -> u32 {
+    route_hash ^ (team ^ (team >> 32)) as u32
+}
+
 /// A slot reserved for one request.
 pub struct SlotPermit {
     queue: Rc<SlotQueue>,
--- a/coltsfootweir/tests/common/mod.rs
+++ b/coltsfootweir/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test binary uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod deadline_guard;
 pub mod evidence;
 pub mod fake_store;
 pub mod records;
--- a/coltsfootweir/tests/sidecar_admission.rs
+++ b/coltsfootweir/tests/sidecar_admission.rs
@@ -103,6 +103,7 @@
         outcome.arrivals += 1;
         let request = RankedRequest {
             rank: stream.rank,
+            team: None,
             finish_by: now + stream.time_limit,
             run: stream.run,
             wait_factor: self.factors.factor(route_hash(stream.run)),
@@ -258,6 +259,7 @@
     let now = Duration::ZERO;
     let request = |rank| RankedRequest {
         rank,
+        team: None,
         finish_by: Duration::from_secs(9),
         run: Duration::ZERO,
         wait_factor: 1.0,
@@ -289,6 +291,7 @@
     for (id, rank) in [(1, LOOKUP), (2, LOOKUP), (3, BOOKING), (4, LOOKUP)] {
         let request = RankedRequest {
             rank,
+            team: None,
             finish_by: Duration::from_secs(9),
             run: Duration::ZERO,
             wait_factor: 1.0,
@@ -304,6 +307,7 @@
     let now = Duration::ZERO;
     let request = RankedRequest {
         rank: 0,
+        team: None,
         finish_by: Duration::from_secs(1),
         run: Duration::ZERO,
         wait_factor: 1.0,
--- a/coltsfootweir/tests/sidecar_warmup.rs
+++ b/coltsfootweir/tests/sidecar_warmup.rs
@@ -100,6 +100,7 @@
             id += 1;
             let request = RankedRequest {
                 rank: (id % 3) as u8,
+                team: None,
                 finish_by: now + ms(100 + id * 7 % 2_000),
                 run,
                 wait_factor: 1.0,
@@ -145,13 +146,14 @@
     guard.change_pacer(|kept| *kept = pacer(), Duration::ZERO);
     let request = |finish_by| RankedRequest {
         rank: 0,
+        team: None,
         finish_by,
         run: ms(10),
         wait_factor: 1.0,
     };
     let (decision, _) = guard.arrive_ranked(1, request(ms(60)), Duration::ZERO);
     assert!(matches!(decision, AdmitDecision::Refuse(_)), "{decision:?}");
-    let wait = guard.token_wait(0, Duration::MAX, Duration::ZERO);
+    let wait = guard.token_wait(0, None, Duration::MAX, Duration::ZERO);
     assert!(wait > ms(70) && wait < ms(73), "{wait:?}");
     let (decision, _) = guard.arrive_ranked(2, request(ms(200)), Duration::ZERO);
     assert_eq!(decision, AdmitDecision::Wait);
