--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -26,6 +26,8 @@
 use crate::sidecar::call_attempts::endpoint_choice::EndpointNeed;
 use crate::sidecar::call_attempts::refusal_tally::RefusalTally;
 use crate::sidecar::config_holder::ActiveConfig;
+use crate::sidecar::fair_queue::TeamHash;
+use crate::sidecar::fair_queue::team_hash;
 use crate::sidecar::frame::CallResult;
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::frame::FEATURE_LATE_BODIES;
@@ -40,7 +42,6 @@
 use crate::sidecar::peer_link::LinkOutcome;
 use crate::sidecar::placement::region_filter::RegionFilter;
 use crate::sidecar::refusal_memory::RefusalScope;
-use crate::sidecar::refusal_memory::team_hash;
 use crate::sidecar::running_call::FAILURE_STATUS;
 use crate::sidecar::running_call::RunningCall;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -79,10 +80,7 @@
     body_length: u64,
     /// Hash of the route's name.
     route_hash: u32,
-    /// Hash of the team's name.
-    team_hash: Option<u64>,
-    /// Length of the body in bytes; 0 for a request that is not sent.
-    body_length: Cell<u64>,
+    team_hash: Option<TeamHash>,
     refusals: Cell<RefusalTally>,
     tried: RefCell<Vec<MemberId>>,
     /// Shortest expected wait for a slot among the endpoints skipped for lack of capacity.
@@ -141,7 +139,6 @@
             body_length,
             route_hash: xxh3_64(route.name.as_bytes()) as u32,
             team_hash: caller.team.map(|team| team_hash(&team.name)),
-            body_length: Cell::new(0),
             refusals: Cell::default(),
             shortest_wait: Cell::new(None),
             needs_other_regions: Cell::new(false),
@@ -156,7 +153,6 @@
     pub async fn run(self, call: &ForwardedCall) -> AttemptsEnd {
         self.with_budget(RetryBudget::on_call);
         self.count_request();
-        self.body_length.set(call.body.len() as u64);
         let mut last_failure = None;
         let end = loop {
             let Some(chosen) = self.choose(EndpointNeed::Any) else {
@@ -208,7 +204,7 @@
         RefusalScope {
             route_hash: self.route_hash,
             team_hash: self.team_hash,
-            body_length: self.body_length.get(),
+            body_length: self.body_length,
         }
     }
 
--- a/coltsfootweir/src/sidecar/local_endpoint/admission.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint/admission.rs
@@ -3,6 +3,7 @@
 use super::LocalEndpoint;
 use crate::outcome::RefusalReason;
 use crate::sidecar::slot_queue::SlotPermit;
+use crate::sidecar::slot_queue::SlotRefusal;
 use crate::sidecar::slot_queue::SlotRequest;
 use crate::sidecar::uploads::upload_times::CallTimes;
 
@@ -13,11 +14,12 @@
         &self,
         request: SlotRequest,
         times: CallTimes,
-    ) -> Result<SlotPermit, RefusalReason> {
+    ) -> Result<SlotPermit, SlotRefusal> {
         if !times.is_late(self.clock.now()) {
             let admitted = self.slots.admit(request).await;
             match admitted {
-                Err(RefusalReason::DeadlinePassed) if times.may_be_late => {}
+                Err(refusal)
+                    if refusal.reason == RefusalReason::DeadlinePassed && times.may_be_late => {}
                 decided => return decided,
             }
         }
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -276,9 +276,10 @@
         let times = CallTimes::with_body(&call, length, offered_at, delay);
         let run = self.state.endpoint.expected_run(&call);
         let queued = self.state.endpoint.expected_time(&call).saturating_sub(run);
-        let excess = (offered_at + queued).saturating_sub(times.limit(offered_at));
-        if !excess.is_zero() {
-            self.refuse_with(number, refusal(NotRunCause::Overloaded, excess));
+        let wait = times.limit(offered_at).saturating_sub(offered_at);
+        if queued > wait {
+            self.state.endpoint.refuse_early(&call, wait, queued);
+            self.refuse_with(number, refusal(NotRunCause::Overloaded, queued - wait));
             return;
         }
         let spec = BodySpec {
--- a/coltsfootweir/tests/reported_loads.rs
+++ b/coltsfootweir/tests/reported_loads.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use coltsfootweir::sidecar::call_attempts::refusal_tally::RefusalTally;
+use coltsfootweir::sidecar::fair_queue::team_hash;
 use coltsfootweir::sidecar::frame::NotRunCause;
 use coltsfootweir::sidecar::refusal_memory::RefusalScope;
-use coltsfootweir::sidecar::refusal_memory::team_hash;
 use coltsfootweir::sidecar::reported_loads::ReportedLoads;
 
 fn ms(count: u64) -> Duration {
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -316,6 +316,7 @@
     queue.replace(1);
     queue.set_phase(EndpointPhase::Ready);
     let request = |rank, is_late| SlotRequest {
+        team: None,
         fingerprint: u64::from(rank),
         route_hash: 1,
         rank,
