--- a/coltsfootweir/src/sidecar/fair_queue/team_tags.rs
+++ b/coltsfootweir/src/sidecar/fair_queue/team_tags.rs
@@ -12,7 +12,7 @@
 use super::tag_pace::TagPace;
 
 /// Maximum number of teams with tags, over all ranks. Several times the teams that send to one endpoint
-/// within seconds in the largest known deployment (71); about 150 KB.
+/// within seconds in the largest known deployment (71); about 200 KB.
 pub const MAX_TEAMS: usize = 1_024;
 
 /// Maximum time by which the measured end of a run moves a finish tag beyond the virtual time. Runs
--- a/coltsfootweir/tests/fair_queue_order.rs
+++ b/coltsfootweir/tests/fair_queue_order.rs
@@ -148,7 +148,7 @@
             deadline: Duration::MAX,
             run: Some(ms(run)),
         };
-        if self.waiting.is_empty() && id % 3 == 0 {
+        if self.waiting.is_empty() && id.is_multiple_of(3) {
             let charge = self.queue.start_at_once(&request);
             self.charge(&request, true);
             self.running.push((request, charge));
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -13,6 +13,7 @@
 use coltsfootweir::sidecar::announcement::EndpointAnnouncement;
 use coltsfootweir::sidecar::announcement::EndpointDeparture;
 use coltsfootweir::sidecar::answer::answer_rest::BodyPiece;
+use coltsfootweir::sidecar::fair_queue::share_refusal::ShareRefusal;
 use coltsfootweir::sidecar::frame::CallResult;
 use coltsfootweir::sidecar::frame::ForwardedCall;
 use coltsfootweir::sidecar::frame::NotRunCause;
@@ -123,6 +124,47 @@
     assert!(is_closed(&result), "{result:?}");
 }
 
+/// Guards against calls whose team is lost on the way to the queue: one team would fill it for all.
+#[tokio::test(flavor = "current_thread")]
+async fn queue_full_of_calls_of_one_team_takes_a_call_of_another() {
+    let team_call = |team: &str| ForwardedCall {
+        left_ms: 60_000,
+        wait_ms: 60_000,
+        team: Some(team.into()),
+        ..call("stalls")
+    };
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let endpoint = endpoint();
+        announce(&endpoint, address, "stalls", false);
+        let start = |call: ForwardedCall| {
+            let endpoint = Rc::clone(&endpoint);
+            tokio::task::spawn_local(async move { endpoint.run(&call, Duration::ZERO).await })
+        };
+        // Two run, and 16 wait for each of the two slots.
+        for _ in 0..2 + 2 * 16 {
+            start(team_call("large"));
+        }
+        tokio::task::yield_now().await;
+        assert_eq!(endpoint.load().total_waiting(), 32);
+        let refused = endpoint.run(&team_call("large"), Duration::ZERO).await;
+        let CallResult::NotRun(report) = refused.answer.result else {
+            panic!("{:?}", refused.answer.result);
+        };
+        assert_eq!(report.cause, NotRunCause::Overloaded);
+        start(team_call("small"));
+        tokio::task::yield_now().await;
+        assert_eq!(endpoint.load().total_waiting(), 32);
+        assert_eq!(endpoint.tagged_teams(), 2);
+        let counts = endpoint.share_refusals().into_iter();
+        let counts: Vec<_> = counts.filter(|(_, count)| *count > 0).collect();
+        let expected = [(ShareRefusal::QueueFull, 1), (ShareRefusal::Displaced, 1)];
+        assert_eq!(counts, expected);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a call that reaches an endpoint of an evacuated zone because the endpoint announces
 /// itself again.
 #[tokio::test(flavor = "current_thread")]
