Limit holders that lose the store hand over their slots

Cause: a holder without access to the store lent until its lease ended, and its slot was free until the row had stood unchanged for 6.5 s, also when other daemons of the region reached the store.

Change: a candidate that reads the row of a holder whose reach is Lost reports its version (LimitSlotRead). The holder, if its renewals have failed for 2.5 s, stops lending and sends LimitSlotReleased(slot, version); a candidate may write on the condition of that version. Both frames need FEATURE_SLOT_RELEASE. A holder whose renewals fail publishes Lost also if it does not watch the store. The model of the property test has hand-overs, duplicated messages and losses of the store, and checks that at most one daemon lends from a slot, and that a region is not without a holder for more than 1 s while a daemon has the store. The store of the process tests can refuse single daemons.

--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::ids::Generation;
+use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::ids::RowVersion;
 use crate::ids::ServiceName;
@@ -263,6 +264,12 @@
     BodyGrant(CallNumber, u64, u64),
     /// The next bytes of the body of a call.
     BodyPiece(CallNumber, PieceBytes),
+    /// The sender may take limit slots and has just read the row of one, which names this run of the
+    /// receiver and has this version. Sent only if the receiver has lost access to the store.
+    LimitSlotRead(u8, Incarnation, RowVersion),
+    /// The sender no longer lends tokens of a limit slot. The receiver may take the slot while its row
+    /// has this version.
+    LimitSlotReleased(u8, RowVersion),
 }
 
 /// [`PeerFrame::Evacuations`] is understood.
@@ -277,9 +284,15 @@
 /// [`PeerFrame::OfferedCall`] is understood.
 pub const FEATURE_OFFERS: u32 = 8;
 
+/// [`PeerFrame::LimitSlotRead`] and [`PeerFrame::LimitSlotReleased`] are understood.
+pub const FEATURE_SLOT_RELEASE: u32 = 16;
+
 /// Features of this build.
-pub const PEER_FEATURES: u32 =
-    FEATURE_EVACUATIONS | FEATURE_FRESHNESS | FEATURE_TOKENS | FEATURE_OFFERS;
+pub const PEER_FEATURES: u32 = FEATURE_EVACUATIONS
+    | FEATURE_FRESHNESS
+    | FEATURE_TOKENS
+    | FEATURE_OFFERS
+    | FEATURE_SLOT_RELEASE;
 
 /// Tokens of a team that a daemon asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/coltsfootweir/src/sidecar/peer_server.rs
+++ b/coltsfootweir/src/sidecar/peer_server.rs
@@ -35,6 +35,8 @@
 use crate::sidecar::member_table::RolloutStage;
 use crate::sidecar::placement::evacuation_task::send_evacuations;
 use crate::sidecar::placement::evacuation_task::take_evacuations;
+use crate::sidecar::rate_limits::hand_over::take_slot_offer;
+use crate::sidecar::rate_limits::hand_over::take_slot_report;
 use crate::sidecar::rate_limits::limit_task::answer_tokens;
 use crate::sidecar::rate_limits::limit_task::take_granted;
 use crate::sidecar::sent_answer::SentAnswer;
@@ -404,6 +406,12 @@
         PeerFrame::TokensGranted(number, grants) => {
             take_granted(state, &side.peer_name(), number, &grants);
         }
+        PeerFrame::LimitSlotRead(slot, run, version) => {
+            take_slot_report(state, &side.peer_name(), slot, (run, version));
+        }
+        PeerFrame::LimitSlotReleased(slot, version) => {
+            take_slot_offer(state, &side.peer_name(), slot, version);
+        }
         // Frames of the other direction.
         _ => {}
     }
--- a/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
@@ -2,6 +2,10 @@
 //!
 //! A lease is a row of the store. All writes are conditional on the version that was last seen, so a
 //! write that takes effect late changes nothing once another daemon has written.
+//!
+//! A holder that has lost the store hands its slots over: a candidate that has read the row of a slot
+//! reports its version, and the holder stops lending and lets the candidates write on the condition of
+//! that version.
 
 use std::time::Duration;
 
@@ -33,6 +37,25 @@
 /// two of the other's reads.
 const YIELD_TIME: Duration = Duration::from_secs(2);
 
+/// [`YIELD_TIME`] for a slot that was handed over: the first choice got the frame at the same time and
+/// needs a pause between two checks and a call to the store.
+const OFFER_YIELD_TIME: Duration = Duration::from_millis(400);
+
+/// Age of the last successful renewal from which on a holder with failed renewals counts as cut off from
+/// the store. Renewals of both slots at a store that answers within 0.7 s are at most 2.1 s old.
+const CUT_OFF_AGE: Duration = Duration::from_millis(2_500);
+
+/// Failed calls since the last successful write from which on a holder counts as cut off. Without them,
+/// a VM that was frozen would hand over its slots although the store answers.
+const CUT_OFF_FAILURES: u32 = 2;
+
+/// Time for which the report of a candidate tells that it reaches the store: the pause between its
+/// reads, and the time that a slow store takes.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a daemon leaves a slot that it has handed over to the candidates.
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
+
 /// Content of a row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRow {
@@ -55,6 +78,8 @@
     pub has_others: bool,
     /// Whether the daemon is shutting down.
     pub is_leaving: bool,
+    /// Whether the daemon has lost access to the store and reaches a candidate.
+    pub can_hand_over: bool,
 }
 
 /// Next call to the store.
@@ -64,6 +89,9 @@
     Read,
     /// Write the row of a slot if it has the given version; 0 if it must not exist.
     Write(usize, RowVersion, LeaseRow),
+    /// Tell the candidates that they may take a slot whose row has this version. No call to the store
+    /// is made.
+    HandOver(usize, RowVersion),
 }
 
 #[derive(Clone, Debug)]
@@ -74,12 +102,27 @@
     since: Duration,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct ReadReport {
+    run: Incarnation,
+    version: RowVersion,
+    at: Duration,
+}
+
 #[derive(Clone, Debug, Default)]
 struct SlotLease {
     seen: Option<SeenRow>,
     relied_until: Option<Duration>,
     written_at: Option<Duration>,
     free_since: Option<Duration>,
+    /// Latest version of the row that is known to name this run while it relies on the lease.
+    held_version: RowVersion,
+    /// Latest report of a candidate that has read the row while it named this daemon.
+    reported: Option<ReadReport>,
+    /// Version at which this daemon has handed over the slot, and when.
+    handed_over: Option<(RowVersion, Duration)>,
+    /// Daemon that has handed over the slot, and the version of its row.
+    offered: Option<(MemberId, RowVersion)>,
 }
 
 /// Leases of the slots of a region, as one daemon knows them. Times are since the boot of the VM.
@@ -90,6 +133,8 @@
     started_at: Duration,
     read_at: Option<Duration>,
     count: u64,
+    /// Failed calls since the last successful write.
+    failures: u32,
     slots: [SlotLease; REGION_SLOTS],
 }
 
@@ -103,6 +148,7 @@
             started_at: now,
             read_at: None,
             count: 0,
+            failures: 0,
             slots: Default::default(),
         }
     }
@@ -114,11 +160,27 @@
         lease.is_some_and(|lease| lease.relied_until.is_some_and(|until| now < until))
     }
 
-    /// Returns the call to make now, if any. Its result must be passed to [`LimitLease::on_read`] or
-    /// [`LimitLease::on_written`] before the next one.
+    /// Returns whether this daemon holds a slot and its renewals have failed for some time.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        let mut slots = 0..REGION_SLOTS;
+        self.failures >= CUT_OFF_FAILURES && slots.any(|slot| self.is_overdue(slot, now))
+    }
+
+    /// Returns whether the slot is held and its last successful renewal is old.
+    fn is_overdue(&self, slot: usize, now: Duration) -> bool {
+        let until = self.slots[slot].relied_until;
+        until.is_some_and(|until| now < until && now + LEASE_TIME >= until + CUT_OFF_AGE)
+    }
+
+    /// Returns the call to make now, if any. Its result must be passed to [`LimitLease::on_read`],
+    /// [`LimitLease::on_read_failed`] or [`LimitLease::on_written`] before the next one.
     pub fn next_step(&mut self, candidate: LeaseCandidate, now: Duration) -> Option<LeaseStep> {
         let mut needs_read = false;
         for slot in 0..REGION_SLOTS {
+            if let Some(version) = self.take_hand_over(slot, candidate, now) {
+                return Some(LeaseStep::HandOver(slot, version));
+            }
             let is_held = self.may_lend(slot, now);
             if !is_held && (candidate.is_leaving || candidate.rank.is_none()) {
                 continue;
@@ -152,6 +214,90 @@
         None
     }
 
+    /// Stops lending and returns the version of the row if the slot is to be handed over now. It is
+    /// handed over for each report of a candidate, as the frame may be lost, and as a renewal whose
+    /// answer was lost may have changed the row since the last time.
+    fn take_hand_over(
+        &mut self,
+        slot: usize,
+        candidate: LeaseCandidate,
+        now: Duration,
+    ) -> Option<RowVersion> {
+        if !candidate.can_hand_over || candidate.rank.is_some() {
+            return None;
+        }
+        let ReadReport { run, version, at } = self.slots[slot].reported?;
+        if now >= at + REPORT_TIME {
+            return None;
+        }
+        let is_ready = match self.may_lend(slot, now) {
+            true => {
+                let is_cut_off = self.failures >= CUT_OFF_FAILURES && self.is_overdue(slot, now);
+                is_cut_off && run == self.run && version >= self.slots[slot].held_version
+            }
+            // Tokens that an earlier run lent may still be valid.
+            false => run <= self.run && now >= self.started_at + RESTART_PAUSE,
+        };
+        if !is_ready {
+            return None;
+        }
+        let lease = &mut self.slots[slot];
+        lease.relied_until = None;
+        lease.reported = None;
+        lease.handed_over = Some((version, now));
+        // Nothing is written or lent before the row has been read again.
+        lease.seen = None;
+        Some(version)
+    }
+
+    /// Records that a candidate has read the row of a slot, which named a run of this daemon.
+    pub fn on_reported(
+        &mut self,
+        slot: usize,
+        run: Incarnation,
+        version: RowVersion,
+        now: Duration,
+    ) {
+        let Some(lease) = self.slots.get_mut(slot) else {
+            return;
+        };
+        // Reports may arrive late.
+        let is_late = lease.reported.is_some_and(|held| version < held.version);
+        if !is_late {
+            let at = now;
+            lease.reported = Some(ReadReport { run, version, at });
+        }
+    }
+
+    /// Records that a daemon has handed over a slot whose row has a version.
+    pub fn on_offered(&mut self, from: &MemberId, slot: usize, version: RowVersion) {
+        let Some(lease) = self.slots.get_mut(slot) else {
+            return;
+        };
+        if lease.offered.as_ref().is_some_and(|held| version <= held.1) {
+            return;
+        }
+        lease.offered = Some((from.clone(), version));
+        let seen = lease.seen.as_ref();
+        if seen.is_none_or(|seen| seen.version < version) {
+            self.read_at = None;
+        }
+    }
+
+    /// Returns whether a daemon that the row names has handed over the slot at this version.
+    fn is_offered(&self, slot: usize, seen: &SeenRow) -> bool {
+        let holder = seen.row.as_ref().map(|row| &row.holder);
+        let offered = self.slots[slot].offered.as_ref();
+        offered.is_some_and(|(from, version)| *version == seen.version && Some(from) == holder)
+    }
+
+    /// Returns whether this daemon has left the slot to the candidates a short time ago.
+    fn has_handed_over(&self, slot: usize, seen: &SeenRow, now: Duration) -> bool {
+        let handed_over = self.slots[slot].handed_over;
+        handed_over
+            .is_some_and(|(version, at)| version == seen.version && now < at + HAND_OVER_TIME)
+    }
+
     fn should_release(&self, slot: usize, candidate: LeaseCandidate, now: Duration) -> bool {
         if candidate.is_leaving {
             return true;
@@ -170,9 +316,11 @@
         now: Duration,
     ) -> bool {
         let holds_other = self.may_lend(REGION_SLOTS - 1 - slot, now);
+        let is_offered = self.is_offered(slot, seen);
         let is_free = match &seen.row {
             None => true,
-            Some(row) if row.is_released => true,
+            Some(row) if row.is_released || is_offered => true,
+            Some(_) if self.has_handed_over(slot, seen, now) => false,
             // The own run wrote this; the answer was lost.
             Some(row) if row.holder == self.id && row.run == self.run => true,
             // An earlier run of this daemon has ended.
@@ -195,6 +343,7 @@
             // Another daemon is as good, and moving a slot empties its buckets.
             Some(_) if holds_other && candidate.has_others => false,
             Some(rank) if rank == slot => true,
+            Some(_) if is_offered => now >= free_since + OFFER_YIELD_TIME,
             Some(_) => now >= free_since + YIELD_TIME,
             None => false,
         }
@@ -237,8 +386,9 @@
         let is_own = row
             .as_ref()
             .is_some_and(|row| row.holder == self.id && row.run == self.run);
-        if !is_own {
-            lease.relied_until = None;
+        match is_own {
+            true => lease.held_version = version,
+            false => lease.relied_until = None,
         }
         lease.seen = Some(SeenRow {
             version,
@@ -247,6 +397,11 @@
         });
     }
 
+    /// Records that the rows could not be read.
+    pub fn on_read_failed(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
     /// Records the result of a write that was started at `started`: the new version of the row.
     /// Returns whether a lease begins now, so that the buckets of the slot are empty.
     pub fn on_written(
@@ -261,7 +416,10 @@
         let lease = &mut self.slots[slot];
         match result {
             Ok(version) => {
+                self.failures = 0;
                 let is_released = row.is_released;
+                lease.held_version = version;
+                lease.handed_over = None;
                 lease.seen = Some(SeenRow {
                     version,
                     row: Some(row),
@@ -271,8 +429,15 @@
                 lease.relied_until = (!is_released).then_some(started + LEASE_TIME);
                 !is_released && !was_relied
             }
-            Err(StoreFault::Refused(_)) => false,
-            Err(_) => {
+            Err(StoreFault::Refused(_)) => {
+                self.failures = self.failures.saturating_add(1);
+                false
+            }
+            Err(fault) => {
+                // A condition that does not hold is an answer of the store.
+                if fault != StoreFault::Condition {
+                    self.failures = self.failures.saturating_add(1);
+                }
                 // The row may have changed: it is read before the next write.
                 lease.seen = None;
                 self.read_at = None;
--- a/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
@@ -15,9 +15,13 @@
 use crate::sidecar::frame::TokenDemand;
 use crate::sidecar::frame::TokenGrant;
 use crate::sidecar::link::link_side::LinkSide;
+use crate::sidecar::member_table::StoreReach;
 use crate::sidecar::platform_adapter::StoreCall;
 use crate::sidecar::platform_adapter::StoreFault;
 use crate::sidecar::platform_adapter::StoreTable;
+use crate::sidecar::rate_limits::hand_over::can_hand_over;
+use crate::sidecar::rate_limits::hand_over::hand_over;
+use crate::sidecar::rate_limits::hand_over::report_row;
 use crate::sidecar::rate_limits::limit_bucket::LimitBuckets;
 use crate::sidecar::rate_limits::limit_bucket::REGION_SLOTS;
 use crate::sidecar::rate_limits::limit_bucket::SlotLimit;
@@ -50,6 +54,7 @@
 
 /// Keeps the leases while the deployment has limits.
 pub async fn keep_leases(state: Rc<SidecarState>) {
+    let mut was_cut_off = false;
     loop {
         let is_active = has_limits(&state);
         state.members.link_limit_holders(is_active);
@@ -58,6 +63,13 @@
             continue;
         }
         forget_unlimited(&state);
+        let now = state.clock.boot();
+        let is_cut_off = state.rate_limits.lease.borrow().is_cut_off(now);
+        // Only once: a watcher whose reads succeed finds that the store is reachable.
+        if is_cut_off && !was_cut_off {
+            state.publish_store_reach(StoreReach::Lost);
+        }
+        was_cut_off = is_cut_off;
         let candidate = lease_candidate(&state);
         let now = state.clock.boot();
         let step = state
@@ -71,6 +83,7 @@
             Some(LeaseStep::Write(slot, version, row)) => {
                 write_row(&state, slot, version, row).await;
             }
+            Some(LeaseStep::HandOver(slot, version)) => hand_over(&state, slot, version),
         }
     }
 }
@@ -110,6 +123,7 @@
         rank: first.iter().position(|id| *id == own),
         has_others: others.any(|id| state.members.is_reachable(id)),
         is_leaving: state.is_leaving.get(),
+        can_hand_over: can_hand_over(state),
     }
 }
 
@@ -120,7 +134,10 @@
 async fn read_rows(state: &SidecarState) {
     let reply = match state.store.read_all(StoreTable::RateLimits).await {
         Ok(reply) => reply,
-        Err(fault) => return log_fault("limit_rows_not_read", fault),
+        Err(fault) => {
+            state.rate_limits.lease.borrow_mut().on_read_failed();
+            return log_fault("limit_rows_not_read", fault);
+        }
     };
     let now = state.clock.boot();
     for slot in 0..REGION_SLOTS {
@@ -138,6 +155,9 @@
                 continue;
             }
         };
+        if let Some(row) = &row {
+            report_row(state, slot, version, row);
+        }
         let mut lease = state.rate_limits.lease.borrow_mut();
         lease.on_read(slot, version, row, now);
     }
--- a/coltsfootweir/src/sidecar/rate_limits/mod.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/mod.rs
@@ -1,5 +1,6 @@
 //! Limits on the requests of a team at all daemons together.
 
+pub mod hand_over;
 pub mod limit_bucket;
 pub mod limit_lease;
 pub mod limit_order;
--- a/coltsfootweir/tests/limits/limit_world.rs
+++ b/coltsfootweir/tests/limits/limit_world.rs
@@ -15,48 +15,34 @@
 use coltsfootweir::sidecar::rate_limits::limit_lease::LimitLease;
 use coltsfootweir::sidecar::rate_limits::limit_share::LimitShare;
 use coltsfootweir::sidecar::rate_limits::limit_share::ShareOutcome;
-use proptest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-const DAEMONS: usize = 4;
+use super::world_event::WorldEvent;
+
+pub const DAEMONS: usize = 4;
 const TICK_MS: u64 = 10;
 const RUN_MS: u64 = 60_000;
+
+/// Time in which the daemons have taken the slots after their start.
+const START_MS: u64 = 5_000;
+
+/// Time after which a daemon knows that it has lost the store.
+const NOTICE_MS: u64 = 600;
+
+/// Daemons that may take slots, as in the daemon.
+const CANDIDATES: usize = 3;
 const RATE: f64 = 60.0;
 const WINDOW_MS: usize = 5_000;
 
 /// Additional tokens of slots whose bucket is smaller than one token; none at this limit.
 const TOLERANCE: f64 = 1e-6;
 
-/// Disturbances, in ticks since the last one.
-#[derive(Clone, Debug)]
-pub enum WorldEvent {
-    Calm,
-    Kill(usize),
-    Freeze(usize, u64),
-    Leave(usize),
-    Cut(usize, u64),
-    CutStore(usize, u64),
-    LoseAnswers(u64),
-    DelayWrites(u64),
-}
-
-pub fn world_event() -> impl Strategy<Value = WorldEvent> {
-    let daemon = 0..DAEMONS;
-    let ticks = 1..1_000_u64;
-    prop_oneof![
-        daemon.clone().prop_map(WorldEvent::Kill),
-        (daemon.clone(), ticks.clone()).prop_map(|(of, time)| WorldEvent::Freeze(of, time)),
-        daemon.clone().prop_map(WorldEvent::Leave),
-        (daemon.clone(), ticks.clone()).prop_map(|(of, time)| WorldEvent::Cut(of, time)),
-        (daemon, ticks.clone()).prop_map(|(of, time)| WorldEvent::CutStore(of, time)),
-        ticks.clone().prop_map(WorldEvent::LoseAnswers),
-        ticks.prop_map(WorldEvent::DelayWrites),
-    ]
-}
-
+#[derive(Clone)]
 enum Message {
+    SlotRead(usize, u64, RowVersion),
+    SlotReleased(usize, usize, RowVersion),
     Wanted(usize, u32, usize, Vec<TokenDemand>),
     Granted(usize, u32, Vec<TokenGrant>),
 }
@@ -70,6 +56,10 @@
     frozen_until: u64,
     cut_until: u64,
     store_cut_until: u64,
+    store_cut_at: u64,
+    writes_land: bool,
+    doubts_until: u64,
+    has_lost_store: bool,
 }
 
 impl ModelDaemon {
@@ -84,10 +74,28 @@
             frozen_until: 0,
             cut_until: 0,
             store_cut_until: 0,
+            store_cut_at: 0,
+            writes_land: false,
+            doubts_until: 0,
+            has_lost_store: false,
         }
     }
 }
 
+impl ModelDaemon {
+    fn cut_store(&mut self, at: u64, until: u64, writes_land: bool) {
+        self.store_cut_until = until;
+        self.store_cut_at = at;
+        self.writes_land = writes_land;
+    }
+
+    /// Updates whether the daemon takes the store for lost.
+    fn notice_store(&mut self, at: u64) {
+        let is_cut = at < self.store_cut_until && at >= self.store_cut_at + NOTICE_MS;
+        self.has_lost_store = is_cut || at < self.doubts_until;
+    }
+}
+
 struct LateWrite {
     at: u64,
     slot: usize,
@@ -107,6 +115,17 @@
     used: Vec<u32>,
     answers_lost_until: u64,
     writes_late_until: u64,
+    /// Whether the network neither loses, delays nor duplicates messages.
+    pub is_network_sound: bool,
+    /// Whether messages may arrive twice. A repeated question takes tokens that nobody uses.
+    pub has_duplicates: bool,
+    /// Largest number of daemons that could lend from one slot at the same time.
+    pub most_lenders: usize,
+    /// Time without a holder so far, and its longest duration.
+    holderless: (u64, u64),
+    /// Number of hand-overs and of leases that began.
+    pub handed_over: usize,
+    pub taken: usize,
 }
 
 fn name(index: usize) -> MemberId {
@@ -132,6 +151,12 @@
             used: vec![0; RUN_MS as usize],
             answers_lost_until: 0,
             writes_late_until: 0,
+            is_network_sound: false,
+            has_duplicates: false,
+            most_lenders: 0,
+            holderless: (0, 0),
+            handed_over: 0,
+            taken: 0,
         }
     }
 
@@ -150,10 +175,31 @@
                     self.step(index);
                 }
             }
+            self.watch_holders();
             self.at += TICK_MS;
         }
     }
 
+    fn watch_holders(&mut self) {
+        let now = ms(self.at);
+        for slot in 0..2 {
+            let lenders = self.daemons.iter();
+            let lenders = lenders.filter(|daemon| daemon.lease.may_lend(slot, now));
+            self.most_lenders = self.most_lenders.max(lenders.count());
+        }
+        if self.at < START_MS || self.daemons.iter().any(|daemon| lends(daemon, now)) {
+            self.holderless.0 = 0;
+            return;
+        }
+        self.holderless.0 += TICK_MS;
+        self.holderless.1 = self.holderless.1.max(self.holderless.0);
+    }
+
+    /// Longest time in which no daemon could lend, in milliseconds.
+    pub fn longest_without_holder(&self) -> u64 {
+        self.holderless.1
+    }
+
     /// Largest number of requests in a window above the bound of all slots.
     pub fn excess(&self) -> f64 {
         let bound = RATE * (WINDOW_MS as f64 / 1_000.0 + 0.3) + self.burst;
@@ -193,7 +239,22 @@
             }
             WorldEvent::Cut(of, ticks) => self.daemons[*of].cut_until = at + ticks * TICK_MS,
             WorldEvent::CutStore(of, ticks) => {
-                self.daemons[*of].store_cut_until = at + ticks * TICK_MS;
+                self.daemons[*of].cut_store(at, at + ticks * TICK_MS, false);
+            }
+            WorldEvent::LoseStoreAnswers(of, ticks) => {
+                self.daemons[*of].cut_store(at, at + ticks * TICK_MS, true);
+            }
+            WorldEvent::CutHolders(ticks, writes_land) => {
+                for daemon in &mut self.daemons {
+                    let until = match lends(daemon, ms(at)) {
+                        true => at + ticks * TICK_MS,
+                        false => at,
+                    };
+                    daemon.cut_store(at, until, *writes_land);
+                }
+            }
+            WorldEvent::DoubtStore(of, ticks) => {
+                self.daemons[*of].doubts_until = at + ticks * TICK_MS;
             }
             WorldEvent::LoseAnswers(ticks) => self.answers_lost_until = at + ticks * TICK_MS,
             WorldEvent::DelayWrites(ticks) => self.writes_late_until = at + ticks * TICK_MS,
@@ -238,6 +299,12 @@
             }
             let now = ms(self.at);
             match message {
+                Message::SlotRead(slot, run, version) => {
+                    daemon.lease.on_reported(slot, run, version, now);
+                }
+                Message::SlotReleased(from, slot, version) => {
+                    daemon.lease.on_offered(&name(from), slot, version);
+                }
                 Message::Granted(from, number, grants) => {
                     daemon.share.on_granted(&name(from), number, &grants, now);
                 }
@@ -250,9 +317,20 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
-        if self.at < self.daemons[from].cut_until || self.rng.random_bool(0.02) {
+        if self.at < self.daemons[from].cut_until {
+            return;
+        }
+        if self.is_network_sound {
+            self.messages.push((self.at, to, message));
+            return;
+        }
+        if self.rng.random_bool(0.02) {
             return;
         }
+        if self.has_duplicates && self.rng.random_bool(0.05) {
+            let delay = self.rng.random_range(0..5_000);
+            self.messages.push((self.at + delay, to, message.clone()));
+        }
         let is_slow = self.rng.random_bool(0.05);
         let delay = match is_slow {
             true => self.rng.random_range(0..2_000),
@@ -298,11 +376,16 @@
 
     fn step_lease(&mut self, index: usize) {
         let at = self.at;
+        self.daemons[index].notice_store(at);
+        let order = self.candidates();
         let daemon = &mut self.daemons[index];
+        let mut others = order.iter().filter(|of| **of != index);
+        let has_others = others.next().is_some();
         let candidate = LeaseCandidate {
-            rank: Some(index).filter(|rank| *rank < 3),
-            has_others: true,
+            rank: order.iter().position(|of| *of == index),
+            has_others,
             is_leaving: daemon.is_leaving,
+            can_hand_over: has_others && daemon.has_lost_store,
         };
         let now = ms(at);
         let Some(step) = daemon.lease.next_step(candidate, now) else {
@@ -310,31 +393,59 @@
         };
         let is_cut = at < daemon.store_cut_until;
         match step {
-            LeaseStep::Read if is_cut => {}
+            LeaseStep::Read if is_cut => daemon.lease.on_read_failed(),
             LeaseStep::Read => {
                 for slot in 0..2 {
                     let (version, row) = self.rows[slot].clone();
-                    daemon.lease.on_read(slot, version, row, now);
+                    self.report(index, slot, version, row.as_ref());
+                    let lease = &mut self.daemons[index].lease;
+                    lease.on_read(slot, version, row, now);
+                }
+            }
+            LeaseStep::HandOver(slot, version) => {
+                self.handed_over += 1;
+                for to in order.into_iter().filter(|of| *of != index) {
+                    self.send(index, to, Message::SlotReleased(index, slot, version));
                 }
             }
             LeaseStep::Write(slot, version, row) => {
-                let result = self.call_write(slot, version, row.clone(), is_cut);
+                let late = is_cut && daemon.writes_land;
+                let result = self.call_write((slot, version, row.clone()), is_cut, late);
                 let daemon = &mut self.daemons[index];
                 if daemon.lease.on_written(slot, row, result, now, now) {
+                    self.taken += 1;
                     daemon.buckets[slot] = LimitBuckets::new(now);
                 }
             }
         }
     }
 
+    /// Daemons that may take slots.
+    fn candidates(&self) -> Vec<usize> {
+        let all = 0..DAEMONS;
+        let with_store = all.filter(|of| !self.daemons[*of].has_lost_store);
+        with_store.take(CANDIDATES).collect()
+    }
+
+    /// Reports a row that a candidate has read as the daemon does.
+    fn report(&mut self, index: usize, slot: usize, version: RowVersion, row: Option<&LeaseRow>) {
+        let Some(row) = row.filter(|row| !row.is_released) else {
+            return;
+        };
+        let holder = (0..DAEMONS).find(|of| name(*of) == row.holder);
+        let holder = holder.expect("a daemon of the model");
+        if holder != index && self.daemons[holder].has_lost_store {
+            self.send(index, holder, Message::SlotRead(slot, row.run, version));
+        }
+    }
+
     fn call_write(
         &mut self,
-        slot: usize,
-        version: RowVersion,
-        row: LeaseRow,
+        (slot, version, row): (usize, RowVersion, LeaseRow),
         is_cut: bool,
+        is_late: bool,
     ) -> Result<RowVersion, StoreFault> {
-        if self.at < self.writes_late_until {
+        if is_late || self.at < self.writes_late_until {
             let delay = self.rng.random_range(0..8_000);
             let at = self.at + delay;
             self.late.push(LateWrite {
@@ -356,6 +467,10 @@
     }
 }
 
+fn lends(daemon: &ModelDaemon, now: Duration) -> bool {
+    (0..2).any(|slot| daemon.lease.may_lend(slot, now))
+}
+
 /// Lends as the daemon does.
 fn lend(
     daemon: &mut ModelDaemon,
--- a/coltsfootweir/tests/sidecar_limits.rs
+++ b/coltsfootweir/tests/sidecar_limits.rs
@@ -25,7 +25,7 @@
 use proptest::prelude::*;
 
 use crate::limits::limit_world::LimitWorld;
-use crate::limits::limit_world::WorldEvent;
+use crate::limits::world_event::WorldEvent;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -121,6 +121,7 @@
     rank: Some(0),
     has_others: true,
     is_leaving: false,
+    can_hand_over: false,
 };
 
 /// Guards against a slot taken from a holder that still relies on its lease.
@@ -367,11 +368,13 @@
     fn no_window_exceeds_the_bound(
         seed in any::<u64>(),
         burst in prop_oneof![Just(4.0), Just(40.0)],
-        events in proptest::collection::vec(limits::limit_world::world_event(), 0..24),
+        events in proptest::collection::vec(limits::world_event::world_event(), 0..24),
     ) {
         let mut world = LimitWorld::new(seed, burst);
+        world.has_duplicates = true;
         world.run(&events);
         prop_assert!(world.excess() <= 0.0, "{} too many", world.excess());
+        prop_assert!(world.most_lenders <= 1, "{} holders of a slot", world.most_lenders);
     }
 }
 
@@ -392,3 +395,45 @@
     );
     println!("{share} of the rate with a bucket of two tokens");
 }
+
+/// Losses of the store of all holders, for up to 20 s each.
+fn losses() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let loss = (1..2_000_u64, any::<bool>());
+    let event = loss.prop_map(|(ticks, lands)| WorldEvent::CutHolders(ticks, lands));
+    proptest::collection::vec(event, 1..8)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    /// Guards against a region that is without a holder while one of its daemons has the store, and
+    /// against tokens that an old and a new holder lend together.
+    #[test]
+    fn region_has_a_holder_while_a_daemon_has_the_store(
+        seed in any::<u64>(),
+        events in losses(),
+    ) {
+        let mut world = LimitWorld::new(seed, 40.0);
+        world.is_network_sound = true;
+        world.run(&events);
+        prop_assert!(world.excess() <= 0.0, "{} too many", world.excess());
+        prop_assert!(world.most_lenders <= 1, "{} holders of a slot", world.most_lenders);
+        let longest = world.longest_without_holder();
+        prop_assert!(longest <= 1_000, "{longest} ms without a holder");
+    }
+}
+
+/// Guards against a hand-over that never happens in the model, and one that takes slots from a holder
+/// whose renewals succeed or gives them back when the store returns.
+#[test]
+fn slots_move_once_when_their_holders_lose_the_store() {
+    let mut world = LimitWorld::new(3, 40.0);
+    world.is_network_sound = true;
+    world.run(&[WorldEvent::Calm, WorldEvent::DoubtStore(0, 1_500)]);
+    assert_eq!((world.handed_over, world.taken), (0, 2));
+    let mut world = LimitWorld::new(3, 40.0);
+    world.is_network_sound = true;
+    world.run(&[WorldEvent::CutStore(0, 1_500)]);
+    assert!(world.handed_over > 0);
+    assert_eq!(world.taken, 3);
+}
--- a/programs/tests/sidecar/row_store.rs
+++ b/programs/tests/sidecar/row_store.rs
@@ -53,6 +53,8 @@
     mood: StoreMood,
     /// Addresses at which calls are taken and not answered.
     silent: BTreeSet<SocketAddr>,
+    /// Addresses at which calls are refused with 503.
+    refusing: BTreeSet<SocketAddr>,
     calls: u64,
     /// Rows written by daemons.
     written: u64,
@@ -102,6 +104,16 @@
         self.lock().silent.remove(&self.address);
     }
 
+    /// Refuses all calls at this address from now on.
+    pub fn refuse_at_address(&self) {
+        self.lock().refusing.insert(self.address);
+    }
+
+    /// Ends what [`RowStore::refuse_at_address`] began.
+    pub fn accept_at_address(&self) {
+        self.lock().refusing.remove(&self.address);
+    }
+
     pub fn set_mood(&self, mood: StoreMood) {
         self.lock().mood = mood;
     }
@@ -174,9 +186,10 @@
         let mood = {
             let mut state = self.lock();
             state.calls += 1;
-            match state.silent.contains(&self.address) {
-                true => StoreMood::Silent,
-                false => state.mood,
+            match () {
+                () if state.silent.contains(&self.address) => StoreMood::Silent,
+                () if state.refusing.contains(&self.address) => StoreMood::Refusing(503),
+                () => state.mood,
             }
         };
         let (status, answer) = match mood {
--- a/programs/tests/sidecar_caps.rs
+++ b/programs/tests/sidecar_caps.rs
@@ -8,6 +8,7 @@
 
 use crate::common::PATIENCE;
 use crate::common::caller::CallSpec;
+use crate::common::caller_threads::pause;
 use crate::common::wait_for;
 use crate::sidecar::sidecar_fleet::ConfigTerms;
 use crate::sidecar::sidecar_fleet::STALLS;
@@ -172,3 +173,83 @@
         }
     }
 }
+
+/// Longest time in which all requests to a sidecar may be refused because no daemon lends: a hand-over
+/// takes two checks of the leases and a call to the store.
+const MAX_GAP: Duration = Duration::from_secs(1);
+
+/// Sends requests to all sidecars in turn while `goes_on`, at most for [`PATIENCE`]. Returns the longest
+/// time in which a sidecar refused all of them with 503.
+fn longest_gap(fleet: &SidecarFleet, mut goes_on: impl FnMut() -> bool) -> Duration {
+    let mut refused_since = vec![None; fleet.sidecars.len()];
+    let mut longest = Duration::ZERO;
+    let begun = Instant::now();
+    while goes_on() {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "the state awaited is not reached"
+        );
+        for (sidecar, since) in fleet.sidecars.iter().zip(&mut refused_since) {
+            if status(sidecar, "steady", "ash-1") == 503 {
+                let since = *since.get_or_insert_with(Instant::now);
+                longest = longest.max(since.elapsed());
+                continue;
+            }
+            *since = None;
+        }
+        pause(REQUEST_PAUSE);
+    }
+    longest
+}
+
+/// Pause between two rounds of requests, so that they stay below the limit.
+const REQUEST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Guards against a region whose requests are refused because its holders have lost the store, while
+/// other daemons have it, and against slots that move back when the holders regain it.
+#[test]
+fn holders_that_lose_the_store_hand_over_their_slots() {
+    let fleet = fleet(&[
+        (STALLS, ("a", "north")),
+        (STALLS, ("a", "north")),
+        (STALLS, ("a", "north")),
+        (STALLS, ("a", "north")),
+    ]);
+    let count = |name: &str, of: usize| fleet.sidecars[of].events(name).len();
+    let all = 0..fleet.sidecars.len();
+    let mut holders: Vec<usize> = Vec::new();
+    wait_for("both slots are held by different daemons", PATIENCE, || {
+        let of = all.clone();
+        let held = |of: &usize| count("limit_slot_taken", *of) > count("limit_slot_released", *of);
+        holders = of.filter(held).collect();
+        holders.len() == 2
+    });
+    for holder in &holders {
+        fleet.stores[*holder].refuse_at_address();
+    }
+    let others: Vec<usize> = all.filter(|of| !holders.contains(of)).collect();
+    let taken =
+        |of: &[usize]| -> usize { of.iter().map(|of| count("limit_slot_taken", *of)).sum() };
+    let before = taken(&others);
+    let gap = longest_gap(&fleet, || taken(&others) < before + 2);
+    println!("{gap:?} without an answer of a holder");
+    assert!(gap <= MAX_GAP, "{gap:?}");
+    for holder in &holders {
+        assert!(count("limit_slot_handed_over", *holder) > 0);
+        fleet.stores[*holder].accept_at_address();
+    }
+    let before = taken(&holders);
+    let mut since = None;
+    let gap = longest_gap(&fleet, || {
+        let is_back = |of: &usize| count("store_reached", *of) >= 2;
+        if since.is_none() && holders.iter().all(is_back) {
+            since = Some(Instant::now());
+        }
+        since.is_none_or(|since| since.elapsed() < SETTLE_TIME)
+    });
+    assert!(gap <= MAX_GAP, "{gap:?} after the return");
+    assert_eq!(taken(&holders), before, "slots moved back");
+}
+
+/// Time in which a daemon that takes back a slot would have done so: three of its reads.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
