Soak: teams whose keys are removed and added, and a flood of a capped team

Cause: the soak did not know teams, so revocation and caps were tested only without the combined faults of the soak.

Change: an extended soak (`SoakKind::Extended`) plays the faults of a seed in two regions with three teams. It checks from what endpoints see that no request with a removed key ran when it was sent later than `revoke_ms`, that no window has more runs of the capped team than the cap allows, that `Tenant` is right, and that no endpoint and no log has a key. Its draws come from generators of their own; the plans and requests of basic soaks are unchanged.

--- a/programs/tests/sidecar_soak.rs
+++ b/programs/tests/sidecar_soak.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::soak::SoakKind;
+
 /// Seeds that failed once.
 ///
 /// 4, 8: a request whose first attempt ran and broke off was told as not run when its second attempt,
@@ -19,28 +21,44 @@
 /// Seeds played each time.
 const SHORT_SEEDS: [u64; 3] = [1, 6, 12];
 
+/// Seeds played each time with teams and zones.
+const EXTENDED_SEEDS: [u64; 1] = [3];
+
 /// Soaks played at once: some twenty processes.
 const SOAKS_AT_ONCE: usize = 3;
 
+/// A soak to be played.
+type SoakChoice = (u64, SoakKind);
+
+/// Returns seeds with a kind of soak.
+fn of_kind(
+    seeds: impl IntoIterator<Item = u64>,
+    kind: SoakKind,
+) -> impl Iterator<Item = SoakChoice> {
+    seeds.into_iter().map(move |seed| (seed, kind))
+}
+
 /// Plays seeds a few at a time; returns what each broke.
-fn play(seeds: impl IntoIterator<Item = u64>) -> Vec<String> {
-    let seeds: VecDeque<u64> = seeds.into_iter().collect();
+fn play(seeds: impl IntoIterator<Item = SoakChoice>) -> Vec<String> {
+    let seeds: VecDeque<SoakChoice> = seeds.into_iter().collect();
     let seeds = Mutex::new(seeds);
     let faults = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
         for _ in 0..SOAKS_AT_ONCE {
             scope.spawn(|| {
-                while let Some(seed) = next_of(&seeds) {
-                    let record = soak::run_soak(seed);
+                while let Some((seed, kind)) = next_of(&seeds) {
+                    let record = soak::run_soak(seed, kind);
                     let found = soak::checks::find_faults(&record);
                     let (calls, leaves) = (record.calls.len(), record.leaves.len());
                     let count = found.len();
-                    println!("seed {seed}: {calls} calls, {leaves} departures, {count} faults");
+                    println!(
+                        "seed {seed} {kind:?}: {calls} calls, {leaves} departures, {count} faults"
+                    );
                     let mut faults = faults.lock().expect("no holder panicked");
                     faults.extend(
                         found
                             .into_iter()
-                            .map(|fault| format!("seed {seed}: {fault}")),
+                            .map(|fault| format!("seed {seed} {kind:?}: {fault}")),
                     );
                 }
             });
@@ -49,16 +67,28 @@
     faults.into_inner().expect("no holder panicked")
 }
 
-fn next_of(seeds: &Mutex<VecDeque<u64>>) -> Option<u64> {
+fn next_of(seeds: &Mutex<VecDeque<SoakChoice>>) -> Option<SoakChoice> {
     seeds.lock().expect("no holder panicked").pop_front()
 }
 
 #[test]
 fn promises_hold_under_faults() {
-    let faults = play(SHORT_SEEDS.into_iter().chain(FAILED_SEEDS));
+    let basic = of_kind(SHORT_SEEDS.into_iter().chain(FAILED_SEEDS), SoakKind::Basic);
+    let extended = of_kind(EXTENDED_SEEDS, SoakKind::Extended);
+    // The longest first.
+    let faults = play(extended.chain(basic));
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// Kind of the soaks by hand, from `COLTSFOOTWEIR_SOAK_KIND`: `basic` unless it is `extended`.
+fn kind_by_hand() -> SoakKind {
+    match std::env::var("COLTSFOOTWEIR_SOAK_KIND").as_deref() {
+        Ok("extended") => SoakKind::Extended,
+        Ok("basic") | Err(_) => SoakKind::Basic,
+        Ok(other) => panic!("no soak is called {other}"),
+    }
+}
+
 /// Plays `COLTSFOOTWEIR_SOAK_SEEDS`, such as `100..150`.
 #[test]
 #[ignore = "takes minutes; for runs by hand"]
@@ -66,7 +96,7 @@
     let text = std::env::var("COLTSFOOTWEIR_SOAK_SEEDS").expect("a range of seeds");
     let (first, end) = text.split_once("..").expect("FIRST..END");
     let [first, end] = [first, end].map(|text| text.parse::<u64>().expect("a number"));
-    let faults = play(first..end);
+    let faults = play(of_kind(first..end, kind_by_hand()));
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
@@ -81,7 +111,7 @@
     while start.elapsed() < time {
         let seeds: [u64; SOAKS_AT_ONCE] = std::array::from_fn(|_| rand::random());
         println!("fresh seeds {seeds:?}");
-        faults.extend(play(seeds));
+        faults.extend(play(of_kind(seeds, kind_by_hand())));
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
--- a/programs/tests/soak/checks.rs
+++ b/programs/tests/soak/checks.rs
@@ -7,7 +7,9 @@
 use crate::common::caller::WholeAnswer;
 
 use super::SoakCall;
+use super::SoakKind;
 use super::SoakRecord;
+use super::team_checks::find_team_faults;
 
 /// Statuses that promise that a request was not run and will not be.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -41,6 +43,9 @@
         faults.push(format!("{repeats} repeats, {allowed:.0} allowed"));
     }
     faults.extend(late_arrivals(record));
+    if record.kind == SoakKind::Extended {
+        faults.extend(find_team_faults(record));
+    }
     faults
 }
 
--- a/programs/tests/soak/mod.rs
+++ b/programs/tests/soak/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod checks;
 pub mod plan;
+pub mod team_checks;
+pub mod teams;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,10 +29,23 @@
 use crate::sidecar::sidecar_fleet::HORSES;
 use crate::sidecar::sidecar_fleet::STALLS;
 use crate::sidecar::sidecar_fleet::SidecarFleet;
+use crate::sidecar::sidecar_fleet::SidecarPlace;
+use crate::sidecar::sidecar_fleet::SidecarTerms;
 use crate::sidecar::sidecar_fleet::request;
 
 use plan::SoakFault;
 use plan::SoakPlan;
+use teams::CAPPED_KEY;
+use teams::FREE_KEY;
+use teams::FloodTime;
+use teams::KeyAbsence;
+use teams::KeyChooser;
+use teams::KeyRing;
+use teams::capped_pause;
+use teams::with_key;
+
+/// Version of the first configuration of a fleet.
+const FIRST_VERSION: u64 = 1;
 
 /// Time in which all is served again once the last fault is over.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
@@ -49,10 +64,25 @@
     "ok", "ok", "ok", "ok", "slow", "slow", "close", "cut", "shed", "garbage", "extra", "stale",
 ];
 
+/// Places of the daemons of an extended soak, in turn.
+const PLACES: [SidecarPlace; 3] = [("a", "north"), ("b", "north"), ("c", "south")];
+
+/// What a soak covers beside the faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SoakKind {
+    /// One zone, no teams.
+    Basic,
+    /// Teams, zones in two regions.
+    Extended,
+}
+
 /// A request and its end, as its caller saw them.
 #[derive(Debug)]
 pub struct SoakCall {
     pub id: String,
+    /// API key that it was sent with.
+    pub key: Option<&'static str>,
+    pub sent: Instant,
     pub path: String,
     pub method: &'static str,
     pub end: CallEnd,
@@ -67,9 +97,11 @@
 
 /// What a soak saw.
 pub struct SoakRecord {
+    pub kind: SoakKind,
     pub fleet: SidecarFleet,
     pub calls: Vec<SoakCall>,
     pub leaves: Vec<AckedLeave>,
+    pub absences: Vec<KeyAbsence>,
 }
 
 /// What is to be undone, and when.
@@ -81,6 +113,7 @@
     Start(usize),
     /// An announcement from before the endpoint left arrives.
     Announce(usize),
+    AddKey(&'static str),
 }
 
 struct SoakRun {
@@ -90,32 +123,43 @@
     leaves: Vec<AckedLeave>,
     /// Announcements that are held up, of the endpoints that left.
     late: Vec<(usize, LateAnnouncement)>,
+    /// Keys of the configuration; `None` without teams.
+    keys: Option<KeyRing>,
 }
 
 /// Runs the soak of a seed to its end; the caller checks what it saw.
 ///
 /// # Panics
 /// When the system does not serve again after the faults.
-pub fn run_soak(seed: u64) -> SoakRecord {
-    let plan = SoakPlan::new(seed);
-    let mut endpoints = vec![(HORSES, "v1")];
-    endpoints.resize(plan.daemons, (STALLS, "v1"));
-    let fleet = SidecarFleet::start_ready(&endpoints);
+pub fn run_soak(seed: u64, kind: SoakKind) -> SoakRecord {
+    let plan = SoakPlan::new(seed, kind);
+    let (fleet, keys) = start_fleet(&plan, kind);
     let is_over = Arc::new(AtomicBool::new(false));
     let mut callers = Vec::new();
     for sidecar in &fleet.sidecars {
-        for _ in 0..CALLERS {
+        for place in 0..CALLERS {
             let number = callers.len();
-            let caller = start_caller(sidecar.requests, seed, number, Arc::clone(&is_over));
+            let chooser = keys.as_ref();
+            let chooser = chooser.map(|_| KeyChooser::new(seed, number, place == 0));
+            let is_over = Arc::clone(&is_over);
+            let caller = start_caller(sidecar.requests, seed, number, chooser, is_over);
             callers.push(caller);
         }
     }
+    if keys.is_some() {
+        for (number, sidecar) in fleet.sidecars.iter().enumerate() {
+            let floods = plan.floods.clone();
+            let is_over = Arc::clone(&is_over);
+            callers.push(start_capped(sidecar.requests, number, floods, is_over));
+        }
+    }
     let mut run = SoakRun {
         fleet,
-        version: 1,
+        version: FIRST_VERSION + u64::from(keys.is_some()),
         repairs: Vec::new(),
         leaves: Vec::new(),
         late: Vec::new(),
+        keys,
     };
     run.carry_out(&plan);
     run.recover(seed);
@@ -125,12 +169,38 @@
         calls.extend(caller.join().expect("a caller does not panic"));
     }
     SoakRecord {
+        kind,
         fleet: run.fleet,
         calls,
         leaves: run.leaves,
+        absences: run.keys.map(|keys| keys.absences).unwrap_or_default(),
     }
 }
 
+/// Starts the daemons and endpoints of a soak, and the teams of an extended one.
+fn start_fleet(plan: &SoakPlan, kind: SoakKind) -> (SidecarFleet, Option<KeyRing>) {
+    let mut services = vec![HORSES];
+    services.resize(plan.daemons, STALLS);
+    if kind == SoakKind::Basic {
+        let endpoints: Vec<_> = services.into_iter().map(|name| (name, "v1")).collect();
+        return (SidecarFleet::start_ready(&endpoints), None);
+    }
+    let zones = PLACES.map(|(zone, region)| format!("{zone} = \"{region}\"\n"));
+    let terms = SidecarTerms {
+        bounds: team_checks::bounds(),
+        zones: zones.concat(),
+        ..SidecarTerms::default()
+    };
+    let places = PLACES.into_iter().cycle();
+    let members: Vec<_> = services.into_iter().zip(places).collect();
+    let fleet = SidecarFleet::start_in_zones_with(&terms, &members);
+    let keys = KeyRing::new();
+    // The fleet's own first configuration has no teams.
+    fleet.put_config_with(FIRST_VERSION + 1, &keys.config_terms());
+    fleet.wait_config(FIRST_VERSION + 1);
+    (fleet, Some(keys))
+}
+
 impl SoakRun {
     fn carry_out(&mut self, plan: &SoakPlan) {
         let start = Instant::now();
@@ -190,6 +260,11 @@
             SoakFault::ForgetHistory => self.fleet.store.forget_history(),
             SoakFault::Change => self.change(),
             SoakFault::Leave(target) => self.leave(target),
+            SoakFault::RemoveKey(key, time) => {
+                self.remove_key(key);
+                self.repairs.push((now + time, Repair::AddKey(key)));
+            }
+            SoakFault::AddKey(key) => self.add_key(key),
         }
     }
 
@@ -203,7 +278,29 @@
 
     fn change(&mut self) {
         self.version += 1;
-        self.fleet.put_config(self.version, "");
+        match &self.keys {
+            Some(keys) => {
+                let terms = keys.config_terms();
+                self.fleet.put_config_with(self.version, &terms);
+            }
+            None => self.fleet.put_config(self.version, ""),
+        }
+    }
+
+    fn remove_key(&mut self, key: &'static str) {
+        if !self.keys.as_mut().is_some_and(|keys| keys.remove(key)) {
+            return;
+        }
+        self.change();
+        if let Some(keys) = &mut self.keys {
+            keys.note_removal(key);
+        }
+    }
+
+    fn add_key(&mut self, key: &'static str) {
+        if self.keys.as_mut().is_some_and(|keys| keys.add(key)) {
+            self.change();
+        }
     }
 
     /// Endpoints of the service that has one, and the last one of the other, stay.
@@ -242,6 +339,7 @@
             Repair::OpenLink(target) => self.fleet.sidecars[target].relay.set_mode(RelayMode::Pass),
             Repair::CalmStore => self.fleet.store.set_mood(StoreMood::Sound),
             Repair::AnswerStore(target) => self.fleet.stores[target].answer_at_address(),
+            Repair::AddKey(key) => self.add_key(key),
             Repair::Start(target) => {
                 self.fleet.sidecars[target].restart();
                 let soon = Instant::now() + LATE_TIME;
@@ -266,9 +364,15 @@
         // All at once: callers may load a single endpoint beyond what it can do, so that each waits.
         std::thread::scope(|scope| {
             for (number, sidecar) in self.fleet.sidecars.iter().enumerate() {
+                let requests = sidecar.requests;
+                let key = self.keys.as_ref().map(|_| FREE_KEY);
                 for path in ["/free/ok", "/book/ok", "/feed/ok"] {
-                    let requests = sidecar.requests;
-                    scope.spawn(move || wait_served(seed, number, requests, path));
+                    scope.spawn(move || wait_served(seed, number, requests, path, key));
+                }
+                if key.is_some() {
+                    for (path, key) in [("/open/ok", None), ("/free/ok", Some(CAPPED_KEY))] {
+                        scope.spawn(move || wait_served(seed, number, requests, path, key));
+                    }
                 }
             }
         });
@@ -277,15 +381,16 @@
     }
 }
 
-/// Waits until a daemon serves a path.
-fn wait_served(seed: u64, number: usize, requests: SocketAddr, path: &str) {
+/// Waits until a daemon serves a path for a key.
+fn wait_served(seed: u64, number: usize, requests: SocketAddr, path: &str, key: Option<&str>) {
     let method = if path == "/book/ok" { "POST" } else { "GET" };
-    let what = format!("seed {seed}: {path} at daemon {number}");
+    let what = format!("seed {seed}: {path} for {key:?} at daemon {number}");
     let mut tries = 0;
     wait_for(&what, RECOVERY_TIME, || {
         tries += 1;
         let id = format!("recovery-{number}-{path}-{tries}");
-        let answer = call_once(requests, &request(method, path, &id, 1_000)).whole();
+        let spec = request(method, path, &id, 1_000);
+        let answer = call_once(requests, &with_key(spec, key)).whole();
         answer.is_some_and(|answer| answer.status == 200)
     });
 }
@@ -295,6 +400,7 @@
     address: SocketAddr,
     seed: u64,
     number: usize,
+    mut chooser: Option<KeyChooser>,
     is_over: Arc<AtomicBool>,
 ) -> JoinHandle<Vec<SoakCall>> {
     std::thread::spawn(move || {
@@ -309,11 +415,24 @@
                 4..8 => ("GET", "free"),
                 _ => ("GET", "feed"),
             };
+            let key = chooser.as_mut().and_then(KeyChooser::next_key);
+            // Only one route is open to requests without a key; the others must refuse them.
+            let prefix = match (&chooser, key, prefix) {
+                (Some(_), None, "free") => "open",
+                _ => prefix,
+            };
             let path = format!("/{prefix}/{answer}");
             let id = format!("{number}-{}", calls.len());
-            let end = kept.call(&request(method, &path, &id, 1_500));
+            let spec = request(method, &path, &id, 1_500);
+            let sent = Instant::now();
+            let end = match &chooser {
+                Some(_) => kept.call(&with_key(spec, key)),
+                None => kept.call(&spec),
+            };
             calls.push(SoakCall {
                 id,
+                key,
+                sent,
                 path,
                 method,
                 end,
@@ -323,3 +442,35 @@
         calls
     })
 }
+
+/// Starts a caller of the capped team, which sends far more than its cap during floods.
+fn start_capped(
+    address: SocketAddr,
+    number: usize,
+    floods: Vec<FloodTime>,
+    is_over: Arc<AtomicBool>,
+) -> JoinHandle<Vec<SoakCall>> {
+    std::thread::spawn(move || {
+        let start = Instant::now();
+        let mut kept = KeptCaller::new(address);
+        kept.timeout = Duration::from_secs(4);
+        let mut calls = Vec::new();
+        while !is_over.load(Ordering::Relaxed) {
+            let id = format!("capped-{number}-{}", calls.len());
+            let path = "/free/ok".to_owned();
+            let sent = Instant::now();
+            let spec = request("GET", &path, &id, 1_500);
+            let end = kept.call(&with_key(spec, Some(CAPPED_KEY)));
+            calls.push(SoakCall {
+                id,
+                key: Some(CAPPED_KEY),
+                sent,
+                path,
+                method: "GET",
+                end,
+            });
+            pause(capped_pause(&floods, start.elapsed()));
+        }
+        calls
+    })
+}
--- a/programs/tests/soak/plan.rs
+++ b/programs/tests/soak/plan.rs
@@ -9,12 +9,26 @@
 
 use crate::sidecar::row_store::StoreMood;
 
+use super::SoakKind;
+use super::teams::CHANGING_KEYS;
+use super::teams::FloodTime;
+
 /// Time in which faults begin.
 pub const FAULT_TIME: Duration = Duration::from_secs(6);
 
 /// Faults of one soak: two to three at any moment.
 const FAULTS: usize = 14;
 
+/// Separates the draws of extended soaks, which leave those of the faults as they are.
+const EXTENSION_STREAM: u64 = 0x6578_7465_6e64_6564;
+
+/// Time in which keys are removed. With the longest absence, it leaves the last key absent for a while
+/// after the last fault.
+const REMOVAL_TIME: Duration = Duration::from_secs(5);
+
+/// Longest absence of a key: twice the bound on the use of a removed one, and some.
+const ABSENCE_TIME: Duration = Duration::from_millis(4_500);
+
 /// What is done to the system.
 #[derive(Clone, Copy, Debug)]
 pub enum SoakFault {
@@ -40,6 +54,10 @@
     Change,
     /// Makes an endpoint leave; the last two stay.
     Leave(usize),
+    /// Writes a configuration without a key, and one with it this time later.
+    RemoveKey(&'static str, Duration),
+    /// Writes a configuration with a key that it did not have.
+    AddKey(&'static str),
 }
 
 /// Faults and when they begin.
@@ -47,10 +65,20 @@
 pub struct SoakPlan {
     pub daemons: usize,
     pub faults: Vec<(Duration, SoakFault)>,
+    /// Times in which one team sends far more than its cap.
+    pub floods: Vec<FloodTime>,
 }
 
 impl SoakPlan {
-    pub fn new(seed: u64) -> SoakPlan {
+    pub fn new(seed: u64, kind: SoakKind) -> SoakPlan {
+        let mut plan = SoakPlan::basic(seed);
+        if kind == SoakKind::Extended {
+            plan.extend(&mut ChaCha8Rng::seed_from_u64(seed ^ EXTENSION_STREAM));
+        }
+        plan
+    }
+
+    fn basic(seed: u64) -> SoakPlan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let daemons = rng.random_range(4..7);
         let mut faults = Vec::new();
@@ -59,7 +87,26 @@
             faults.push((at, draw_fault(&mut rng, daemons)));
         }
         faults.sort_by_key(|(at, _)| *at);
-        SoakPlan { daemons, faults }
+        SoakPlan {
+            daemons,
+            faults,
+            floods: Vec::new(),
+        }
+    }
+
+    fn extend(&mut self, rng: &mut ChaCha8Rng) {
+        let [first @ .., last] = CHANGING_KEYS;
+        for key in first {
+            let at = REMOVAL_TIME.mul_f64(rng.random_range(0.0..1.0));
+            let absence = ABSENCE_TIME.mul_f64(rng.random_range(0.2..1.0));
+            self.faults.push((at, SoakFault::RemoveKey(key, absence)));
+        }
+        let at = FAULT_TIME.mul_f64(rng.random_range(0.0..1.0));
+        self.faults.push((at, SoakFault::AddKey(last)));
+        let from = FAULT_TIME.mul_f64(rng.random_range(0.0..0.5));
+        let to = from + FAULT_TIME.mul_f64(rng.random_range(0.5..1.0));
+        self.floods.push(FloodTime { from, to });
+        self.faults.sort_by_key(|(at, _)| *at);
     }
 }
 
