Soak: evacuated zones, cold endpoints, logs of a failure

Cause: the soak did not know evacuated zones and cold endpoints, and a failed soak left no logs.

Change: extended soaks evacuate up to two zones and take that back, and make endpoints cold. They check that no request reaches an endpoint of an evacuated zone later than `evacuate_ms` after the acknowledgement, and that in no second more requests reach a cold endpoint than `warmup_per_s` x `warmup_overage` + `warmup_slack`, counting those that the endpoint refuses. The cold time counts from the first acknowledged announcement. A soak that fails writes its plan and the logs of all runs of its daemons to files. Callers are in a file of their own.

--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -70,7 +70,19 @@
     sequence: AtomicU64,
     is_leaving: AtomicBool,
     is_gone: AtomicBool,
-    warmup_left_ms: AtomicU64,
+    warmup: Mutex<WarmupState>,
+    /// All requests that came, with those that the endpoint refused.
+    arrivals: Mutex<Vec<(String, Instant)>>,
+}
+
+/// Whether an endpoint says that it is cold.
+#[derive(Debug, Default)]
+struct WarmupState {
+    left: Duration,
+    /// Time of the first announcement of the present cold time that was acknowledged.
+    since: Option<Instant>,
+    /// Cold times that are over: from the first acknowledged announcement until the endpoint was warm.
+    spans: Vec<(Instant, Instant)>,
 }
 
 /// A running endpoint; it lives as long as the test's process, or until it is told to go.
@@ -114,7 +126,8 @@
             sequence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
-            warmup_left_ms: AtomicU64::new(0),
+            warmup: Mutex::default(),
+            arrivals: Mutex::default(),
         });
         let endpoint = MeshEndpoint { state, admin };
         let serving = Arc::clone(&endpoint.state);
@@ -151,8 +164,25 @@
 
     /// Has the announcements say from now on that the endpoint is cold for this time.
     pub fn set_warmup_left(&self, left: Duration) {
-        let left_ms = left.as_millis() as u64;
-        self.state.warmup_left_ms.store(left_ms, Ordering::Relaxed);
+        let mut warmup = self.state.warmup.lock().expect("no holder panicked");
+        warmup.left = left;
+        if left.is_zero()
+            && let Some(since) = warmup.since.take()
+        {
+            warmup.spans.push((since, Instant::now()));
+        }
+    }
+
+    /// Times in which the endpoint was cold and its daemon had been told.
+    pub fn cold_spans(&self) -> Vec<(Instant, Instant)> {
+        let warmup = self.state.warmup.lock().expect("no holder panicked");
+        warmup.spans.clone()
+    }
+
+    /// Ids and times of all requests that came, also of those that the endpoint refused.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        let arrivals = self.state.arrivals.lock().expect("no holder panicked");
+        arrivals.clone()
     }
 
     /// Says that the endpoint leaves; returns whether that was acknowledged.
@@ -192,8 +222,18 @@
             true => "draining",
             false => "healthy",
         };
+        let was_cold = !self.warmup_left().is_zero();
         let body = self.announcement(word, 0);
-        self.announce_body(&self.state.id, &body) == Some(200)
+        let is_acked = self.announce_body(&self.state.id, &body) == Some(200);
+        let mut warmup = self.state.warmup.lock().expect("no holder panicked");
+        if is_acked && was_cold && !warmup.left.is_zero() {
+            warmup.since.get_or_insert_with(Instant::now);
+        }
+        is_acked
+    }
+
+    fn warmup_left(&self) -> Duration {
+        self.state.warmup.lock().expect("no holder panicked").left
     }
 
     fn announcement(&self, word: &str, later_ms: u64) -> String {
@@ -202,7 +242,7 @@
         let body = json!({"address": state.address, "born": BORN + later_ms,
             "info": {"service": state.service, "version": state.version, "zone": "a",
                 "capacity": state.slots},
-            "status": {"state": word, "sequence": sequence, "warmup_left_ms": state.warmup_left_ms.load(Ordering::Relaxed)}});
+            "status": {"state": word, "sequence": sequence, "warmup_left_ms": self.warmup_left().as_millis() as u64}});
         body.to_string()
     }
 }
@@ -217,6 +257,11 @@
         let id = seen.id().to_owned();
         let mode = seen.path.rsplit('/').next().unwrap_or("").to_owned();
         let expected = seen.header("expected-instance").to_owned();
+        state
+            .arrivals
+            .lock()
+            .expect("no holder panicked")
+            .push((id.clone(), seen.at));
         let mut out = stream;
         if !expected.is_empty() && expected != state.id {
             let _ = out.write_all(&refused_answer(421, &id));
--- a/programs/tests/sidecar/sidecar_fleet.rs
+++ b/programs/tests/sidecar/sidecar_fleet.rs
@@ -44,6 +44,8 @@
     child: Child,
     arguments: Vec<String>,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Lines of the runs before the last restart.
+    earlier_lines: Vec<String>,
     pub requests: SocketAddr,
     pub ready: SocketAddr,
     pub admin: SocketAddr,
@@ -69,7 +71,17 @@
         self.kill();
         let (child, lines) = spawn(&self.settings, self.relay.address(), &self.arguments);
         self.child = child;
-        self.lines = lines;
+        let earlier = std::mem::replace(&mut self.lines, lines);
+        let earlier = earlier.lock().expect("no holder panicked");
+        self.earlier_lines.extend(earlier.iter().cloned());
+    }
+
+    /// What all runs of the process logged, one event a line.
+    pub fn all_lines(&self) -> String {
+        let lines = self.lines.lock().expect("no holder panicked");
+        [self.earlier_lines.as_slice(), lines.as_slice()]
+            .concat()
+            .join("\n")
     }
 
     /// Largest memory that the process has had, in bytes.
@@ -447,6 +459,7 @@
         arguments: arguments.clone(),
         child,
         lines,
+        earlier_lines: Vec::new(),
         requests,
         ready,
         admin,
--- a/programs/tests/sidecar_soak.rs
+++ b/programs/tests/sidecar_soak.rs
@@ -49,6 +49,9 @@
                 while let Some((seed, kind)) = next_of(&seeds) {
                     let record = soak::run_soak(seed, kind);
                     let found = soak::checks::find_faults(&record);
+                    if !found.is_empty() {
+                        soak::save_logs(&record.fleet, seed, kind);
+                    }
                     let (calls, leaves) = (record.calls.len(), record.leaves.len());
                     let count = found.len();
                     println!(
--- a/programs/tests/soak/checks.rs
+++ b/programs/tests/soak/checks.rs
@@ -9,6 +9,7 @@
 use super::SoakCall;
 use super::SoakKind;
 use super::SoakRecord;
+use super::place_checks::find_place_faults;
 use super::team_checks::find_team_faults;
 
 /// Statuses that promise that a request was not run and will not be.
@@ -45,6 +46,7 @@
     faults.extend(late_arrivals(record));
     if record.kind == SoakKind::Extended {
         faults.extend(find_team_faults(record));
+        faults.extend(find_place_faults(record));
     }
     faults
 }
--- a/programs/tests/soak/mod.rs
+++ b/programs/tests/soak/mod.rs
@@ -1,26 +1,26 @@
 //! A soak of sidecar processes: seeded faults from outside, callers, and checks of what callers and
 //! endpoints saw.
 
+pub mod callers;
 pub mod checks;
+pub mod place_checks;
 pub mod plan;
 pub mod team_checks;
 pub mod teams;
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+use std::panic::resume_unwind;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use standins::relay::RelayMode;
 
 use crate::common::caller::CallEnd;
-use crate::common::caller::KeptCaller;
 use crate::common::caller::call_once;
 use crate::common::caller_threads::pause;
 use crate::common::wait_for;
@@ -33,15 +33,16 @@
 use crate::sidecar::sidecar_fleet::SidecarTerms;
 use crate::sidecar::sidecar_fleet::request;
 
+use callers::start_caller;
+use callers::start_capped;
+use place_checks::ZoneEvacuation;
 use plan::SoakFault;
 use plan::SoakPlan;
 use teams::CAPPED_KEY;
 use teams::FREE_KEY;
-use teams::FloodTime;
 use teams::KeyAbsence;
 use teams::KeyChooser;
 use teams::KeyRing;
-use teams::capped_pause;
 use teams::with_key;
 
 /// Version of the first configuration of a fleet.
@@ -56,14 +57,6 @@
 /// Callers at each daemon; two endpoints run two requests each at once, so some have to wait.
 const CALLERS: usize = 3;
 
-/// Pause of a caller between two requests.
-const CALL_PAUSE: Duration = Duration::from_millis(15);
-
-/// Ways in which endpoints answer the soak's requests; the last part of their paths.
-const ANSWERS: [&str; 12] = [
-    "ok", "ok", "ok", "ok", "slow", "slow", "close", "cut", "shed", "garbage", "extra", "stale",
-];
-
 /// Places of the daemons of an extended soak, in turn.
 const PLACES: [SidecarPlace; 3] = [("a", "north"), ("b", "north"), ("c", "south")];
 
@@ -72,7 +65,7 @@
 pub enum SoakKind {
     /// One zone, no teams.
     Basic,
-    /// Teams, zones in two regions.
+    /// Teams, zones in two regions that are evacuated, endpoints that turn cold.
     Extended,
 }
 
@@ -102,6 +95,7 @@
     pub calls: Vec<SoakCall>,
     pub leaves: Vec<AckedLeave>,
     pub absences: Vec<KeyAbsence>,
+    pub evacuations: Vec<ZoneEvacuation>,
 }
 
 /// What is to be undone, and when.
@@ -114,6 +108,8 @@
     /// An announcement from before the endpoint left arrives.
     Announce(usize),
     AddKey(&'static str),
+    TakeBack(&'static str),
+    Warm(usize),
 }
 
 struct SoakRun {
@@ -125,6 +121,7 @@
     late: Vec<(usize, LateAnnouncement)>,
     /// Keys of the configuration; `None` without teams.
     keys: Option<KeyRing>,
+    evacuations: Vec<ZoneEvacuation>,
 }
 
 /// Runs the soak of a seed to its end; the caller checks what it saw.
@@ -160,9 +157,14 @@
         leaves: Vec::new(),
         late: Vec::new(),
         keys,
+        evacuations: Vec::new(),
     };
     run.carry_out(&plan);
-    run.recover(seed);
+    let recovered = catch_unwind(AssertUnwindSafe(|| run.recover(seed)));
+    if let Err(panic) = recovered {
+        save_logs(&run.fleet, seed, kind);
+        resume_unwind(panic);
+    }
     is_over.store(true, Ordering::Relaxed);
     let mut calls = Vec::new();
     for caller in callers {
@@ -174,7 +176,26 @@
         calls,
         leaves: run.leaves,
         absences: run.keys.map(|keys| keys.absences).unwrap_or_default(),
+        evacuations: run.evacuations,
+    }
+}
+
+/// Writes the plan and the daemons' logs of a soak that failed to files, and prints where.
+pub fn save_logs(fleet: &SidecarFleet, seed: u64, kind: SoakKind) {
+    let folder = std::env::temp_dir().join(format!("soak-{}-{seed}-{kind:?}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for logs");
+    let plan = format!("{:#?}", SoakPlan::new(seed, kind));
+    std::fs::write(folder.join("plan"), plan).expect("a file for the plan");
+    for sidecar in &fleet.sidecars {
+        let file = folder.join(format!("{}.log", sidecar.name));
+        std::fs::write(file, sidecar.all_lines()).expect("a file for a log");
     }
+    println!("seed {seed} {kind:?}: logs are in {}", folder.display());
+}
+
+/// Returns the place of a daemon of an extended soak.
+pub fn place_of(number: usize) -> SidecarPlace {
+    PLACES[number % PLACES.len()]
 }
 
 /// Starts the daemons and endpoints of a soak, and the teams of an extended one.
@@ -187,12 +208,12 @@
     }
     let zones = PLACES.map(|(zone, region)| format!("{zone} = \"{region}\"\n"));
     let terms = SidecarTerms {
-        bounds: team_checks::bounds(),
+        bounds: team_checks::bounds() + &place_checks::bounds(),
         zones: zones.concat(),
         ..SidecarTerms::default()
     };
-    let places = PLACES.into_iter().cycle();
-    let members: Vec<_> = services.into_iter().zip(places).collect();
+    let places = (0..services.len()).map(place_of);
+    let members: Vec<_> = services.iter().copied().zip(places).collect();
     let fleet = SidecarFleet::start_in_zones_with(&terms, &members);
     let keys = KeyRing::new();
     // The fleet's own first configuration has no teams.
@@ -265,6 +286,22 @@
                 self.repairs.push((now + time, Repair::AddKey(key)));
             }
             SoakFault::AddKey(key) => self.add_key(key),
+            SoakFault::Evacuate(zone, time) => {
+                if self.is_evacuated(zone) {
+                    return;
+                }
+                self.fleet.store.put("op", &evacuation_key(zone), "{}");
+                self.evacuations.push(ZoneEvacuation {
+                    zone,
+                    acked: Instant::now(),
+                    taken_back: None,
+                });
+                self.repairs.push((now + time, Repair::TakeBack(zone)));
+            }
+            SoakFault::Cool(target, time) => {
+                self.fleet.endpoints[target].set_warmup_left(time);
+                self.repairs.push((now + time, Repair::Warm(target)));
+            }
         }
     }
 
@@ -287,6 +324,11 @@
         }
     }
 
+    fn is_evacuated(&self, zone: &str) -> bool {
+        let mut evacuations = self.evacuations.iter();
+        evacuations.any(|evacuation| evacuation.zone == zone && evacuation.taken_back.is_none())
+    }
+
     fn remove_key(&mut self, key: &'static str) {
         if !self.keys.as_mut().is_some_and(|keys| keys.remove(key)) {
             return;
@@ -340,6 +382,14 @@
             Repair::CalmStore => self.fleet.store.set_mood(StoreMood::Sound),
             Repair::AnswerStore(target) => self.fleet.stores[target].answer_at_address(),
             Repair::AddKey(key) => self.add_key(key),
+            Repair::TakeBack(zone) => {
+                let mut evacuations = self.evacuations.iter_mut();
+                if let Some(evacuation) = evacuations.rfind(|evacuation| evacuation.zone == zone) {
+                    evacuation.taken_back = Some(Instant::now());
+                }
+                self.fleet.store.remove("op", &evacuation_key(zone));
+            }
+            Repair::Warm(target) => self.fleet.endpoints[target].set_warmup_left(Duration::ZERO),
             Repair::Start(target) => {
                 self.fleet.sidecars[target].restart();
                 let soon = Instant::now() + LATE_TIME;
@@ -381,6 +431,10 @@
     }
 }
 
+fn evacuation_key(zone: &str) -> String {
+    format!("evacuate/{zone}")
+}
+
 /// Waits until a daemon serves a path for a key.
 fn wait_served(seed: u64, number: usize, requests: SocketAddr, path: &str, key: Option<&str>) {
     let method = if path == "/book/ok" { "POST" } else { "GET" };
@@ -394,83 +448,3 @@
         answer.is_some_and(|answer| answer.status == 200)
     });
 }
-
-/// Starts a caller that keeps its connection until it is closed.
-fn start_caller(
-    address: SocketAddr,
-    seed: u64,
-    number: usize,
-    mut chooser: Option<KeyChooser>,
-    is_over: Arc<AtomicBool>,
-) -> JoinHandle<Vec<SoakCall>> {
-    std::thread::spawn(move || {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64 + 1));
-        let mut kept = KeptCaller::new(address);
-        kept.timeout = Duration::from_secs(4);
-        let mut calls = Vec::new();
-        while !is_over.load(Ordering::Relaxed) {
-            let answer = ANSWERS[rng.random_range(0..ANSWERS.len())];
-            let (method, prefix) = match rng.random_range(0..10) {
-                0..4 => ("POST", "book"),
-                4..8 => ("GET", "free"),
-                _ => ("GET", "feed"),
-            };
-            let key = chooser.as_mut().and_then(KeyChooser::next_key);
-            // Only one route is open to requests without a key; the others must refuse them.
-            let prefix = match (&chooser, key, prefix) {
-                (Some(_), None, "free") => "open",
-                _ => prefix,
-            };
-            let path = format!("/{prefix}/{answer}");
-            let id = format!("{number}-{}", calls.len());
-            let spec = request(method, &path, &id, 1_500);
-            let sent = Instant::now();
-            let end = match &chooser {
-                Some(_) => kept.call(&with_key(spec, key)),
-                None => kept.call(&spec),
-            };
-            calls.push(SoakCall {
-                id,
-                key,
-                sent,
-                path,
-                method,
-                end,
-            });
-            pause(CALL_PAUSE);
-        }
-        calls
-    })
-}
-
-/// Starts a caller of the capped team, which sends far more than its cap during floods.
-fn start_capped(
-    address: SocketAddr,
-    number: usize,
-    floods: Vec<FloodTime>,
-    is_over: Arc<AtomicBool>,
-) -> JoinHandle<Vec<SoakCall>> {
-    std::thread::spawn(move || {
-        let start = Instant::now();
-        let mut kept = KeptCaller::new(address);
-        kept.timeout = Duration::from_secs(4);
-        let mut calls = Vec::new();
-        while !is_over.load(Ordering::Relaxed) {
-            let id = format!("capped-{number}-{}", calls.len());
-            let path = "/free/ok".to_owned();
-            let sent = Instant::now();
-            let spec = request("GET", &path, &id, 1_500);
-            let end = kept.call(&with_key(spec, Some(CAPPED_KEY)));
-            calls.push(SoakCall {
-                id,
-                key: Some(CAPPED_KEY),
-                sent,
-                path,
-                method: "GET",
-                end,
-            });
-            pause(capped_pause(&floods, start.elapsed()));
-        }
-        calls
-    })
-}
--- a/programs/tests/soak/plan.rs
+++ b/programs/tests/soak/plan.rs
@@ -9,6 +9,7 @@
 
 use crate::sidecar::row_store::StoreMood;
 
+use super::PLACES;
 use super::SoakKind;
 use super::teams::CHANGING_KEYS;
 use super::teams::FloodTime;
@@ -26,6 +27,21 @@
 /// after the last fault.
 const REMOVAL_TIME: Duration = Duration::from_secs(5);
 
+/// First and last time at which evacuations begin, in milliseconds. A daemon closes its endpoint at
+/// once if it learns of an evacuation within `evacuate_ms` of its start; later ones are gradual.
+const EVACUATION_START_MS: [u64; 2] = [2_500, 6_000];
+
+/// Shortest and longest evacuation, in milliseconds: the bound on requests in the zone, and a time in
+/// which there must be none.
+const EVACUATION_MS: [u64; 2] = [6_000, 8_000];
+
+/// Evacuations of a soak; the second one is left out if it is of the same zone.
+const EVACUATIONS: usize = 2;
+
+/// Endpoints that turn cold, and the shortest and longest time for which they do, in milliseconds.
+const COLD_ENDPOINTS: usize = 3;
+const COLD_MS: [u64; 2] = [2_500, 4_500];
+
 /// Longest absence of a key: twice the bound on the use of a removed one, and some.
 const ABSENCE_TIME: Duration = Duration::from_millis(4_500);
 
@@ -58,6 +74,10 @@
     RemoveKey(&'static str, Duration),
     /// Writes a configuration with a key that it did not have.
     AddKey(&'static str),
+    /// Evacuates a zone and takes that back this time later.
+    Evacuate(&'static str, Duration),
+    /// Makes an endpoint cold for this time.
+    Cool(usize, Duration),
 }
 
 /// Faults and when they begin.
@@ -106,10 +126,27 @@
         let from = FAULT_TIME.mul_f64(rng.random_range(0.0..0.5));
         let to = from + FAULT_TIME.mul_f64(rng.random_range(0.5..1.0));
         self.floods.push(FloodTime { from, to });
+        for _ in 0..EVACUATIONS {
+            let at = draw_time(rng, EVACUATION_START_MS);
+            let (zone, _) = PLACES[rng.random_range(0..PLACES.len())];
+            let time = draw_time(rng, EVACUATION_MS);
+            self.faults.push((at, SoakFault::Evacuate(zone, time)));
+        }
+        for _ in 0..COLD_ENDPOINTS {
+            let at = FAULT_TIME.mul_f64(rng.random_range(0.0..1.0));
+            // The first endpoint is the only one of its service, which has no warm-up.
+            let target = rng.random_range(1..self.daemons);
+            let time = draw_time(rng, COLD_MS);
+            self.faults.push((at, SoakFault::Cool(target, time)));
+        }
         self.faults.sort_by_key(|(at, _)| *at);
     }
 }
 
+fn draw_time(rng: &mut ChaCha8Rng, [least, most]: [u64; 2]) -> Duration {
+    Duration::from_millis(rng.random_range(least..most))
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, daemons: usize) -> SoakFault {
     let target = rng.random_range(0..daemons);
     let time = Duration::from_millis(rng.random_range(200..3_000));
--- a/programs/tests/soak/team_checks.rs
+++ b/programs/tests/soak/team_checks.rs
@@ -132,7 +132,7 @@
 
 fn logged_keys(record: &SoakRecord) -> Vec<String> {
     let sidecars = record.fleet.sidecars.iter();
-    let logging = sidecars.filter(|sidecar| sidecar.has_logged(KEY_MARK));
+    let logging = sidecars.filter(|sidecar| sidecar.all_lines().contains(KEY_MARK));
     logging
         .map(|sidecar| format!("{} logged a key", sidecar.name))
         .collect()
--- a/programs/tests/soak/teams.rs
+++ b/programs/tests/soak/teams.rs
@@ -14,6 +14,8 @@
 use crate::sidecar::sidecar_fleet::ConfigTerms;
 use crate::sidecar::sidecar_fleet::STALLS;
 
+use super::place_checks::WARMUP_PER_S;
+
 /// Keys of the team `ash`, which are removed and added while a soak runs.
 pub const CHANGING_KEYS: [&str; 4] = [
     "secret-ash-0",
@@ -46,6 +48,9 @@
 const CALM_PAUSE: Duration = Duration::from_millis(300);
 const FLOOD_PAUSE: Duration = Duration::from_millis(25);
 
+/// Time for which an endpoint says to be cold after its start; those of a soak say so when told.
+const WARMUP_S: u64 = 5;
+
 /// Separates the draws of callers' keys from those of their requests.
 const KEY_STREAM: u64 = 0x7465_616d_6b65_7973;
 
@@ -125,9 +130,12 @@
         let open = json!({"name": "open", "authority": "test", "prefix": "/open/",
             "kind": "idempotent", "timeout_ms": 2_500, "target_latency_ms": 500, "priority": 2,
             "service": STALLS, "attempts": 2, "allow_anonymous": true});
+        let services =
+            json!([{"name": STALLS, "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}]);
         ConfigTerms {
             routes: format!(",{open}"),
             members: format!(r#","tenants":{teams}"#),
+            services: services.to_string(),
             ..ConfigTerms::default()
         }
     }
