--- a/programs/tests/soak/mod.rs
+++ b/programs/tests/soak/mod.rs
@@ -1,24 +1,26 @@
 //! A soak of sidecar processes: seeded faults from outside, callers, and checks of what callers and
 //! endpoints saw.
 
+pub mod callers;
 pub mod checks;
+pub mod place_checks;
 pub mod plan;
+pub mod team_checks;
+pub mod teams;
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+use std::panic::resume_unwind;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use standins::relay::RelayMode;
 
 use crate::common::caller::CallEnd;
-use crate::common::caller::KeptCaller;
 use crate::common::caller::call_once;
 use crate::common::caller_threads::pause;
 use crate::common::wait_for;
@@ -27,10 +29,24 @@
 use crate::sidecar::sidecar_fleet::HORSES;
 use crate::sidecar::sidecar_fleet::STALLS;
 use crate::sidecar::sidecar_fleet::SidecarFleet;
+use crate::sidecar::sidecar_fleet::SidecarPlace;
+use crate::sidecar::sidecar_fleet::SidecarTerms;
 use crate::sidecar::sidecar_fleet::request;
 
+use callers::start_caller;
+use callers::start_capped;
+use place_checks::ZoneEvacuation;
 use plan::SoakFault;
 use plan::SoakPlan;
+use teams::CAPPED_KEY;
+use teams::FREE_KEY;
+use teams::KeyAbsence;
+use teams::KeyChooser;
+use teams::KeyRing;
+use teams::with_key;
+
+/// Version of the first configuration of a fleet.
+const FIRST_VERSION: u64 = 1;
 
 /// Time in which all is served again once the last fault is over.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
@@ -41,18 +57,25 @@
 /// Callers at each daemon; two endpoints run two requests each at once, so some have to wait.
 const CALLERS: usize = 3;
 
-/// Pause of a caller between two requests.
-const CALL_PAUSE: Duration = Duration::from_millis(15);
+/// Places of the daemons of an extended soak, in turn.
+const PLACES: [SidecarPlace; 3] = [("a", "north"), ("b", "north"), ("c", "south")];
 
-/// Ways in which endpoints answer the soak's requests; the last part of their paths.
-const ANSWERS: [&str; 12] = [
-    "ok", "ok", "ok", "ok", "slow", "slow", "close", "cut", "shed", "garbage", "extra", "stale",
-];
+/// What a soak covers beside the faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SoakKind {
+    /// One zone, no teams.
+    Basic,
+    /// Teams, zones in two regions that are evacuated, endpoints that turn cold.
+    Extended,
+}
 
 /// A request and its end, as its caller saw them.
 #[derive(Debug)]
 pub struct SoakCall {
     pub id: String,
+    /// API key that it was sent with.
+    pub key: Option<&'static str>,
+    pub sent: Instant,
     pub path: String,
     pub method: &'static str,
     pub end: CallEnd,
@@ -67,9 +90,12 @@
 
 /// What a soak saw.
 pub struct SoakRecord {
+    pub kind: SoakKind,
     pub fleet: SidecarFleet,
     pub calls: Vec<SoakCall>,
     pub leaves: Vec<AckedLeave>,
+    pub absences: Vec<KeyAbsence>,
+    pub evacuations: Vec<ZoneEvacuation>,
 }
 
 /// What is to be undone, and when.
@@ -81,6 +107,9 @@
     Start(usize),
     /// An announcement from before the endpoint left arrives.
     Announce(usize),
+    AddKey(&'static str),
+    TakeBack(&'static str),
+    Warm(usize),
 }
 
 struct SoakRun {
@@ -90,47 +119,109 @@
     leaves: Vec<AckedLeave>,
     /// Announcements that are held up, of the endpoints that left.
     late: Vec<(usize, LateAnnouncement)>,
+    /// Keys of the configuration; `None` without teams.
+    keys: Option<KeyRing>,
+    evacuations: Vec<ZoneEvacuation>,
 }
 
 /// Runs the soak of a seed to its end; the caller checks what it saw.
 ///
 /// # Panics
 /// When the system does not serve again after the faults.
-pub fn run_soak(seed: u64) -> SoakRecord {
-    let plan = SoakPlan::new(seed);
-    let mut endpoints = vec![(HORSES, "v1")];
-    endpoints.resize(plan.daemons, (STALLS, "v1"));
-    let fleet = SidecarFleet::start_ready(&endpoints);
+pub fn run_soak(seed: u64, kind: SoakKind) -> SoakRecord {
+    let plan = SoakPlan::new(seed, kind);
+    let (fleet, keys) = start_fleet(&plan, kind);
     let is_over = Arc::new(AtomicBool::new(false));
     let mut callers = Vec::new();
     for sidecar in &fleet.sidecars {
-        for _ in 0..CALLERS {
+        for place in 0..CALLERS {
             let number = callers.len();
-            let caller = start_caller(sidecar.requests, seed, number, Arc::clone(&is_over));
+            let chooser = keys.as_ref();
+            let chooser = chooser.map(|_| KeyChooser::new(seed, number, place == 0));
+            let is_over = Arc::clone(&is_over);
+            let caller = start_caller(sidecar.requests, seed, number, chooser, is_over);
             callers.push(caller);
         }
     }
+    if keys.is_some() {
+        for (number, sidecar) in fleet.sidecars.iter().enumerate() {
+            let floods = plan.floods.clone();
+            let is_over = Arc::clone(&is_over);
+            callers.push(start_capped(sidecar.requests, number, floods, is_over));
+        }
+    }
     let mut run = SoakRun {
         fleet,
-        version: 1,
+        version: FIRST_VERSION + u64::from(keys.is_some()),
         repairs: Vec::new(),
         leaves: Vec::new(),
         late: Vec::new(),
+        keys,
+        evacuations: Vec::new(),
     };
     run.carry_out(&plan);
-    run.recover(seed);
+    let recovered = catch_unwind(AssertUnwindSafe(|| run.recover(seed)));
+    if let Err(panic) = recovered {
+        save_logs(&run.fleet, seed, kind);
+        resume_unwind(panic);
+    }
     is_over.store(true, Ordering::Relaxed);
     let mut calls = Vec::new();
     for caller in callers {
         calls.extend(caller.join().expect("a caller does not panic"));
     }
     SoakRecord {
+        kind,
         fleet: run.fleet,
         calls,
         leaves: run.leaves,
+        absences: run.keys.map(|keys| keys.absences).unwrap_or_default(),
+        evacuations: run.evacuations,
     }
 }
 
+/// Writes the plan and the daemons' logs of a soak that failed to files, and prints where.
+pub fn save_logs(fleet: &SidecarFleet, seed: u64, kind: SoakKind) {
+    let folder = std::env::temp_dir().join(format!("soak-{}-{seed}-{kind:?}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for logs");
+    let plan = format!("{:#?}", SoakPlan::new(seed, kind));
+    std::fs::write(folder.join("plan"), plan).expect("a file for the plan");
+    for sidecar in &fleet.sidecars {
+        let file = folder.join(format!("{}.log", sidecar.name));
+        std::fs::write(file, sidecar.all_lines()).expect("a file for a log");
+    }
+    println!("seed {seed} {kind:?}: logs are in {}", folder.display());
+}
+
+/// Returns the place of a daemon of an extended soak.
+pub fn place_of(number: usize) -> SidecarPlace {
+    PLACES[number % PLACES.len()]
+}
+
+/// Starts the daemons and endpoints of a soak, and the teams of an extended one.
+fn start_fleet(plan: &SoakPlan, kind: SoakKind) -> (SidecarFleet, Option<KeyRing>) {
+    let mut services = vec![HORSES];
+    services.resize(plan.daemons, STALLS);
+    if kind == SoakKind::Basic {
+        let endpoints: Vec<_> = services.into_iter().map(|name| (name, "v1")).collect();
+        return (SidecarFleet::start_ready(&endpoints), None);
+    }
+    let zones = PLACES.map(|(zone, region)| format!("{zone} = \"{region}\"\n"));
+    let terms = SidecarTerms {
+        bounds: team_checks::bounds() + &place_checks::bounds(),
+        zones: zones.concat(),
+        ..SidecarTerms::default()
+    };
+    let places = (0..services.len()).map(place_of);
+    let members: Vec<_> = services.iter().copied().zip(places).collect();
+    let fleet = SidecarFleet::start_in_zones_with(&terms, &members);
+    let keys = KeyRing::new();
+    // The fleet's own first configuration has no teams.
+    fleet.put_config_with(FIRST_VERSION + 1, &keys.config_terms());
+    fleet.wait_config(FIRST_VERSION + 1);
+    (fleet, Some(keys))
+}
+
 impl SoakRun {
     fn carry_out(&mut self, plan: &SoakPlan) {
         let start = Instant::now();
@@ -190,6 +281,27 @@
             SoakFault::ForgetHistory => self.fleet.store.forget_history(),
             SoakFault::Change => self.change(),
             SoakFault::Leave(target) => self.leave(target),
+            SoakFault::RemoveKey(key, time) => {
+                self.remove_key(key);
+                self.repairs.push((now + time, Repair::AddKey(key)));
+            }
+            SoakFault::AddKey(key) => self.add_key(key),
+            SoakFault::Evacuate(zone, time) => {
+                if self.is_evacuated(zone) {
+                    return;
+                }
+                self.fleet.store.put("op", &evacuation_key(zone), "{}");
+                self.evacuations.push(ZoneEvacuation {
+                    zone,
+                    acked: Instant::now(),
+                    taken_back: None,
+                });
+                self.repairs.push((now + time, Repair::TakeBack(zone)));
+            }
+            SoakFault::Cool(target, time) => {
+                self.fleet.endpoints[target].set_warmup_left(time);
+                self.repairs.push((now + time, Repair::Warm(target)));
+            }
         }
     }
 
@@ -203,7 +315,34 @@
 
     fn change(&mut self) {
         self.version += 1;
-        self.fleet.put_config(self.version, "");
+        match &self.keys {
+            Some(keys) => {
+                let terms = keys.config_terms();
+                self.fleet.put_config_with(self.version, &terms);
+            }
+            None => self.fleet.put_config(self.version, ""),
+        }
+    }
+
+    fn is_evacuated(&self, zone: &str) -> bool {
+        let mut evacuations = self.evacuations.iter();
+        evacuations.any(|evacuation| evacuation.zone == zone && evacuation.taken_back.is_none())
+    }
+
+    fn remove_key(&mut self, key: &'static str) {
+        if !self.keys.as_mut().is_some_and(|keys| keys.remove(key)) {
+            return;
+        }
+        self.change();
+        if let Some(keys) = &mut self.keys {
+            keys.note_removal(key);
+        }
+    }
+
+    fn add_key(&mut self, key: &'static str) {
+        if self.keys.as_mut().is_some_and(|keys| keys.add(key)) {
+            self.change();
+        }
     }
 
     /// Endpoints of the service that has one, and the last one of the other, stay.
@@ -242,6 +381,15 @@
             Repair::OpenLink(target) => self.fleet.sidecars[target].relay.set_mode(RelayMode::Pass),
             Repair::CalmStore => self.fleet.store.set_mood(StoreMood::Sound),
             Repair::AnswerStore(target) => self.fleet.stores[target].answer_at_address(),
+            Repair::AddKey(key) => self.add_key(key),
+            Repair::TakeBack(zone) => {
+                let mut evacuations = self.evacuations.iter_mut();
+                if let Some(evacuation) = evacuations.rfind(|evacuation| evacuation.zone == zone) {
+                    evacuation.taken_back = Some(Instant::now());
+                }
+                self.fleet.store.remove("op", &evacuation_key(zone));
+            }
+            Repair::Warm(target) => self.fleet.endpoints[target].set_warmup_left(Duration::ZERO),
             Repair::Start(target) => {
                 self.fleet.sidecars[target].restart();
                 let soon = Instant::now() + LATE_TIME;
@@ -266,9 +414,15 @@
         // All at once: callers may load a single endpoint beyond what it can do, so that each waits.
         std::thread::scope(|scope| {
             for (number, sidecar) in self.fleet.sidecars.iter().enumerate() {
+                let requests = sidecar.requests;
+                let key = self.keys.as_ref().map(|_| FREE_KEY);
                 for path in ["/free/ok", "/book/ok", "/feed/ok"] {
-                    let requests = sidecar.requests;
-                    scope.spawn(move || wait_served(seed, number, requests, path));
+                    scope.spawn(move || wait_served(seed, number, requests, path, key));
+                }
+                if key.is_some() {
+                    for (path, key) in [("/open/ok", None), ("/free/ok", Some(CAPPED_KEY))] {
+                        scope.spawn(move || wait_served(seed, number, requests, path, key));
+                    }
                 }
             }
         });
@@ -277,49 +431,20 @@
     }
 }
 
-/// Waits until a daemon serves a path.
-fn wait_served(seed: u64, number: usize, requests: SocketAddr, path: &str) {
+fn evacuation_key(zone: &str) -> String {
+    format!("evacuate/{zone}")
+}
+
+/// Waits until a daemon serves a path for a key.
+fn wait_served(seed: u64, number: usize, requests: SocketAddr, path: &str, key: Option<&str>) {
     let method = if path == "/book/ok" { "POST" } else { "GET" };
-    let what = format!("seed {seed}: {path} at daemon {number}");
+    let what = format!("seed {seed}: {path} for {key:?} at daemon {number}");
     let mut tries = 0;
     wait_for(&what, RECOVERY_TIME, || {
         tries += 1;
         let id = format!("recovery-{number}-{path}-{tries}");
-        let answer = call_once(requests, &request(method, path, &id, 1_000)).whole();
+        let spec = request(method, path, &id, 1_000);
+        let answer = call_once(requests, &with_key(spec, key)).whole();
         answer.is_some_and(|answer| answer.status == 200)
     });
 }
-
-/// Starts a caller that keeps its connection until it is closed.
-fn start_caller(
-    address: SocketAddr,
-    seed: u64,
-    number: usize,
-    is_over: Arc<AtomicBool>,
-) -> JoinHandle<Vec<SoakCall>> {
-    std::thread::spawn(move || {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64 + 1));
-        let mut kept = KeptCaller::new(address);
-        kept.timeout = Duration::from_secs(4);
-        let mut calls = Vec::new();
-        while !is_over.load(Ordering::Relaxed) {
-            let answer = ANSWERS[rng.random_range(0..ANSWERS.len())];
-            let (method, prefix) = match rng.random_range(0..10) {
-                0..4 => ("POST", "book"),
-                4..8 => ("GET", "free"),
-                _ => ("GET", "feed"),
-            };
-            let path = format!("/{prefix}/{answer}");
-            let id = format!("{number}-{}", calls.len());
-            let end = kept.call(&request(method, &path, &id, 1_500));
-            calls.push(SoakCall {
-                id,
-                path,
-                method,
-                end,
-            });
-            pause(CALL_PAUSE);
-        }
-        calls
-    })
-}
