--- a/coltsfootweir/tests/sidecar_slot_queue.rs
+++ b/coltsfootweir/tests/sidecar_slot_queue.rs
@@ -51,6 +51,7 @@
         rank: 1,
         team,
         finish_by: Duration::from_millis(finish_by_ms),
+        is_late: false,
     }
 }
 
