Receivers tell their backlog of bodies; ingresses choose by it and refuse uploads that can't be in time

Cause: an ingress did not know which VM's link was full of bodies. It offered an upload to up to four VMs one after the other, and each refusal passed a busy link. Change: the frame ReceiveLoad (feature bit 64) has the planned rate of a VM's link and the time that its bodies take, by rank. Peers that have offered a body in the last 2 s are told of changes, and with each refusal. An ingress prefers VMs with a short wait, refuses an upload at once with link_full when no VM can receive it in time, and keeps a large body on its own VM if the endpoint there has a free slot.

--- a/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
+++ b/coltsfootweir/src/sidecar/call_attempts/endpoint_choice.rs
@@ -19,7 +19,10 @@
 use crate::sidecar::local_endpoint::not_run;
 use crate::sidecar::member_table::MemberRecord;
 use crate::sidecar::placement::region_task::log_region_refusal;
+use crate::sidecar::reported_loads::ReportedLoads;
 use crate::sidecar::rollout::VersionChoice;
+use crate::sidecar::uploads::receive_load::BodyPlan;
+use crate::sidecar::uploads::upload_times::is_large;
 
 /// Factor on the slots of endpoints in the local region, in tenths: a short wait there costs
 /// callers less time than the round trip to another region.
@@ -39,6 +42,8 @@
     pub(super) is_enough: bool,
     /// Whether it has so little that endpoints of other regions may be needed.
     pub(super) is_short: bool,
+    /// Whether the link of its VM can't receive the request's body in time.
+    pub(super) is_link_full: bool,
     /// Expected wait there, or the time for which it refuses such requests.
     pub(super) wait: Duration,
 }
@@ -193,7 +198,12 @@
                     let wait = reported.uplink_wait(&record.id, now);
                     pace *= 1.0 + wait.as_secs_f64() / run.as_secs_f64();
                 }
-                if record.id == self.state.settings.borrow().id {
+                let is_own = record.id == self.state.settings.borrow().id;
+                if !is_own && self.has_large_body() && !run.is_zero() {
+                    let wait = reported.receive_wait(&record.id, self.caller.rank, now);
+                    pace *= 1.0 + wait.as_secs_f64() / run.as_secs_f64();
+                }
+                if is_own && self.prefers_own(chooser, &record.id) {
                     own = Some(candidates.len());
                 }
                 versions.push(&endpoint.version);
@@ -211,8 +221,7 @@
                 self.needs_other_regions.set(true);
             }
             let chosen = chooser.choose(&candidates, &tried, now)?;
-            // A large answer of the endpoint on this VM needs no network.
-            let own = own.filter(|own| has_large_answer && !tried.contains(candidates[*own].id));
+            let own = own.filter(|own| !tried.contains(candidates[*own].id));
             let index = own.unwrap_or(chosen);
             Some(ChosenEndpoint {
                 member: candidates[index].id.clone(),
@@ -252,13 +261,40 @@
         has_free_slot(reported.note(id), load)
     }
 
+    /// Returns whether the endpoint on this VM is chosen before all others: it needs no network for a
+    /// large answer, nor for a large body, for which it must have a free slot.
+    fn prefers_own(&self, chooser: &EndpointChooser, own: &MemberId) -> bool {
+        self.has_large_answer() || (self.has_large_body() && self.has_free_slot(chooser, own))
+    }
+
+    fn has_large_body(&self) -> bool {
+        is_large(self.body_length)
+    }
+
+    /// Returns by how much the request's body would be late at a daemon's VM because of the bodies on
+    /// their way to it; zero if the VM may accept it.
+    fn body_excess(&self, id: &MemberId, reported: &ReportedLoads, now: Duration) -> Duration {
+        let is_own = *id == self.state.settings.borrow().id;
+        // A VM accepts late bodies, which have what others leave.
+        if is_own || !self.has_large_body() || now >= self.finish_by {
+            return Duration::ZERO;
+        }
+        let plan = BodyPlan {
+            rank: self.caller.rank,
+            length: self.body_length,
+            run: self.expected_run(),
+            left: self.finish_by - now,
+        };
+        reported.receive_excess(id, &plan, now)
+    }
+
     /// Returns whether an endpoint may be asked to run the request. Records the expected wait otherwise.
     ///
     /// An endpoint of the local region is asked unless it has just refused such a request: its daemon
     /// knows its queue, reports about it are soon out of date, and to be refused takes little time.
     /// One of another region must be expected to finish the request in time, and its region must not
     /// have refused one lately. The network connection of the VM must be expected to carry a large
-    /// answer in time, as a refusal has to pass it too.
+    /// answer in time, as a refusal has to pass it too, and to receive a large body in time.
     fn has_capacity(
         &self,
         chooser: &EndpointChooser,
@@ -270,6 +306,9 @@
         if capacity.is_short {
             self.needs_other_regions.set(true);
         }
+        if capacity.is_link_full {
+            self.refused_for.set(NotRunCause::LinkFull);
+        }
         if !capacity.is_enough {
             let wait = capacity.wait;
             let shortest = self.shortest_wait.get().map_or(wait, |best| best.min(wait));
@@ -300,7 +339,9 @@
             true => reported.uplink_wait(&record.id, now),
             false => Duration::ZERO,
         };
-        let is_short = is_local && (ahead > 0 || uplink_wait > run);
+        let body_excess = self.body_excess(&record.id, &reported, now);
+        let is_link_full = !body_excess.is_zero();
+        let is_short = is_local && (ahead > 0 || uplink_wait > run || is_link_full);
         let mut refused_for = reported.refused_for(&record.id, self.route_hash, now);
         // Requests that may only run in other regions have no better choice there.
         let is_home = self.regions.allows(&self.state.settings.borrow().region);
@@ -312,13 +353,15 @@
         let is_in_time = || now + LINK_RETURN_MARGIN * 2 + wait + run <= self.time_limit();
         // Without a wait for the link, an attempt after the target time may still use a free slot.
         let is_carried = uplink_wait.is_zero() || now + uplink_wait <= self.time_limit();
-        let is_enough = refused_for.is_zero() && is_carried && (is_local || is_in_time());
+        let is_enough =
+            refused_for.is_zero() && is_carried && !is_link_full && (is_local || is_in_time());
         EndpointCapacity {
             is_enough,
             is_short,
+            is_link_full,
             wait: match is_enough {
                 true => wait,
-                false => wait.max(refused_for),
+                false => wait.max(refused_for).max(body_excess),
             },
         }
     }
--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -18,6 +18,7 @@
 use crate::sidecar::member_table::VersionCount;
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::teams::team::TeamName;
+use crate::sidecar::uploads::receive_load::ReceiveLoad;
 
 /// Maximum size of a frame, in bytes: the largest response body that is read, and its headers.
 const FRAME_LIMIT: usize = 40 * 1024 * 1024;
@@ -263,6 +264,8 @@
     BodyGrant(CallNumber, u64, u64),
     /// The next bytes of the body of a call.
     BodyPiece(CallNumber, PieceBytes),
+    /// How long the bodies on their way to the sender's VM take.
+    ReceiveLoad(ReceiveLoad),
 }
 
 /// [`PeerFrame::Evacuations`] is understood.
@@ -280,9 +283,16 @@
 /// A call with a large body and [`ForwardedCall::wait_ms`] 0 is late, but may still run.
 pub const FEATURE_LATE_BODIES: u32 = 32;
 
+/// [`PeerFrame::ReceiveLoad`] is understood.
+pub const FEATURE_RECEIVE_LOAD: u32 = 64;
+
 /// Features of this build.
-pub const PEER_FEATURES: u32 =
-    FEATURE_EVACUATIONS | FEATURE_FRESHNESS | FEATURE_TOKENS | FEATURE_OFFERS | FEATURE_LATE_BODIES;
+pub const PEER_FEATURES: u32 = FEATURE_EVACUATIONS
+    | FEATURE_FRESHNESS
+    | FEATURE_TOKENS
+    | FEATURE_OFFERS
+    | FEATURE_LATE_BODIES
+    | FEATURE_RECEIVE_LOAD;
 
 /// Tokens of a team that a daemon asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/coltsfootweir/src/sidecar/member_task.rs
+++ b/coltsfootweir/src/sidecar/member_task.rs
@@ -175,6 +175,7 @@
         state.members.check_links(now);
         state.uplink.send_pieces();
         state.uploads.send_grants();
+        state.uploads.report_load();
         let called = state.routing.budgets.borrow().keys().cloned().collect();
         // During a rollout, store watchers need a link to every daemon to receive its rollout
         // status.
@@ -233,6 +234,10 @@
             let mut loads = receiver.routing.endpoint_loads.borrow_mut();
             loads.record_uplink(peer.clone(), load, receiver.now());
         }
+        PeerFrame::ReceiveLoad(load) => {
+            let mut loads = receiver.routing.endpoint_loads.borrow_mut();
+            loads.record_receive_load(peer.clone(), load, receiver.now());
+        }
         PeerFrame::DeparturesHeld(count, departures) => {
             on_departures_held(&receiver, side, count, &departures);
         }
--- a/coltsfootweir/src/sidecar/reported_loads.rs
+++ b/coltsfootweir/src/sidecar/reported_loads.rs
@@ -6,6 +6,8 @@
 use crate::ids::MemberId;
 use crate::ids::RegionName;
 use crate::sidecar::frame::EndpointLoad;
+use crate::sidecar::uploads::receive_load::BodyPlan;
+use crate::sidecar::uploads::receive_load::ReceiveLoad;
 
 /// Time after which a reported run time expires, so that an endpoint that was slow is tried again.
 const RUN_TIME_LIMIT: Duration = Duration::from_secs(3);
@@ -36,6 +38,8 @@
     reports: HashMap<MemberId, ReportedLoad>,
     /// Times that the answers on their way from a VM take, and when they were reported.
     uplinks: HashMap<MemberId, (Duration, Duration)>,
+    /// How long the bodies on their way to a VM take, and when that was reported.
+    receive_loads: HashMap<MemberId, (ReceiveLoad, Duration)>,
     /// Times until which requests of a route, by the hash of its name, are not sent to the endpoint of
     /// a daemon or to a region.
     refusals: HashMap<(Box<str>, u32), Duration>,
@@ -69,6 +73,29 @@
         })
     }
 
+    /// Records how long the bodies on their way to a daemon's VM take.
+    pub fn record_receive_load(&mut self, id: MemberId, load: ReceiveLoad, now: Duration) {
+        self.receive_loads.insert(id, (load, now));
+    }
+
+    /// Returns the wait of a large body of a rank for the link of a daemon's VM, by its last report.
+    #[must_use]
+    pub fn receive_wait(&self, id: &MemberId, rank: u8, now: Duration) -> Duration {
+        let report = self.receive_loads.get(id);
+        report.map_or(Duration::ZERO, |(load, at)| {
+            load.wait(rank, now.saturating_sub(*at))
+        })
+    }
+
+    /// Returns by how much a large body would be late at a daemon's VM, by its last report.
+    #[must_use]
+    pub fn receive_excess(&self, id: &MemberId, plan: &BodyPlan, now: Duration) -> Duration {
+        let report = self.receive_loads.get(id);
+        report.map_or(Duration::ZERO, |(load, at)| {
+            load.excess(plan, now.saturating_sub(*at))
+        })
+    }
+
     /// Records that a request of a route was refused for lack of capacity at `now`. Others of that
     /// route are refused there for `wait`, within bounds.
     pub fn record_refusal(&mut self, id: MemberId, route_hash: u32, wait: Duration, now: Duration) {
--- a/coltsfootweir/src/sidecar/uploads/body_intake.rs
+++ b/coltsfootweir/src/sidecar/uploads/body_intake.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::clock::DaemonClock;
 use crate::logging::MEMBERS;
 use crate::sidecar::frame::CallNumber;
+use crate::sidecar::frame::FEATURE_RECEIVE_LOAD;
 use crate::sidecar::frame::PeerFrame;
 use crate::sidecar::frame::PieceBytes;
 use crate::sidecar::link::link_side::LinkSide;
@@ -27,6 +29,7 @@
 use crate::sidecar::uploads::grant_schedule::BodySpec;
 use crate::sidecar::uploads::grant_schedule::GrantSchedule;
 use crate::sidecar::uploads::grant_schedule::PieceEffect;
+use crate::sidecar::uploads::load_reports::LoadReports;
 
 /// Time after which a body that found no memory may be offered again: a few run times, after which
 /// bodies of others are released.
@@ -47,6 +50,9 @@
     schedule: GrantSchedule,
     incoming: HashMap<BodyId, IncomingBody>,
     ids: HashMap<(LinkId, CallNumber), BodyId>,
+    reports: LoadReports,
+    /// Connections on which bodies were offered lately.
+    sides: HashMap<LinkId, Weak<LinkSide>>,
 }
 
 /// The bodies that are sent to this VM.
@@ -79,6 +85,8 @@
             schedule: GrantSchedule::new(link_mbits),
             incoming: HashMap::new(),
             ids: HashMap::new(),
+            reports: LoadReports::default(),
+            sides: HashMap::new(),
         };
         Rc::new(BodyIntake {
             state: RefCell::new(state),
@@ -109,7 +117,9 @@
         let Some(memory) = self.memory.reserve(spec.length) else {
             return Err(state.schedule.backlog_time(now).max(MEMORY_RETRY));
         };
-        let id = state.schedule.offer(spec, now)?;
+        let offered = state.schedule.offer(spec, now);
+        state.report_offer(side, offered.is_err(), now);
+        let id = offered?;
         let (whole, received) = flume::bounded(1);
         let body = IncomingBody {
             side: Rc::clone(side),
@@ -170,6 +180,26 @@
         self.state.borrow_mut().send_grants(None, now);
     }
 
+    /// Tells peers that offer bodies how long those on their way take, if that has changed; to be called
+    /// several times a second.
+    pub fn report_load(&self) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if state.sides.is_empty() {
+            return;
+        }
+        let load = state.schedule.load(now);
+        for link in state.reports.take_due(&load, now) {
+            let side = state.sides.get(&link).and_then(Weak::upgrade);
+            // A connection that has ended needs no report.
+            if let Some(side) = side {
+                side.send(PeerFrame::ReceiveLoad(load.clone()));
+            }
+        }
+        state.sides.retain(|link, _| state.reports.has(*link));
+    }
+
     /// Returns the time that the expected bodies take.
     #[must_use]
     pub fn backlog_time(&self) -> Duration {
@@ -215,6 +245,18 @@
         }
     }
 
+    /// Tells the peer that has offered a body how long those on their way take, if that has changed.
+    fn report_offer(&mut self, side: &Rc<LinkSide>, is_refused: bool, now: Duration) {
+        if !side.has_feature(FEATURE_RECEIVE_LOAD) {
+            return;
+        }
+        let load = self.schedule.load(now);
+        self.sides.insert(side.id(), Rc::downgrade(side));
+        if self.reports.on_offer(side.id(), is_refused, &load, now) {
+            side.send(PeerFrame::ReceiveLoad(load));
+        }
+    }
+
     fn remove(&mut self, id: BodyId) {
         self.schedule.remove(id);
         if let Some(body) = self.incoming.remove(&id) {
--- a/coltsfootweir/src/sidecar/uploads/grant_schedule.rs
+++ b/coltsfootweir/src/sidecar/uploads/grant_schedule.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::sidecar::link::uplink_schedule::PIECE_BYTES;
+use crate::sidecar::uploads::receive_load::ReceiveLoad;
 
 /// Identifies a body that is offered to this daemon.
 pub type BodyId = u64;
@@ -25,7 +26,7 @@
 
 /// Factor on the time that the bodies before a new one should take, as a fraction. The estimate is off
 /// by up to a quarter, as small frames share the link.
-const RATE_MARGIN: (u32, u32) = (5, 4);
+pub(super) const RATE_MARGIN: (u32, u32) = (5, 4);
 
 /// Bytes after which the rate is measured, several pieces: single ones arrive unevenly.
 const RATE_SAMPLE: u64 = 4 * PIECE_BYTES;
@@ -268,6 +269,31 @@
         self.time_for(self.backlog(now))
     }
 
+    /// Returns how long the bodies that may be in time take, by rank.
+    #[must_use]
+    pub fn load(&self, now: Duration) -> ReceiveLoad {
+        let mut load = ReceiveLoad::default();
+        let (margin, whole) = RATE_MARGIN;
+        if let Some(rate) = self.rate() {
+            let planned = rate * f64::from(whole) / f64::from(margin);
+            load.rate = (planned / 1_000.0).max(1.0) as u32;
+        }
+        let mut bytes = 0;
+        for ((rank, ..), body) in &self.bodies {
+            if !self.is_live(body, now) {
+                continue;
+            }
+            bytes += body.missing();
+            let time = self.time_for(bytes).as_millis();
+            let wait_ms = u32::try_from(time).unwrap_or(u32::MAX);
+            match load.waits.last_mut() {
+                Some((last, wait)) if last == rank => *wait = wait_ms,
+                _ => load.waits.push((*rank, wait_ms)),
+            }
+        }
+        load
+    }
+
     /// Returns the limit of the bytes that are granted and not received.
     #[must_use]
     pub fn limit(&self) -> u64 {
@@ -330,12 +356,17 @@
 
     /// Returns the time that the link takes for `bytes`; zero if the rate is not known.
     fn link_time(&self, bytes: u64) -> Duration {
-        let rate = match (self.stated_rate, self.measured_rate) {
-            (Some(stated), Some(measured)) => stated.min(measured),
-            (Some(rate), None) | (None, Some(rate)) => rate,
-            (None, None) => return Duration::ZERO,
-        };
-        Duration::from_secs_f64(bytes as f64 / rate.max(1.0))
+        self.rate().map_or(Duration::ZERO, |rate| {
+            Duration::from_secs_f64(bytes as f64 / rate.max(1.0))
+        })
+    }
+
+    /// Returns the rate of the link in bytes a second, if it is known.
+    fn rate(&self) -> Option<f64> {
+        match (self.stated_rate, self.measured_rate) {
+            (Some(stated), Some(measured)) => Some(stated.min(measured)),
+            (stated, measured) => stated.or(measured),
+        }
     }
 
     /// Measures the rate while bodies wait for grants; otherwise senders may be the slower ones.
--- a/coltsfootweir/src/sidecar/uploads/mod.rs
+++ b/coltsfootweir/src/sidecar/uploads/mod.rs
@@ -7,4 +7,6 @@
 pub mod body_intake;
 pub mod body_memory;
 pub mod grant_schedule;
+pub mod load_reports;
+pub mod receive_load;
 pub mod upload_times;
--- a/programs/tests/sidecar_uploads.rs
+++ b/programs/tests/sidecar_uploads.rs
@@ -4,6 +4,7 @@
 mod common;
 mod sidecar;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use common::PATIENCE;
@@ -15,6 +16,8 @@
 use common::caller_threads::run_callers;
 use common::caller_threads::run_while;
 use common::wait_for;
+use serde_json::Value;
+use serde_json::json;
 use sidecar::large_answer::LargeAnswer;
 use sidecar::sidecar_fleet::ConfigTerms;
 use sidecar::sidecar_fleet::HORSES;
@@ -200,6 +203,46 @@
     }
 }
 
+/// Guards against uploads beyond what a receiver's link carries that are offered to it all the same, each
+/// for a refusal that waits behind the bodies on that link.
+#[test]
+fn upload_that_can_not_be_in_time_is_refused_by_its_ingress() {
+    let fleet = start_fleet(1);
+    let thin = RelayMode::PaceRequests(THIN_RATE);
+    fleet.sidecars[1].relay.set_mode(thin);
+    let ingress = &fleet.sidecars[0];
+    let spec = |id: &str| CallSpec {
+        path: "/short/ok".to_owned(),
+        ..upload(id, 100_000)
+    };
+    run_while(
+        8,
+        |caller, stop| {
+            for number in 0.. {
+                let answer = ingress.call(&spec(&format!("load-{caller}-{number}")));
+                let status = answer.expect("a whole answer").status;
+                assert!([200, 503].contains(&status), "{status}");
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+            }
+        },
+        || {
+            wait_for("a refusal by the ingress", PATIENCE, || {
+                let ended = ingress.events("request_ended");
+                let is_early =
+                    |event: &&Value| event["cause"] == "link_full" && event["asked"] == json!([]);
+                ended.iter().any(|event| is_early(&event))
+            });
+        },
+    );
+    // It expires when the link is free.
+    wait_for("an upload that is accepted", PATIENCE, || {
+        let answer = ingress.call(&spec("after")).expect("a whole answer");
+        answer.status == 200
+    });
+}
+
 /// Guards against a 502 for a request that has certainly not run.
 #[test]
 fn upload_without_another_endpoint_is_refused_truthfully() {
