--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -19,6 +19,7 @@
 use crate::sidecar::member_table::VersionCount;
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::teams::team::TeamName;
+use crate::sidecar::uploads::receive_load::ReceiveLoad;
 
 /// Maximum size of a frame, in bytes: the largest response body that is read, and its headers.
 const FRAME_LIMIT: usize = 40 * 1024 * 1024;
@@ -270,6 +271,8 @@
     /// The sender no longer lends tokens of a limit slot. The receiver may take the slot while its row
     /// has this version.
     LimitSlotReleased(u8, RowVersion),
+    /// How long the bodies on their way to the sender's VM take.
+    ReceiveLoad(ReceiveLoad),
 }
 
 /// [`PeerFrame::Evacuations`] is understood.
@@ -290,13 +293,17 @@
 /// A call with a large body and [`ForwardedCall::wait_ms`] 0 is late, but may still run.
 pub const FEATURE_LATE_BODIES: u32 = 32;
 
+/// [`PeerFrame::ReceiveLoad`] is understood.
+pub const FEATURE_RECEIVE_LOAD: u32 = 64;
+
 /// Features of this build.
 pub const PEER_FEATURES: u32 = FEATURE_EVACUATIONS
     | FEATURE_FRESHNESS
     | FEATURE_TOKENS
     | FEATURE_OFFERS
     | FEATURE_SLOT_RELEASE
-    | FEATURE_LATE_BODIES;
+    | FEATURE_LATE_BODIES
+    | FEATURE_RECEIVE_LOAD;
 
 /// Tokens of a team that a daemon asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/coltsfootweir/src/sidecar/reported_loads.rs
+++ b/coltsfootweir/src/sidecar/reported_loads.rs
@@ -7,6 +7,8 @@
 use crate::sidecar::frame::EndpointLoad;
 use crate::sidecar::refusal_memory::RefusalMemory;
 use crate::sidecar::refusal_memory::RefusalScope;
+use crate::sidecar::uploads::receive_load::BodyPlan;
+use crate::sidecar::uploads::receive_load::ReceiveLoad;
 
 /// Time after which a reported run time expires, so that an endpoint that was slow is tried again.
 const RUN_TIME_LIMIT: Duration = Duration::from_secs(3);
@@ -30,6 +32,8 @@
     reports: HashMap<MemberId, ReportedLoad>,
     /// Times that the answers on their way from a VM take, and when they were reported.
     uplinks: HashMap<MemberId, (Duration, Duration)>,
+    /// How long the bodies on their way to a VM take, and when that was reported.
+    receive_loads: HashMap<MemberId, (ReceiveLoad, Duration)>,
     /// Recent refusals of endpoints and regions.
     refusals: RefusalMemory,
 }
@@ -62,6 +66,29 @@
         })
     }
 
+    /// Records how long the bodies on their way to a daemon's VM take.
+    pub fn record_receive_load(&mut self, id: MemberId, load: ReceiveLoad, now: Duration) {
+        self.receive_loads.insert(id, (load, now));
+    }
+
+    /// Returns the wait of a large body of a rank for the link of a daemon's VM, by its last report.
+    #[must_use]
+    pub fn receive_wait(&self, id: &MemberId, rank: u8, now: Duration) -> Duration {
+        let report = self.receive_loads.get(id);
+        report.map_or(Duration::ZERO, |(load, at)| {
+            load.wait(rank, now.saturating_sub(*at))
+        })
+    }
+
+    /// Returns by how much a large body would be late at a daemon's VM, by its last report.
+    #[must_use]
+    pub fn receive_excess(&self, id: &MemberId, plan: &BodyPlan, now: Duration) -> Duration {
+        let report = self.receive_loads.get(id);
+        report.map_or(Duration::ZERO, |(load, at)| {
+            load.excess(plan, now.saturating_sub(*at))
+        })
+    }
+
     /// Records that an endpoint refused a request because its slots are taken. Others of the same kind
     /// are not sent there for `wait`, within bounds.
     pub fn record_refusal(&mut self, id: &str, scope: RefusalScope, wait: Duration, now: Duration) {
