--- a/programs/tests/sidecar_soak.rs
+++ b/programs/tests/sidecar_soak.rs
@@ -21,7 +21,7 @@
 /// Seeds played each time.
 const SHORT_SEEDS: [u64; 3] = [1, 6, 12];
 
-/// Seeds played each time with teams and zones: one whose load breaks each rule if it is not enforced.
+/// Seeds played each time with teams and zones: one whose load breaks each bound if it is not enforced.
 const EXTENDED_SEEDS: [u64; 1] = [4];
 
 /// Soaks played at once: some twenty processes.
