Holder slots: no hand-over while the store is slow; runs that have ended are replaced at once

After all VMs lost power, the rows named daemons that were no longer candidates: no holder for 3 s in one region and 7.5 s in the other. Change: a candidate reports a row only if its read took less than 120 ms. A row whose run has ended, as a later run of its daemon is known, is taken 300 ms later.

--- a/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
@@ -29,8 +29,8 @@
 /// takes the slot. It allows for clocks that run at different speeds.
 pub const TAKE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Time after the start of a run before it takes the slot of its daemon's earlier run: the validity
-/// of tokens that the earlier run lent.
+/// Time after the end of a run before its slot is taken, by a later run of its daemon or by another
+/// daemon that knows of one: the validity of tokens that the run lent.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time by which a daemon that is not the first choice for a free slot leaves it to the one that is:
@@ -80,6 +80,8 @@
     pub is_leaving: bool,
     /// Whether the daemon has lost access to the store and reaches a candidate.
     pub can_hand_over: bool,
+    /// Whether the run that the row of each slot names has ended, as a later run of its daemon is known.
+    pub has_ended: [bool; REGION_SLOTS],
 }
 
 /// Next call to the store.
@@ -115,6 +117,8 @@
     relied_until: Option<Duration>,
     written_at: Option<Duration>,
     free_since: Option<Duration>,
+    /// Time from which on the run that the row names is known to have ended.
+    ended_since: Option<Duration>,
     /// Latest version of the row that is known to name this run while it relies on the lease.
     held_version: RowVersion,
     /// Latest report of a candidate that has read the row while it named this daemon.
@@ -153,6 +157,13 @@
         }
     }
 
+    /// Returns the daemon and the run that the row of a slot names, as last read.
+    #[must_use]
+    pub fn named_run(&self, slot: usize) -> Option<(&MemberId, Incarnation)> {
+        let row = self.slots.get(slot)?.seen.as_ref()?.row.as_ref()?;
+        Some((&row.holder, row.run))
+    }
+
     /// Returns whether this daemon may lend tokens of a slot.
     #[must_use]
     pub fn may_lend(&self, slot: usize, now: Duration) -> bool {
@@ -327,7 +338,10 @@
             Some(row) if row.holder == self.id && row.run < self.run => {
                 now >= self.started_at + RESTART_PAUSE
             }
-            Some(_) => now >= seen.since + LEASE_TIME + TAKE_MARGIN,
+            Some(_) => {
+                let has_ended = self.ended_for(slot, candidate, now) >= RESTART_PAUSE;
+                has_ended || now >= seen.since + LEASE_TIME + TAKE_MARGIN
+            }
         };
         if !is_free {
             self.slots[slot].free_since = None;
@@ -349,6 +363,16 @@
         }
     }
 
+    /// Returns the time for which the run that the row names is known to have ended.
+    fn ended_for(&mut self, slot: usize, candidate: LeaseCandidate, now: Duration) -> Duration {
+        let since = &mut self.slots[slot].ended_since;
+        if !candidate.has_ended[slot] {
+            *since = None;
+            return Duration::ZERO;
+        }
+        now.saturating_sub(*since.get_or_insert(now))
+    }
+
     fn write(
         &mut self,
         slot: usize,
--- a/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
@@ -38,6 +38,11 @@
 /// Number of daemons of a region that may hold slots: one for each slot and a spare one.
 pub const LEASE_CANDIDATES: usize = REGION_SLOTS + 1;
 
+/// Time within which a store that is not slow answers a read: twice a round trip between regions. While
+/// the store is slow, renewals of a holder may fail for some time, but a candidate could not take the
+/// slot either.
+const PROMPT_READ: Duration = Duration::from_millis(120);
+
 /// Pause between two checks of the leases.
 const LEASE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -124,14 +129,28 @@
         has_others: others.any(|id| state.members.is_reachable(id)),
         is_leaving: state.is_leaving.get(),
         can_hand_over: can_hand_over(state),
+        has_ended: std::array::from_fn(|slot| has_ended(state, slot)),
     }
 }
 
+/// Returns whether a later run of the daemon that the row of a slot names is known.
+fn has_ended(state: &SidecarState, slot: usize) -> bool {
+    let lease = state.rate_limits.lease.borrow();
+    let Some((holder, run)) = lease.named_run(slot) else {
+        return false;
+    };
+    state.members.read(|table| {
+        let record = table.get(holder);
+        record.is_some_and(|record| record.incarnation > run)
+    })
+}
+
 fn row_key(state: &SidecarState, slot: usize) -> Box<str> {
     format!("{}/{slot}", state.settings().region).into()
 }
 
 async fn read_rows(state: &SidecarState) {
+    let started = state.clock.boot();
     let reply = match state.store.read_all(StoreTable::RateLimits).await {
         Ok(reply) => reply,
         Err(fault) => {
@@ -155,7 +174,9 @@
                 continue;
             }
         };
-        if let Some(row) = &row {
+        if let Some(row) = &row
+            && now < started + PROMPT_READ
+        {
             report_row(state, slot, version, row);
         }
         let mut lease = state.rate_limits.lease.borrow_mut();
--- a/coltsfootweir/tests/limits/limit_world.rs
+++ b/coltsfootweir/tests/limits/limit_world.rs
@@ -20,6 +20,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::world_event::WorldEvent;
+use super::world_event::is_ended;
+use super::world_event::name;
 
 pub const DAEMONS: usize = 4;
 const TICK_MS: u64 = 10;
@@ -128,10 +130,6 @@
     pub taken: usize,
 }
 
-fn name(index: usize) -> MemberId {
-    format!("vm-{index}").into()
-}
-
 fn ms(at: u64) -> Duration {
     Duration::from_millis(at)
 }
@@ -378,6 +376,9 @@
         let at = self.at;
         self.daemons[index].notice_store(at);
         let order = self.candidates();
+        let lease = &self.daemons[index].lease;
+        let runs: Vec<u64> = self.daemons.iter().map(|daemon| daemon.run).collect();
+        let has_ended = std::array::from_fn(|slot| is_ended(lease.named_run(slot), &runs));
         let daemon = &mut self.daemons[index];
         let mut others = order.iter().filter(|of| **of != index);
         let has_others = others.next().is_some();
@@ -386,6 +387,7 @@
             has_others,
             is_leaving: daemon.is_leaving,
             can_hand_over: has_others && daemon.has_lost_store,
+            has_ended,
         };
         let now = ms(at);
         let Some(step) = daemon.lease.next_step(candidate, now) else {
--- a/coltsfootweir/tests/sidecar_limit_handover.rs
+++ b/coltsfootweir/tests/sidecar_limit_handover.rs
@@ -27,6 +27,7 @@
     has_others: true,
     is_leaving: false,
     can_hand_over: false,
+    has_ended: [false; 2],
 };
 
 const LOST: LeaseCandidate = LeaseCandidate {
@@ -34,6 +35,7 @@
     has_others: true,
     is_leaving: false,
     can_hand_over: true,
+    has_ended: [false; 2],
 };
 
 /// Run of the daemon under test.
@@ -235,3 +237,27 @@
     assert!(matches!(step, Some(LeaseStep::Write(0, 10, _))), "{step:?}");
     assert!(!lease.may_lend(0, ms(5_100)));
 }
+
+/// Guards against a region without a holder for 6.5 s after all its VMs lost power: the rows name runs
+/// that have ended, of daemons that are no longer candidates.
+#[test]
+fn slot_of_a_run_that_has_ended_is_taken_when_its_tokens_have_expired() {
+    let mut lease = LimitLease::new("vm-2".into(), RUN, ms(0));
+    lease.on_read(0, 10, Some(row("vm-1", RUN)), ms(0));
+    lease.on_read(1, 11, Some(row("vm-3", RUN)), ms(0));
+    let step = lease.next_step(HOLDER, ms(100));
+    assert!(!matches!(step, Some(LeaseStep::Write(..))), "{step:?}");
+    let ended = LeaseCandidate {
+        has_ended: [true, false],
+        ..HOLDER
+    };
+    let step = lease.next_step(ended, ms(200));
+    assert!(!matches!(step, Some(LeaseStep::Write(..))), "{step:?}");
+    let step = lease.next_step(ended, ms(499));
+    assert!(!matches!(step, Some(LeaseStep::Write(..))), "{step:?}");
+    let step = lease.next_step(ended, ms(500));
+    let Some(LeaseStep::Write(0, 10, row)) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(&*row.holder, "vm-2");
+}
