--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -143,7 +143,7 @@
     pub dial_now: Notify,
     /// Planned stop, if one has begun.
     pub stop: StopControl,
-    /// Whether the daemon is shutting down.
+    /// Whether the daemon is shutting down and takes no calls of other daemons any more.
     pub is_leaving: Cell<bool>,
     /// Number of client requests in progress.
     pub running: Cell<u32>,
