Only a daemon itself gives up the slot of its earlier run

Cause, found by reading: a candidate took the slot of a run when the member record of its daemon had a higher incarnation. A daemon whose clock was set back raises the incarnation in its record, and the record of an ended run can have a higher one, so the row of a holder that lends seemed to name an ended run: two daemons could lend from one slot, past the cap.

--- a/coltsfootweir/src/sidecar/frame.rs
+++ b/coltsfootweir/src/sidecar/frame.rs
@@ -266,7 +266,8 @@
     /// The next bytes of the body of a call.
     BodyPiece(CallNumber, PieceBytes),
     /// The sender may take limit slots and has just read the row of one, which names this run of the
-    /// receiver and has this version. Sent only if the receiver has lost access to the store.
+    /// receiver and has this version. Sent only if the receiver has lost access to the store or may have
+    /// started again.
     LimitSlotRead(u8, Incarnation, RowVersion),
     /// The sender no longer lends tokens of a limit slot. The receiver may take the slot while its row
     /// has this version.
--- a/coltsfootweir/src/sidecar/rate_limits/hand_over.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/hand_over.rs
@@ -14,11 +14,9 @@
 use crate::sidecar::rate_limits::limit_task::LEASE_CANDIDATES;
 use crate::sidecar::sidecar_state::SidecarState;
 
-/// Returns whether this daemon has lost access to the store and reaches a candidate that understands a
-/// hand-over.
+/// Returns whether this daemon reaches a candidate that understands a hand-over.
 pub(super) fn can_hand_over(state: &SidecarState) -> bool {
-    state.members.own().store == StoreReach::Lost
-        && candidates(state).any(|id| has_feature(state, &id))
+    candidates(state).any(|id| has_feature(state, &id))
 }
 
 /// Tells the candidates that they may take a slot of this daemon.
@@ -38,18 +36,20 @@
     info!(target: CALLS, "{event}");
 }
 
-/// Reports the version of a row to its holder if that one has lost access to the store.
+/// Reports the version of a row to its holder if that one has lost access to the store or has started
+/// again.
 pub(super) fn report_row(state: &SidecarState, slot: usize, version: RowVersion, row: &LeaseRow) {
-    let has_lost_store = state.members.read(|table| {
+    let may_hand_over = state.members.read(|table| {
         let record = table.get(&row.holder);
-        record.is_some_and(|record| record.store == StoreReach::Lost)
+        record
+            .is_some_and(|record| record.store == StoreReach::Lost || record.incarnation != row.run)
     });
-    if !has_lost_store || row.is_released || !is_candidate(state, &state.rate_limits.own) {
+    if !may_hand_over || row.is_released || !is_candidate(state, &state.rate_limits.own) {
         return;
     }
     let frame = PeerFrame::LimitSlotRead(slot as u8, row.run, version);
     if !send(state, &row.holder, frame) {
-        log::debug!(target: CALLS, "no link to {}, which has lost the store", row.holder);
+        log::debug!(target: CALLS, "no link to {}, which may hand over its slot", row.holder);
     }
 }
 
--- a/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_lease.rs
@@ -29,8 +29,8 @@
 /// takes the slot. It allows for clocks that run at different speeds.
 pub const TAKE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Time after the end of a run before its slot is taken, by a later run of its daemon or by another
-/// daemon that knows of one: the validity of tokens that the run lent.
+/// Time after the start of a run before it takes or hands over the slot of its daemon's earlier run: the
+/// validity of tokens that the earlier run lent.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time by which a daemon that is not the first choice for a free slot leaves it to the one that is:
@@ -78,10 +78,10 @@
     pub has_others: bool,
     /// Whether the daemon is shutting down.
     pub is_leaving: bool,
-    /// Whether the daemon has lost access to the store and reaches a candidate.
+    /// Whether the daemon reaches a candidate that understands a hand-over.
     pub can_hand_over: bool,
-    /// Whether the run that the row of each slot names has ended, as a later run of its daemon is known.
-    pub has_ended: [bool; REGION_SLOTS],
+    /// Whether the daemon has lost access to the store.
+    pub has_lost_store: bool,
 }
 
 /// Next call to the store.
@@ -117,8 +117,6 @@
     relied_until: Option<Duration>,
     written_at: Option<Duration>,
     free_since: Option<Duration>,
-    /// Time from which on the run that the row names is known to have ended.
-    ended_since: Option<Duration>,
     /// Latest version of the row that is known to name this run while it relies on the lease.
     held_version: RowVersion,
     /// Latest report of a candidate that has read the row while it named this daemon.
@@ -157,13 +155,6 @@
         }
     }
 
-    /// Returns the daemon and the run that the row of a slot names, as last read.
-    #[must_use]
-    pub fn named_run(&self, slot: usize) -> Option<(&MemberId, Incarnation)> {
-        let row = self.slots.get(slot)?.seen.as_ref()?.row.as_ref()?;
-        Some((&row.holder, row.run))
-    }
-
     /// Returns whether this daemon may lend tokens of a slot.
     #[must_use]
     pub fn may_lend(&self, slot: usize, now: Duration) -> bool {
@@ -244,10 +235,17 @@
         let is_ready = match self.may_lend(slot, now) {
             true => {
                 let is_cut_off = self.failures >= CUT_OFF_FAILURES && self.is_overdue(slot, now);
-                is_cut_off && run == self.run && version >= self.slots[slot].held_version
+                candidate.has_lost_store
+                    && is_cut_off
+                    && run == self.run
+                    && version >= self.slots[slot].held_version
+            }
+            // Tokens that an earlier run lent may still be valid. Only this daemon knows for certain that its
+            // earlier run has ended: with a clock set back, a record of an ended run has the higher number.
+            false => {
+                let is_given_up = run < self.run || (run == self.run && candidate.has_lost_store);
+                is_given_up && now >= self.started_at + RESTART_PAUSE
             }
-            // Tokens that an earlier run lent may still be valid.
-            false => run <= self.run && now >= self.started_at + RESTART_PAUSE,
         };
         if !is_ready {
             return None;
@@ -338,10 +336,7 @@
             Some(row) if row.holder == self.id && row.run < self.run => {
                 now >= self.started_at + RESTART_PAUSE
             }
-            Some(_) => {
-                let has_ended = self.ended_for(slot, candidate, now) >= RESTART_PAUSE;
-                has_ended || now >= seen.since + LEASE_TIME + TAKE_MARGIN
-            }
+            Some(_) => now >= seen.since + LEASE_TIME + TAKE_MARGIN,
         };
         if !is_free {
             self.slots[slot].free_since = None;
@@ -363,16 +358,6 @@
         }
     }
 
-    /// Returns the time for which the run that the row names is known to have ended.
-    fn ended_for(&mut self, slot: usize, candidate: LeaseCandidate, now: Duration) -> Duration {
-        let since = &mut self.slots[slot].ended_since;
-        if !candidate.has_ended[slot] {
-            *since = None;
-            return Duration::ZERO;
-        }
-        now.saturating_sub(*since.get_or_insert(now))
-    }
-
     fn write(
         &mut self,
         slot: usize,
--- a/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
+++ b/coltsfootweir/src/sidecar/rate_limits/limit_task.rs
@@ -129,22 +129,10 @@
         has_others: others.any(|id| state.members.is_reachable(id)),
         is_leaving: state.is_leaving.get(),
         can_hand_over: can_hand_over(state),
-        has_ended: std::array::from_fn(|slot| has_ended(state, slot)),
+        has_lost_store: state.members.own().store == StoreReach::Lost,
     }
 }
 
-/// Returns whether a later run of the daemon that the row of a slot names is known.
-fn has_ended(state: &SidecarState, slot: usize) -> bool {
-    let lease = state.rate_limits.lease.borrow();
-    let Some((holder, run)) = lease.named_run(slot) else {
-        return false;
-    };
-    state.members.read(|table| {
-        let record = table.get(holder);
-        record.is_some_and(|record| record.incarnation > run)
-    })
-}
-
 fn row_key(state: &SidecarState, slot: usize) -> Box<str> {
     format!("{}/{slot}", state.settings().region).into()
 }
