--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod relay;
 mod reset_case;
+mod second_answer_case;
 mod socket;
 mod stop_case;
 mod store;
@@ -30,6 +31,7 @@
     record.line(format!("case {case}, trouble: {has_trouble}"));
     let outcome = match &*case {
         "reset" => reset_case::run(&record, has_trouble),
+        "second-answer" => second_answer_case::run(&record, has_trouble),
         "stop" => stop_case::run(&record, has_trouble),
         other => Err(format!("no case {other}")),
     };
