review: case 9 also shows a booking that runs twice

Cause: a broken-off copy of a refusal lends its Not-Processed to the answer of the next request. Change: the script adds refusals; the claim names TWICE; no code changes.

--- a/review/second/endpoint.rs
+++ b/review/second/endpoint.rs
@@ -127,7 +127,7 @@
                 .expect("no holder panicked")
                 .push(id.clone());
             self.record.line(format!(
-                "endpoint {} runs {id} ({}, Timeout-Ms {})",
+                "endpoint {} begins {id} ({}, Timeout-Ms {})",
                 self.id,
                 head.start,
                 head.header("timeout-ms")
@@ -143,6 +143,21 @@
         format!("sig-{}", self.id)
     }
 
+    /// Refuses a request because no slot is free; it has not run.
+    pub fn refuse(&self, id: &str, reader: &mut HttpReader) -> bool {
+        let mut runs = self.runs.lock().expect("no holder panicked");
+        runs.retain(|run| run != id);
+        drop(runs);
+        self.record.line(format!(
+            "endpoint {} refuses {id} with 503, Not-Processed",
+            self.id
+        ));
+        let text = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Processed: 1\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        );
+        reader.stream.write_all(text.as_bytes()).is_ok()
+    }
+
     /// Writes a whole good answer.
     pub fn answer(&self, id: &str, body: &[u8], reader: &mut HttpReader) -> bool {
         let head = format!(
--- a/review/second/second_answer_case.rs
+++ b/review/second/second_answer_case.rs
@@ -1,5 +1,5 @@
-//! After a complete answer, an endpoint sends the beginning of a second one, late: it arrives where the
-//! next answer is expected. The endpoint fails the next request.
+//! After a complete answer, an endpoint sends the beginning of a copy of it, late: it arrives where the
+//! next answer is expected.
 
 use std::cell::Cell;
 use std::io::Write;
@@ -20,16 +20,19 @@
 use crate::http::request_bytes;
 use crate::record::CaseRecord;
 
-const REQUESTS: usize = 210;
+const REQUESTS: usize = 320;
 
 /// The faulty endpoint sends a second answer after one in this many.
 const EXTRA_EVERY: usize = 50;
 
 /// The faulty endpoint fails one in this many of its requests.
-const FAIL_EVERY: usize = 5;
+const FAIL_EVERY: usize = 20;
 
-/// The second answer, as far as it gets.
-const SECOND_ANSWER: &[u8] = b"HTTP/1.1 200 O";
+/// The copy of a good answer, as far as it gets.
+const GOOD_COPY: &str = "HTTP/1.1 200 O";
+
+/// The copy of a refusal, as far as it gets.
+const REFUSAL_COPY: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Processed: 1";
 
 const BODY: &[u8] = b"a stall for one night";
 
@@ -44,8 +47,8 @@
 ];
 
 thread_local! {
-    /// Whether the connection of this thread still has to send a second answer.
-    static IS_DUE: Cell<bool> = const { Cell::new(false) };
+    /// What the connection of this thread still has to send of a second answer.
+    static DUE: Cell<&'static str> = const { Cell::new("") };
 }
 
 pub fn run(record: &CaseRecord, has_trouble: bool) -> Outcome {
@@ -77,6 +80,7 @@
     let mut has_held = true;
     for number in 1..=REQUESTS {
         has_held &= book(&fleet, &mut reader, number)?;
+        has_held &= has_run_once(&fleet, number);
     }
     Ok(has_held)
 }
@@ -90,17 +94,24 @@
     has_trouble: bool,
 ) -> bool {
     let id = head.header("request-id").to_owned();
-    if IS_DUE.replace(false) {
+    let due = DUE.replace("");
+    if !due.is_empty() {
         state.record.line(format!(
-            "endpoint {} sends {:?}, the beginning of a second answer to the request before {id}",
-            state.id,
-            String::from_utf8_lossy(SECOND_ANSWER)
+            "endpoint {} sends {due:?}, the beginning of a second answer to the request before {id}",
+            state.id
         ));
-        if reader.stream.write_all(SECOND_ANSWER).is_err() {
+        if reader.stream.write_all(due.as_bytes()).is_err() {
             return false;
         }
     }
-    IS_DUE.set(has_trouble && count > 0 && count.is_multiple_of(EXTRA_EVERY));
+    let is_extra = count > 0 && count.is_multiple_of(EXTRA_EVERY);
+    let is_refused = is_extra && !count.is_multiple_of(EXTRA_EVERY * 2);
+    if is_extra && has_trouble {
+        DUE.set(if is_refused { REFUSAL_COPY } else { GOOD_COPY });
+    }
+    if is_refused {
+        return state.refuse(&id, reader);
+    }
     let fails = count % FAIL_EVERY == 1;
     if !fails {
         return state.answer(&id, BODY, reader);
@@ -145,3 +156,21 @@
     }
     Ok(!is_mixed)
 }
+
+/// Returns whether a booking ran at most once.
+fn has_run_once(fleet: &Fleet, number: usize) -> bool {
+    let id = format!("book-{number}");
+    let mut places = Vec::new();
+    for machine in &fleet.machines {
+        let runs = machine.endpoint.runs.lock().expect("no holder panicked");
+        for _ in runs.iter().filter(|run| **run == id) {
+            places.push(machine.endpoint.id.clone());
+        }
+    }
+    if places.len() > 1 {
+        let places = places.join(" and ");
+        fleet.record.line(format!("TWICE: {id} ran at {places}"));
+        return false;
+    }
+    true
+}
