--- a/review/second/fleet.rs
+++ b/review/second/fleet.rs
@@ -26,13 +26,7 @@
 const PROGRAM: &str = "target/release/coltsfootweird";
 const ARGUMENTS: [&str; 3] = ["sidecar", "--metrics-port", "9464"];
 
-/// Memory limit of a daemon in the settings, in MB.
-pub const MEMORY_MB: u64 = 260;
-
-pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
 
 /// Where a daemon stands, and what its endpoint runs.
 #[derive(Clone, Copy)]
@@ -47,9 +41,7 @@
     pub name: String,
     pub outbound: SocketAddr,
     pub ready: SocketAddr,
-    pub admin: SocketAddr,
     pub endpoint: Arc<EndpointState>,
-    settings: PathBuf,
     child: Child,
 }
 
@@ -135,7 +127,7 @@
 [self.limits]
 cpu_share = 0.2
 cores = 1
-memory_mb = {MEMORY_MB}
+memory_mb = 260
 max_fds = 4100
 link_mbps = {link_mbps:.1}
 disk_mb = 0
@@ -213,9 +205,7 @@
             name,
             outbound,
             ready,
-            admin,
             endpoint,
-            settings,
             child,
         })
     }
@@ -270,21 +260,6 @@
         let _ = unsafe { kill(machine.child.id() as i32, signal) };
     }
 
-    /// Kills the daemon of a machine and starts it again, as after a failure.
-    pub fn restart(&mut self, index: usize, pause: Duration) -> Result<(), String> {
-        self.signal(index, SIGKILL);
-        let _ = self.machines[index].child.wait();
-        std::thread::sleep(pause);
-        let settings = self.machines[index].settings.clone();
-        let text = fs::read_to_string(&settings).map_err(|error| error.to_string())?;
-        let text = text.replace("bootstrap = true", "bootstrap = false");
-        fs::write(&settings, text).map_err(|error| error.to_string())?;
-        let name = self.machines[index].name.clone();
-        self.machines[index].child = self.spawn(&name, &settings)?;
-        self.record.line(format!("{name} is started again"));
-        Ok(())
-    }
-
     /// Returns whether the daemon of a machine has ended, without waiting for it.
     pub fn has_ended(&mut self, index: usize) -> bool {
         matches!(self.machines[index].child.try_wait(), Ok(Some(_)))
