--- a/review/second/endpoint.rs
+++ b/review/second/endpoint.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -32,13 +33,15 @@
     pub record: CaseRecord,
     born: u128,
     sequence: AtomicU64,
-    pub is_leaving: AtomicBool,
+    has_departed: AtomicBool,
     /// Ids of the requests that began to run.
     pub runs: Mutex<Vec<String>>,
+    /// Times at which requests arrived.
+    pub arrivals: Mutex<Vec<Instant>>,
 }
 
 /// Interval between two announcements; the settings name the same.
-pub const HEARTBEAT: Duration = Duration::from_millis(500);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 /// Starts an endpoint that announces itself to the daemon at `admin`.
 pub fn start_endpoint(
@@ -59,8 +62,9 @@
         record: record.clone(),
         born: born.expect("a time after 1970").as_millis(),
         sequence: AtomicU64::new(0),
-        is_leaving: AtomicBool::new(false),
+        has_departed: AtomicBool::new(false),
         runs: Mutex::default(),
+        arrivals: Mutex::default(),
     });
     let serving = Arc::clone(&state);
     std::thread::spawn(move || {
@@ -81,27 +85,38 @@
 }
 
 impl EndpointState {
+    /// Sends an announcement, unless the endpoint has departed.
     fn announce(&self, admin: SocketAddr) {
-        let word = match self.is_leaving.load(Ordering::SeqCst) {
-            true => "draining",
-            false => "healthy",
-        };
+        if !self.has_departed.load(Ordering::SeqCst) {
+            let body = self.announcement();
+            // A daemon that is not up yet is called again.
+            let _ = self.tell(admin, "PUT", &body);
+        }
+    }
+
+    /// An announcement of a healthy endpoint, as it is sent now.
+    pub fn announcement(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let (address, born, service, zone) = (self.address, self.born, &self.service, &self.zone);
-        let body = format!(
-            r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","capacity":9}},"status":{{"state":"{word}","sequence":{sequence},"warmup_left_ms":0}}}}"#
-        );
+        format!(
+            r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","capacity":9}},"status":{{"state":"healthy","sequence":{sequence},"warmup_left_ms":0}}}}"#
+        )
+    }
+
+    /// Departs, without having reported that it drains; returns whether that was acknowledged.
+    pub fn depart(&self, admin: SocketAddr) -> bool {
+        self.has_departed.store(true, Ordering::SeqCst);
+        let body = format!(r#"{{"born":{}}}"#, self.born);
+        self.tell(admin, "DELETE", &body)
+    }
+
+    /// Calls the daemon at `admin`; returns whether that was acknowledged within a second.
+    pub fn tell(&self, admin: SocketAddr, method: &str, body: &str) -> bool {
         let path = format!("/coltsfootweir/endpoints/{}", self.id);
         let headers = [("Host", "daemon"), ("Content-Type", "application/json")];
-        // A daemon that is not up yet is called again.
-        let _ = call(
-            admin,
-            "PUT",
-            &path,
-            &headers,
-            body.as_bytes(),
-            Duration::from_secs(1),
-        );
+        let limit = Duration::from_secs(1);
+        let answer = call(admin, method, &path, &headers, body.as_bytes(), limit);
+        answer.is_some_and(|(head, _)| (200..300).contains(&head.status()))
     }
 
     fn serve(&self, stream: TcpStream, work: &EndpointWork) {
@@ -109,6 +124,10 @@
         let mut reader = HttpReader::new(stream);
         while let Some(head) = reader.head() {
             let id = head.header("request-id").to_owned();
+            self.arrivals
+                .lock()
+                .expect("no holder panicked")
+                .push(Instant::now());
             let expected = head.header("expected-instance");
             if !expected.is_empty() && expected != self.id {
                 let _ = reader.body(&head);
--- a/review/second/fleet.rs
+++ b/review/second/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::endpoint::EndpointState;
 use crate::endpoint::EndpointWork;
+use crate::endpoint::HEARTBEAT;
 use crate::endpoint::start_endpoint;
 use crate::http::call;
 use crate::record::CaseRecord;
@@ -41,7 +42,9 @@
     pub name: String,
     pub outbound: SocketAddr,
     pub ready: SocketAddr,
+    pub admin: SocketAddr,
     pub endpoint: Arc<EndpointState>,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -111,6 +114,7 @@
             service,
         } = place;
         let store = self.store.address;
+        let heartbeat_ms = HEARTBEAT.as_millis();
         let text = format!(
             r#"[self]
 node_id = "{name}"
@@ -147,7 +151,7 @@
 [platform]
 discovery = "static"
 entry = "static"
-heartbeat_ms = 500
+heartbeat_ms = {heartbeat_ms}
 [platform.platform]
 address = "{store}"
 form = "table"
@@ -205,7 +209,9 @@
             name,
             outbound,
             ready,
+            admin,
             endpoint,
+            settings,
             child,
         })
     }
@@ -260,6 +266,29 @@
         let _ = unsafe { kill(machine.child.id() as i32, signal) };
     }
 
+    /// Kills all daemons at the same moment and starts them again after `pause`.
+    pub fn restart_all(&mut self, pause: Duration) -> Result<(), String> {
+        for machine in &mut self.machines {
+            let killed = machine.child.kill();
+            killed.map_err(|error| error.to_string())?;
+        }
+        for machine in &mut self.machines {
+            let _ = machine.child.wait();
+        }
+        self.record.line("all daemons are killed");
+        std::thread::sleep(pause);
+        for index in 0..self.machines.len() {
+            let machine = &self.machines[index];
+            let (name, settings) = (machine.name.clone(), machine.settings.clone());
+            let text = fs::read_to_string(&settings).map_err(|error| error.to_string())?;
+            let text = text.replace("bootstrap = true", "bootstrap = false");
+            fs::write(&settings, text).map_err(|error| error.to_string())?;
+            self.machines[index].child = self.spawn(&name, &settings)?;
+        }
+        self.record.line("all daemons are started again");
+        Ok(())
+    }
+
     /// Returns whether the daemon of a machine has ended, without waiting for it.
     pub fn has_ended(&mut self, index: usize) -> bool {
         matches!(self.machines[index].child.try_wait(), Ok(Some(_)))
--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review. `standins-2 CASE RECORD` runs one and exits with 1 if the rule was
 //! broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod departure_case;
 mod endpoint;
 mod fleet;
 mod http;
@@ -30,6 +31,7 @@
     let record = CaseRecord::create(&path);
     record.line(format!("case {case}, trouble: {has_trouble}"));
     let outcome = match &*case {
+        "departure" => departure_case::run(&record, has_trouble),
         "reset" => reset_case::run(&record, has_trouble),
         "second-answer" => second_answer_case::run(&record, has_trouble),
         "stop" => stop_case::run(&record, has_trouble),
--- a/review/second/store.rs
+++ b/review/second/store.rs
@@ -26,6 +26,8 @@
 struct StoreRows {
     rows: BTreeMap<RowKey, StoredRow>,
     version: u64,
+    /// Whether calls are neither carried out nor answered.
+    is_silent: bool,
 }
 
 /// A store on a loopback address, until the process ends.
@@ -68,18 +70,39 @@
         changed.notify_all();
     }
 
+    /// Has the store carry out and answer no call, or go on.
+    pub fn set_silent(&self, is_silent: bool) {
+        let (rows, changed) = &*self.state;
+        rows.lock().expect("no holder panicked").is_silent = is_silent;
+        changed.notify_all();
+    }
+
+    /// Waits while the store is silent; returns whether it was.
+    fn await_voice(&self) -> bool {
+        let (rows, changed) = &*self.state;
+        let rows = rows.lock().expect("no holder panicked");
+        let was_silent = rows.is_silent;
+        let waited = changed.wait_while(rows, |rows| rows.is_silent);
+        drop(waited.expect("no holder panicked"));
+        was_silent
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut reader = HttpReader::new(stream);
         while let Some(head) = reader.head() {
             let Some(body) = reader.body(&head) else {
                 return;
             };
+            // The connection delivers nothing further.
+            if self.await_voice() {
+                return;
+            }
             let (status, text) = self.answer(&head.start, &String::from_utf8_lossy(&body));
             let answer = format!(
                 "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
             );
-            if reader.stream.write_all(answer.as_bytes()).is_err() {
+            if self.await_voice() || reader.stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
