An answer with an invalid status is no answer

Here it arrived as 502 with the endpoint's signature and body; 600 and 999 arrived as they were.

Cause: the parser takes any three digits for a status, and nobody looked at them again. The response to the client fell back to 502, which no endpoint gave, and kept the endpoint's headers.

Change: heads of responses are parsed in sidecar/response_head, which refuses statuses outside 100 to 599 (RFC 9110, 15) and 101, which no request asks for. Each refusal has a reason; endpoint_answer_broken and store_answer_broken name it. A second status line is now looked for in the whole head: the parser returns no reason phrase if that has a byte above 127. The request ends as one whose answer broke off: in doubt, repeated only if it may be, on a connection that is not used again.

Handled before and kept as tests: two and four digits, a sign, version 1.2, a control byte in the reason.

--- a/coltsfootweir/src/sidecar/answer/endpoint_body.rs
+++ b/coltsfootweir/src/sidecar/answer/endpoint_body.rs
@@ -65,7 +65,7 @@
             Some(error) => {
                 let suspects = match error {
                     ExchangeError::Ended => self.blame().await,
-                    ExchangeError::NotConnected | ExchangeError::Malformed => 0,
+                    ExchangeError::NotConnected | ExchangeError::Malformed(_) => 0,
                 };
                 self.log_broken(error, bytes, suspects);
                 BodyPiece::Broken
@@ -90,7 +90,7 @@
 
     fn log_broken(&self, error: ExchangeError, bytes: u64, suspects: usize) {
         let event = json!({"name": "endpoint_answer_broken", "request": self.request_id,
-            "bytes": bytes, "reason": format!("{error:?}"), "suspects": suspects});
+            "bytes": bytes, "reason": error.to_string(), "suspects": suspects});
         info!(target: UPSTREAM, "{event}");
     }
 }
--- a/coltsfootweir/src/sidecar/http_body.rs
+++ b/coltsfootweir/src/sidecar/http_body.rs
@@ -7,6 +7,7 @@
 
 use crate::sidecar::client_connection::body_decoder::starts_with_digit;
 use crate::sidecar::http_exchange::ExchangeError;
+use crate::sidecar::response_head::ResponseFault;
 
 /// Maximum size of a response head and of all trailers, in bytes; hyper's default for its read
 /// buffer.
@@ -20,9 +21,12 @@
 
 /// How the length of a body is determined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum BodyFraming {
+pub enum BodyFraming {
+    /// Number of bytes; 0 if there is no body.
     Length(u64),
+    /// Chunks.
     Chunked,
+    /// The end of the connection.
     UntilClose,
 }
 
@@ -138,7 +142,7 @@
         if self.is_in_chunk {
             socket.fill(2).await?;
             if !socket.buffer.starts_with(b"\r\n") {
-                return Err(ExchangeError::Malformed);
+                return Err(ResponseFault::ChunkFormat.into());
             }
             socket.buffer.drain(..2);
             self.is_in_chunk = false;
@@ -146,16 +150,16 @@
         loop {
             // The parser would take a line without digits for the last chunk.
             if !starts_with_digit(socket.buffer) {
-                return Err(ExchangeError::Malformed);
+                return Err(ResponseFault::ChunkFormat.into());
             }
-            let parsed =
-                httparse::parse_chunk_size(socket.buffer).map_err(|_| ExchangeError::Malformed)?;
+            let parsed = httparse::parse_chunk_size(socket.buffer)
+                .map_err(|_| ResponseFault::ChunkFormat)?;
             if let httparse::Status::Complete((start, size)) = parsed {
                 socket.buffer.drain(..start);
                 return Ok(size);
             }
             if socket.buffer.len() > CHUNK_HEADER_LIMIT {
-                return Err(ExchangeError::Malformed);
+                return Err(ResponseFault::ChunkFormat.into());
             }
             if !socket.read_more().await? {
                 return Err(ExchangeError::Ended);
@@ -172,11 +176,11 @@
             if end == 0 {
                 return Ok(());
             }
-            left = left.checked_sub(end).ok_or(ExchangeError::Malformed)?;
+            left = left.checked_sub(end).ok_or(ResponseFault::TrailerField)?;
             continue;
         }
         if socket.buffer.len() > left {
-            return Err(ExchangeError::Malformed);
+            return Err(ResponseFault::TrailerField.into());
         }
         if !socket.read_more().await? {
             return Err(ExchangeError::Ended);
--- a/coltsfootweir/src/sidecar/http_exchange.rs
+++ b/coltsfootweir/src/sidecar/http_exchange.rs
@@ -5,6 +5,7 @@
 //! request.
 
 use std::cell::Cell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,18 +13,18 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::sidecar::http_body::BodyFraming;
+use crate::sidecar::frame::HeaderList;
 use crate::sidecar::http_body::BodyReader;
-use crate::sidecar::http_body::HEAD_LIMIT;
 use crate::sidecar::http_body::SocketBuffer;
+use crate::sidecar::message_syntax::is_final_status;
+use crate::sidecar::response_head::ResponseFault;
+use crate::sidecar::response_head::ResponseHead;
+use crate::sidecar::response_head::parse_response_head;
 
 /// Maximum size of a response body that is read whole, in bytes. The store's answers hold rows of 1 MB at
 /// most, which take a third more in their encoding.
 const BODY_LIMIT: usize = 2 * 1024 * 1024;
 
-/// Maximum number of headers of a response.
-const MAX_HEADERS: usize = 64;
-
 /// Maximum number of interim responses and of responses to other requests that are skipped before
 /// the expected one. A server sends at most a few; without a limit, such bytes may never end.
 const MAX_SKIPPED: u32 = 8;
@@ -31,9 +32,6 @@
 /// Maximum size of the body of a skipped response, in bytes. It is discarded while it is read.
 const SKIPPED_BODY_LIMIT: usize = 1024 * 1024;
 
-/// Beginning of a status line; a zero stands for any digit.
-const STATUS_LINE: &[u8] = b"HTTP/0.0 000";
-
 /// Size of the pieces in which a body is read, in bytes.
 pub const PIECE_SIZE: usize = 16 * 1024;
 
@@ -43,7 +41,7 @@
     /// Status code.
     pub status: u16,
     /// Headers in the order received, with their names unchanged.
-    pub headers: Vec<(Box<str>, Box<[u8]>)>,
+    pub headers: HeaderList,
     /// Body with the transfer encoding removed.
     pub body: Vec<u8>,
     /// Whether the connection can be used for another request.
@@ -83,7 +81,25 @@
     /// The connection was closed or reset before the end of the response.
     Ended,
     /// The response is not valid HTTP or exceeds a size limit.
-    Malformed,
+    Malformed(ResponseFault),
+}
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ExchangeError::NotConnected => f.write_str("connection could not be established"),
+            ExchangeError::Ended => f.write_str("connection ended before the end of the response"),
+            ExchangeError::Malformed(fault) => fault.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for ExchangeError {}
+
+impl From<ResponseFault> for ExchangeError {
+    fn from(fault: ResponseFault) -> ExchangeError {
+        ExchangeError::Malformed(fault)
+    }
 }
 
 /// A request in its wire format.
@@ -154,7 +170,7 @@
         if let Some(rest) = &mut rest
             && self.next_piece(rest).await?.is_some()
         {
-            return Err(ExchangeError::Malformed);
+            return Err(ResponseFault::BodySize.into());
         }
         response.is_reusable &= self.buffer.is_empty();
         Ok(response)
@@ -236,21 +252,27 @@
     let mut skipped = 0;
     let mut interim = 0;
     loop {
-        let (mut response, framing) = read_head(socket, request.is_head).await?;
-        if (100..200).contains(&response.status) {
+        let head = read_head(socket, request.is_head).await?;
+        if !is_final_status(head.status) {
             interim += 1;
             if interim > MAX_SKIPPED {
-                return Err(ExchangeError::Malformed);
+                return Err(ResponseFault::InterimCount.into());
             }
             continue;
         }
-        let mut body = BodyReader::new(framing);
+        let mut body = BodyReader::new(head.framing);
+        let mut response = HttpResponse {
+            status: head.status,
+            headers: head.headers,
+            is_reusable: head.keeps_alive,
+            ..HttpResponse::default()
+        };
         let is_match = request
             .identity
             .is_none_or(|(name, expected)| response.header(name) == Some(expected));
         if is_match {
             response.skipped = skipped;
-            response.is_reusable &= skipped == 0 && framing != BodyFraming::UntilClose;
+            response.is_reusable &= skipped == 0;
             let is_whole = read_body(socket, &mut body, limit, &mut response.body).await?;
             return Ok((response, (!is_whole).then_some(body)));
         }
@@ -275,7 +297,7 @@
         .is_some_and(|length| length > BODY_LIMIT as u64)
         && limit >= BODY_LIMIT
     {
-        return Err(ExchangeError::Malformed);
+        return Err(ResponseFault::BodySize.into());
     }
     while bytes.len() < limit || body.is_at_end() {
         match body.next(socket, PIECE_SIZE).await? {
@@ -295,13 +317,13 @@
         .length()
         .is_some_and(|length| length > SKIPPED_BODY_LIMIT as u64)
     {
-        return Err(ExchangeError::Malformed);
+        return Err(ResponseFault::BodySize.into());
     }
     let mut discarded = 0;
     while let Some(piece) = body.next(socket, PIECE_SIZE).await? {
         discarded += piece.len();
         if discarded > SKIPPED_BODY_LIMIT {
-            return Err(ExchangeError::Malformed);
+            return Err(ResponseFault::BodySize.into());
         }
     }
     Ok(())
@@ -310,85 +332,14 @@
 async fn read_head(
     socket: &mut SocketBuffer<'_>,
     is_head: bool,
-) -> Result<(HttpResponse, BodyFraming), ExchangeError> {
+) -> Result<ResponseHead, ExchangeError> {
     loop {
-        if let Some((length, response, framing)) = parse_head(socket.buffer, is_head)? {
-            socket.buffer.drain(..length);
-            return Ok((response, framing));
-        }
-        if socket.buffer.len() > HEAD_LIMIT {
-            return Err(ExchangeError::Malformed);
+        if let Some((size, head)) = parse_response_head(socket.buffer, is_head)? {
+            socket.buffer.drain(..size);
+            return Ok(head);
         }
         if !socket.read_more().await? {
             return Err(ExchangeError::Ended);
         }
     }
 }
-
-/// Parses a response head. Returns its size in bytes, or `None` when it is incomplete.
-fn parse_head(
-    bytes: &[u8],
-    is_head: bool,
-) -> Result<Option<(usize, HttpResponse, BodyFraming)>, ExchangeError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Response::new(&mut headers);
-    let status = parsed.parse(bytes).map_err(|_| ExchangeError::Malformed)?;
-    let httparse::Status::Complete(length) = status else {
-        return Ok(None);
-    };
-    let mut values = parsed.headers.iter().map(|header| header.value);
-    let reason = parsed.reason.unwrap_or_default().as_bytes();
-    if has_status_line(reason) || values.any(has_status_line) {
-        return Err(ExchangeError::Malformed);
-    }
-    let mut response = HttpResponse {
-        status: parsed.code.unwrap_or_default(),
-        is_reusable: parsed.version == Some(1),
-        ..HttpResponse::default()
-    };
-    for header in parsed.headers.iter() {
-        let entry = (header.name.into(), header.value.into());
-        response.headers.push(entry);
-    }
-    let closes = response.header("connection").is_some_and(|value| {
-        let mut words = value.split(',');
-        words.any(|word| word.trim().eq_ignore_ascii_case("close"))
-    });
-    response.is_reusable &= !closes;
-    let framing = body_framing(&response, is_head)?;
-    Ok(Some((length, response, framing)))
-}
-
-/// Returns whether a part of a line of a head contains a status line. The beginning of a response that
-/// was broken off may stand before the next one, and one of its lines goes on with that status line.
-fn has_status_line(part: &[u8]) -> bool {
-    part.windows(STATUS_LINE.len()).any(|window| {
-        let mut pairs = window.iter().zip(STATUS_LINE);
-        pairs.all(|(byte, expected)| match expected {
-            b'0' => byte.is_ascii_digit(),
-            other => byte == other,
-        })
-    })
-}
-
-fn body_framing(response: &HttpResponse, is_head: bool) -> Result<BodyFraming, ExchangeError> {
-    let has_no_body = is_head || matches!(response.status, 100..=199 | 204 | 304);
-    if has_no_body {
-        return Ok(BodyFraming::Length(0));
-    }
-    if let Some(coding) = response.header("transfer-encoding") {
-        return match coding.trim().eq_ignore_ascii_case("chunked") {
-            true => Ok(BodyFraming::Chunked),
-            false => Err(ExchangeError::Malformed),
-        };
-    }
-    match response.header("content-length") {
-        Some(length) => {
-            let length = length.trim().parse();
-            length
-                .map(BodyFraming::Length)
-                .map_err(|_| ExchangeError::Malformed)
-        }
-        None => Ok(BodyFraming::UntilClose),
-    }
-}
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -311,6 +311,9 @@
             Ok(Err(error)) => error,
         };
         drop(connection);
+        let what = json!({"name": "endpoint_answer_broken", "endpoint": current.id,
+            "request": call.request_id, "bytes": 0, "reason": error.to_string()});
+        info!(target: UPSTREAM, "{what}");
         if error == ExchangeError::Ended && self.has_crashed(current.address).await {
             *crashes = self.crash_facts(call_fingerprint);
             let what = json!({"name": "endpoint_crashed", "endpoint": current.id,
--- a/coltsfootweir/src/sidecar/mod.rs
+++ b/coltsfootweir/src/sidecar/mod.rs
@@ -44,6 +44,8 @@
 pub mod member_task;
 #[doc(hidden)]
 pub mod mesh_config;
+#[doc(hidden)]
+pub mod message_syntax;
 pub mod metrics;
 pub mod peer_link;
 pub mod peer_server;
@@ -60,6 +62,8 @@
 pub mod reported_loads;
 pub mod request_server;
 #[doc(hidden)]
+pub mod response_head;
+#[doc(hidden)]
 pub mod rollout;
 pub mod rollout_task;
 #[doc(hidden)]
--- a/coltsfootweir/src/sidecar/store_client.rs
+++ b/coltsfootweir/src/sidecar/store_client.rs
@@ -7,6 +7,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use log::warn;
+use serde_json::json;
+
+use crate::logging::DAEMON;
+use crate::sidecar::http_exchange::ExchangeError;
 use crate::sidecar::http_exchange::HttpConnection;
 use crate::sidecar::http_exchange::WireRequest;
 use crate::sidecar::platform_adapter::PlatformAdapter;
@@ -128,8 +133,15 @@
             identity: None,
         };
         let answer = tokio::time::timeout(wait + CALL_TIMEOUT, connection.exchange(wire)).await;
-        let Ok(Ok(answer)) = answer else {
-            return Err(StoreFault::NoAnswer);
+        let answer = match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(ExchangeError::Malformed(fault))) => {
+                let event = json!({"name": "store_answer_broken", "path": request.path,
+                    "reason": fault.to_string()});
+                warn!(target: DAEMON, "{event}");
+                return Err(StoreFault::NoAnswer);
+            }
+            Ok(Err(_)) | Err(_) => return Err(StoreFault::NoAnswer),
         };
         if answer.is_reusable {
             let since = Instant::now();
--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -24,6 +24,7 @@
 
 use super::large_answer::LargeAnswer;
 use super::send;
+use super::spoilt_answer::write_spoilt;
 use crate::common::caller_threads::pause;
 
 /// Start of an endpoint's lifetime, in milliseconds since the Unix epoch.
@@ -329,6 +330,9 @@
     if let Some(wanted) = LargeAnswer::parse(mode) {
         return wanted.write(state, id, out);
     }
+    if write_spoilt(mode, id, out).is_some() {
+        return false;
+    }
     let good = good_answer(&state.id, id, "a whole body");
     if mode == "lost-once"
         && LOST_IDS
@@ -368,7 +372,8 @@
         "fail" | "v2fails" => (failed_answer(500, id), true),
         "unframed" => {
             let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: s");
-            (format!("{head}\r\n\r\nuntil the end").into_bytes(), false)
+            let text = format!("{head}\r\n\r\nuntil the end");
+            (text.into_bytes(), false)
         }
         "chunked" => {
             let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: s");
--- a/programs/tests/sidecar/mod.rs
+++ b/programs/tests/sidecar/mod.rs
@@ -6,6 +6,7 @@
 pub mod mesh_endpoint;
 pub mod row_store;
 pub mod sidecar_fleet;
+pub mod spoilt_answer;
 
 use std::net::SocketAddr;
 
