The end of an answer's body is never guessed

Cause: what could not be read was taken for what was not sent. A length or coding that was no UTF-8, or whose name had one wrong byte, counted as missing, and then the body ran to the end of the connection, complete by whatever ended it. Of two lengths or codings the first was used, a length with a sign was read as a number, and a line feed alone ended a line or the head.

Change: parse_response_head refuses such heads (RFC 9112, 6.3) and repairs none. A body ends with its connection only if the head says that the connection ends (RFC 9112, 9.3; version 1.0 does by itself), and if no line resembles a lost length or coding. Lengths of requests are read by the same function.

--- a/coltsfootweir/src/sidecar/client_connection/request_head.rs
+++ b/coltsfootweir/src/sidecar/client_connection/request_head.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderValue;
 
 use crate::sidecar::client_connection::body_decoder::RequestFraming;
+use crate::sidecar::message_syntax::content_length;
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
@@ -121,11 +122,7 @@
     if lengths.any(|other| other != length) {
         return Err(HeadError::Malformed);
     }
-    let text = length.to_str().map_err(|_| HeadError::Malformed)?.trim();
-    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
-        return Err(HeadError::Malformed);
-    }
-    let length = text.parse().map_err(|_| HeadError::Malformed)?;
+    let length = content_length(length.as_bytes()).ok_or(HeadError::Malformed)?;
     Ok(RequestFraming::Length(length))
 }
 
--- a/coltsfootweir/src/sidecar/response_head.rs
+++ b/coltsfootweir/src/sidecar/response_head.rs
@@ -1,10 +1,13 @@
-//! Parses the head of a response.
+//! Parses the head of a response. A head that RFC 9110 and RFC 9112 call invalid is refused and never
+//! repaired: whatever it is taken for, the body may not be the server's.
 
 use std::fmt;
 
 use crate::sidecar::frame::HeaderList;
 use crate::sidecar::http_body::BodyFraming;
 use crate::sidecar::http_body::HEAD_LIMIT;
+use crate::sidecar::message_syntax::content_length;
+use crate::sidecar::message_syntax::head_size;
 use crate::sidecar::message_syntax::is_status_code;
 
 /// Maximum number of fields of a head.
@@ -19,6 +22,9 @@
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
 
+/// Beginnings of the lines that tell where a body ends.
+const FRAMING_LINES: [&[u8]; 2] = [b"content-length:", b"transfer-encoding:"];
+
 /// Reason why bytes are not a valid response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseFault {
@@ -38,6 +44,8 @@
     BodyLength,
     /// The transfer coding is not `chunked`, or stands beside a length or where there is no body.
     TransferCoding,
+    /// The body would end with the connection, though the head does not say that it is closed.
+    BodyEnd,
     /// A chunk, or its header, is malformed.
     ChunkFormat,
     /// A trailer is not a field, or the trailers have more bytes than are read.
@@ -59,6 +67,7 @@
             ResponseFault::SecondHead => "status line within the head",
             ResponseFault::BodyLength => "invalid content length",
             ResponseFault::TransferCoding => "invalid transfer coding",
+            ResponseFault::BodyEnd => "body without an end",
             ResponseFault::ChunkFormat => "malformed chunk",
             ResponseFault::TrailerField => "malformed trailer",
             ResponseFault::BodySize => "body too large",
@@ -91,16 +100,24 @@
     bytes: &[u8],
     is_head: bool,
 ) -> Result<Option<(usize, ResponseHead)>, ResponseFault> {
+    // The parser would skip empty lines.
+    if matches!(bytes.first(), Some(b'\r' | b'\n')) {
+        return Err(ResponseFault::StatusLine);
+    }
+    let size = head_size(bytes).map_err(|_| ResponseFault::LineBreak)?;
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Response::new(&mut fields);
     // A head that is incomplete is parsed, too, so that a fault is found before its end.
     let status = parsed.parse(bytes).map_err(fault_of)?;
-    let httparse::Status::Complete(size) = status else {
+    let (Some(size), httparse::Status::Complete(parsed_size)) = (size, status) else {
         return match bytes.len() > HEAD_LIMIT {
             true => Err(ResponseFault::HeadSize),
             false => Ok(None),
         };
     };
+    if parsed_size != size {
+        return Err(ResponseFault::LineBreak);
+    }
     // The beginning of a response that was broken off may stand before the next one, and one of its lines
     // goes on with that status line.
     if has_second_head(&bytes[..size]) {
@@ -116,10 +133,10 @@
     }
     let is_current = parsed.version == Some(1);
     let closes = has_token(&headers, "connection", "close");
-    let framing = body_framing(status, &headers, is_head)?;
+    let framing = body_framing(status, is_current, &headers, is_head)?;
     let head = ResponseHead {
         status,
-        keeps_alive: is_current && !closes && framing != BodyFraming::UntilClose,
+        keeps_alive: is_current && !closes,
         headers,
         framing,
     };
@@ -151,32 +168,73 @@
     own.is_some() && windows.any(is_status_line)
 }
 
-/// Determines how the body of a response ends (RFC 9112, 6.3).
+/// Determines how the body of a response ends (RFC 9112, 6.3), of version 1.1 if `is_current`.
 fn body_framing(
     status: u16,
+    is_current: bool,
     headers: &HeaderList,
     is_head: bool,
 ) -> Result<BodyFraming, ResponseFault> {
-    if is_head || matches!(status, 100..=199 | NO_CONTENT | NOT_MODIFIED) {
+    let codings = values(headers, "transfer-encoding");
+    let lengths = values(headers, "content-length");
+    let is_bodiless = matches!(status, 100..=199 | NO_CONTENT);
+    if !codings.is_empty() {
+        let is_chunked = codings.len() == 1 && codings[0].eq_ignore_ascii_case(b"chunked");
+        if !is_chunked || !lengths.is_empty() || !is_current || is_bodiless {
+            return Err(ResponseFault::TransferCoding);
+        }
+    }
+    let mut length = None;
+    for value in lengths {
+        let stated = content_length(value).ok_or(ResponseFault::BodyLength)?;
+        if length.is_some_and(|other| other != stated) || (is_bodiless && stated > 0) {
+            return Err(ResponseFault::BodyLength);
+        }
+        length = Some(stated);
+    }
+    if is_head || is_bodiless || status == NOT_MODIFIED {
         return Ok(BodyFraming::Length(0));
     }
-    let text = |name: &str| {
-        let value = values(headers, name).into_iter().next()?;
-        std::str::from_utf8(value).ok()
-    };
-    if let Some(coding) = text("transfer-encoding") {
-        return match coding.eq_ignore_ascii_case("chunked") {
-            true => Ok(BodyFraming::Chunked),
-            false => Err(ResponseFault::TransferCoding),
-        };
+    if !codings.is_empty() {
+        return Ok(BodyFraming::Chunked);
     }
-    match text("content-length") {
-        Some(length) => {
-            let length = length.parse().map_err(|_| ResponseFault::BodyLength)?;
-            Ok(BodyFraming::Length(length))
+    if let Some(length) = length {
+        return Ok(BodyFraming::Length(length));
+    }
+    for (name, value) in headers {
+        // The field that told the length may have lost its name.
+        let line = [name.as_bytes(), b":", value].concat();
+        if FRAMING_LINES.iter().any(|known| is_misspelt(&line, known)) {
+            return Err(ResponseFault::BodyLength);
         }
-        None => Ok(BodyFraming::UntilClose),
     }
+    if !ends_connection(is_current, headers) {
+        return Err(ResponseFault::BodyEnd);
+    }
+    Ok(BodyFraming::UntilClose)
+}
+
+/// Returns whether the server says that it closes the connection after the response (RFC 9112, 9.3). A body
+/// that ends with a connection which goes on may have another length, which the head does not tell.
+fn ends_connection(is_current: bool, headers: &HeaderList) -> bool {
+    match is_current {
+        true => has_token(headers, "connection", "close"),
+        false => !has_token(headers, "connection", "keep-alive"),
+    }
+}
+
+/// Returns whether a line begins with a known text of which one byte was lost, added or replaced.
+fn is_misspelt(line: &[u8], known: &[u8]) -> bool {
+    let is_same = |(one, other): &(&u8, &u8)| one.eq_ignore_ascii_case(other);
+    let prefix = line.iter().zip(known).take_while(is_same).count();
+    let (line, known) = (&line[prefix..], &known[prefix..]);
+    let line_rest = line.get(1..).unwrap_or_default();
+    let known_rest = known.get(1..).unwrap_or_default();
+    let begins = |text: &[u8], part: &[u8]| {
+        let beginning = text.get(..part.len()).unwrap_or_default();
+        text.len() >= part.len() && beginning.eq_ignore_ascii_case(part)
+    };
+    begins(line, known_rest) || begins(line_rest, known) || begins(line_rest, known_rest)
 }
 
 fn values<'h>(headers: &'h HeaderList, name: &str) -> Vec<&'h [u8]> {
