Chunk headers and trailers are as strict as heads

Here the parser refuses these in heads, with default settings: no name, blank, tab, NUL, DEL, bytes above 127, folded lines, no colon. The tests for them pass on and stay.

The same did not hold behind the head. Cause: chunk headers were parsed by a function that ignores what stands in extensions, line feeds and control bytes too, and takes blanks behind the size; of trailers only the line ends were looked at.

Change: message_syntax has the grammar of chunk headers and of field lines (RFC 9112, 7.1), used for answers and for requests of clients.

--- a/coltsfootweir/src/sidecar/client_connection/body_decoder.rs
+++ b/coltsfootweir/src/sidecar/client_connection/body_decoder.rs
@@ -2,6 +2,9 @@
 
 use hyper::body::Bytes;
 
+use crate::sidecar::message_syntax::chunk_header;
+use crate::sidecar::message_syntax::is_field_line;
+
 /// Maximum size of a chunk header with its extensions, and of all trailers, in bytes. Clients send a
 /// few digits.
 const CHUNK_HEADER_LIMIT: usize = 1024;
@@ -101,20 +104,18 @@
                     bytes.drain(..2);
                     self.state = DecoderState::ChunkHeader;
                 }
-                // The parser would take a line without digits for the last chunk.
-                DecoderState::ChunkHeader if !starts_with_digit(bytes) => return Err(ChunkError),
-                DecoderState::ChunkHeader => match httparse::parse_chunk_size(bytes) {
-                    Ok(httparse::Status::Complete((start, size))) => {
+                DecoderState::ChunkHeader => match chunk_header(bytes) {
+                    Ok(Some((start, size))) => {
                         bytes.drain(..start);
                         self.state = match size {
                             0 => DecoderState::Trailers(0),
                             size => DecoderState::Data(size),
                         };
                     }
-                    Ok(httparse::Status::Partial) if bytes.len() <= CHUNK_HEADER_LIMIT => {
+                    Ok(None) if bytes.len() <= CHUNK_HEADER_LIMIT => {
                         return Ok(DecodedStep::Incomplete);
                     }
-                    Ok(httparse::Status::Partial) | Err(_) => return Err(ChunkError),
+                    Ok(None) | Err(_) => return Err(ChunkError),
                 },
                 DecoderState::Trailers(read) => {
                     let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else {
@@ -123,11 +124,12 @@
                             false => Err(ChunkError),
                         };
                     };
+                    let is_field = is_field_line(&bytes[..end]);
                     bytes.drain(..end + 2);
                     let read = read + end + 2;
                     self.state = match end {
                         0 => DecoderState::Ended,
-                        _ if read <= CHUNK_HEADER_LIMIT => DecoderState::Trailers(read),
+                        _ if is_field && read <= CHUNK_HEADER_LIMIT => DecoderState::Trailers(read),
                         _ => return Err(ChunkError),
                     };
                 }
@@ -155,8 +157,3 @@
         DecodedStep::Data(Bytes::from(data))
     }
 }
-
-/// Returns whether `bytes`, if there are any, start with a hexadecimal digit.
-pub(crate) fn starts_with_digit(bytes: &[u8]) -> bool {
-    bytes.first().is_none_or(u8::is_ascii_hexdigit)
-}
--- a/coltsfootweir/src/sidecar/http_body.rs
+++ b/coltsfootweir/src/sidecar/http_body.rs
@@ -5,8 +5,9 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::ReadHalf;
 
-use crate::sidecar::client_connection::body_decoder::starts_with_digit;
 use crate::sidecar::http_exchange::ExchangeError;
+use crate::sidecar::message_syntax::chunk_header;
+use crate::sidecar::message_syntax::is_field_line;
 use crate::sidecar::response_head::ResponseFault;
 
 /// Maximum size of a response head and of all trailers, in bytes; hyper's default for its read
@@ -148,13 +149,8 @@
             self.is_in_chunk = false;
         }
         loop {
-            // The parser would take a line without digits for the last chunk.
-            if !starts_with_digit(socket.buffer) {
-                return Err(ResponseFault::ChunkFormat.into());
-            }
-            let parsed = httparse::parse_chunk_size(socket.buffer)
-                .map_err(|_| ResponseFault::ChunkFormat)?;
-            if let httparse::Status::Complete((start, size)) = parsed {
+            let header = chunk_header(socket.buffer).map_err(|_| ResponseFault::ChunkFormat)?;
+            if let Some((start, size)) = header {
                 socket.buffer.drain(..start);
                 return Ok(size);
             }
@@ -172,11 +168,15 @@
     let mut left = HEAD_LIMIT;
     loop {
         if let Some(end) = socket.buffer.windows(2).position(|pair| pair == b"\r\n") {
+            let is_field = is_field_line(&socket.buffer[..end]);
             socket.buffer.drain(..end + 2);
             if end == 0 {
                 return Ok(());
             }
-            left = left.checked_sub(end).ok_or(ResponseFault::TrailerField)?;
+            left = left
+                .checked_sub(end)
+                .filter(|_| is_field)
+                .ok_or(ResponseFault::TrailerField)?;
             continue;
         }
         if socket.buffer.len() > left {
--- a/coltsfootweir/tests/sidecar_spoilt_heads.rs
+++ b/coltsfootweir/tests/sidecar_spoilt_heads.rs
@@ -187,20 +187,26 @@
     let server = SpoiltServer::start();
     let mut faults = Vec::new();
     for (text, status, body) in SOUND {
-        if text.contains("chunked") {
-            continue;
-        }
         let head = text.rfind("\r\n\r\n").expect("the end of a head") + 4;
+        let end = match text.contains("chunked") {
+            true => text.len(),
+            false => head,
+        };
+        let parts = ["hello", " there again"].map(|part| text.rfind(part).map(|at| (at, part)));
+        let is_data = |index: usize| {
+            let mut parts = parts.iter().flatten();
+            parts.any(|(at, part)| (*at..at + part.len()).contains(&index))
+        };
         let bytes = format!("{text}{ADDITIONAL}").into_bytes();
         let sound = server.receive_whole(&bytes).expect("a sound response");
         assert_eq!((sound.status, &*sound.body), (status, body.as_bytes()));
-        for index in 0..head {
+        for index in 0..end {
             let replaced = REPLACEMENTS.iter().map(|byte| ByteChange::Replaced(*byte));
             let changes = [ByteChange::Dropped, ByteChange::Doubled];
             for (number, change) in changes.into_iter().chain(replaced).enumerate() {
                 // A byte that is added behind a head stands in the body.
                 let is_behind = index + 1 == head && matches!(change, ByteChange::Doubled);
-                if is_behind {
+                if is_data(index) || is_behind {
                     continue;
                 }
                 let wrong = changed(&bytes, index, change);
--- a/programs/tests/sidecar/spoilt_answer.rs
+++ b/programs/tests/sidecar/spoilt_answer.rs
@@ -19,7 +19,7 @@
 const CHUNKS: &str = "c\r\na whole body\r\n0\r\n\r\n";
 
 /// Names of the answers, what is replaced in the whole one, and by what. Each character is one byte.
-const REPLACED: [(&str, &str, &str); 31] = [
+const REPLACED: [(&str, &str, &str); 45] = [
     ("status-zero", "200 OK", "000 OK"),
     ("status-low", "200 OK", "099 OK"),
     ("status-high", "200 OK", "600 OK"),
@@ -65,8 +65,34 @@
         "content-length: 12\r\ntransfer-encoding: chunked",
     ),
     ("coding-unknown", LENGTH, "transfer-encoding: xchunked"),
+    ("name-blank", LENGTH, "content length: 12"),
+    ("name-blank-behind", LENGTH, "content-length : 12"),
+    ("name-tab", LENGTH, "content\tlength: 12"),
+    ("name-control", LENGTH, "content\u{1}length: 12"),
+    ("name-nul", LENGTH, "content\u{0}length: 12"),
+    ("name-delete", LENGTH, "content\u{7f}length: 12"),
+    ("name-high", LENGTH, "content\u{ad}length: 12"),
+    ("name-empty", LENGTH, ": 12"),
+    (
+        "name-other-blank",
+        LENGTH,
+        "x more: yes\r\ncontent-length: 12",
+    ),
+    (
+        "name-other-control",
+        LENGTH,
+        "x\u{8}more: yes\r\ncontent-length: 12",
+    ),
+    ("line-no-colon", LENGTH, "content-length 12"),
+    (
+        "line-no-field",
+        LENGTH,
+        "no field at all\r\ncontent-length: 12",
+    ),
+    ("line-folded", LENGTH, "content-length: 12\r\n folded"),
     ("line-feed", "\r\ncontent", "\r\n\ncontent"),
     ("line-return", "\r\ncontent", "\rcontent"),
+    ("value-nul", LENGTH, "x-more: \u{0}\r\ncontent-length: 12"),
 ];
 
 /// Names of the answers in chunks, and their codings.
@@ -84,11 +110,27 @@
     ),
 ];
 
+/// Names of the answers in chunks whose coding is sound, and the chunks.
+const CHUNKED: [(&str, &str); 5] = [
+    ("chunk-line-feed", "c;\n\r\na whole body\r\n0\r\n\r\n"),
+    ("chunk-control", "c;\u{1}\r\na whole body\r\n0\r\n\r\n"),
+    ("chunk-blank", "c \r\na whole body\r\n0\r\n\r\n"),
+    (
+        "trailer-no-field",
+        "c\r\na whole body\r\n0\r\nno field\r\n\r\n",
+    ),
+    (
+        "trailer-name-blank",
+        "c\r\na whole body\r\n0\r\nx more: yes\r\n\r\n",
+    ),
+];
+
 /// Names of all spoilt answers.
 pub fn spoilt_names() -> Vec<&'static str> {
     let mut names = Vec::new();
     names.extend(REPLACED.map(|(name, ..)| name));
     names.extend(CODINGS.map(|(name, _)| name));
+    names.extend(CHUNKED.map(|(name, _)| name));
     names
 }
 
@@ -112,9 +154,13 @@
 fn spoilt_text(name: &str, id: &str) -> String {
     let start = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: s");
     let coding = CODINGS.iter().find(|(known, _)| *known == name);
-    let sound = match coding {
-        Some((_, coding)) => format!("{start}\r\n{coding}\r\n\r\n{CHUNKS}"),
-        None => format!("{start}\r\n{LENGTH}\r\n\r\n{BODY}"),
+    let chunks = CHUNKED.iter().find(|(known, _)| *known == name);
+    let sound = match (coding, chunks) {
+        (Some((_, coding)), _) => format!("{start}\r\n{coding}\r\n\r\n{CHUNKS}"),
+        (_, Some((_, chunks))) => {
+            format!("{start}\r\ntransfer-encoding: chunked\r\n\r\n{chunks}")
+        }
+        _ => format!("{start}\r\n{LENGTH}\r\n\r\n{BODY}"),
     };
     let replaced = REPLACED.iter().find(|(known, ..)| *known == name);
     let spoilt = match replaced {
--- a/programs/tests/sidecar_spoilt_heads.rs
+++ b/programs/tests/sidecar_spoilt_heads.rs
@@ -12,8 +12,8 @@
 use sidecar::sidecar_fleet::request;
 use sidecar::spoilt_answer::spoilt_names;
 
-/// Guards against an answer with a status that is none, a length or a coding that is not understood,
-/// which arrives as the endpoint's or with a body that is not the endpoint's: a
+/// Guards against an answer with a status that is none, a length or a coding that is not understood, or a
+/// line that is no field, which arrives as the endpoint's or with a body that is not the endpoint's: a
 /// request that may have run once is in doubt.
 #[test]
 fn answer_with_a_spoilt_head_is_no_answer() {
@@ -39,6 +39,7 @@
         ("status-zero", "invalid status code"),
         ("status-high", "invalid status code"),
         ("length-sign", "invalid content length"),
+        ("name-blank", "line that is not a field"),
     ] {
         let id = format!("id-{name}");
         let is_logged = |event: &Value| event["request"] == *id && event["reason"] == reason;
@@ -56,7 +57,7 @@
 #[test]
 fn repeatable_request_with_a_spoilt_answer_is_repeated_at_another_endpoint() {
     let fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (STALLS, "v1")]);
-    for name in ["status-zero", "status-high", "length-sign"] {
+    for name in ["status-zero", "status-high", "length-sign", "name-blank"] {
         let answer = fleet.sidecars[0].get(&format!("/free/spoilt-{name}"), name);
         assert_eq!(answer.status, 502, "{name}");
         assert_eq!(fleet.runs_of(name), 2, "{name}");
