The product's own daemon checks the heads of answers

Callers could see: of an upstream in trouble, an answer with the status 600, or a body that was not the upstream's.

Cause: hyper takes statuses up to 999, a line feed alone for the end of a line, lists of equal lengths, and codings other than chunked, whose body then ends with the connection; the check behind it asked only whether there is a length or a coding.

Change: head_guard hands the bytes of each head to parse_response_head before hyper sees them, and ends the connection if it refuses them. It replaces the check.

--- a/coltsfootweir/src/http_pool.rs
+++ b/coltsfootweir/src/http_pool.rs
@@ -6,8 +6,11 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,15 +19,16 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header;
-use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::head_guard::HeadGuard;
+
 /// Longest answer body, in bytes.
 pub const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
 
@@ -42,7 +46,8 @@
 pub enum SendError {
     /// No connection could be made; the request was not sent.
     NotConnected,
-    /// The connection ended before a complete answer was read; the request may have run.
+    /// The connection ended before a complete answer was read, or the answer is not valid; the request may
+    /// have run.
     Broken,
     /// The answer is longer than [`ANSWER_LIMIT`].
     TooLong,
@@ -52,7 +57,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let text = match self {
             SendError::NotConnected => "connection could not be made",
-            SendError::Broken => "connection ended before the complete answer",
+            SendError::Broken => "no complete and valid answer",
             SendError::TooLong => "answer body too long",
         };
         f.write_str(text)
@@ -61,7 +66,21 @@
 
 impl std::error::Error for SendError {}
 
-type PooledSender = SendRequest<Full<Bytes>>;
+/// A connection that sends one request at a time.
+struct PooledSender {
+    sender: SendRequest<Full<Bytes>>,
+    is_awaited: Arc<AtomicBool>,
+}
+
+impl PooledSender {
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.is_awaited.store(true, Ordering::Relaxed);
+        self.sender.try_send_request(request).await
+    }
+}
 
 struct IdleConnection {
     sender: PooledSender,
@@ -91,7 +110,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, SendError> {
         while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
+            match sender.send(request).await {
                 Ok(response) => return self.read_answer(address, sender, response).await,
                 Err(mut error) => match error.take_message() {
                     // The idle connection was closed; hyper returns the request unsent.
@@ -101,7 +120,7 @@
             }
         }
         let mut sender = connect(address).await?;
-        match sender.try_send_request(request).await {
+        match sender.send(request).await {
             Ok(response) => self.read_answer(address, sender, response).await,
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotConnected),
@@ -123,7 +142,7 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.since.elapsed() > IDLE_TIMEOUT || !connection.sender.is_ready() {
+            if connection.since.elapsed() > IDLE_TIMEOUT || !connection.sender.sender.is_ready() {
                 continue;
             }
             return Some(connection.sender);
@@ -148,12 +167,9 @@
         &self,
         address: SocketAddr,
         mut sender: PooledSender,
-        response: Response<hyper::body::Incoming>,
+        response: Response<Incoming>,
     ) -> Result<Response<Bytes>, SendError> {
         let (head, body) = response.into_parts();
-        if !is_framed(&head) {
-            return Err(SendError::Broken);
-        }
         let complete = match Limited::new(body, ANSWER_LIMIT).collect().await {
             Ok(complete) => complete.to_bytes(),
             Err(error) if error.is::<http_body_util::LengthLimitError>() => {
@@ -161,33 +177,25 @@
             }
             Err(_) => return Err(SendError::Broken),
         };
-        if sender.ready().await.is_ok() {
+        if sender.sender.ready().await.is_ok() {
             self.put_idle(address, sender);
         }
         Ok(Response::from_parts(head, complete))
     }
 }
 
-/// Returns whether the length of the body is defined by the head. Otherwise the body ends with the
-/// connection, and a truncated answer would look complete.
-fn is_framed(head: &response::Parts) -> bool {
-    let bodiless = head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED;
-    bodiless
-        || head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 async fn connect(address: SocketAddr) -> Result<PooledSender, SendError> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| SendError::NotConnected)?
         .map_err(|_| SendError::NotConnected)?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (guard, is_awaited) = HeadGuard::new(stream);
+    let (sender, connection) = http1::handshake(TokioIo::new(guard))
         .await
         .map_err(|_| SendError::NotConnected)?;
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(PooledSender { sender, is_awaited })
 }
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -98,6 +98,7 @@
 mod hand_over;
 #[doc(hidden)]
 pub mod head_claims;
+mod head_guard;
 #[doc(hidden)]
 pub mod head_history;
 mod head_mark;
