An object of ambiguous length is not whole

Callers could see: the product's own daemon reads an object of its platform that is cut or longer than it was.

Cause: minreq reads the length that comes last, with a sign too, or chunks beside a length; the check of the body's size looked at the first length.

Change: all lengths must be digits and equal the size of the body, and there is no coding.

--- a/coltsfootweir/src/http_platform.rs
+++ b/coltsfootweir/src/http_platform.rs
@@ -19,6 +19,7 @@
 use crate::platform::PlatformStore;
 use crate::platform::TableRow;
 use crate::platform::WriteBatch;
+use crate::sidecar::message_syntax::content_length;
 
 const STATUS_OK: u16 = 200;
 const STATUS_NOT_FOUND: u16 = 404;
@@ -156,12 +157,20 @@
     }
 }
 
-/// `minreq` passes on a body that was cut short, and makes a 503 of an answer without a head.
+/// `minreq` passes on a body that was cut short, makes a 503 of an answer without a head, and takes the last
+/// of several lengths.
 fn is_whole(response: &Response) -> bool {
-    let Some(stated_len) = response.header("Content-Length") else {
-        return false;
-    };
-    stated_len.parse() == Ok(response.as_bytes().len())
+    let mut lengths = Vec::new();
+    for (name, value) in &response.headers {
+        if name.eq_ignore_ascii_case("transfer-encoding") {
+            return false;
+        }
+        if name.eq_ignore_ascii_case("content-length") {
+            lengths.push(content_length(value.trim().as_bytes()));
+        }
+    }
+    let received = Some(response.as_bytes().len() as u64);
+    !lengths.is_empty() && lengths.iter().all(|length| *length == received)
 }
 
 fn classify_error(error: &minreq::Error) -> PlatformError {
--- a/standins/tests/platform_http.rs
+++ b/standins/tests/platform_http.rs
@@ -227,6 +227,23 @@
     }
 }
 
+/// Guards against an object that is taken for whole although the head does not tell one length.
+#[test]
+fn answers_of_ambiguous_length_are_lost() {
+    let ambiguous_answers: [&[u8]; 5] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 9\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 3\r\n\r\nabcabcabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        b"HTTP/1.1 000 OK\r\nContent-Lenqth: 3\r\n\r\nabc",
+    ];
+    for answer in ambiguous_answers {
+        let client = HttpPlatform::new(answer_once(answer), TIMEOUT);
+        let result = client.get_object("x");
+        assert_lost(result, &String::from_utf8_lossy(answer));
+    }
+}
+
 #[test]
 fn oversized_body_is_refused() {
     let (server, _client) = start();
