--- a/programs/tests/soak/callers.rs
+++ b/programs/tests/soak/callers.rs
@@ -33,8 +33,9 @@
 const UPLOAD_PAUSE: Duration = Duration::from_millis(400);
 
 /// Ways in which endpoints answer the soak's requests; the last part of their paths.
-const ANSWERS: [&str; 12] = [
+const ANSWERS: [&str; 13] = [
     "ok", "ok", "ok", "ok", "slow", "slow", "close", "cut", "shed", "garbage", "extra", "stale",
+    "spoilt",
 ];
 
 /// Starts a caller that keeps its connection until it is closed.
--- a/programs/tests/soak/checks.rs
+++ b/programs/tests/soak/checks.rs
@@ -73,6 +73,10 @@
     match answer.status {
         200 if !is_own_answer(answer, call) => wrong("not the endpoint's whole answer to it"),
         200 if runs == 0 => wrong("a success that no endpoint gave"),
+        status if !(200..600).contains(&status) => wrong("no status of an answer"),
+        status if status != 200 && !answer.header("upstream-signature").is_empty() => {
+            wrong("a status that no endpoint gave")
+        }
         404 => wrong("a route that is there in all configurations"),
         status if PROMISES.contains(&status) && runs > 0 => wrong("it ran, said not to have"),
         _ => None,
