Pooled connections say what their sender is asked

Cause: the last reading stumbled over two fields called sender, one in the other. Change: PooledSender has is_ready and wait_ready; nothing else changes.

--- a/coltsfootweir/src/http_pool.rs
+++ b/coltsfootweir/src/http_pool.rs
@@ -80,6 +80,16 @@
         self.is_awaited.store(true, Ordering::Relaxed);
         self.sender.try_send_request(request).await
     }
+
+    /// Returns whether the connection is open and can take a request at once.
+    fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the connection can take the next request. Returns whether it is still open.
+    async fn wait_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
 }
 
 struct IdleConnection {
@@ -142,7 +152,7 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.since.elapsed() > IDLE_TIMEOUT || !connection.sender.sender.is_ready() {
+            if connection.since.elapsed() > IDLE_TIMEOUT || !connection.sender.is_ready() {
                 continue;
             }
             return Some(connection.sender);
@@ -177,7 +187,7 @@
             }
             Err(_) => return Err(SendError::Broken),
         };
-        if sender.sender.ready().await.is_ok() {
+        if sender.wait_ready().await {
             self.put_idle(address, sender);
         }
         Ok(Response::from_parts(head, complete))
