--- a/review/third/endpoint.rs
+++ b/review/third/endpoint.rs
@@ -120,7 +120,12 @@
                 self.0.connections.lock().expect("no panic").push(copy);
             }
             let serving = self.clone();
-            thread::spawn(move || serving.serve(stream));
+            thread::spawn(move || {
+                // The list of connections holds the stream open, too.
+                let copy = stream.try_clone();
+                serving.serve(stream);
+                let _ = copy.map(|copy| copy.shutdown(Shutdown::Both));
+            });
         }
         drop(listener);
         for connection in self.0.connections.lock().expect("no panic").drain(..) {
