review: show a caller that leaves and keeps all endpoints down

Cause: a request whose caller has left is not blamed when the endpoint that still runs it crashes.

The stand-ins are formatted.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/coltsfootweird ] && [ -x target/review-3/review-3 ] || exit 2
 folder=$(mktemp -d) || exit 2
-target/review-3/review-3 order "$folder" "review/11/record.txt"
+target/review-3/review-3 leave "$folder" "review/11/record.txt"
 code=$?
 rm -rf "$folder"
 exit $code
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/coltsfootweird ] && [ -x target/review-3/review-3 ] || exit 2
 folder=$(mktemp -d) || exit 2
-target/review-3/review-3 crash "$folder" "review/12/record.txt"
+target/review-3/review-3 order "$folder" "review/12/record.txt"
 code=$?
 rm -rf "$folder"
 exit $code
--- a/review/third/crash_case.rs
+++ b/review/third/crash_case.rs
@@ -42,7 +42,9 @@
         prefix: "/free/",
         service: "stalls",
     }];
-    fleet.store.put(&[("op", "config", config(1, &routes, 16_384))]);
+    fleet
+        .store
+        .put(&[("op", "config", config(1, &routes, 16_384))]);
     let numbers: Vec<u8> = (1..=MACHINES).collect();
     for number in &numbers {
         fleet.add(&machine(*number), true)?;
@@ -55,7 +57,10 @@
         fleet.client(*number, &path, Duration::from_millis(100), &is_over);
     }
     thread::sleep(Duration::from_secs(2));
-    record.note(fleet, format!("{COPIES} copies of a request that crashes endpoints"));
+    record.note(
+        fleet,
+        format!("{COPIES} copies of a request that crashes endpoints"),
+    );
     send_copies(fleet);
     thread::sleep(Duration::from_secs(5));
     if has_trouble {
@@ -100,7 +105,10 @@
     let sent = fleet.sent.lock().expect("no panic").clone();
     let reached: Vec<_> = runs.iter().filter(|run| run.status == 0).collect();
     let Some(third) = reached.get(2) else {
-        record.note(fleet, format!("the request has crashed {} endpoints", reached.len()));
+        record.note(
+            fleet,
+            format!("the request has crashed {} endpoints", reached.len()),
+        );
         return true;
     };
     // The crash follows 0.3 s after the begin of the run.
--- a/review/third/endpoint.rs
+++ b/review/third/endpoint.rs
@@ -211,7 +211,9 @@
         }
         let text = String::from_utf8_lossy(&answer.body).into_owned();
         let named = Json::parse(&text);
-        let named = named.as_ref().and_then(|body| body.text("heartbeat_address"));
+        let named = named
+            .as_ref()
+            .and_then(|body| body.text("heartbeat_address"));
         Some(named.and_then(|text| text.parse().ok()).unwrap_or(to))
     }
 
@@ -256,7 +258,11 @@
         let running = shared.running.fetch_add(1, Ordering::Relaxed);
         if running >= CAPACITY + QUEUE {
             shared.running.fetch_sub(1, Ordering::Relaxed);
-            return reply("503 Service Unavailable", "Not-Processed: 1\r\n", String::new());
+            return reply(
+                "503 Service Unavailable",
+                "Not-Processed: 1\r\n",
+                String::new(),
+            );
         }
         let number = shared.served.fetch_add(1, Ordering::Relaxed);
         // Spread evenly, so that each run of the script sees the same share.
--- a/review/third/fleet.rs
+++ b/review/third/fleet.rs
@@ -27,7 +27,6 @@
 /// Bounds of the small deployments.
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2500);
 pub const STABILITY: Duration = Duration::from_millis(4000);
-const GRACE: Duration = Duration::from_secs(6);
 pub const DRAIN: Duration = Duration::from_millis(2500);
 
 const STORE_PORT: u16 = 8142;
@@ -157,27 +156,12 @@
         Ok(())
     }
 
-    /// Stops the daemon of a machine as planned, with SIGTERM and, after the grace, SIGKILL.
-    pub fn stop(&mut self, machine: u8) {
-        self.signal(machine, "TERM");
-        let Some(index) = self.daemons.iter().position(|(number, _)| *number == machine) else {
-            return;
-        };
-        let (_, mut child) = self.daemons.remove(index);
-        let until = Instant::now() + GRACE;
-        while Instant::now() < until {
-            if let Ok(Some(_)) = child.try_wait() {
-                return;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        let _ = child.kill();
-        let _ = child.wait();
-    }
-
     /// Kills the daemon of a machine.
     pub fn kill(&mut self, machine: u8) {
-        let index = self.daemons.iter().position(|(number, _)| *number == machine);
+        let index = self
+            .daemons
+            .iter()
+            .position(|(number, _)| *number == machine);
         if let Some(index) = index {
             let (_, mut child) = self.daemons.remove(index);
             let _ = child.kill();
@@ -350,6 +334,17 @@
         status
     }
 
+    /// Sends a request and closes the connection after a time if there is no answer yet.
+    pub fn get_or_leave(&mut self, path: &str, time: Duration, note: &'static str) -> u16 {
+        if let Ok(connection) = Connection::open(self.address, Duration::from_secs(2)) {
+            let _ = connection.stream.set_read_timeout(Some(time));
+            self.connection = Some(connection);
+        }
+        let status = self.get(path, "", note);
+        self.connection = None;
+        status
+    }
+
     fn exchange(&mut self, path: &str, headers: &str, request: &str) -> Option<(u16, String)> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
@@ -374,16 +369,18 @@
 /// Returns the second number of loopback addresses of which none is in use.
 fn free_net() -> Option<u8> {
     let seed = std::process::id();
-    (0..100).map(|step| 20 + ((seed + step * 7) % 200) as u8).find(|net| {
-        let ports = [8140, 8141, 8145, 8146, 8147, METRICS_PORT];
-        let is_free = |ip: Ipv4Addr, port: u16| TcpListener::bind((ip, port)).is_ok();
-        is_free(Ipv4Addr::new(127, *net, 200, 1), STORE_PORT)
-            && (1..13).all(|last| {
-                ports
-                    .iter()
-                    .all(|port| is_free(Ipv4Addr::new(127, *net, 1, last), *port))
-            })
-    })
+    (0..100)
+        .map(|step| 20 + ((seed + step * 7) % 200) as u8)
+        .find(|net| {
+            let ports = [8140, 8141, 8145, 8146, 8147, METRICS_PORT];
+            let is_free = |ip: Ipv4Addr, port: u16| TcpListener::bind((ip, port)).is_ok();
+            is_free(Ipv4Addr::new(127, *net, 200, 1), STORE_PORT)
+                && (1..13).all(|last| {
+                    ports
+                        .iter()
+                        .all(|port| is_free(Ipv4Addr::new(127, *net, 1, last), *port))
+                })
+        })
 }
 
 /// A route of the configuration.
--- a/review/third/json.rs
+++ b/review/third/json.rs
@@ -3,8 +3,8 @@
 /// A JSON value. Numbers are kept as text.
 #[derive(Clone, Debug)]
 pub enum Json {
-    Null,
-    Bool(bool),
+    /// `null`, `true` or `false`.
+    Word,
     Number(String),
     Text(String),
     List(Vec<Json>),
@@ -78,10 +78,10 @@
         found
     }
 
-    fn word(&mut self, word: &str, value: Json) -> Option<Json> {
+    fn word(&mut self, word: &str) -> Option<Json> {
         let found = self.bytes[self.at..].starts_with(word.as_bytes());
         self.at += word.len();
-        found.then_some(value)
+        found.then_some(Json::Word)
     }
 
     fn value(&mut self) -> Option<Json> {
@@ -90,9 +90,9 @@
             b'{' => self.table(),
             b'[' => self.list(),
             b'"' => self.string().map(Json::Text),
-            b't' => self.word("true", Json::Bool(true)),
-            b'f' => self.word("false", Json::Bool(false)),
-            b'n' => self.word("null", Json::Null),
+            b't' => self.word("true"),
+            b'f' => self.word("false"),
+            b'n' => self.word("null"),
             _ => {
                 let start = self.at;
                 while self
--- a/review/third/limits_case.rs
+++ b/review/third/limits_case.rs
@@ -1,6 +1,5 @@
 //! A limit on clients that a configuration raises while clients hold connections open.
 
-
 use crate::fleet::config;
 use crate::fleet::Fleet;
 use crate::fleet::KeptClient;
@@ -66,7 +65,10 @@
         }
     }
     let opened: u32 = clients.iter().map(|client| client.opened).sum();
-    record.note(fleet, format!("{CLIENTS} clients hold {opened} connections"));
+    record.note(
+        fleet,
+        format!("{CLIENTS} clients hold {opened} connections"),
+    );
     if has_trouble {
         let row = fleet
             .store
@@ -92,14 +94,20 @@
         }
     }
     let opened_later: u32 = clients.iter().map(|client| client.opened).sum();
-    record.note(fleet, format!("{} connections were opened anew", opened_later - opened));
+    record.note(
+        fleet,
+        format!("{} connections were opened anew", opened_later - opened),
+    );
     Ok(judge(fleet, record))
 }
 
 fn judge(fleet: &Fleet, record: &mut Record) -> bool {
     let sent = fleet.sent.lock().expect("no panic").clone();
     let count = |note: &str, status: u16| {
-        let mut found = sent.iter().filter(|sent| sent.note == note).collect::<Vec<_>>();
+        let mut found = sent
+            .iter()
+            .filter(|sent| sent.note == note)
+            .collect::<Vec<_>>();
         found.retain(|sent| sent.status == status);
         found.len()
     };
--- a/review/third/main.rs
+++ b/review/third/main.rs
@@ -5,14 +5,13 @@
 //! `TROUBLE=0` leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the
 //! case could not run.
 
-#![allow(dead_code)]
-
+mod crash_case;
 mod endpoint;
 mod fleet;
 mod http;
 mod json;
+mod leave_case;
 mod limits_case;
-mod crash_case;
 mod order_case;
 mod record;
 mod settings_case;
@@ -40,9 +39,13 @@
         }
     };
     let mut record = Record::default();
-    record.note(&fleet, format!("case {case}, with the disruption: {has_trouble}"));
+    record.note(
+        &fleet,
+        format!("case {case}, with the disruption: {has_trouble}"),
+    );
     let result = match case.as_str() {
         "order" => order_case::run(&mut fleet, &mut record, has_trouble),
+        "leave" => leave_case::run(&mut fleet, &mut record, has_trouble),
         "limits" => limits_case::run(&mut fleet, &mut record, has_trouble),
         "crash" => crash_case::run(&mut fleet, &mut record, has_trouble),
         "settings" => settings_case::run(&mut fleet, &mut record, has_trouble),
--- a/review/third/order_case.rs
+++ b/review/third/order_case.rs
@@ -79,14 +79,20 @@
     }
     std::thread::sleep(Duration::from_secs(4));
     fleet.store.take_copy();
-    record.note(fleet, format!("the copy is at version {}", fleet.store.version()));
+    record.note(
+        fleet,
+        format!("the copy is at version {}", fleet.store.version()),
+    );
     // Configurations in quick succession.
     for version in 2..=13 {
         put_config(fleet, version);
         std::thread::sleep(Duration::from_millis(330));
     }
     let row = fleet.store.put(&[("op", ORDER, order("v2"))]);
-    record.note(fleet, format!("order of v2, a bad version, at version {row}"));
+    record.note(
+        fleet,
+        format!("order of v2, a bad version, at version {row}"),
+    );
     let mut second = Vec::new();
     for number in 5..=6 {
         second.push(fleet.add(&machine(number, "v2", 50), false)?);
@@ -124,7 +130,10 @@
     std::thread::sleep(Duration::from_secs(7));
     let row = fleet.store.put(&[("op", ORDER, order("v3"))]);
     let ordered = fleet.now();
-    record.note(fleet, format!("order of v3, a bad version, at version {row}"));
+    record.note(
+        fleet,
+        format!("order of v3, a bad version, at version {row}"),
+    );
     for number in 7..=10 {
         fleet.add(&machine(number, "v3", 50), false)?;
     }
@@ -141,7 +150,9 @@
 fn judge(fleet: &Fleet, record: &mut Record, ordered: Duration, limit: Duration) -> bool {
     let runs = fleet.runs.lock().expect("no panic").clone();
     let sent = fleet.sent.lock().expect("no panic").clone();
-    let window = runs.iter().filter(|run| run.at >= ordered && run.at <= limit);
+    let window = runs
+        .iter()
+        .filter(|run| run.at >= ordered && run.at <= limit);
     let all = window.clone().count();
     let bad: Vec<_> = window.filter(|run| run.version == "v3").collect();
     let most = CANARY_SHARE * all as f64 + CANARY_SLACK;
--- a/review/third/settings_case.rs
+++ b/review/third/settings_case.rs
@@ -34,7 +34,11 @@
         prefix: "/fodder/",
         service: "stalls",
     };
-    fleet.store.put(&[("op", "config", config(1, std::slice::from_ref(&old), 16_384))]);
+    fleet.store.put(&[(
+        "op",
+        "config",
+        config(1, std::slice::from_ref(&old), 16_384),
+    )]);
     for number in 1..=3 {
         fleet.add(&machine(number), true)?;
     }
@@ -54,9 +58,14 @@
         record.note(fleet, "the store serves the old address no more");
         std::thread::sleep(STABILITY);
     }
-    let row = fleet.store.put(&[("op", "config", config(2, &[old, new], 16_384))]);
+    let row = fleet
+        .store
+        .put(&[("op", "config", config(2, &[old, new], 16_384))]);
     let acknowledged = fleet.now();
-    record.note(fleet, format!("configuration 2 at version {row}: one route more"));
+    record.note(
+        fleet,
+        format!("configuration 2 at version {row}: one route more"),
+    );
     fleet.sleep_until(acknowledged + CONFIG_APPLY + Duration::from_millis(500));
     let mut not_found = 0;
     let mut count = 0;
--- a/review/third/store.rs
+++ b/review/third/store.rs
@@ -259,7 +259,11 @@
                 return ("400 Bad Request", "{}".into());
             };
             let value = Some(value.to_owned());
-            inner.set((&name.0, &name.1, &name.2), Row { value, version }, "system");
+            inner.set(
+                (&name.0, &name.1, &name.2),
+                Row { value, version },
+                "system",
+            );
         }
         for entry in call.list("remove") {
             let Some(name) = row_name(entry) else {
