review: send signals with the shell's own kill

Cause: the program kill may be missing where the cases are run.

Change: the stand-ins call it through sh.

--- a/review/third/fleet.rs
+++ b/review/third/fleet.rs
@@ -224,8 +224,9 @@
     pub fn signal(&self, machine: u8, signal: &str) {
         let daemon = self.daemons.iter().find(|(number, _)| *number == machine);
         if let Some((_, child)) = daemon {
-            let _ = Command::new("kill")
-                .args([format!("-{signal}"), child.id().to_string()])
+            // The shell's own `kill`; the program of that name may be missing.
+            let _ = Command::new("sh")
+                .args(["-c", &format!("kill -{signal} {}", child.id())])
                 .status();
         }
     }
