A run is remembered until the endpoint has ended it

Cause: a run was remembered as long as the call that waited for it. A caller that left, a hedge that was overtaken or the time limit ended the call, and with it the only record that the endpoint may still be at work. A crash that was noticed by a refused connection, or by the next lifetime, blamed nobody.

A broken answer, a refused connection and a later lifetime all blame what may have run. Requests that were not sent yet, that ran at an earlier lifetime, or whose endpoint left as planned without anybody waiting, are no longer blamed. A request is checked again when it gets its slot. The product's own daemon had the same fault and uses the same ledger.

Why it works: whether a request may still crash the endpoint depends on the endpoint alone, and the ledger is asked by whoever notices the end. The connection of a caller that leaves is closed as before.

The stand-in upstream may run for a while before it crashes.

--- a/coltsfootweir/src/guard_waiters.rs
+++ b/coltsfootweir/src/guard_waiters.rs
@@ -46,11 +46,4 @@
             }
         }
     }
-
-    /// Returns the fingerprints of the running requests.
-    pub(crate) fn running(&self) -> Vec<Fingerprint> {
-        let is_running = |id: &u64| !self.waiters.contains_key(id);
-        let running = self.calls.iter().filter(|(id, _)| is_running(id));
-        running.map(|(_, fingerprint)| *fingerprint).collect()
-    }
 }
--- a/coltsfootweir/src/hand_over.rs
+++ b/coltsfootweir/src/hand_over.rs
@@ -50,6 +50,7 @@
         return in_doubt(DoubtReason::StillRunning);
     }
     let request = call.to_forward(None, millis);
+    permit.start(call.fingerprint, deadline);
     let reply = send_to_upstream(context, call, route, deadline, address, request).await;
     if reply.outcome == CallOutcome::Ran {
         permit.finish();
--- a/coltsfootweir/src/lib.rs
+++ b/coltsfootweir/src/lib.rs
@@ -157,6 +157,8 @@
 pub mod retry;
 #[doc(hidden)]
 pub mod route_table;
+#[doc(hidden)]
+pub mod run_ledger;
 mod running_count;
 mod schedule;
 pub mod schema;
--- a/coltsfootweir/src/poison.rs
+++ b/coltsfootweir/src/poison.rs
@@ -1,6 +1,7 @@
 //! Detection of poison requests, which crash the upstreams that run them.
 //!
-//! A fingerprint that was running in one crash is a suspect and is never retried. After a second,
+//! A fingerprint that was running in one crash, whether its caller still waited or not, is a suspect and is
+//! never retried. After a second,
 //! distinct crash within [`POISON_TIMEOUT`] it is confirmed and refused for that time. Once confirmed,
 //! a single further crash causes it to be refused again. A poison request crashes every upstream that
 //! runs it, so a request that completed at an upstream within [`POISON_TIMEOUT`] is not blamed for a
--- a/coltsfootweir/src/sidecar/answer/endpoint_body.rs
+++ b/coltsfootweir/src/sidecar/answer/endpoint_body.rs
@@ -64,7 +64,7 @@
             }
             Some(error) => {
                 let suspects = match error {
-                    ExchangeError::Ended => self.blame().await,
+                    ExchangeError::Ended => self.endpoint.blame_broken_answer(self.address).await,
                     ExchangeError::NotConnected | ExchangeError::Malformed(_) => 0,
                 };
                 self.log_broken(error, bytes, suspects);
@@ -74,20 +74,16 @@
         let is_whole = end == BodyPiece::End;
         // Fails if the consumer has just gone; it needs no end then.
         let _ = pieces.send(end).await;
+        if !is_whole {
+            return self.permit.break_off();
+        }
         self.permit.finish();
-        if is_whole && !self.connection.has_extra_bytes() {
+        if !self.connection.has_extra_bytes() {
             self.endpoint
                 .store_connection(self.connection, &self.response);
         }
     }
 
-    async fn blame(&self) -> usize {
-        let blame = self
-            .endpoint
-            .blame_broken_answer(self.fingerprint, self.address);
-        blame.await
-    }
-
     fn log_broken(&self, error: ExchangeError, bytes: u64, suspects: usize) {
         let event = json!({"name": "endpoint_answer_broken", "request": self.request_id,
             "bytes": bytes, "reason": error.to_string(), "suspects": suspects});
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -1,6 +1,7 @@
 //! The endpoint on the local VM: its state, slots, connections and running requests.
 
 mod admission;
+mod crashes;
 mod lifetimes;
 mod slot_refusals;
 
@@ -19,12 +20,12 @@
 use crate::clock::DaemonClock;
 use crate::fact::CrashFact;
 use crate::fingerprint::fingerprint;
-use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::MemberId;
 use crate::logging::UPSTREAM;
 use crate::member::EndpointPhase;
 use crate::poison::PoisonTable;
+use crate::run_ledger::STOP_MARGIN;
 use crate::sidecar::announcement::EndpointRegister;
 use crate::sidecar::answer::answer_rest::AnswerRest;
 use crate::sidecar::answer::answer_rest::INLINE_LIMIT;
@@ -228,6 +229,11 @@
             Ok(permit) => permit,
             Err(refusal) => return not_admitted(call, refusal),
         };
+        // It may have become known as one that crashes endpoints while it waited for a slot.
+        let now = self.clock.now();
+        if self.poison.borrow().is_refused(call_fingerprint, now) {
+            return not_run(NotRunCause::Poison);
+        }
         // The endpoint may have been replaced while the request waited for a slot.
         let Some(current) = self.register.borrow().current().cloned() else {
             return not_run(NotRunCause::Closed);
@@ -248,6 +254,7 @@
                     "request": call.request_id});
                 info!(target: UPSTREAM, "{what}");
                 self.on_down();
+                self.blame_lifetime(&current, "unreachable");
             }
             return not_run(NotRunCause::Closed);
         };
@@ -257,7 +264,7 @@
         }
         let left = deadline.saturating_sub(self.clock.now());
         let head = write_head(call, &self.headers, &current.id, left);
-        permit.start();
+        permit.start(self.clock.now() + left + STOP_MARGIN);
         let request = WireRequest {
             head: &head,
             body: &call.body,
@@ -272,6 +279,7 @@
             Err(_) => return CallResult::Unknown(UnknownCause::TimedOut),
             Ok(Ok((mut response, reader))) => {
                 let run = permit.run_time();
+                self.slots.on_alive(self.clock.now());
                 if response.skipped > 0 {
                     let what = json!({"name": "endpoint_answers_skipped", "endpoint": current.id,
                         "request": call.request_id, "count": response.skipped});
@@ -290,6 +298,9 @@
                     return result;
                 };
                 if !matches!(result, CallResult::Answer { .. }) {
+                    if matches!(result, CallResult::NotRun(_)) {
+                        permit.reject();
+                    }
                     return result;
                 }
                 let (pieces, body) = AnswerRest::channel(reader.length().map(|left| left + read));
@@ -315,43 +326,16 @@
             "request": call.request_id, "bytes": 0, "reason": error.to_string()});
         info!(target: UPSTREAM, "{what}");
         if error == ExchangeError::Ended && self.has_crashed(current.address).await {
-            *crashes = self.crash_facts(call_fingerprint);
+            *crashes = self.crash_facts();
             let what = json!({"name": "endpoint_crashed", "endpoint": current.id,
-                "request": call.request_id, "suspects": crashes.len()});
+                "request": call.request_id, "suspects": crashes.len(), "noticed": "answer"});
             info!(target: UPSTREAM, "{what}");
             return CallResult::Unknown(UnknownCause::EndpointCrashed);
         }
+        permit.break_off();
         CallResult::Unknown(UnknownCause::AnswerBroken)
     }
 
-    /// Records that the endpoint has sent the whole answer to a request, and so has survived it.
-    pub(crate) fn record_completed(&self, fingerprint: Fingerprint) {
-        let now = self.clock.now();
-        self.poison.borrow_mut().on_completed(fingerprint, now);
-    }
-
-    /// Blames a request whose answer broke off, and those that ran beside it, if the endpoint has
-    /// crashed. Returns the number of suspects.
-    pub(crate) async fn blame_broken_answer(
-        &self,
-        fingerprint: Fingerprint,
-        address: SocketAddr,
-    ) -> usize {
-        if !self.has_crashed(address).await {
-            return 0;
-        }
-        let facts = self.crash_facts(fingerprint);
-        let count = facts.len();
-        self.unpublished_crashes.borrow_mut().extend(facts);
-        count
-    }
-
-    /// Returns the crash facts that no call has reported, to send to the other daemons.
-    #[must_use]
-    pub fn take_crashes(&self) -> Vec<CrashFact> {
-        std::mem::take(&mut *self.unpublished_crashes.borrow_mut())
-    }
-
     /// Checks a response and moves its body into the result.
     fn check_response(&self, response: &mut HttpResponse, run: Duration) -> CallResult {
         let is_signed = response.header(self.headers.signature).is_some();
@@ -411,42 +395,6 @@
             .push(IdleConnection { connection, until });
     }
 
-    /// Returns whether the endpoint no longer accepts connections and was not marked as down before.
-    /// Keeps the connection otherwise.
-    async fn has_crashed(&self, address: SocketAddr) -> bool {
-        let probe = HttpConnection::open(address, CONNECT_TIMEOUT).await;
-        let Ok(connection) = probe else {
-            let changed = self.register.borrow_mut().mark_down();
-            self.on_down();
-            return changed;
-        };
-        let until = self.clock.now() + self.idle_limit.get();
-        self.idle
-            .borrow_mut()
-            .push(IdleConnection { connection, until });
-        false
-    }
-
-    fn crash_facts(&self, crashed: Fingerprint) -> Vec<CrashFact> {
-        self.crashes.set(self.crashes.get() + 1);
-        let now = self.clock.now();
-        let mut running = self.slots.running();
-        running.push(crashed);
-        let mut poison = self.poison.borrow_mut();
-        let mut facts = Vec::new();
-        for fingerprint in poison.crash_suspects(&running, now) {
-            let fact = CrashFact {
-                fingerprint,
-                member: self.member.clone(),
-                incarnation: self.incarnation,
-                number: self.crashes.get(),
-            };
-            poison.on_crash(&fact, now);
-            facts.push(fact);
-        }
-        facts
-    }
-
     fn sync_phase(&self) {
         let phase = match self.is_evacuated.get() {
             true => EndpointPhase::Down,
--- a/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint/lifetimes.rs
@@ -27,6 +27,9 @@
 /// Number of announcement intervals without an announcement after which the endpoint is down.
 const SILENT_INTERVALS: u32 = 4;
 
+/// Age that an announcement may have when it arrives.
+const MAX_LATENESS: Duration = Duration::from_secs(5);
+
 impl LocalEndpoint {
     /// Applies an announcement. Ignores endpoints of another `service` or at another `address`.
     pub fn announce(
@@ -44,12 +47,16 @@
         let warmup_left = announcement.warmup_left;
         let now = self.clock.now();
         let wall = wall_ms(self.clock.wall());
+        let before = self.register.borrow().current().cloned();
         let change = self
             .register
             .borrow_mut()
             .announce(announcement, service, address, now, wall);
         if change == RegisterChange::Replaced {
             self.assume_cold();
+            if let Some(ended) = before {
+                self.blame_lifetime(&ended, "replaced");
+            }
         }
         // An announcement that is passed over may be older than the last one.
         if !matches!(change, RegisterChange::PassedOver(_)) {
@@ -57,6 +64,9 @@
                 .change_pacer(|pacer, now| pacer.on_announcement(warmup_left, now));
             self.cold_slots.set(self.slots.busy_slots().unwrap_or(1));
         }
+        if matches!(change, RegisterChange::Same | RegisterChange::Updated) {
+            self.slots.on_alive(now.saturating_sub(MAX_LATENESS));
+        }
         match change {
             RegisterChange::Same => return change,
             RegisterChange::Replaced => {
--- a/coltsfootweir/src/sidecar/sidecar_state.rs
+++ b/coltsfootweir/src/sidecar/sidecar_state.rs
@@ -61,7 +61,7 @@
 use crate::sidecar::warmup::warmup_task::apply_warmup;
 
 /// Crash facts kept in the record that is sent to the peers. Older ones have already reached them.
-const MAX_PUBLISHED_CRASHES: usize = 32;
+pub const MAX_PUBLISHED_CRASHES: usize = 32;
 
 /// Endpoint selection and retry limits.
 pub struct CallRouting {
--- a/coltsfootweir/src/sidecar/slot_queue.rs
+++ b/coltsfootweir/src/sidecar/slot_queue.rs
@@ -14,6 +14,8 @@
 use crate::ids::Fingerprint;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
+use crate::run_ledger::EndedRuns;
+use crate::run_ledger::RunLedger;
 use crate::sidecar::fair_queue::TeamHash;
 use crate::sidecar::fair_queue::share_refusal::ShareRefusal;
 use crate::sidecar::frame::EndpointLoad;
@@ -31,6 +33,8 @@
 struct QueueState {
     guard: GuardState,
     requests: GuardWaiters,
+    /// Requests that the endpoint runs, or may still run.
+    runs: RunLedger,
     run_times: RunTimes,
     wait_factors: WaitFactors,
     /// Factors of routes and teams: a team that waits for its share does not raise those of others.
@@ -94,6 +98,7 @@
         let state = QueueState {
             guard,
             requests: GuardWaiters::default(),
+            runs: RunLedger::default(),
             run_times: RunTimes::default(),
             wait_factors: WaitFactors::default(),
             team_wait_factors: WaitFactors::default(),
@@ -249,10 +254,21 @@
         self.state.borrow().run_times.expected(route_hash)
     }
 
-    /// Returns the fingerprints of the running requests.
+    /// Records that the endpoint was alive at a time.
+    pub fn on_alive(&self, at: Duration) {
+        self.state.borrow_mut().runs.on_alive(at);
+    }
+
+    /// Records that the present lifetime of the endpoint has ended. Returns the requests that may have run
+    /// then, whether somebody waits for them or not.
+    pub fn end_lifetime(&self) -> EndedRuns {
+        self.state.borrow_mut().runs.end_lifetime(self.clock.now())
+    }
+
+    /// Returns the number of requests that the endpoint may still run and that nobody waits for.
     #[must_use]
-    pub fn running(&self) -> Vec<Fingerprint> {
-        self.state.borrow().requests.running()
+    pub fn abandoned(&self) -> usize {
+        self.state.borrow().runs.abandoned()
     }
 
     /// Waits for a slot. Dropping the permit releases it.
@@ -299,6 +315,7 @@
         let permit = SlotPermit {
             queue: Rc::clone(self),
             id,
+            fingerprint: request.fingerprint,
             route_hash: request.route_hash,
             started: None,
         };
@@ -394,14 +411,30 @@
 pub struct SlotPermit {
     queue: Rc<SlotQueue>,
     id: u64,
+    fingerprint: Fingerprint,
     route_hash: u32,
     started: Option<Duration>,
 }
 
 impl SlotPermit {
-    /// Records that the request is sent to the endpoint.
-    pub fn start(&mut self) {
+    /// Records that the request is sent to the endpoint, which is to stop work on it at `until`.
+    pub fn start(&mut self, until: Duration) {
         self.started = Some(self.queue.clock.now());
+        let mut state = self.queue.state.borrow_mut();
+        state.runs.start(self.id, self.fingerprint, until);
+    }
+
+    /// Records that the endpoint does not run the request. The slot stays reserved.
+    pub fn reject(&mut self) {
+        let mut state = self.queue.state.borrow_mut();
+        state.runs.finish(self.id);
+    }
+
+    /// Records that the endpoint has ended the connection of the request, and releases the slot.
+    pub fn break_off(self) {
+        let now = self.queue.clock.now();
+        let mut state = self.queue.state.borrow_mut();
+        state.runs.break_off(self.id, now);
     }
 
     /// Returns the time since the request was sent to the endpoint.
@@ -417,6 +450,7 @@
         let run = now.saturating_sub(self.started.take().unwrap_or(now));
         let mut state = self.queue.state.borrow_mut();
         state.run_times.record(self.route_hash, run);
+        state.runs.finish(self.id);
         state.requests.calls.remove(&self.id);
         let events = state.guard.finish(self.id, now);
         state.deliver(events, now);
@@ -428,6 +462,8 @@
     fn drop(&mut self) {
         let now = self.queue.clock.now();
         let mut state = self.queue.state.borrow_mut();
+        // After `finish` and `break_off` the ledger no longer has the request as one that runs.
+        state.runs.abandon(self.id, now);
         state.requests.calls.remove(&self.id);
         state.requests.waiters.remove(&self.id);
         // After `finish` the guard no longer has the request, and this has no effect.
--- a/coltsfootweir/src/upstream.rs
+++ b/coltsfootweir/src/upstream.rs
@@ -24,6 +24,8 @@
 use crate::member::EndpointEntry;
 use crate::member::EndpointPhase;
 use crate::outcome::RefusalReason;
+use crate::run_ledger::RunLedger;
+use crate::run_ledger::STOP_MARGIN;
 
 /// Current state of the local upstream.
 struct UpstreamState {
@@ -34,6 +36,7 @@
     is_down: bool,
     guard: GuardState,
     requests: GuardWaiters,
+    runs: RunLedger,
     next_id: u64,
     crash_count: u64,
 }
@@ -46,7 +49,8 @@
     pub(crate) pool: ConnectionPool,
 }
 
-/// A crash of the upstream, with the fingerprints of the requests that were running.
+/// A crash of the upstream, with the fingerprints of the requests that may have been running, also of those
+/// whose callers had left.
 pub(crate) struct ObservedCrash {
     pub(crate) number: u64,
     pub(crate) running: Vec<Fingerprint>,
@@ -61,6 +65,7 @@
             is_down: true,
             guard: GuardState::new(0, queue_limit),
             requests: GuardWaiters::default(),
+            runs: RunLedger::default(),
             next_id: 0,
             crash_count: 0,
         };
@@ -94,6 +99,10 @@
         if is_new && state.requests.calls.is_empty() {
             state.guard = GuardState::new(announcement.slots, self.queue_limit);
         }
+        if is_new {
+            // What ran at another address can't crash this upstream.
+            state.runs.end_lifetime(now);
+        }
         state.is_down = false;
         state.announced = Some(Arc::new(announcement));
         state.publish(now)
@@ -122,7 +131,8 @@
         state.is_down = true;
         state.crash_count += 1;
         let number = state.crash_count;
-        let running = state.requests.running();
+        let ended = state.runs.end_lifetime(now);
+        let running = [ended.open, ended.abandoned].concat();
         let entry = state.publish(now);
         Some((ObservedCrash { number, running }, entry))
     }
@@ -285,6 +295,13 @@
 }
 
 impl SlotPermit<'_> {
+    /// Records that the request is sent to the upstream, which is to stop work on it at the deadline.
+    pub(crate) fn start(&self, fingerprint: Fingerprint, deadline: CallDeadline) {
+        let mut state = lock(&self.upstream.state);
+        let until = deadline.as_time() + STOP_MARGIN;
+        state.runs.start(self.id, fingerprint, until);
+    }
+
     /// Marks the request as completed; otherwise it counts as cancelled.
     pub(crate) fn finish(&mut self) {
         self.is_done = true;
@@ -298,8 +315,11 @@
         state.requests.calls.remove(&self.id);
         state.requests.waiters.remove(&self.id);
         let events = if self.is_done {
+            state.runs.finish(self.id);
+            state.runs.on_alive(now);
             state.guard.finish(self.id, now)
         } else {
+            state.runs.abandon(self.id, now);
             state.guard.cancel(self.id, now)
         };
         state.deliver(events, now);
--- a/coltsfootweir/tests/sidecar_local_endpoint.rs
+++ b/coltsfootweir/tests/sidecar_local_endpoint.rs
@@ -1,6 +1,8 @@
 //! Tests of the local endpoint: calls that it must refuse, because it is leaving, serves another service
 //! or the call is late, and calls that crash it.
 
+mod endpoint_support;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +12,6 @@
 
 use coltsfootweir::clock::SystemClock;
 use coltsfootweir::member::EndpointPhase;
-use coltsfootweir::poison::PoisonTable;
 use coltsfootweir::sidecar::announcement::EndpointAnnouncement;
 use coltsfootweir::sidecar::announcement::EndpointDeparture;
 use coltsfootweir::sidecar::answer::answer_rest::BodyPiece;
@@ -18,11 +19,8 @@
 use coltsfootweir::sidecar::frame::CallResult;
 use coltsfootweir::sidecar::frame::ForwardedCall;
 use coltsfootweir::sidecar::frame::NotRunCause;
-use coltsfootweir::sidecar::frame::UnknownCause;
 use coltsfootweir::sidecar::link::call_age::wall_delay;
 use coltsfootweir::sidecar::local_endpoint::LocalEndpoint;
-use coltsfootweir::sidecar::local_endpoint::wall_ms;
-use coltsfootweir::sidecar::platform_adapter::HeaderNames;
 use coltsfootweir::sidecar::slot_queue::SlotQueue;
 use coltsfootweir::sidecar::slot_queue::SlotRequest;
 use tokio::io::AsyncReadExt;
@@ -30,24 +28,11 @@
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
-const HEADERS: HeaderNames = HeaderNames {
-    request_id: "id",
-    time_left: "left",
-    signature: "signed",
-    expected_endpoint: "expected",
-    not_run: "not-run",
-    caller: "caller",
-    team: "team",
-    authorization: "key",
-    warmup_left: "warmup-left",
-    store_era: "era",
-};
-
-fn endpoint() -> Rc<LocalEndpoint> {
-    let poison = Rc::new(RefCell::new(PoisonTable::new()));
-    let clock = Arc::new(SystemClock::new());
-    LocalEndpoint::new("m".into(), 1, clock, HEADERS, poison)
-}
+use endpoint_support::announce_again;
+use endpoint_support::call;
+use endpoint_support::endpoint;
+use endpoint_support::has_run;
+use endpoint_support::is_closed;
 
 fn announce(endpoint: &LocalEndpoint, address: SocketAddr, service: &str, is_leaving: bool) {
     let announcement = EndpointAnnouncement {
@@ -65,23 +50,6 @@
     endpoint.announce(announcement, &service.into(), address);
 }
 
-fn call(service: &str) -> ForwardedCall {
-    ForwardedCall {
-        service: service.into(),
-        method: "GET".into(),
-        path: "/".into(),
-        headers: Vec::new(),
-        body: Default::default(),
-        request_id: "r".into(),
-        rank: 0,
-        kind: 0,
-        left_ms: 300,
-        wait_ms: 300,
-        sent_at_ms: wall_ms(SystemTime::now()),
-        team: None,
-    }
-}
-
 /// Runs a call at an endpoint that accepts connections and never responds.
 async fn run_at(
     prepare: impl FnOnce(&LocalEndpoint, SocketAddr),
@@ -95,11 +63,6 @@
     endpoint.run(&call, delay).await.answer.result
 }
 
-fn is_closed(result: &CallResult) -> bool {
-    matches!(result, CallResult::NotRun(report)
-        if report.cause == NotRunCause::Closed && !report.reached)
-}
-
 #[tokio::test(flavor = "current_thread")]
 async fn call_after_a_departure_is_not_run() {
     let result = run_at(
@@ -238,22 +201,6 @@
     (false, answer.result)
 }
 
-fn announce_again(endpoint: &LocalEndpoint, address: SocketAddr, sequence: u64) {
-    let announcement = EndpointAnnouncement {
-        id: "i".into(),
-        born: sequence,
-        sequence,
-        address,
-        service: "stalls".into(),
-        version: "v1".into(),
-        zone: "a".into(),
-        slots: 2,
-        is_leaving: false,
-        warmup_left: Duration::ZERO,
-    };
-    endpoint.announce(announcement, &"stalls".into(), address);
-}
-
 /// Guards against a request that crashes endpoints while they send a long answer and is never refused
 /// (`review/4`).
 #[tokio::test(flavor = "current_thread")]
@@ -332,10 +279,6 @@
     report.answer.result
 }
 
-fn has_run(result: &CallResult) -> bool {
-    matches!(result, CallResult::Unknown(UnknownCause::TimedOut))
-}
-
 /// Guards against uploads that were received and never run, although a slot is free before the client's
 /// deadline.
 #[tokio::test(flavor = "current_thread")]
--- a/coltsfootweir/tests/sidecar_slot_queue.rs
+++ b/coltsfootweir/tests/sidecar_slot_queue.rs
@@ -62,7 +62,7 @@
     queue.set_phase(EndpointPhase::Ready);
     let first = queue.admit(request(None, 60_000)).await;
     let mut first = first.expect("a free slot");
-    first.start();
+    first.start(Duration::from_secs(60));
     clock.advance(100);
     first.finish();
     let running = queue.admit(request(LARGE, 60_000)).await;
--- a/programs/tests/calls_poison.rs
+++ b/programs/tests/calls_poison.rs
@@ -17,6 +17,7 @@
 use common::caller::CallSpec;
 use common::caller::KeptCaller;
 use common::caller::call_once;
+use common::caller::send_raw;
 use common::caller_threads::pause;
 use common::caller_threads::run_while;
 use common::process_fleet::ProcessFleet;
@@ -26,6 +27,9 @@
 /// Time between two copies of the poison request.
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after which a caller leaves, half of the time after which the request crashes the upstream.
+const LEAVE_TIME: Duration = Duration::from_millis(100);
+
 /// Time within which a crash fact reaches every daemon.
 const SPREAD_TIME: Duration = Duration::from_secs(1);
 
@@ -110,11 +114,39 @@
     refused
 }
 
+/// Sends copies whose callers leave before the upstream crashes, and then some whose callers wait.
+fn send_poison_and_leave(fleet: &ProcessFleet) -> usize {
+    let spec = CallSpec::get("/stalls/poison");
+    let start = Instant::now();
+    for copy in 0.. {
+        if start.elapsed() > SENDING_TIME {
+            break;
+        }
+        let stream = send_raw(fleet.daemons[copy % DAEMONS].calls, &spec.encode());
+        pause(LEAVE_TIME);
+        drop(stream);
+        pause(COPY_INTERVAL - LEAVE_TIME);
+    }
+    let mut refused = 0;
+    for copy in 0..=LEAST_REFUSED {
+        let answer = call_once(fleet.daemons[copy % DAEMONS].calls, &spec).whole();
+        refused += usize::from(answer.is_some_and(|answer| answer.reason() == "poison"));
+    }
+    refused
+}
+
 fn prove_poison(make_copy: impl Fn(usize) -> CallSpec) {
+    prove_poison_sent(Duration::ZERO, |fleet| send_poison(fleet, make_copy));
+}
+
+/// Proves that a request that crashes upstreams after `crash_delay` brings down few of them; `send` sends
+/// copies of it and returns how many were refused.
+fn prove_poison_sent(crash_delay: Duration, send: impl FnOnce(&ProcessFleet) -> usize) {
     assert!(MAX_SENDING_TIME < POISON_TIMEOUT);
     let mut settings = UpstreamSettings::new("stalls", "v1");
     settings.faults = UpstreamFaults {
         crash_on_body: Some("poison".into()),
+        crash_delay,
         ..UpstreamFaults::default()
     };
     let fleet = ProcessFleet::start_logged(DAEMONS, &settings);
@@ -129,7 +161,7 @@
         caller => call_others(&fleet, caller, stop, &calls),
     };
     run_while(DAEMONS + 1, work, || {
-        refused = send_poison(&fleet, make_copy);
+        refused = send(&fleet);
     });
     let crashes = crash_count(&fleet);
     assert!(crashes <= MAX_CRASHES, "{crashes} upstreams brought down");
@@ -143,6 +175,13 @@
     );
 }
 
+/// Guards against a request that crashes upstreams and is never refused, as its callers leave before the
+/// crash.
+#[test]
+fn poison_whose_callers_leave_brings_down_few_upstreams() {
+    prove_poison_sent(LEAVE_TIME * 2, send_poison_and_leave);
+}
+
 #[test]
 fn poison_check_brings_down_few_upstreams() {
     prove_poison(|_| CallSpec::get("/stalls/poison"));
--- a/standins/src/upstream_call.rs
+++ b/standins/src/upstream_call.rs
@@ -83,7 +83,13 @@
         outcome: None,
     };
     if plan.crashes {
-        state.end_life();
+        // It goes on when its caller leaves.
+        tokio::spawn(async move {
+            let _running = guard;
+            sleep(plan.crash_delay).await;
+            state.end_life();
+            future::pending::<()>().await;
+        });
         return future::pending().await;
     }
     let outcome = do_work(plan, deadline.map(Duration::from_millis)).await;
--- a/standins/src/upstream_faults.rs
+++ b/standins/src/upstream_faults.rs
@@ -28,6 +28,9 @@
     pub only_above_running: u32,
     /// Text in a path or body that crashes the upstream that runs the request, whatever else holds.
     pub crash_on_body: Option<Box<str>>,
+    /// Time for which such a request runs before the crash; whole milliseconds in JSON.
+    #[serde(with = "millis")]
+    pub crash_delay: Duration,
     /// Whether the health and load endpoints tell of a healthy, idle upstream whatever happens.
     pub misleading_health: bool,
 }
@@ -43,6 +46,7 @@
             only_prefix: None,
             only_above_running: 0,
             crash_on_body: None,
+            crash_delay: Duration::ZERO,
             misleading_health: false,
         }
     }
--- a/standins/src/upstream_state.rs
+++ b/standins/src/upstream_state.rs
@@ -76,6 +76,8 @@
     pub truncates: bool,
     /// Whether it crashes the upstream.
     pub crashes: bool,
+    /// Time for which it runs before that.
+    pub crash_delay: Duration,
 }
 
 impl UpstreamState {
@@ -228,6 +230,7 @@
             fails,
             truncates,
             crashes,
+            crash_delay: faults.crash_delay,
         }
     }
 
