Open connections follow the limits in force

Cause: the limits on clients were copied when a connection was accepted, and nothing told the copy that its origin had changed. A connection that was accepted before the first configuration kept the defaults for good.

Change: a connection reads the limits in force whenever it compares something with them. Input that has begun is measured by the larger ones of those under which it began and those in force. A time limit that passes is compared once more. Without a configuration, a head beyond the defaults is answered 503 instead of 431.

Why it works: there is no copy left that could be old, but for the time of one head or wait, and that one only allows more.

--- a/coltsfootweir/src/sidecar/client_connection/connection.rs
+++ b/coltsfootweir/src/sidecar/client_connection/connection.rs
@@ -36,6 +36,7 @@
 use crate::sidecar::client_limits::connection_limit::ConnectionSlot;
 use crate::sidecar::client_response::daemon_response;
 use crate::sidecar::mesh_config::ClientLimits;
+use crate::sidecar::request_server::UNREADY_RETRY_AFTER;
 use crate::sidecar::request_server::is_repeatable;
 use crate::sidecar::request_server::serve_request;
 use crate::sidecar::sidecar_state::SidecarState;
@@ -83,7 +84,8 @@
     pub(super) state: Rc<SidecarState>,
     pub(super) stream: TcpStream,
     pub(super) slot: Rc<ConnectionSlot>,
-    pub(super) limits: ClientLimits,
+    /// Limits that were in force when the input that is awaited or read began.
+    begun: ClientLimits,
     pub(super) buffer: Vec<u8>,
     /// Length of the front of the buffer that holds no end of a head.
     pub(super) scanned: usize,
@@ -110,13 +112,12 @@
         state: Rc<SidecarState>,
         stream: TcpStream,
         slot: Rc<ConnectionSlot>,
-        limits: ClientLimits,
     ) -> ClientConnection {
         ClientConnection {
+            begun: state.config.client_limits(),
             state,
             stream,
             slot,
-            limits,
             buffer: Vec::new(),
             scanned: 0,
             outstanding: VecDeque::new(),
@@ -146,6 +147,7 @@
         let timer = tokio::time::sleep(self.idle_time());
         tokio::pin!(timer);
         let mut wait = InputWait::Idle;
+        let mut wait_since = Instant::now();
         loop {
             self.feed_body();
             self.start_requests();
@@ -156,7 +158,11 @@
             }
             let last_wait = std::mem::replace(&mut wait, self.input_wait());
             if wait != last_wait && wait != InputWait::None {
-                timer.as_mut().reset(Instant::now() + self.time_limit(wait));
+                if wait == InputWait::Idle {
+                    self.begun = self.state.config.client_limits();
+                }
+                wait_since = Instant::now();
+                timer.as_mut().reset(wait_since + self.time_limit(wait));
             }
             let event = poll_fn(|context| {
                 let timer = (wait != InputWait::None).then_some(timer.as_mut());
@@ -172,6 +178,12 @@
                 }
                 ConnectionEvent::Ended => false,
                 ConnectionEvent::TimedOut => {
+                    // The limit may have been raised since the wait began.
+                    let until = wait_since + self.time_limit(wait);
+                    if Instant::now() < until {
+                        timer.as_mut().reset(until);
+                        continue;
+                    }
                     if wait == InputWait::Rest {
                         self.state.metrics.count_refusal("head_timed_out");
                     }
@@ -185,15 +197,22 @@
         }
     }
 
+    /// Returns the limits on the present input: those in force, or those under which it began if they are
+    /// larger. Its sender can't take back what it has sent.
+    fn limits(&self) -> ClientLimits {
+        self.begun.or_larger(self.state.config.client_limits())
+    }
+
     pub(super) fn idle_time(&self) -> Duration {
-        Duration::from_millis(u64::from(self.limits.idle_ms.max(self.limits.header_ms)))
+        let limits = self.limits();
+        Duration::from_millis(u64::from(limits.idle_ms.max(limits.header_ms)))
     }
 
     fn time_limit(&self, wait: InputWait) -> Duration {
         match wait {
             InputWait::None | InputWait::Idle => self.idle_time(),
             InputWait::Rest => {
-                Duration::from_millis(u64::from(self.limits.header_ms)) + HEAD_MARGIN
+                Duration::from_millis(u64::from(self.limits().header_ms)) + HEAD_MARGIN
             }
         }
     }
@@ -207,7 +226,7 @@
     }
 
     fn head_limit(&self) -> usize {
-        MIN_HEAD_LIMIT.max(self.limits.header_bytes as usize)
+        MIN_HEAD_LIMIT.max(self.limits().header_bytes as usize)
     }
 
     fn is_finished(&self) -> bool {
@@ -304,11 +323,17 @@
     /// Queues the answer to a head that can't be served, after which the connection closes.
     fn refuse(&mut self, error: HeadError) {
         let (status, cause) = match error {
+            // The configuration may allow it.
+            HeadError::TooLarge if self.state.config.version() == 0 => {
+                (StatusCode::SERVICE_UNAVAILABLE, "no_config")
+            }
             HeadError::TooLarge => (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_long"),
             HeadError::Malformed => (StatusCode::BAD_REQUEST, "head_unreadable"),
         };
         self.state.metrics.count_refusal(cause);
-        let response = daemon_response(&self.state, "", status, cause, None);
+        let retry_after =
+            (status == StatusCode::SERVICE_UNAVAILABLE).then_some(UNREADY_RETRY_AFTER);
+        let response = daemon_response(&self.state, "", status, cause, retry_after);
         self.is_last = true;
         self.is_cut = true;
         self.outstanding.push_back(PendingRequest {
@@ -414,6 +439,9 @@
                 Poll::Ready(Err(_)) => return Poll::Ready(false),
                 Poll::Ready(Ok(())) => {}
             }
+            if self.buffer.is_empty() {
+                self.begun = self.state.config.client_limits();
+            }
             self.buffer.reserve(READ_SIZE);
             match self.stream.try_read_buf(&mut self.buffer) {
                 Ok(0) => return Poll::Ready(false),
--- a/coltsfootweir/src/sidecar/config_holder.rs
+++ b/coltsfootweir/src/sidecar/config_holder.rs
@@ -13,6 +13,7 @@
 use crate::ids::RouteName;
 use crate::ids::ServiceName;
 use crate::logging::CONFIG;
+use crate::sidecar::mesh_config::ClientLimits;
 use crate::sidecar::mesh_config::ConfigDelta;
 use crate::sidecar::mesh_config::DeltaTerms;
 use crate::sidecar::mesh_config::MeshConfig;
@@ -97,6 +98,15 @@
         active.as_ref().map_or(0, |active| active.config.version)
     }
 
+    /// Returns the limits on clients that are in force.
+    #[must_use]
+    pub fn client_limits(&self) -> ClientLimits {
+        let active = self.active.borrow();
+        active
+            .as_ref()
+            .map_or(ClientLimits::DEFAULT, |active| active.config.limits)
+    }
+
     /// Activates a configuration if it is newer than the active one. Returns whether it was
     /// activated.
     ///
--- a/coltsfootweir/src/sidecar/mesh_config.rs
+++ b/coltsfootweir/src/sidecar/mesh_config.rs
@@ -89,6 +89,27 @@
     pub idle_ms: u32,
 }
 
+impl ClientLimits {
+    /// Limits before the first configuration.
+    pub const DEFAULT: ClientLimits = ClientLimits {
+        header_bytes: 16 * 1024,
+        body_bytes: 1024 * 1024,
+        header_ms: 5_000,
+        idle_ms: 15_000,
+    };
+
+    /// Returns the larger one of each limit, for input that began under one set and goes on under the other.
+    #[must_use]
+    pub fn or_larger(self, other: ClientLimits) -> ClientLimits {
+        ClientLimits {
+            header_bytes: self.header_bytes.max(other.header_bytes),
+            body_bytes: self.body_bytes.max(other.body_bytes),
+            header_ms: self.header_ms.max(other.header_ms),
+            idle_ms: self.idle_ms.max(other.idle_ms),
+        }
+    }
+}
+
 /// A complete configuration. The order of routes is not significant.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MeshConfig {
--- a/coltsfootweir/src/sidecar/request_server.rs
+++ b/coltsfootweir/src/sidecar/request_server.rs
@@ -41,7 +41,6 @@
 use crate::sidecar::frame::HeaderList;
 use crate::sidecar::frame::NotRunCause;
 use crate::sidecar::frame::UnknownCause;
-use crate::sidecar::mesh_config::ClientLimits;
 use crate::sidecar::mesh_config::MeshRoute;
 use crate::sidecar::rate_limits::LimitRefusal;
 use crate::sidecar::rate_limits::take_token;
@@ -60,15 +59,7 @@
 
 /// `Retry-After` while there is no configuration or no endpoint, about the time in which a restarted
 /// daemon gets them.
-const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Limits on clients before the first configuration.
-const DEFAULT_LIMITS: ClientLimits = ClientLimits {
-    header_bytes: 16 * 1024,
-    body_bytes: 1024 * 1024,
-    header_ms: 5_000,
-    idle_ms: 15_000,
-};
+pub(crate) const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Accepts and serves connections until `stopping` changes. Then closes the port and shuts the open
 /// connections down gracefully.
@@ -104,9 +95,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let active = state.config.active();
-    let limits = active.map_or(DEFAULT_LIMITS, |active| active.config.limits);
-    ClientConnection::new(state, stream, slot, limits)
+    ClientConnection::new(state, stream, slot)
         .run(stopping)
         .await;
 }
