The store is called at the address in force

Cause: as with the limits of open connections, a value that was read once. `StoreClient` kept the address of the start.

Change: a reload of the settings gives the client the new address; idle connections to the old one are dropped. `settings_need_restart` also names region, zone and size, which are read at the start only.

--- a/coltsfootweir/src/sidecar/daemon.rs
+++ b/coltsfootweir/src/sidecar/daemon.rs
@@ -258,13 +258,18 @@
         }
     };
     let held = state.settings();
-    if settings.listen != held.listen || settings.id != held.id {
+    if needs_restart(&settings, &held) {
         let event = json!({"name": "settings_need_restart",
-            "reason": "identity and ports are read at the start only"});
+            "reason": "identity, ports, place and size are read at the start only"});
         warn!(target: DAEMON, "{event}");
     }
     let event = json!({"name": "settings_reloaded", "cause": cause, "changed": settings != *held});
     info!(target: DAEMON, "{event}");
+    if state.store.set_address(settings.store) {
+        let event = json!({"name": "store_address_changed", "address": settings.store,
+            "before": held.store});
+        info!(target: DAEMON, "{event}");
+    }
     *state.settings.borrow_mut() = Rc::new(SidecarSettings {
         id: held.id.clone(),
         listen: held.listen,
@@ -272,6 +277,13 @@
     });
 }
 
+/// Returns whether a change of the settings takes effect only when the daemon starts again.
+fn needs_restart(settings: &SidecarSettings, held: &SidecarSettings) -> bool {
+    let is_same_place = settings.region == held.region && settings.zone == held.zone;
+    let is_same_size = settings.size == held.size && settings.host_limits == held.host_limits;
+    settings.listen != held.listen || settings.id != held.id || !is_same_place || !is_same_size
+}
+
 /// Shuts down gracefully: is no longer ready, runs calls of other daemons for a while, announces the
 /// departure, then stops accepting connections, then waits for running requests to finish.
 async fn shut_down(state: &SidecarState, stop: &watch::Sender<bool>) {
--- a/coltsfootweir/src/sidecar/store_client.rs
+++ b/coltsfootweir/src/sidecar/store_client.rs
@@ -44,13 +44,14 @@
 
 struct IdleConnection {
     connection: HttpConnection,
+    address: SocketAddr,
     since: Instant,
 }
 
 /// Client of the store. A connection serves one call at a time, so a watch occupies one.
 pub struct StoreClient {
     platform_adapter: Rc<dyn PlatformAdapter>,
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     idle: RefCell<Vec<IdleConnection>>,
     eras: Cell<EraTracker>,
     connect_time: Cell<Option<Duration>>,
@@ -64,7 +65,7 @@
     pub fn new(platform_adapter: Rc<dyn PlatformAdapter>, address: SocketAddr) -> StoreClient {
         StoreClient {
             platform_adapter,
-            address,
+            address: Cell::new(address),
             idle: RefCell::default(),
             eras: Cell::default(),
             connect_time: Cell::new(None),
@@ -73,6 +74,15 @@
         }
     }
 
+    /// Changes the address of the store. Calls that have begun end at the old one. Returns whether it differs.
+    pub fn set_address(&self, address: SocketAddr) -> bool {
+        if self.address.replace(address) == address {
+            return false;
+        }
+        self.connect_time.set(None);
+        true
+    }
+
     /// Returns the shortest time in which a connection to the store was made; `None` before the
     /// first.
     #[must_use]
@@ -143,18 +153,19 @@
 
     async fn exchange(&self, call: &StoreCall) -> Result<StoreReply, StoreFault> {
         let request = self.platform_adapter.store_request(call);
+        let address = self.address.get();
         let head = format!(
             "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             request.method,
             request.path,
-            self.address,
+            address,
             request.body.len()
         );
         let wait = match call {
             StoreCall::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
             _ => Duration::ZERO,
         };
-        let mut connection = self.connection().await?;
+        let mut connection = self.connection(address).await?;
         let wire = WireRequest {
             head: head.as_bytes(),
             body: &request.body,
@@ -174,7 +185,11 @@
         };
         if answer.is_reusable {
             let since = Instant::now();
-            let idle = IdleConnection { connection, since };
+            let idle = IdleConnection {
+                connection,
+                address,
+                since,
+            };
             self.idle.borrow_mut().push(idle);
         }
         let header = answer.header(self.platform_adapter.headers().store_era);
@@ -216,17 +231,21 @@
         reading.map(|reading| reading.era)
     }
 
-    async fn connection(&self) -> Result<HttpConnection, StoreFault> {
+    async fn connection(&self, address: SocketAddr) -> Result<HttpConnection, StoreFault> {
         while let Some(idle) = self.take_idle() {
-            if idle.since.elapsed() < IDLE_LIMIT && idle.connection.is_clean() {
+            let is_usable = idle.address == address && idle.since.elapsed() < IDLE_LIMIT;
+            if is_usable && idle.connection.is_clean() {
                 return Ok(idle.connection);
             }
         }
         let start = Instant::now();
-        let connection = HttpConnection::open(self.address, CONNECT_TIMEOUT)
+        let connection = HttpConnection::open(address, CONNECT_TIMEOUT)
             .await
             .map_err(|_| StoreFault::NoAnswer)?;
         let taken = start.elapsed();
+        if self.address.get() != address {
+            return Ok(connection);
+        }
         let shortest = self
             .connect_time
             .get()
--- a/programs/tests/sidecar_failures.rs
+++ b/programs/tests/sidecar_failures.rs
@@ -352,6 +352,32 @@
     assert_eq!(answer.whole().expect("a whole answer").status, 200);
 }
 
+/// Guards against an address of the store that is read at the start only: no configuration would arrive any
+/// more (review/14).
+#[test]
+fn store_is_called_at_the_address_that_the_settings_name_now() {
+    let fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (HORSES, "v1")]);
+    for (sidecar, relay) in fleet.sidecars.iter().zip(&fleet.store_relays) {
+        let text = std::fs::read_to_string(&sidecar.settings).expect("settings");
+        let (old, new) = (relay.address(), fleet.store.open_address().address);
+        let text = text.replace(&old.to_string(), &new.to_string());
+        std::fs::write(&sidecar.settings, text).expect("a file");
+    }
+    for sidecar in &fleet.sidecars {
+        wait_for("the change", PATIENCE, || {
+            !sidecar.events("settings_reloaded").is_empty()
+        });
+    }
+    for store in &fleet.stores {
+        store.silence_address();
+    }
+    fleet.put_config(7, "");
+    fleet.wait_config(7);
+    assert_eq!(fleet.sidecars[0].get("/v7/ok", "new").status, 200);
+    fleet.put_config(8, "");
+    fleet.wait_config(8);
+}
+
 #[test]
 fn good_version_gets_all_traffic_before_the_move_is_reported_done() {
     let fleet = SidecarFleet::start_ready(&[(STALLS, "v1"), (STALLS, "v2"), (HORSES, "v1")]);
