Credits of a route follow its weights

A configuration that scales the weights of a `traffic_split` down gave one part all requests of the route for some thousands.

Cause: a value that was read once. The credits by which requests are split were kept in the scale of the weights of before.

Change: credits are converted when the weights change, and dropped when the parts do.

--- a/coltsfootweir/src/sidecar/mesh_config.rs
+++ b/coltsfootweir/src/sidecar/mesh_config.rs
@@ -286,7 +286,37 @@
 /// Splits the requests of a route between its services by smooth weighted round-robin.
 #[derive(Clone, Debug, Default)]
 pub struct TrafficSplitter {
-    credits: HashMap<RouteName, Vec<i64>>,
+    credits: HashMap<RouteName, RouteCredits>,
+}
+
+/// Credits of the parts of a route, in their order.
+#[derive(Clone, Debug, Default)]
+struct RouteCredits {
+    /// Parts for which the credits were given. Those for other weights are of another scale.
+    parts: Vec<TrafficPart>,
+    credits: Vec<i64>,
+}
+
+impl RouteCredits {
+    /// Converts the credits to the scale of other weights, or drops them if the parts are others.
+    fn follow(&mut self, parts: &[TrafficPart]) {
+        let services = |parts: &[TrafficPart]| -> Vec<ServiceName> {
+            parts.iter().map(|part| part.service.clone()).collect()
+        };
+        let (before, total) = (total_weight(&self.parts), total_weight(parts));
+        if before == 0 || services(&self.parts) != services(parts) {
+            self.credits = vec![0; parts.len()];
+        }
+        for credit in &mut self.credits {
+            let scaled = i128::from(*credit) * i128::from(total) / i128::from(before.max(1));
+            *credit = i64::try_from(scaled).unwrap_or(0);
+        }
+        self.parts = parts.to_vec();
+    }
+}
+
+fn total_weight(parts: &[TrafficPart]) -> i64 {
+    parts.iter().map(|part| i64::from(part.weight)).sum()
 }
 
 impl TrafficSplitter {
@@ -296,9 +326,12 @@
         if let [only] = route.parts.as_slice() {
             return Some(&only.service);
         }
-        let total: i64 = route.parts.iter().map(|part| i64::from(part.weight)).sum();
-        let credits = self.credits.entry(route.name.clone()).or_default();
-        credits.resize(route.parts.len(), 0);
+        let total = total_weight(&route.parts);
+        let held = self.credits.entry(route.name.clone()).or_default();
+        if held.parts != route.parts {
+            held.follow(&route.parts);
+        }
+        let credits = &mut held.credits;
         for (credit, part) in credits.iter_mut().zip(&route.parts) {
             *credit += i64::from(part.weight);
         }
--- a/coltsfootweir/tests/sidecar_config.rs
+++ b/coltsfootweir/tests/sidecar_config.rs
@@ -109,6 +109,28 @@
     }
 }
 
+/// Guards against credits of the weights of before: when a configuration scales the weights down, one part
+/// would get all requests for some thousands.
+#[test]
+fn traffic_is_split_by_the_new_weights_from_the_next_request_on() {
+    let mut splitter = TrafficSplitter::default();
+    let large = route("split", "/", &[("s", 9_000_000), ("t", 1_000_000)], 0);
+    for _ in 0..5 {
+        splitter.next_service(&large);
+    }
+    for parts in [[("s", 900), ("t", 100)], [("s", 100), ("t", 900)]] {
+        let small = route("split", "/", &parts, 0);
+        let mut count = 0;
+        for _ in 0..20 {
+            let service = splitter.next_service(&small).expect("a part");
+            count += u32::from(&**service == "t");
+        }
+        // One request of a part may be due from before.
+        let due = parts[1].1 / 50;
+        assert!(count.abs_diff(due) <= 1, "{count} of {due}");
+    }
+}
+
 #[test]
 fn part_without_weight_gets_nothing() {
     let route = route("split", "/", &[("s", 0), ("t", 5)], 0);
