Retry budgets follow the settings and the fleet

Cause: a value that was read once. The share and the burst of retries of a service were set at its first request, by the settings and the number of daemons known then. A daemon that knew few others kept the burst of so few, so that the bursts of all add up to more than is allowed.

Change: the terms are applied at each use; tokens beyond the burst are dropped.

Evidence: by reading, and `budget_follows_the_number_of_daemons`, which needs the new method.

--- a/coltsfootweir/src/retry.rs
+++ b/coltsfootweir/src/retry.rs
@@ -42,6 +42,14 @@
         self.percent = u32::from(percent);
     }
 
+    /// Changes the share of calls that may be retried and the retries that may be made at once. Tokens beyond
+    /// those are dropped.
+    pub fn set_terms(&mut self, percent: u8, burst: u32) {
+        self.percent = u32::from(percent);
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst.saturating_mul(RETRY_COST));
+    }
+
     /// Adds the tokens for a call; its retries add none.
     pub fn on_call(&mut self) {
         let limit = self.burst.saturating_mul(RETRY_COST).max(RETRY_COST);
--- a/coltsfootweir/src/sidecar/call_attempts.rs
+++ b/coltsfootweir/src/sidecar/call_attempts.rs
@@ -461,6 +461,8 @@
         let budget = budgets
             .entry(self.service.clone())
             .or_insert_with(|| RetryBudget::new(percent, burst));
+        // The settings and the number of daemons may have changed since the last request.
+        budget.set_terms(percent, burst);
         work(budget)
     }
 }
--- a/coltsfootweir/tests/retry_rule.rs
+++ b/coltsfootweir/tests/retry_rule.rs
@@ -145,3 +145,21 @@
     let retries = (0..1000).filter(|_| budget.take()).count();
     assert_eq!(retries, RETRY_BURST as usize);
 }
+
+/// Guards against a daemon that has taken the first request of a service while it knew few others, and keeps
+/// the burst of so few for good: the bursts of all daemons would add up to many times what is allowed.
+#[test]
+fn budget_follows_the_number_of_daemons() {
+    let mut budget = RetryBudget::new(20, 60);
+    budget.set_terms(20, 6);
+    let mut retries = 0;
+    while budget.take() {
+        retries += 1;
+    }
+    assert_eq!(retries, 6);
+    for _ in 0..1_000 {
+        budget.on_call();
+    }
+    let saved = (0..100).filter(|_| budget.take()).count();
+    assert_eq!(saved, 6);
+}
