--- a/programs/tests/sidecar/mesh_endpoint.rs
+++ b/programs/tests/sidecar/mesh_endpoint.rs
@@ -22,6 +22,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::answer_bytes::bare_answer;
+use super::answer_bytes::failed_answer;
+use super::answer_bytes::good_answer;
+use super::answer_bytes::half_head;
+use super::answer_bytes::refused_answer;
+use super::endpoint_lives::EndpointLives;
 use super::large_answer::LargeAnswer;
 use super::send;
 use super::spoilt_answer::write_spoilt;
@@ -73,6 +79,7 @@
     sequence: AtomicU64,
     is_leaving: AtomicBool,
     is_gone: AtomicBool,
+    pub lives: EndpointLives,
     /// Address that the daemon has named for the next announcements.
     named: Mutex<Option<SocketAddr>>,
     warmup: Mutex<WarmupState>,
@@ -131,6 +138,7 @@
             sequence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
+            lives: EndpointLives::default(),
             named: Mutex::default(),
             warmup: Mutex::default(),
             arrivals: Mutex::default(),
@@ -138,15 +146,17 @@
         let endpoint = MeshEndpoint { state, admin };
         let serving = Arc::clone(&endpoint.state);
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            serving.lives.accept(listener, |stream| {
                 let state = Arc::clone(&serving);
                 std::thread::spawn(move || serve(&state, &stream));
-            }
+            });
         });
         let announcing = endpoint.clone();
         std::thread::spawn(move || {
             while !announcing.state.is_gone.load(Ordering::Relaxed) {
-                announcing.announce();
+                if !announcing.state.lives.is_down() {
+                    announcing.announce();
+                }
                 pause(ANNOUNCE_PAUSE);
             }
         });
@@ -168,6 +178,11 @@
         self.state.abandoned.load(Ordering::Relaxed)
     }
 
+    /// Times at which the endpoint crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lives.crashes()
+    }
+
     /// Has the announcements say from now on that the endpoint is cold for this time.
     pub fn set_warmup_left(&self, left: Duration) {
         let mut warmup = self.state.warmup.lock().expect("no holder panicked");
@@ -276,7 +291,8 @@
     fn announcement(&self, word: &str, later_ms: u64) -> String {
         let state = &self.state;
         let sequence = state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = json!({"address": state.address, "born": BORN + later_ms,
+        let born = BORN + later_ms + state.lives.ended();
+        let body = json!({"address": state.address, "born": born,
             "info": {"service": state.service, "version": state.version, "zone": "a",
                 "capacity": state.slots.load(Ordering::Relaxed)},
             "status": {"state": word, "sequence": sequence, "warmup_left_ms": self.warmup_left().as_millis() as u64}});
@@ -359,6 +375,12 @@
             }
             (good, true)
         }
+        // It goes on when the caller has left, and ends the endpoint.
+        "crash" => {
+            pause(SLOW_RUN);
+            state.lives.crash(state.address);
+            return false;
+        }
         "close" => (Vec::new(), false),
         "cut" => (good[..good.len() - 4].to_vec(), false),
         "garbage" => (b"no answer at all\r\n\r\n".to_vec(), false),
@@ -416,37 +438,6 @@
     out.write_all(&bytes).is_ok() && goes_on
 }
 
-fn good_answer(endpoint: &str, id: &str, body: &str) -> Vec<u8> {
-    let length = body.len();
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nupstream-signature: {endpoint}\r\ncontent-length: {length}"
-    );
-    format!("{head}\r\n\r\n{body}").into_bytes()
-}
-
-/// An answer without the id of a request.
-fn bare_answer(start: &str) -> Vec<u8> {
-    format!("HTTP/1.1 {start}\r\ncontent-length: 0\r\n\r\n").into_bytes()
-}
-
-/// The answer to a request that is not run.
-fn refused_answer(status: u16, id: &str) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status} No\r\nrequest-id: {id}\r\nnot-processed: 1");
-    format!("{head}\r\ncontent-length: 0\r\n\r\n").into_bytes()
-}
-
-/// The lines of a head without the last one, which states the length.
-fn half_head(answer: &[u8]) -> Vec<u8> {
-    let text = String::from_utf8_lossy(answer);
-    let (head, _) = text.split_once("content-length").expect("a length");
-    head.as_bytes().to_vec()
-}
-
-fn failed_answer(status: u16, id: &str) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status} No\r\nrequest-id: {id}\r\nupstream-signature: s");
-    format!("{head}\r\ncontent-length: 2\r\n\r\nno").into_bytes()
-}
-
 fn is_closed_within(stream: &TcpStream, time: Duration) -> bool {
     stream
         .set_read_timeout(Some(time))
--- a/programs/tests/sidecar/mod.rs
+++ b/programs/tests/sidecar/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod answer_bytes;
+pub mod endpoint_lives;
 pub mod large_answer;
 pub mod mesh_endpoint;
 pub mod rollout_traffic;
