--- a/coltsfootweir/src/poison.rs
+++ b/coltsfootweir/src/poison.rs
@@ -1,12 +1,11 @@
 //! Detection of poison requests, which crash the upstreams that run them.
 //!
-//! A fingerprint that was running in one crash, whether its caller still waited or not, is a suspect and is
-//! never retried. After a second,
-//! distinct crash within [`POISON_TIMEOUT`] it is confirmed and refused for that time. Once confirmed,
-//! a single further crash causes it to be refused again. A poison request crashes every upstream that
-//! runs it, so a request that completed at an upstream within [`POISON_TIMEOUT`] is not blamed for a
-//! crash of that upstream. A common check is therefore not refused for running next to a poison
-//! request.
+//! A fingerprint that was running in one crash, whether its caller still waited or not, is a suspect and
+//! is never retried. After a second, distinct crash within [`POISON_TIMEOUT`] it is confirmed and refused
+//! for that time. Once confirmed, a single further crash causes it to be refused again. A poison request
+//! crashes every upstream that runs it, so a request that completed at an upstream within
+//! [`POISON_TIMEOUT`] is not blamed for a crash of that upstream. A common check is therefore not refused
+//! for running next to a poison request.
 //!
 //! The number of crashes is bounded. A poison request crashes two upstreams, and one more for each copy
 //! that is handed over by a daemon that has not yet received two of its crash facts. If facts reach
--- a/coltsfootweir/src/run_ledger.rs
+++ b/coltsfootweir/src/run_ledger.rs
@@ -17,8 +17,7 @@
 /// Number of a request at the endpoint.
 pub type RunId = u64;
 
-/// Maximum number of runs that nobody waits for, of different requests. At 40 requests a second that all
-/// leave at once, those of the last 12 seconds.
+/// Maximum number of runs that nobody waits for, of different requests.
 pub const MAX_ABANDONED: usize = 512;
 
 #[derive(Clone, Copy, Debug)]
--- a/coltsfootweir/src/sidecar/store_era/store_version.rs
+++ b/coltsfootweir/src/sidecar/store_era/store_version.rs
@@ -10,7 +10,7 @@
 /// Number of times that the store has come back from a copy, as the store counts them.
 pub type StoreEra = u32;
 
-/// Bits of the row version. At 400 writes a second they last for a thousand years.
+/// Bits of the row version.
 const ROW_BITS: u32 = 44;
 
 /// Highest era that fits beside a row version.
--- a/programs/tests/sidecar_soak_leavers.rs
+++ b/programs/tests/sidecar_soak_leavers.rs
@@ -70,15 +70,13 @@
 
 /// Sends a request to a daemon, if it listens, and leaves after some time.
 fn send_for(address: SocketAddr, spec: &CallSpec, patience: Duration) {
-    let stream = TcpStream::connect(address);
-    if let Ok(mut stream) = stream
-        && stream.write_all(&spec.encode()).is_ok()
-    {
-        pause(patience);
-        return;
-    }
-    // The daemon was killed a moment ago.
+    // It fails if the daemon was killed a moment ago.
+    let stream = TcpStream::connect(address).and_then(|mut stream| {
+        stream.write_all(&spec.encode())?;
+        Ok(stream)
+    });
     pause(patience);
+    drop(stream);
 }
 
 /// Sends copies of the poison to all daemons and leaves them before the crash.
