Blame after a planned end and a malformed answer

And a run whose answer was malformed counted as over, though the endpoint may go on with it and crash.

Change: requests that nobody waits for are not blamed for the end of an endpoint that is leaving, however it is noticed. A run is over only if the endpoint has ended its connection.

--- a/coltsfootweir/src/sidecar/answer/endpoint_body.rs
+++ b/coltsfootweir/src/sidecar/answer/endpoint_body.rs
@@ -57,6 +57,7 @@
                 return;
             }
         };
+        let has_ended = error == Some(ExchangeError::Ended);
         let end = match error {
             None => {
                 self.endpoint.record_completed(self.fingerprint);
@@ -75,7 +76,11 @@
         // Fails if the consumer has just gone; it needs no end then.
         let _ = pieces.send(end).await;
         if !is_whole {
-            return self.permit.break_off();
+            // After a malformed answer the endpoint may go on with the request.
+            if has_ended {
+                self.permit.break_off();
+            }
+            return;
         }
         self.permit.finish();
         if !self.connection.has_extra_bytes() {
--- a/coltsfootweir/src/sidecar/local_endpoint.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint.rs
@@ -332,7 +332,10 @@
             info!(target: UPSTREAM, "{what}");
             return CallResult::Unknown(UnknownCause::EndpointCrashed);
         }
-        permit.break_off();
+        // After a malformed answer the endpoint may go on with the request.
+        if error == ExchangeError::Ended {
+            permit.break_off();
+        }
         CallResult::Unknown(UnknownCause::AnswerBroken)
     }
 
--- a/coltsfootweir/src/sidecar/local_endpoint/crashes.rs
+++ b/coltsfootweir/src/sidecar/local_endpoint/crashes.rs
@@ -11,6 +11,7 @@
 use crate::fact::CrashFact;
 use crate::ids::Fingerprint;
 use crate::logging::UPSTREAM;
+use crate::member::EndpointPhase;
 use crate::sidecar::announcement::EndpointAnnouncement;
 use crate::sidecar::http_exchange::HttpConnection;
 use crate::sidecar::sidecar_state::MAX_PUBLISHED_CRASHES;
@@ -77,11 +78,15 @@
         false
     }
 
-    /// Ends the lifetime of the endpoint, and returns the facts about the requests that may have crashed it.
+    /// Ends the lifetime of the endpoint, and returns the facts about the requests that may have crashed it. One
+    /// that is leaving may end as planned, so only requests that somebody waits for are blamed.
     pub(super) fn crash_facts(&self) -> Vec<CrashFact> {
         let now = self.clock.now();
         let ended = self.slots.end_lifetime();
-        let ran = [ended.open, ended.abandoned].concat();
+        let mut ran = ended.open;
+        if self.register.borrow().phase() != EndpointPhase::Leaving {
+            ran.extend(ended.abandoned);
+        }
         let mut poison = self.poison.borrow_mut();
         let mut suspects = poison.crash_suspects(&ran, now);
         // One that was blamed before is the likeliest.
--- a/coltsfootweir/tests/sidecar_left_requests.rs
+++ b/coltsfootweir/tests/sidecar_left_requests.rs
@@ -11,6 +11,7 @@
 use coltsfootweir::sidecar::frame::NotRunCause;
 use coltsfootweir::sidecar::local_endpoint::LocalEndpoint;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
@@ -164,3 +165,59 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Guards against the same where the planned end cuts the answer to another request.
+#[tokio::test(flavor = "current_thread")]
+async fn planned_end_that_cuts_an_answer_blames_nobody_who_left() {
+    let run = async {
+        let endpoint = endpoint();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        announce_again(&endpoint, listener.local_addr().expect("an address"), 1);
+        let left = leave_running(&endpoint, &listener, false).await;
+        let running = Rc::clone(&endpoint);
+        let waiting = tokio::task::spawn_local(async move {
+            let report = running.run(&call_of("/other", 5_000), Duration::ZERO).await;
+            report.crashes.len()
+        });
+        let stream = take_request(&listener).await;
+        endpoint.depart(&EndpointDeparture {
+            id: "i".into(),
+            born: Some(1),
+        });
+        drop((listener, stream, left));
+        assert_eq!(waiting.await.expect("no panic"), 1);
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a request that counts as over once the endpoint has sent bytes that are no answer: it may
+/// still crash the endpoint.
+#[tokio::test(flavor = "current_thread")]
+async fn request_with_a_malformed_answer_may_still_crash_the_endpoint() {
+    let run = async {
+        let endpoint = endpoint();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        announce_again(&endpoint, listener.local_addr().expect("an address"), 1);
+        for (path, answer) in [
+            ("/crashes", "no answer at all\r\n\r\n"),
+            (
+                "/other",
+                "HTTP/1.1 200 OK\r\nid: r\r\nsigned: s\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            ),
+        ] {
+            let running = Rc::clone(&endpoint);
+            let call = call_of(path, 5_000);
+            let waiting =
+                tokio::task::spawn_local(async move { running.run(&call, Duration::ZERO).await });
+            let mut stream = take_request(&listener).await;
+            let written = stream.write_all(answer.as_bytes()).await;
+            written.expect("an open connection");
+            waiting.await.expect("no panic");
+        }
+        drop(listener);
+        let report = endpoint.run(&call_of("/third", 500), Duration::ZERO).await;
+        assert!(is_closed(&report.answer.result));
+        assert_eq!(endpoint.take_crashes().len(), 1);
+    };
+    LocalSet::new().run_until(run).await;
+}
